--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// patience bounds what a test waits for; it only passes when something is wrong.
+const patience = 20 * time.Second
+
+// sidecar counts what is asked of it.
+type sidecar struct {
+	able            atomic.Bool
+	drains, resumes atomic.Int32
+}
+
+func (s *sidecar) CanServe() bool { return s.able.Load() }
+func (s *sidecar) Drain()         { s.drains.Add(1) }
+func (s *sidecar) Resume()        { s.resumes.Add(1) }
+
+// start serves calls on loopback.
+func start(t *testing.T) (*sidecar, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sidecar{}
+	server := New(l, s)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run() }()
+	t.Cleanup(func() {
+		server.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, l.Addr().String()
+}
+
+// dial connects, for no longer than a test may take.
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// call sends text and returns the status of its answer, after which the connection must end.
+func call(t *testing.T, address, text string) int {
+	t.Helper()
+	c := dial(t, address)
+	io.WriteString(c, text)
+	r := bufio.NewReader(c)
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("%.60q: %v", text, err)
+	}
+	io.Copy(io.Discard, res.Body)
+	if _, err := r.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%.60q: one call a connection, and it goes on: %v", text, err)
+	}
+	return res.StatusCode
+}
+
+func TestCalls(t *testing.T) {
+	s, address := start(t)
+	for _, c := range []struct {
+		first string
+		want  int
+	}{
+		{"GET /-/ready", 503}, {"POST /-/drain", 200}, {"POST /-/drain", 200}, {"POST /-/resume", 200},
+		{"POST /-/ready", 405}, {"GET /-/drain", 405}, {"DELETE /-/resume", 405},
+		{"GET /", 404}, {"GET /ready", 404}, {"POST /-/drain/", 404}, {"POST //-/drain", 404}, {"POST /api", 404},
+	} {
+		if got := call(t, address, c.first+" HTTP/1.1\r\nHost: h\r\n\r\n"); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.first, got, c.want)
+		}
+	}
+	s.able.Store(true)
+	if got := call(t, address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); got != 200 {
+		t.Errorf("able, and the answer is %d", got)
+	}
+	if s.drains.Load() != 2 || s.resumes.Load() != 1 {
+		t.Errorf("%d drains, %d resumes", s.drains.Load(), s.resumes.Load())
+	}
+}
+
+// What cannot be read, is too long or does not come whole gets 400 or more, and does nothing.
+func TestMalformedCallsDoNothing(t *testing.T) {
+	s, address := start(t)
+	head := "POST /-/drain HTTP/1.1\r\nHost: h\r\n"
+	for name, text := range map[string]string{
+		"no request":   "\x00\x01\x02\r\n\r\n",
+		"no colon":     head + "nonsense\r\n\r\n",
+		"no host":      "POST /-/drain HTTP/1.1\r\n\r\n",
+		"long head":    head + "X-Pad: " + strings.Repeat("x", 4*maxHead) + "\r\n\r\n",
+		"long body":    head + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody+1) + strings.Repeat("x", maxBody+1),
+		"broken chunk": head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		if got := call(t, address, text); got < 400 || got > 499 {
+			t.Errorf("%s: got %d", name, got)
+		}
+	}
+	c := dial(t, address).(*net.TCPConn)
+	io.WriteString(c, head+"Content-Length: 9\r\n\r\nhalf")
+	c.CloseWrite()
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && res.StatusCode < 400 {
+		t.Errorf("half a call: got %d", res.StatusCode)
+	}
+	if s.drains.Load() != 0 {
+		t.Errorf("%d drains", s.drains.Load())
+	}
+}
+
+// However many say nothing or half a call, the next one is answered, and connections stay within their bound.
+func TestSilentCallersAreInNobodysWay(t *testing.T) {
+	s, address := start(t)
+	s.able.Store(true)
+	var silent []net.Conn
+	for i := range 5 * MaxConnections {
+		c := dial(t, address)
+		if i%2 == 0 {
+			io.WriteString(c, "POST /-/drain HT")
+		}
+		silent = append(silent, c)
+		if i%MaxConnections == 0 {
+			if got := call(t, address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"); got != 200 {
+				t.Errorf("behind %d silent ones: got %d", i+1, got)
+			}
+		}
+	}
+	for i, c := range silent {
+		if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("silent caller %d is still connected", i)
+		}
+	}
+	if s.drains.Load() != 0 {
+		t.Error("half a call had effect")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/away.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// awayAfter is how long after the start of a drain the last idle connection is closed. Until then callers
+	// that have not heard of it are served; who asks later is told to come back.
+	awayAfter = 1600 * time.Millisecond
+	// awayMute is how long a connection may say nothing once a drain has lasted awayAfter.
+	awayMute = 500 * time.Millisecond
+	awayPoll = 20 * time.Millisecond
+)
+
+// CanServe, Drain and Resume are what the second address asks of a sidecar. They do not wait for the loop.
+func (s *server) CanServe() bool { return s.life.canServe() }
+func (s *server) Drain()         { s.life.drain() }
+func (s *server) Resume()        { s.life.resume() }
+
+// sendAway closes callers' connections while the sidecar drains: first those that have been idle for so long
+// that their callers will hardly use them, in the end all that are idle. What is in use closes with its answer.
+// It ends with done.
+func (s *server) sendAway(done <-chan struct{}) {
+	for {
+		phase, since, changed := s.life.now()
+		var next <-chan time.Time
+		if phase == draining {
+			took := time.Since(since)
+			mute := awayAfter
+			if took > awayAfter {
+				mute = awayMute
+			}
+			s.callers.retire(max(awayAfter-took, 0), mute)
+			next = time.After(awayPoll)
+		}
+		select {
+		case <-changed:
+		case <-next:
+		case <-done:
+			return
+		}
+	}
+}
+
+// sentAway tells whether a drain has lasted so long that nobody should be asking here.
+func (s *server) sentAway() bool {
+	phase, since, _ := s.life.now()
+	return phase == draining && time.Since(since) > awayAfter
+}
+
+// closeAfter has a connection closed with its answer where its caller is to go elsewhere.
+func (s *server) closeAfter(w http.ResponseWriter) {
+	phase, _, _ := s.life.now()
+	if phase == draining || phase == stopping && time.Until(s.life.ends()) < lastAnswers {
+		w.Header().Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/away_test.go
@@ -0,0 +1,133 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A drain says no at once, serves who still comes and closes their connections, closes idle ones, and is over
+// with resume.
+func TestDrainSendsCallersAway(t *testing.T) {
+	came, serve := make(chan bool), make(chan bool)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-serve
+		fmt.Fprint(w, "ok")
+	}))
+	conns := rg.connect(4)
+	answer := make(chan *http.Response)
+	ask := func(c *net.TCPConn) { answer <- rg.send(c, rg.request("once", 9*time.Second)) }
+	go ask(conns[0])
+	<-came
+	rg.server.Drain()
+	rg.server.Drain()
+	if status, _ := rg.raw("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"); status != http.StatusServiceUnavailable {
+		t.Errorf("/ready answers %d", status)
+	}
+	if !rg.server.CanServe() {
+		t.Error("a sidecar that drains serves what comes")
+	}
+	go func() {
+		dialed, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
+		if err != nil {
+			t.Error(err)
+		}
+		ask(dialed.(*net.TCPConn))
+	}()
+	<-came
+	close(serve)
+	for range 2 {
+		if res := <-answer; res == nil || res.StatusCode != 200 || !res.Close {
+			t.Errorf("answer %+v", res)
+		}
+	}
+	for i, c := range conns[1:] {
+		c.SetDeadline(time.Now().Add(patience))
+		if n, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("idle connection %d: %d bytes, %v", i, n, err)
+		}
+	}
+	rg.until("nobody is asked to be here", rg.server.sentAway)
+	if res := rg.once("once"); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || !res.Close {
+		t.Errorf("long after: %+v", res)
+	}
+	rg.server.Resume()
+	rg.server.Resume()
+	if status, _ := rg.raw("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"); status != http.StatusOK {
+		t.Errorf("/ready answers %d after the drain", status)
+	}
+	go func() { <-came }()
+	if res := rg.once("once"); res.StatusCode != http.StatusOK || res.Close {
+		t.Errorf("after the drain: %+v", res)
+	}
+}
+
+// once sends a request on a connection of its own.
+func (rg *rig) once(class string) *http.Response {
+	rg.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
+	if err != nil {
+		rg.t.Fatal(err)
+	}
+	defer c.Close()
+	res := rg.send(c.(*net.TCPConn), rg.request(class, 9*time.Second))
+	if res == nil {
+		rg.t.Fatal("no answer")
+	}
+	return res
+}
+
+// A request that has come when its connection is retired is served, whether its handler has seen it or not.
+func TestRetireCrossesNoRequest(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	for range 100 {
+		c := rg.connect(1)[0]
+		if err := rg.request("once", 9*time.Second).Write(c); err != nil {
+			t.Fatal(err)
+		}
+		rg.server.callers.retire(0, 0)
+		c.SetDeadline(time.Now().Add(patience))
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("answer %+v, %v", res, err)
+		}
+		c.Close()
+	}
+}
+
+// Stopping is for good, and a drain before it ends in it.
+func TestLifecycle(t *testing.T) {
+	f := newLifecycle()
+	check := func(step string, ready, canServe bool) {
+		t.Helper()
+		if f.ready() != ready || f.canServe() != canServe {
+			t.Errorf("%s: ready %v, can serve %v", step, f.ready(), f.canServe())
+		}
+	}
+	check("new", false, false)
+	f.resume()
+	f.drain()
+	f.resume()
+	check("drained and resumed without a list", false, false)
+	_, _, changed := f.now()
+	f.haveList()
+	<-changed
+	check("with a list", true, true)
+	f.drain()
+	f.haveList()
+	check("draining", false, true)
+	f.resume()
+	check("back", true, true)
+	f.drain()
+	f.stop(time.Now())
+	f.resume()
+	f.drain()
+	f.resume()
+	f.haveList()
+	check("stopping", false, false)
+}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -3,8 +3,10 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +19,7 @@
 	mute    stage = iota // new, and has said nothing
 	idle                 // its last request is answered
 	reading              // some of a request has come
-	serving              // a request has been read
+	busy                 // a request has been read
 	stages
 )
 
@@ -29,6 +31,7 @@
 	at      *list.Element
 	began   time.Time // when the request that it brings began, or its connection
 	over    bool      // it came when there was no room
+	retired bool      // its wait for a request was ended
 }
 
 // callers bounds the connections from callers. Accepting never waits: a connection in the backlog may already
@@ -97,6 +100,24 @@
 	return false
 }
 
+// retire ends the connections that have been idle or mute for so long. It ends the wait for a request, not the
+// connection: one that comes at this moment is read and served, so that no close crosses it.
+func (cs *callers) retire(idleFor, muteFor time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	now := time.Now()
+	for stage, least := range map[stage]time.Duration{idle: idleFor, mute: muteFor} {
+		for at := cs.stages[stage].Front(); at != nil; at = at.Next() {
+			c := at.Value.(*caller)
+			if now.Sub(c.began) < least {
+				break // the others are younger
+			}
+			c.retired = true
+			c.Conn.SetReadDeadline(now) // net/http closes it then
+		}
+	}
+}
+
 // waiting tells whether something has come that its handler has not yet been able to read.
 func (c *caller) waiting() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -133,6 +154,9 @@
 // Read notes when a request begins.
 func (c *caller) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.retiredTooLate() {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.callers.mu.Lock()
 		if c.stage == mute || c.stage == idle {
@@ -146,6 +170,19 @@
 	return n, err
 }
 
+// retiredTooLate tells whether a request had come when the wait for it was ended, and lets it be read: a deadline
+// that has passed hides what is there.
+func (c *caller) retiredTooLate() bool {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	late := c.retired && c.waiting()
+	c.retired = false
+	if late {
+		c.Conn.SetReadDeadline(time.Now().Add(readTimeout))
+	}
+	return late
+}
+
 // CloseWrite lets net/http end its side first, so that a client that is still sending reads its answer.
 func (c *caller) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
@@ -173,7 +210,7 @@
 func (c *caller) served() (idles int) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
-	c.callers.move(c, serving)
+	c.callers.move(c, busy)
 	return c.callers.stages[idle].Len()
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -17,6 +17,7 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Control   string // where those who operate it call; empty for nowhere
 	Discovery string
 	Seed      uint64
 	Limits    Limits
@@ -34,7 +35,7 @@
 }
 
 // LoadConfig reads the configuration file that BALANCER_CONFIG names.
-// BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY win over the file.
+// BALANCER_NAME, BALANCER_LISTEN, BALANCER_CONTROL and BALANCER_DISCOVERY win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	return load(getenv, true)
 }
@@ -57,6 +58,7 @@
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Control   string          `json:"control"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -66,8 +68,9 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, getenv: getenv}
-	fromEnv := map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen}
+	c := &Config{Name: file.Name, Listen: file.Listen, Control: file.Control, Discovery: file.Discovery,
+		Limits: file.Limits, getenv: getenv}
+	fromEnv := map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen, "BALANCER_CONTROL": &c.Control}
 	if envDiscovery {
 		fromEnv["BALANCER_DISCOVERY"] = &c.Discovery
 	}
@@ -99,7 +102,10 @@
 
 // check names the first value that a sidecar cannot run with.
 func (c *Config) check() error {
-	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	for name, address := range map[string]string{"listen": c.Listen, "control": c.Control, "discovery": c.Discovery} {
+		if name == "control" && address == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("%s: %q is not host:port", name, address)
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -20,8 +20,8 @@
 // only it touches the fields from rev on. It is the Balancer's Host.
 type loop struct {
 	events chan func()
-	origin time.Time   // zero of the event clock
-	ready  atomic.Bool // the Balancer has a list
+	origin time.Time // zero of the event clock
+	life   *lifecycle
 	bodies budget
 
 	config    *Config
@@ -57,7 +57,7 @@
 
 func newLoop(c *Config) (*loop, error) {
 	l := &loop{
-		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c,
+		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(),
 		requests: map[gingerlead.RequestID]*request{},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
@@ -365,7 +365,7 @@
 	}
 	l.balancer.Targets(l.now(), gingerlead.List{Kind: kind, Version: got.Rev, Entries: entries})
 	if from != fromCache || len(entries) > 0 {
-		l.ready.Store(true)
+		l.life.haveList()
 	}
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"gingerlead"
@@ -58,18 +57,18 @@
 	config   *Config
 	classes  map[string]int
 	tenants  map[string]int
-	longest  time.Duration             // deadline of a class
-	quiet    time.Duration             // see quietAfter
-	linger   time.Duration             // from being told to stop until all is answered
-	handOver time.Duration             // see handOver
-	end      atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
+	longest  time.Duration // deadline of a class
+	quiet    time.Duration // see quietAfter
+	linger   time.Duration // from being told to stop until all is answered
+	handOver time.Duration // see handOver
+	life     *lifecycle
 
 	callers callers
 }
 
 func newServer(c *Config, l *loop) *server {
 	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
-		handOver: handOver}
+		handOver: handOver, life: l.life}
 	s.callers.most = int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
@@ -88,7 +87,8 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/ready" && r.Header.Get("X-Txn") == "" {
-		if !s.loop.ready.Load() || s.end.Load() != nil {
+		if !s.life.ready() {
+			s.closeAfter(w)
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
@@ -100,6 +100,10 @@
 		s.write(w, answer{refused: true})
 		return
 	}
+	if s.sentAway() {
+		s.write(w, answer{refused: true, retryAfter: min(time.Second, s.config.Settings.MaxRetryAfter)})
+		return
+	}
 	req, status, fault := s.parse(r)
 	if fault != "" {
 		// What follows on the connection may be no request.
@@ -231,9 +235,7 @@
 
 // write gives the final answer.
 func (s *server) write(w http.ResponseWriter, a answer) {
-	if end := s.end.Load(); end != nil && time.Until(*end) < lastAnswers {
-		w.Header().Set("Connection", "close")
-	}
+	s.closeAfter(w)
 	switch {
 	case a.response != nil:
 		header := w.Header()
@@ -275,8 +277,8 @@
 func (s *server) stop() error {
 	told := time.Now()
 	end := told.Add(s.linger)
+	s.life.stop(end)
 	s.loop.post(func() { s.loop.leave(end) })
-	s.end.Store(&end)
 	last := end
 	if s.config.Settings.Instances > 1 {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log"
 	"math"
 	"net"
@@ -9,6 +10,8 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+
+	"gingerlead/internal/control"
 )
 
 // memoryShare is the part of the memory limit at which the collector works harder; the rest is for stacks
@@ -26,13 +29,31 @@
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := newServer(c, l)
+	if c.Control != "" {
+		place, err := net.Listen("tcp", c.Control)
+		if err != nil {
+			listener.Close()
+			return fmt.Errorf("control: %w", err)
+		}
+		operators := control.New(place, s)
+		defer operators.Close()
+		go func() {
+			if err := operators.Run(); err != nil {
+				log.Print(err)
+			}
+		}()
 	}
-	return newServer(c, l).run(listener, stop, reload)
+	return s.run(listener, stop, reload)
 }
 
 func (s *server) run(listener net.Listener, stop, reload <-chan os.Signal) error {
 	go s.loop.run()
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.sendAway(ended)
 	go func() {
 		for range reload {
 			s.reload()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -536,7 +536,7 @@
 func (rg *rig) stop() {
 	rg.t.Helper()
 	rg.signals <- syscall.SIGTERM
-	rg.until("it stops", func() bool { return rg.server.end.Load() != nil })
+	rg.until("it stops", func() bool { return !rg.server.life.ends().IsZero() })
 }
 
 // over waits for the sidecar to end by itself.
@@ -637,8 +637,8 @@
 		}
 		<-gaveUp
 	}
-	if now := time.Now(); now.Before(*rg.server.end.Load()) || now.After(rg.server.end.Load().Add(linger)) {
-		t.Errorf("given up %v after the end", now.Sub(*rg.server.end.Load()))
+	if now, end := time.Now(), rg.server.life.ends(); now.Before(end) || now.After(end.Add(linger)) {
+		t.Errorf("given up %v after the end", now.Sub(end))
 	}
 	rg.over()
 }
