--- a/balancer.go
+++ b/balancer.go
@@ -152,7 +152,8 @@
 
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
 
-	endsAt     time.Duration // when this instance ends, where that is known
+	endsAt     time.Duration // when this instance ends, where that is known,
+	succeeded  bool          // and that another one serves in its place
 	fetchAt    time.Duration // no fetch before
 	watchPause time.Duration
 }
@@ -208,10 +209,11 @@
 	b.arm()
 }
 
-// Leave tells when this instance ends. All that it has or takes is answered by then: what can hardly be
-// served in time is refused at once. Calls that are out then are the host's to end.
-func (b *Balancer) Leave(now, at time.Duration) {
-	b.endsAt = at
+// Leave tells when this instance ends, and whether another serves in its place already. All that it has taken
+// is answered by then: what can hardly be served in time is refused at once. Calls that are out then are the
+// host's to end.
+func (b *Balancer) Leave(now, at time.Duration, succeeded bool) {
+	b.endsAt, b.succeeded = at, succeeded
 	for _, r := range b.requests {
 		r.deadline, r.aimBy = min(r.deadline, at), min(r.aimBy, at)
 	}
@@ -222,7 +224,8 @@
 // connections. Callers open no more; who finds all in use, by a burst or by slow endpoints, finds nobody and
 // stops looking. Where callers do open more, some are refused in vain.
 func (b *Balancer) closing(now time.Duration, c *class, q Request) bool {
-	return b.ends(now, c) || b.endsAt < math.MaxInt64 && b.set.Instances == 1 && q.Idle < idleLeast
+	alone := b.set.Instances == 1 && !b.succeeded
+	return b.ends(now, c) || b.endsAt < math.MaxInt64 && alone && q.Idle < idleLeast
 }
 
 // ends tells whether this instance ends before a call that is sent at a time is answered, slow as it may be.
@@ -834,16 +837,6 @@
 	b.served.add(now, b.window, 1)
 }
 
-// notePace takes an answer's latency, over the mean of its class, into the pace of its endpoint and of all
-// endpoints of its kind: an endpoint that is seldom called is judged by its kind.
-func (b *Balancer) notePace(e *endpoint, slow float64) {
-	if e.kind >= len(b.kinds) {
-		b.kinds = append(b.kinds, make([]pace, e.kind+1-len(b.kinds))...)
-	}
-	b.kinds[e.kind].add(slow, kindWeight)
-	e.pace.add(slow, paceWeight)
-}
-
 // report takes the service time that an endpoint reports. It tells how fast a machine is within an answer or
 // two; the latency of calls does not, as it holds the time of the tiers below.
 func (b *Balancer) report(now time.Duration, e *endpoint, l *Load) {
@@ -931,28 +924,6 @@
 	return e.weight * kind / b.slow(e)
 }
 
-// look moves the base latency by the mean of a window. The first window holds only the short ones of the
-// first calls, and is passed over: a base learnt from it would hold back nearly everything.
-func (c *class) look(mean float64) {
-	c.windows++
-	// The base latency comes to lie well under the mean of an easy tier, as it follows the lowest windows;
-	// strain measured against it held calls back on quiet days.
-	if c.windows <= baseSkip+1 {
-		c.usual, c.base = mean, mean
-		return
-	}
-	c.usual = follow(c.usual, mean, usualRise)
-	c.base = follow(c.base, mean, baseRise)
-}
-
-// follow moves a latency towards a mean: faster where that is lower.
-func follow(latency, mean, rise float64) float64 {
-	if mean < latency {
-		rise = baseFall
-	}
-	return latency + rise*(mean-latency)
-}
-
 func (b *Balancer) noteError(e *endpoint, x float64) {
 	e.errors += errorWeight * (x - e.errors)
 	b.errors += fleetWeight * (x - b.errors)
@@ -1069,7 +1040,10 @@
 	if rate := b.served.value(now, b.window); rate > 0 {
 		wait = seconds(min(float64(len(b.held)+b.out)/rate, b.set.MaxRetryAfter.Seconds()))
 	}
-	if b.set.Instances == 1 && b.ends(now+wait, c) {
+	switch {
+	case b.succeeded:
+		wait = min(b.tick, b.set.MaxRetryAfter) // the other one's queue is not this one's
+	case b.set.Instances == 1 && b.ends(now+wait, c):
 		wait = min(b.endsAt+seconds(successor)-now, b.set.MaxRetryAfter)
 	}
 	return wait
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1165,7 +1165,7 @@
 	d.ask(pay)
 	out := d.last()
 	endsAt := d.now + 200*ms
-	d.b.Leave(d.now, endsAt)
+	d.b.Leave(d.now, endsAt, false)
 	ask := func(idle int) (sends, refusals int) {
 		d.n++
 		sends, refusals = len(d.sent), len(d.refusals)
@@ -1200,7 +1200,7 @@
 	d := start(t, s, 4)
 	d.serve(100, nil)
 	sends := len(d.sent)
-	d.b.Leave(d.now, d.now+200*ms)
+	d.b.Leave(d.now, d.now+200*ms, false)
 	d.ask(read)
 	if len(d.sent) != sends+1 {
 		t.Error("in good time: not sent")
--- a/cmd/quincegap/main_test.go
+++ b/cmd/quincegap/main_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -44,6 +45,45 @@
 	}
 }
 
+// An address or a descriptor that cannot be listened on is named in one line, and nothing runs.
+func TestPlacesThatCannotBeListenedOn(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	file := configure(t, "127.0.0.1:9")
+	for want, variable := range map[string]string{
+		"control: ": "BALANCER_CONTROL=" + taken.Addr().String(), "listen: ": "BALANCER_LISTEN=" + taken.Addr().String(),
+		"BALANCER_ACCEPT_FD: ": "BALANCER_ACCEPT_FD=99",
+	} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+file, variable)
+		var stderr bytes.Buffer
+		cmd.Stderr = &stderr
+		err := cmd.Run()
+		text := stderr.String()
+		if exit := new(exec.ExitError); !errors.As(err, &exit) || !strings.HasPrefix(text, "quincegap: "+want) ||
+			strings.Count(text, "\n") != 1 {
+			t.Errorf("%s: ended with %v, %q", variable, err, text)
+		}
+	}
+}
+
+// configure writes a configuration, and returns its file.
+func configure(t *testing.T, discovery string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"a1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"allowed":{"connectTimeout":2000000},
+		"discovery":"push","instances":1,"services":[{"name":"read","aim":1000000,"deadline":1000000,
+		"effect":"read_like","gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, discovery)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
 // SIGHUP makes the program read its file again; uncaught it would end it. After SIGTERM it ends by itself.
 func TestSignals(t *testing.T) {
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -55,14 +95,7 @@
 	}))
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
-	file := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"a1",
-		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"allowed":{"connectTimeout":2000000},
-		"discovery":"push","instances":1,"services":[{"name":"read","aim":1000000,"deadline":1000000,
-		"effect":"read_like","gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, discovery.Listener.Addr())
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	file := configure(t, discovery.Listener.Addr().String())
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+file)
 	stderr, err := cmd.StderrPipe()
--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -19,14 +19,14 @@
 func (s *server) Drain()         { s.life.drain() }
 func (s *server) Resume()        { s.life.resume() }
 
-// sendAway closes callers' connections while the sidecar drains: first those that have been idle for so long
-// that their callers will hardly use them, in the end all that are idle. What is in use closes with its answer.
-// It ends with done.
+// sendAway closes callers' connections while the sidecar drains or hands over: first those that have been idle
+// for so long that their callers will hardly use them, in the end all that are idle. What is in use closes with
+// its answer. It ends with done.
 func (s *server) sendAway(done <-chan struct{}) {
 	for {
 		phase, since, changed := s.life.now()
 		var next <-chan time.Time
-		if phase == draining {
+		if s.away(phase) {
 			took := time.Since(since)
 			mute := awayAfter
 			if took > awayAfter {
@@ -44,6 +44,9 @@
 	}
 }
 
+// away tells whether callers are to go elsewhere in a phase: by a drain, or to a successor.
+func (s *server) away(p phase) bool { return p == draining || p == stopping && s.handsOver() }
+
 // sentAway tells whether a drain has lasted so long that nobody should be asking here.
 func (s *server) sentAway() bool {
 	phase, since, _ := s.life.now()
@@ -53,7 +56,7 @@
 // closeAfter has a connection closed with its answer where its caller is to go elsewhere.
 func (s *server) closeAfter(w http.ResponseWriter) {
 	phase, _, _ := s.life.now()
-	if phase == draining || phase == stopping && time.Until(s.life.ends()) < lastAnswers {
+	if s.away(phase) || phase == stopping && time.Until(s.life.ends()) < lastAnswers {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -23,6 +23,9 @@
 	Limits    Limits
 	Known     endpointList // the endpoints as this sidecar last had them; may be old
 	Settings  settings.Settings
+	// Accept is the descriptor of a listening socket that the platform holds and this process has inherited; nil
+	// where it makes its own. Another process, the version before or after this one, may accept on it too.
+	Accept *int
 
 	getenv func(string) string // where it was loaded from
 }
@@ -79,6 +82,14 @@
 			*value = v
 		}
 	}
+	if text := getenv("BALANCER_ACCEPT_FD"); text != "" {
+		fd, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return nil, fmt.Errorf("BALANCER_ACCEPT_FD: %q is not a descriptor", text)
+		}
+		inherited := int(fd)
+		c.Accept = &inherited
+	}
 	if file.Known != nil {
 		c.Known = *file.Known
 	}
@@ -97,6 +108,20 @@
 	return c, nil
 }
 
+// plan is what this process may use of the limits. Where it may have to share them with its successor, both at
+// the full would be too much from the moment the second one starts.
+func (c *Config) plan() Limits {
+	limits := c.Limits
+	if c.Accept != nil {
+		limits.MemoryMB /= sharers
+		limits.Sockets /= sharers
+	}
+	return limits
+}
+
+// sharers is how many processes may accept on an inherited socket at a time.
+const sharers = 2
+
 // leastSockets leaves room for some connections beside those that are reserved.
 const leastSockets = 64
 
@@ -115,10 +140,10 @@
 		return fmt.Errorf("name: missing")
 	case c.Limits.Cores <= 0:
 		return fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
-	case c.Limits.MemoryMB <= 0:
-		return fmt.Errorf("limits.memory_mb: %v is not above 0", c.Limits.MemoryMB)
-	case c.Limits.Sockets < leastSockets:
-		return fmt.Errorf("limits.sockets: %v is below %d", c.Limits.Sockets, leastSockets)
+	case c.plan().MemoryMB <= 0:
+		return fmt.Errorf("limits.memory_mb: %v leaves a process nothing", c.Limits.MemoryMB)
+	case c.plan().Sockets < leastSockets:
+		return fmt.Errorf("limits.sockets: %v leaves a process less than %d", c.Limits.Sockets, leastSockets)
 	case c.Settings.ConnectTimeout <= 0:
 		return fmt.Errorf("settings: allowed.connectTimeout: not above 0")
 	}
--- /dev/null
+++ b/internal/sidecar/inherit_test.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// shared is a listening socket as the platform holds it, and further descriptors of it for processes to inherit.
+func shared(t *testing.T) (l *net.TCPListener, descriptor func() *int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	l = listener.(*net.TCPListener)
+	return l, func() *int {
+		file, err := l.File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer file.Close()
+		// inherit closes the number that it is given: it must be nobody else's.
+		fd := dup(t, int(file.Fd()))
+		return &fd
+	}
+}
+
+// The old process answers what it has, closes its callers' connections and ends; the new one serves all the
+// while, and what waits at the socket is nobody's to lose.
+func TestHandover(t *testing.T) {
+	came, serve := make(chan string), make(chan bool)
+	endpoint := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		came <- r.Header.Get("X-Txn")
+		<-serve
+		fmt.Fprint(w, "ok")
+	})
+	socket, descriptor := shared(t)
+	accept := func(c *Config) { c.Accept = descriptor() }
+	old := startWith(t, 1, 1024, accept, endpoint)
+	idles := old.connect(3)
+	answer := make(chan *http.Response)
+	ask := func(rg *rig, c *net.TCPConn) { answer <- rg.send(c, rg.request("once", 9*time.Second)) }
+	go ask(old, idles[0])
+	<-came
+
+	successor := startWith(t, 1, 1024, accept, endpoint)
+	successor.txn.Store(1000)
+	old.stop()
+	go ask(old, idles[1]) // what still comes on a connection that stands is served
+	<-came
+	close(serve)
+	for range 2 {
+		if res := <-answer; res == nil || res.StatusCode != 200 || !res.Close {
+			t.Errorf("from the old process: %+v", res)
+		}
+	}
+	idles[2].SetDeadline(time.Now().Add(patience))
+	if n, err := idles[2].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection: %d bytes, %v", n, err)
+	}
+	old.over()
+	for range 5 {
+		go func() { <-came }()
+		if res := successor.once("once"); res.StatusCode != 200 || res.Close {
+			t.Errorf("from the successor: %+v", res)
+		}
+	}
+	successor.stop()
+	successor.over()
+	c, err := net.Dial("tcp", socket.Addr().String())
+	if err != nil {
+		t.Fatalf("the platform's socket has ended with them: %v", err)
+	}
+	c.Close()
+}
+
+// What is not a listening socket is named, and left alone.
+func TestInheritFaults(t *testing.T) {
+	file, err := os.Create(filepath.Join(t.TempDir(), "file"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	near, _ := tcpPair(t)
+	raw, err := near.Conn.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	unix, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close()
+	other, err := unix.(*net.UnixListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	for name, fd := range map[string]int{
+		"none": 1 << 20, "a file": dup(t, int(file.Fd())), "a connection": dup(t, int(raw.Fd())),
+		"another sort": dup(t, int(other.Fd())),
+	} {
+		l, err := listen(&Config{Accept: &fd})
+		if err == nil {
+			l.Close()
+		}
+		if err == nil || !strings.Contains(err.Error(), "BALANCER_ACCEPT_FD") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// Two processes together may hold what one may.
+func TestTwoProcessesShareTheLimits(t *testing.T) {
+	c := &Config{Limits: Limits{Cores: 1, MemoryMB: 64, Sockets: 512}}
+	alone := c.plan()
+	c.Accept = new(int)
+	if half := c.plan(); alone != c.Limits || 2*half.MemoryMB > alone.MemoryMB || 2*half.Sockets > alone.Sockets {
+		t.Errorf("alone %+v, each of two %+v", alone, half)
+	}
+}
+
+// dup makes a further number for a descriptor.
+func dup(t *testing.T, fd int) int {
+	t.Helper()
+	n, err := syscall.Dup(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -62,7 +62,7 @@
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
-	l.bodies.left.Store(int64(bodyShare * float64(c.Limits.MemoryMB<<20)))
+	l.bodies.left.Store(int64(bodyShare * float64(c.plan().MemoryMB<<20)))
 	l.watcher = newWatcher(c.Discovery, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
@@ -110,12 +110,12 @@
 }
 
 // leave has everything answered by a given time. What is out then is called off.
-func (l *loop) leave(end time.Time) {
+func (l *loop) leave(end time.Time, succeeded bool) {
 	l.endsAt = end
 	for _, r := range l.requests {
 		r.endBy(end)
 	}
-	l.balancer.Leave(l.now(), end.Sub(l.origin))
+	l.balancer.Leave(l.now(), end.Sub(l.origin), succeeded)
 	time.AfterFunc(time.Until(end), func() {
 		l.post(func() {
 			for _, r := range l.requests {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -69,7 +69,7 @@
 func newServer(c *Config, l *loop) *server {
 	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
 		handOver: handOver, life: l.life}
-	s.callers.most = int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets))
+	s.callers.most = int((1 - outboundShare) * float64(c.plan().Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -273,17 +273,21 @@
 // goes on serving: no front sends it new callers, but those that it has go on using their connections, and
 // where it is the only sidecar, or the others are gone or just starting, whom it cuts off has nowhere to go.
 // Where there are others it closes what is idle handOver before the end, so that its last callers move there.
+// Where a successor accepts on the same socket, it accepts no more and sends its callers there as in a drain.
 // It ends early when nobody is connected any more. It does harm where the platform kills sooner than it says.
 func (s *server) stop() error {
 	told := time.Now()
 	end := told.Add(s.linger)
 	s.life.stop(end)
-	s.loop.post(func() { s.loop.leave(end) })
+	if s.handsOver() {
+		s.callers.Listener.Close() // its own copy: the successor has the socket
+	}
+	s.loop.post(func() { s.loop.leave(end, s.handsOver()) })
 	last := end
-	if s.config.Settings.Instances > 1 {
+	if s.config.Settings.Instances > 1 && !s.handsOver() {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
 	}
-	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.callers.quietFor(s.quiet)) {
+	for time.Now().Before(last) && !s.quits(time.Since(told)) {
 		time.Sleep(stopPoll)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(killMargin/2))
@@ -293,3 +297,14 @@
 	}
 	return s.http.Close() // what is left has not brought a whole request, or does not read its answer
 }
+
+// handsOver tells whether a successor accepts in this process's place when it stops.
+func (s *server) handsOver() bool { return s.config.Accept != nil }
+
+// quits tells whether a sidecar that was told to stop some time ago has nobody left to serve.
+func (s *server) quits(ago time.Duration) bool {
+	if s.handsOver() {
+		return s.callers.quietFor(0)
+	}
+	return ago >= s.quiet && s.callers.quietFor(s.quiet)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,14 +22,14 @@
 // its configuration file again.
 func Run(c *Config, stop, reload <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB<<20)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(c.plan().MemoryMB<<20)))
 	l, err := newLoop(c)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := listen(c)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	s := newServer(c, l)
 	if c.Control != "" {
@@ -66,12 +66,29 @@
 	}()
 	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
 	s.callers.Listener = listener
-	if err := s.http.Serve(&s.callers); !errors.Is(err, http.ErrServerClosed) {
+	err := s.http.Serve(&s.callers)
+	if phase, _, _ := s.life.now(); phase != stopping && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return <-stopped
 }
 
+// listen makes the socket that callers connect to, or takes the one that the platform holds.
+func listen(c *Config) (net.Listener, error) {
+	if c.Accept != nil {
+		l, err := inherit(*c.Accept)
+		if err != nil {
+			return nil, fmt.Errorf("BALANCER_ACCEPT_FD: descriptor %d: %w", *c.Accept, err)
+		}
+		return l, nil
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
 // reload takes up the discovery that the configuration file names now. All else is as it was at the start.
 // A file that cannot be used changes nothing.
 func (s *server) reload() {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -55,6 +55,12 @@
 
 // startOneOf runs one of several sidecars of a tier.
 func startOneOf(t *testing.T, instances, sockets int, targets ...target) *rig {
+	t.Helper()
+	return startWith(t, instances, sockets, func(*Config) {}, targets...)
+}
+
+// startWith runs a sidecar whose configuration is changed in some way.
+func startWith(t *testing.T, instances, sockets int, change func(*Config), targets ...target) *rig {
 	t.Helper()
 	rg := &rig{t: t, lists: make(chan string, 16), signals: make(chan os.Signal, 1),
 		reloads: make(chan os.Signal, 1), ended: make(chan error, 1)}
@@ -86,11 +92,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(config)
 	l, err := newLoop(config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", config.Listen)
+	listener, err := listen(config)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -993,6 +1000,7 @@
 	for want, change := range map[string][2]string{
 		"listen":          {"127.0.0.1:1", "nowhere"},
 		"discovery":       {"127.0.0.1:2", ""},
+		"control":         {`"name":"n"`, `"name":"n","control":"here"`},
 		"seed":            {`"a1"`, `"xyz"`},
 		"name":            {`"n"`, `""`},
 		"cores":           {`"cores":1`, `"cores":0`},
@@ -1010,6 +1018,16 @@
 			t.Errorf("%s: got %v", want, err)
 		}
 	}
+	for _, fd := range []string{"five", "-1", "5x"} {
+		env := map[string]string{"BALANCER_CONFIG": file, "BALANCER_ACCEPT_FD": fd}
+		if err := os.WriteFile(file, []byte(good), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadConfig(func(name string) string { return env[name] }); err == nil ||
+			!strings.Contains(err.Error(), "BALANCER_ACCEPT_FD") {
+			t.Errorf("descriptor %q: got %v", fd, err)
+		}
+	}
 	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
 		t.Error("no configuration, and no fault")
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -104,7 +104,7 @@
 
 func newPool(c *Config) pool {
 	p := pool{idle: map[*endpoint][]*conn{}, maxIdle: idleDefault,
-		most: int(outboundShare * float64(c.Limits.Sockets-reservedSockets))}
+		most: int(outboundShare * float64(c.plan().Sockets-reservedSockets))}
 	if idle := c.Settings.ConnIdle; idle > 0 {
 		p.maxIdle = time.Duration(idleShare * float64(idle))
 	}
--- a/state.go
+++ b/state.go
@@ -157,3 +157,35 @@
 	}
 	return p.mean / own.mean
 }
+
+// look moves the base latency by the mean of a window. The first window holds only the short ones of the
+// first calls, and is passed over: a base learnt from it would hold back nearly everything.
+func (c *class) look(mean float64) {
+	c.windows++
+	// The base latency comes to lie well under the mean of an easy tier, as it follows the lowest windows;
+	// strain measured against it held calls back on quiet days.
+	if c.windows <= baseSkip+1 {
+		c.usual, c.base = mean, mean
+		return
+	}
+	c.usual = follow(c.usual, mean, usualRise)
+	c.base = follow(c.base, mean, baseRise)
+}
+
+// follow moves a latency towards a mean: faster where that is lower.
+func follow(latency, mean, rise float64) float64 {
+	if mean < latency {
+		rise = baseFall
+	}
+	return latency + rise*(mean-latency)
+}
+
+// notePace takes an answer's latency, over the mean of its class, into the pace of its endpoint and of all
+// endpoints of its kind: an endpoint that is seldom called is judged by its kind.
+func (b *Balancer) notePace(e *endpoint, slow float64) {
+	if e.kind >= len(b.kinds) {
+		b.kinds = append(b.kinds, make([]pace, e.kind+1-len(b.kinds))...)
+	}
+	b.kinds[e.kind].add(slow, kindWeight)
+	e.pace.add(slow, paceWeight)
+}
