--- a/api.go
+++ b/api.go
@@ -156,6 +156,9 @@
 	Repeat bool          // the client marks it as a repeat
 	Write  bool
 	Idle   int // callers' connections to this instance that stand idle beside its own
+	// Long says that most of it is still to come, and goes out as it does: Written tells of its end, and Left
+	// counts from there.
+	Long bool
 }
 
 // Status is how an attempt or a probe ended.
@@ -194,6 +197,7 @@
 	Elapsed  time.Duration
 	Status   Status
 	Load     *Load // nil without a report
+	Spent    bool  // the request cannot be sent again: what went out of it is not kept
 }
 
 // Probed is the result of a probe.
--- a/balancer.go
+++ b/balancer.go
@@ -197,6 +197,7 @@
 	low, spare := b.beyondShare(now, q)
 	r := &request{id: q.ID, class: c, deadline: min(now+q.Left, b.endsAt), low: low}
 	r.aimBy = min(now+c.Aim-b.spent(c, q), b.endsAt)
+	r.long, r.coming = q.Long, q.Long
 	b.requests[q.ID] = r
 	if q.Left <= 0 || low && !spare || b.closing(now, c, q) {
 		b.finish(now, r)
@@ -382,17 +383,6 @@
 	return c.Worth / c.mean
 }
 
-// tally counts a request of a class, and lets the past fade.
-func (b *Balancer) tally(c *class) {
-	if c.asked++; c.asked < classMemory {
-		return
-	}
-	for i := range b.classes {
-		b.classes[i].asked /= 2
-		b.classes[i].good /= 2
-	}
-}
-
 func (b *Balancer) rank(now time.Duration, r *request) int {
 	rank := 0
 	if r.sendBy() > now || r.class.LateWorth > 0 {
@@ -473,7 +463,7 @@
 // not draw calls to an endpoint that fails fast, and timed-out work may still run there.
 func (b *Balancer) load(now time.Duration, e *endpoint) int {
 	e.debts = slices.DeleteFunc(e.debts, func(t time.Duration) bool { return t <= now })
-	return len(e.calls) + len(e.debts)
+	return len(e.calls) + e.coming + len(e.debts)
 }
 
 // share is the part of its capacity that a ramping endpoint is taken to have.
@@ -661,10 +651,11 @@
 	r.overtaken, r.lost, r.stray = 0, false, false
 	r.attempts++
 	b.credit--
-	if e.mark != isolated {
-		b.out++
+	if r.coming {
+		e.coming++
+	} else {
+		b.enter(e, r)
 	}
-	e.calls = append(e.calls, r)
 	if e.mark == ramping {
 		e.tokens--
 	}
@@ -675,12 +666,45 @@
 	if !b.set.MayCancel && r.class.Effect != Unsafe && r.class.mean > 0 {
 		timeout = seconds(silentTails * r.class.tail * r.class.mean)
 	}
-	if timeout >= r.deadline-now {
+	if timeout >= r.deadline-now || r.coming {
 		timeout = 0
 	}
 	b.host.Send(r.id, e.id, timeout)
 }
 
+// enter counts a call as in flight. One whose body is long counts once the endpoint has it and can begin.
+func (b *Balancer) enter(e *endpoint, r *request) {
+	if e.mark != isolated {
+		b.out++
+	}
+	e.calls = append(e.calls, r)
+}
+
+// depart ends that.
+func (b *Balancer) depart(e *endpoint, r *request) {
+	if r.coming {
+		e.coming--
+		return
+	}
+	if e.mark != isolated {
+		b.out--
+	}
+	e.calls = slices.DeleteFunc(e.calls, func(x *request) bool { return x == r })
+}
+
+// Written tells that the last byte of a long request is out: its time counts from here on.
+func (b *Balancer) Written(now time.Duration, id RequestID, left time.Duration) {
+	r := b.requests[id]
+	if r == nil || r.to == nil || !r.coming {
+		return
+	}
+	r.to.coming--
+	r.coming, r.sentAt, r.answered = false, now, b.answered
+	r.deadline, r.aimBy = min(now+left, b.endsAt), min(now+r.class.Aim, b.endsAt)
+	b.enter(r.to, r)
+	b.arm()
+}
+
 // warmOdds is the sum of the odds of the subset's warm endpoints.
 func (b *Balancer) warmOdds() float64 {
 	sum := 0.0
@@ -692,13 +716,17 @@
 	return sum
 }
 
-// Begun tells that a streamed answer has started: the request is the client's from here on.
+// Begun tells that a long answer has started: the request is the client's from here on. Its endpoint has done
+// its work; how long the client takes to read says nothing of it.
 func (b *Balancer) Begun(now time.Duration, id RequestID, attempt int, from EndpointID) {
-	if r := b.requests[id]; r != nil && r.to != nil {
-		r.stream = true
-		r.to.lastAnswer = now
-		b.answered++
+	r := b.requests[id]
+	if r == nil || r.to == nil || r.stream {
+		return
 	}
+	b.depart(r.to, r)
+	r.stream = true
+	b.judge(now, r, r.to, Outcome{Status: OK, Elapsed: now - r.sentAt})
+	b.place(now)
 }
 
 // Outcome takes the end of an attempt.
@@ -708,20 +736,21 @@
 		return
 	}
 	e := r.to
-	r.to = nil
-	if e.mark != isolated {
-		b.out--
+	if !r.stream {
+		b.depart(e, r)
 	}
-	e.calls = slices.DeleteFunc(e.calls, func(x *request) bool { return x == r })
+	r.to = nil
 	b.report(now, e, o.Load)
-	b.judge(now, r, e, o)
+	if !r.stream || o.Status == Reset {
+		b.judge(now, r, e, o)
+	}
 	if o.Final || r.done || r.stream {
 		if !o.Final && !r.done {
 			b.host.Fail(r.id)
 		}
 		delete(b.requests, r.id)
 	} else {
-		b.again(now, r, e, o.Status)
+		b.again(now, r, e, o)
 	}
 	b.place(now)
 	b.arm()
@@ -889,15 +918,6 @@
 	}
 }
 
-// slow is an endpoint's latency over the fleet's, drawn towards its kind's while its own answers are few.
-func (b *Balancer) slow(e *endpoint) float64 {
-	kind := 1.0
-	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
-		kind = b.kinds[e.kind].mean
-	}
-	return (paceTrust*kind + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
-}
-
 // odds is an endpoint's chance in a draw: by the part of its weight in the subset, or by its whole size for
 // a further attempt that has left the subset. At full size an instance has so few calls in flight that the
 // draw, not the comparison, keeps small machines from getting what large ones get.
@@ -924,16 +944,6 @@
 	return e.weight * kind / b.slow(e)
 }
 
-func (b *Balancer) noteError(e *endpoint, x float64) {
-	e.errors += errorWeight * (x - e.errors)
-	b.errors += fleetWeight * (x - b.errors)
-}
-
-// debt counts a failed call as in flight for a number of base latencies more.
-func (b *Balancer) debt(now time.Duration, e *endpoint, c *class, times float64) {
-	e.debts = append(e.debts, now+seconds(times*c.base))
-}
-
 // mayEject keeps errors and silence from isolating too much of the list: that many failing at once have
 // a cause they share.
 func (b *Balancer) mayEject() bool {
@@ -1000,19 +1010,19 @@
 
 // again decides what follows an attempt that was not served: another one where the rules, the budget and
 // the time allow it, else the final answer.
-func (b *Balancer) again(now time.Duration, r *request, e *endpoint, s Status) {
+func (b *Balancer) again(now time.Duration, r *request, e *endpoint, o Outcome) {
 	r.from = e
-	if !s.NeverRan() {
+	if !o.Status.NeverRan() {
 		if r.mayRun == nil {
 			r.mayRun, r.zone, r.cell, r.runAt = e, e.zone, e.cell, r.sentAt
 		}
-		if b.budget < 1 || r.class.Effect == Unsafe {
+		if b.budget < 1 || r.class.Effect == Unsafe || o.Spent {
 			b.finish(now, r)
 			return
 		}
 		b.budget--
 	}
-	if b.set.MaxAttempts > 0 && r.attempts >= b.set.MaxAttempts || now+b.tick >= r.deadline {
+	if o.Spent || b.set.MaxAttempts > 0 && r.attempts >= b.set.MaxAttempts || now+b.tick >= r.deadline {
 		b.finish(now, r)
 		return
 	}
@@ -1158,10 +1168,11 @@
 	}
 }
 
-// retriable tells whether a call that is out could be sent again, in time, after it is withdrawn.
+// retriable tells whether a call that is out could be sent again, in time, after it is withdrawn: what a long
+// one has sent is not kept.
 func (b *Balancer) retriable(now time.Duration, r *request) bool {
-	return !r.done && r.class.Effect != Unsafe && b.budget >= 1 && now+seconds(r.class.base) < r.aimBy &&
-		(b.set.MaxAttempts == 0 || r.attempts < b.set.MaxAttempts)
+	return !r.done && !r.long && r.class.Effect != Unsafe && b.budget >= 1 &&
+		now+seconds(r.class.base) < r.aimBy && (b.set.MaxAttempts == 0 || r.attempts < b.set.MaxAttempts)
 }
 
 // Targets takes news of the endpoint list.
--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -1,9 +1,6 @@
 package sidecar
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// awayAfter is how long after the start of a drain the last idle connection is closed. Until then callers
@@ -53,10 +50,12 @@
 	return phase == draining && time.Since(since) > awayAfter
 }
 
-// closeAfter has a connection closed with its answer where its caller is to go elsewhere.
-func (s *server) closeAfter(w http.ResponseWriter) {
-	phase, _, _ := s.life.now()
-	if s.away(phase) || phase == stopping && time.Until(s.life.ends()) < lastAnswers {
-		w.Header().Set("Connection", "close")
+// closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere.
+// Requests that have come behind the one that is answered are still served, for a while.
+func (s *server) closes(c *caller, buffered int) bool {
+	phase, since, _ := s.life.now()
+	if s.away(phase) {
+		return time.Since(since) > awayAfter || buffered == 0 && !c.waiting()
 	}
+	return s.life.closing(lastAnswers)
 }
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -2,12 +2,12 @@
 
 import (
 	"container/list"
-	"context"
 	"errors"
+	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,15 +23,19 @@
 	stages
 )
 
-// caller is a connection from a caller.
+// caller is a connection from a caller. One goroutine reads it at a time.
 type caller struct {
 	net.Conn
 	callers *callers
 	stage   stage // callers.mu guards these
 	at      *list.Element
-	began   time.Time // when the request that it brings began, or its connection
+	began   time.Time // when the request that it brings began, or its connection, or its rest
 	over    bool      // it came when there was no room
-	retired bool      // its wait for a request was ended
+
+	heard   atomic.Int64  // when something last came, in Unix nanoseconds
+	paced   bool          // a body is read: its pace is watched
+	credit  time.Duration // how long the body may make no progress
+	stopped atomic.Bool   // nobody wants the rest of the body
 }
 
 // callers bounds the connections from callers. Accepting never waits: a connection in the backlog may already
@@ -46,11 +50,21 @@
 	newest time.Time         // when the last connection came
 }
 
-// slowAfter is how long a request may take to come before its connection is in the way of others.
-const slowAfter = time.Second
+const (
+	// stallAfter is how long part of a request may bring nothing more before its connection is in the way of
+	// others. A slow caller goes on writing; one of a crowd writes once.
+	stallAfter = 700 * time.Millisecond
+	// bodyPace is what a caller should send of a body, in bytes a second. Who falls behind has bodyCredit at the
+	// start, and what it was ahead, up to bodyAhead.
+	bodyPace   = 48 << 10
+	bodyCredit = 2 * time.Second
+	bodyAhead  = 2 * time.Second
+	// bodyChance is for what has come while its reader could not run.
+	bodyChance = 200 * time.Millisecond
+)
 
-// Accept takes the next connection in. It is never one that finds no room.
-func (cs *callers) Accept() (net.Conn, error) {
+// accept takes the next connection in. It is never one that finds no room.
+func (cs *callers) accept() (*caller, error) {
 	for {
 		raw, err := cs.Listener.Accept()
 		if err != nil {
@@ -89,13 +103,17 @@
 			return true
 		}
 	}
-	if at := cs.stages[idle].Front(); at != nil {
-		cs.drop(at.Value.(*caller))
-		return true
+	for at := cs.stages[idle].Front(); at != nil; at = at.Next() {
+		if c := at.Value.(*caller); !c.waiting() {
+			cs.drop(c)
+			return true
+		}
 	}
-	if at := cs.stages[reading].Front(); at != nil && now.Sub(at.Value.(*caller).began) > slowAfter {
-		cs.drop(at.Value.(*caller))
-		return true
+	for at := cs.stages[reading].Front(); at != nil; at = at.Next() {
+		if c := at.Value.(*caller); now.UnixNano()-c.heard.Load() > int64(stallAfter) && !c.waiting() {
+			cs.drop(c)
+			return true
+		}
 	}
 	return false
 }
@@ -112,8 +130,7 @@
 			if now.Sub(c.began) < least {
 				break // the others are younger
 			}
-			c.retired = true
-			c.Conn.SetReadDeadline(now) // net/http closes it then
+			c.Conn.SetReadDeadline(now) // its goroutine closes it then
 		}
 	}
 }
@@ -151,61 +168,102 @@
 	}
 }
 
-// Read notes when a request begins.
-func (c *caller) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.retiredTooLate() {
-		n, err = c.Conn.Read(b)
+// await waits until something has come, for a while. What has come when the wait ends is not left unread, even
+// if the wait was ended by the connection's being retired.
+func (c *caller) await(until time.Time) error {
+	c.Conn.SetReadDeadline(until)
+	err := awaitInput(c.Conn)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.waiting() {
+		return nil
 	}
-	if n > 0 {
-		c.callers.mu.Lock()
-		if c.stage == mute || c.stage == idle {
-			if c.stage == idle {
-				c.began = time.Now()
-			}
-			c.callers.move(c, reading)
-		}
-		c.callers.mu.Unlock()
-	}
-	return n, err
+	return err
 }
 
-// retiredTooLate tells whether a request had come when the wait for it was ended, and lets it be read: a deadline
-// that has passed hides what is there.
-func (c *caller) retiredTooLate() bool {
+// begin notes that a request begins, and tells how long its head may take.
+func (c *caller) begin() (until time.Time, over bool) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
-	late := c.retired && c.waiting()
-	c.retired = false
-	if late {
-		c.Conn.SetReadDeadline(time.Now().Add(readTimeout))
+	now := time.Now()
+	until = now.Add(readTimeout)
+	if first := c.began.Add(firstTimeout); c.stage == mute && first.Before(until) {
+		until = first
 	}
-	return late
+	c.heard.Store(now.UnixNano())
+	c.callers.move(c, reading)
+	return until, c.over
 }
 
-// CloseWrite lets net/http end its side first, so that a client that is still sending reads its answer.
-func (c *caller) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
-
-// state follows net/http's word of a connection.
-func (cs *callers) state(c net.Conn, state http.ConnState) {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	switch from := c.(*caller); state {
-	case http.StateIdle:
-		from.began = time.Now() // the next request may have come already
-		cs.move(from, idle)
-	case http.StateClosed, http.StateHijacked:
-		cs.forget(from)
-	}
+// rest notes that the request is answered.
+func (c *caller) rest() (until time.Time) {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	c.began = time.Now()
+	c.callers.move(c, idle)
+	return c.began.Add(idleTimeout)
 }
 
-// taken notes that a request's headers have come, and tells when it began and whether there is room for it.
-func (c *caller) taken() (began time.Time, over bool) {
+// end ends the connection.
+func (c *caller) end() {
+	c.Conn.Close()
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
-	return c.began, c.over
+	c.callers.forget(c)
+}
+
+// pace begins to watch how fast a body comes.
+func (c *caller) pace() {
+	c.paced, c.credit = true, bodyCredit
+	c.stopped.Store(false)
+}
+
+// Read reads. Of a body, time that the caller takes counts, and time that passes until more is wanted does not.
+func (c *caller) Read(b []byte) (n int, err error) {
+	for {
+		began := time.Now()
+		if c.paced {
+			c.Conn.SetReadDeadline(began.Add(c.credit))
+			if c.stopped.Load() {
+				return 0, errStopped
+			}
+		}
+		n, err = c.Conn.Read(b)
+		if n > 0 {
+			c.heard.Store(time.Now().UnixNano())
+		}
+		if c.paced {
+			c.credit = min(c.credit-time.Since(began)+time.Duration(n)*time.Second/bodyPace, bodyAhead)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.stopped.Load() || !c.waiting() {
+			return n, err
+		}
+		if c.credit = max(c.credit, bodyChance); !c.paced {
+			c.Conn.SetReadDeadline(time.Now().Add(bodyChance))
+		}
+	}
+}
+
+var errStopped = errors.New("the rest of the body is not wanted")
+
+// stop ends the reading of a body from another goroutine.
+func (c *caller) stop() {
+	c.stopped.Store(true)
+	c.Conn.SetReadDeadline(time.Now())
 }
 
+// linger lets a caller that may still be sending read its answer: to close while something is unread would
+// take the answer from it.
+func (c *caller) linger() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	tcp.SetReadDeadline(time.Now().Add(lingerFor))
+	io.Copy(io.Discard, tcp) // whatever ends it
+}
+
+// lingerFor is how long a caller may take to read the answer that was the last on its connection.
+const lingerFor = 500 * time.Millisecond
+
 // served notes that a request has come whole, and tells how many connections stand idle beside its own.
 func (c *caller) served() (idles int) {
 	c.callers.mu.Lock()
@@ -221,9 +279,36 @@
 	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
-type callerKey struct{}
+// closeAll ends what is left.
+func (cs *callers) closeAll() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for i := range cs.stages {
+		for cs.stages[i].Len() > 0 {
+			cs.drop(cs.stages[i].Front().Value.(*caller))
+		}
+	}
+}
 
-// withCaller puts a connection into the context of its requests.
-func withCaller(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerKey{}, c)
+// awaitInput waits until a connection has something to read or has ended, without reading it. It ends with the
+// connection's read deadline.
+func awaitInput(c net.Conn) error {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	n, fault := 0, error(nil)
+	err = raw.Read(func(fd uintptr) bool {
+		n, fault = peek(fd)
+		return fault != syscall.EAGAIN && fault != syscall.EINTR
+	})
+	switch {
+	case err != nil:
+		return err
+	case fault != nil:
+		return os.NewSyscallError("recvfrom", fault)
+	case n == 0:
+		return io.EOF
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/sidecar/head.go
@@ -0,0 +1,115 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net/http"
+	"strings"
+)
+
+// maxHead bounds a request's head; the readers of callers' connections are as large.
+const maxHead = 16 << 10
+
+// fault is what is wrong with a request, and the status that says so.
+type fault struct {
+	status int
+	text   string
+}
+
+func (f *fault) Error() string { return f.text }
+
+// readRequest reads a request up to its body. It waits for the whole head before it reads any of it, as
+// http.ReadRequest hides what is looked for here. An error that is no fault is the connection's.
+func readRequest(r *bufio.Reader) (*http.Request, error) {
+	head, err := peekHead(r)
+	if err != nil {
+		return nil, err
+	}
+	if f := checkHead(head); f != nil {
+		return nil, f
+	}
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, &fault{http.StatusBadRequest, "not a request: " + err.Error()}
+	}
+	if req.ProtoMajor != 1 {
+		return nil, &fault{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
+	}
+	return req, nil
+}
+
+// peekHead waits until the reader holds a whole head, and passes over empty lines in front of it.
+func peekHead(r *bufio.Reader) ([]byte, error) {
+	for n := 1; ; {
+		if _, err := r.Peek(n); errors.Is(err, bufio.ErrBufferFull) {
+			return nil, &fault{http.StatusRequestHeaderFieldsTooLarge, "the head is too long"}
+		} else if err != nil {
+			return nil, err
+		}
+		got, _ := r.Peek(r.Buffered())
+		if blank := len(got) - len(bytes.TrimLeft(got, "\r\n")); blank > 0 {
+			r.Discard(blank)
+			n = 1
+			continue
+		}
+		if end := headEnd(got); end > 0 {
+			return got[:end], nil
+		}
+		n = len(got) + 1
+	}
+}
+
+// headEnd is the length of a head with the empty line that ends it; 0 while that has not come.
+func headEnd(b []byte) int {
+	for at := 0; ; {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return 0
+		}
+		at += i + 1
+		switch rest := b[at:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return at + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return at + 2
+		}
+	}
+}
+
+// checkHead finds what http.ReadRequest lets pass: a head that different readers may read differently.
+func checkHead(head []byte) *fault {
+	lengths, codings, hosts := 0, 0, 0
+	lines := strings.Split(string(head), "\n")
+	for i, line := range lines {
+		line = strings.TrimSuffix(line, "\r")
+		if strings.IndexFunc(line, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }) >= 0 {
+			return &fault{http.StatusBadRequest, "a control character in the head"}
+		}
+		if i == 0 {
+			continue
+		}
+		name, _, _ := strings.Cut(line, ":")
+		switch strings.ToLower(strings.TrimSpace(name)) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			codings++
+		case "host":
+			hosts++
+		}
+	}
+	old := strings.HasSuffix(strings.TrimSuffix(lines[0], "\r"), " HTTP/1.0")
+	switch {
+	case lengths > 0 && codings > 0:
+		// The body may hide another request from one who goes by the other.
+		return &fault{http.StatusBadRequest, "both Content-Length and Transfer-Encoding"}
+	case lengths > 1 || codings > 1:
+		return &fault{http.StatusBadRequest, "a length that is repeated"}
+	case old && codings > 0:
+		return &fault{http.StatusBadRequest, "Transfer-Encoding in HTTP/1.0"}
+	case hosts > 1 || hosts == 0 && !old:
+		return &fault{http.StatusBadRequest, "one Host is needed"}
+	}
+	return nil
+}
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -25,7 +25,8 @@
 	phase   phase
 	listed  bool          // the Balancer has a list
 	since   time.Time     // start of the phase
-	end     time.Time     // of stopping: when all is answered
+	last    time.Time     // of stopping: when connections are closed, busy or not with their answer
+	end     time.Time     // and when all is answered
 	changed chan struct{} // closed when the phase changes
 }
 
@@ -77,11 +78,11 @@
 	}
 }
 
-// stop begins the last phase, at whose end all is answered.
-func (f *lifecycle) stop(end time.Time) {
+// stop begins the last phase: from when on its connections are closed, and at whose end all is answered.
+func (f *lifecycle) stop(last, end time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.end = end
+	f.last, f.end = last, end
 	f.enter(stopping)
 }
 
@@ -105,6 +106,13 @@
 	return f.listed && f.phase != stopping
 }
 
+// closing tells whether a sidecar that stops closes its connections, or will in a moment.
+func (f *lifecycle) closing(moment time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.phase == stopping && time.Until(f.last) < moment
+}
+
 // ends is when all is answered; zero unless the sidecar stops.
 func (f *lifecycle) ends() time.Time {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/long_test.go
@@ -0,0 +1,431 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// noise is a body that shows whether any of it is missing or doubled.
+func noise(n int) []byte {
+	b := make([]byte, 0, n+sha256.Size)
+	for sum := sha256.Sum256(nil); len(b) < n; sum = sha256.Sum256(sum[:]) {
+		b = append(b, sum[:]...)
+	}
+	return b[:n]
+}
+
+// dial makes a connection that lasts no longer than a test may.
+func (rg *rig) dial() *net.TCPConn {
+	rg.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
+	if err != nil {
+		rg.t.Fatal(err)
+	}
+	rg.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c.(*net.TCPConn)
+}
+
+// idle waits until nothing is open or held any more.
+func (rg *rig) idle() {
+	rg.t.Helper()
+	l := rg.server.loop
+	full := newMemory(rg.server.config).bodies.left.Load()
+	rg.until("nothing is held", func() (done bool) {
+		rg.inLoop(func() { done = len(l.requests) == 0 && l.bodies.left.Load() == full })
+		return done
+	})
+}
+
+// Answers of every length and framing arrive whole, and their connections serve on where they can.
+func TestAnswersArriveWhole(t *testing.T) {
+	body := noise(3 << 20)
+	framing := "" // of the answer
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		n := len(body)
+		fmt.Sscan(r.URL.Query().Get("n"), &n)
+		switch framing {
+		case "length":
+			w.Header().Set("Content-Length", fmt.Sprint(n))
+			w.Write(body[:n])
+		case "chunks":
+			w.Header().Set("Trailer", "X-Sum")
+			for at := 0; at < n; at += 10000 {
+				w.Write(body[at:min(at+10000, n)])
+				w.(http.Flusher).Flush()
+			}
+			w.Header().Set("X-Sum", "done")
+		case "close":
+			c, buffered, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			buffered.WriteString("HTTP/1.1 200 OK\r\n\r\n")
+			buffered.Write(body[:n])
+			buffered.Flush()
+		}
+	}))
+	for _, framing = range []string{"length", "chunks", "close"} {
+		for _, n := range []int{0, 1, maxBody - 1, maxBody, maxBody + 1, len(body)} {
+			for _, old := range []bool{false, true} {
+				r := rg.request("read", 9*time.Second)
+				r.URL.RawQuery = fmt.Sprint("n=", n)
+				var text bytes.Buffer
+				r.Write(&text)
+				if old {
+					text = *bytes.NewBufferString(strings.Replace(text.String(), "HTTP/1.1", "HTTP/1.0", 1))
+				}
+				c := rg.dial()
+				c.Write(text.Bytes())
+				res, err := http.ReadResponse(bufio.NewReader(c), r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := io.ReadAll(res.Body)
+				if err != nil || res.StatusCode != 200 || !bytes.Equal(got, body[:n]) || res.Close != old {
+					t.Errorf("%s, %d bytes, old %v: %d bytes, %v, %+v", framing, n, old, len(got), err, res)
+				}
+				if framing == "chunks" && n == len(body) && !old && res.Trailer.Get("X-Sum") != "done" {
+					t.Errorf("trailer %v", res.Trailer)
+				}
+			}
+		}
+	}
+	rg.idle()
+}
+
+// Bodies of every length and framing go on whole.
+func TestBodiesGoOnWhole(t *testing.T) {
+	body := noise(3 << 20)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		got, err := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%d %v %v %s", len(got), bytes.Equal(got, body[:len(got)]), err, r.Trailer.Get("X-Sum"))
+	}))
+	for _, chunked := range []bool{false, true} {
+		for _, n := range []int{1, maxBody - 1, maxBody, maxBody + 1, len(body)} {
+			r := rg.request("book", 9*time.Second)
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body[:n])), int64(n)
+			want := fmt.Sprintf("%d true <nil> ", n)
+			if chunked {
+				r.ContentLength = -1
+				r.Trailer = http.Header{"X-Sum": {"done"}}
+				if n >= maxBody { // of a body that is held whole they are not passed on
+					want += "done"
+				}
+			}
+			if status, got := rg.ask(r); status != 200 || got != want {
+				t.Errorf("chunked %v, %d bytes: got %d %q", chunked, n, status, got)
+			}
+		}
+	}
+	rg.idle()
+}
+
+// A caller that does not read holds the endpoint back, and one that is held back is not read: what lies between
+// is bounded, and arrives once the other side goes on.
+func TestBackpressure(t *testing.T) {
+	const n = 24 << 20
+	body := noise(n)
+	var wrote atomic.Int64
+	goOn := make(chan bool)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.Header().Set("Content-Length", fmt.Sprint(n))
+			for at := 0; at < n; at += 1 << 16 {
+				if _, err := w.Write(body[at : at+1<<16]); err != nil {
+					t.Error(err)
+				}
+				wrote.Add(1 << 16)
+			}
+			return
+		}
+		<-goOn
+		got, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, bytes.Equal(got, body))
+	}))
+	// stands waits until no more comes through.
+	stands := func() int64 {
+		for last := int64(-1); ; {
+			now := wrote.Load()
+			if now > 0 && now == last {
+				return now
+			}
+			last = now
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	c := rg.dial()
+	rg.request("read", 9*time.Second).Write(c)
+	if at := stands(); at >= n {
+		t.Errorf("the endpoint could write %d bytes that nobody read", at)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(res.Body); err != nil || !bytes.Equal(got, body) {
+		t.Errorf("%d bytes arrived, %v", len(got), err)
+	}
+	wrote.Store(0)
+	c = rg.dial()
+	r := rg.request("once", 9*time.Second)
+	r.Body, r.ContentLength = io.NopCloser(io.TeeReader(bytes.NewReader(body), counter{&wrote})), n
+	go r.Write(c)
+	if at := stands(); at >= n {
+		t.Errorf("the caller could write %d bytes that nobody read", at)
+	}
+	goOn <- true
+	if res, err = http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := io.ReadAll(res.Body); string(got) != "true" {
+		t.Errorf("got %q", got)
+	}
+	rg.idle()
+}
+
+type counter struct{ n *atomic.Int64 }
+
+func (c counter) Write(b []byte) (int, error) {
+	c.n.Add(int64(len(b)))
+	return len(b), nil
+}
+
+// An answer that breaks off after it has begun is not taken for whole, however its end is told.
+func TestCutAnswerShows(t *testing.T) {
+	for _, head := range []string{"Content-Length: 200000\r\n", "Transfer-Encoding: chunked\r\n"} {
+		for _, old := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+				c, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				buffered.WriteString("HTTP/1.1 200 OK\r\n" + head + "\r\n")
+				if strings.HasPrefix(head, "T") {
+					buffered.WriteString("186a0\r\n")
+				}
+				buffered.Write(noise(100000))
+				buffered.Flush()
+				c.Close()
+			}))
+			r := rg.request("once", 9*time.Second)
+			var text bytes.Buffer
+			r.Write(&text)
+			c := rg.dial()
+			io.WriteString(c, strings.Replace(text.String(), "HTTP/1.1", old, 1))
+			res, err := http.ReadResponse(bufio.NewReader(c), r)
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
+			if err == nil {
+				t.Errorf("%q to %s: taken for whole", head, old)
+			}
+			rg.idle()
+		}
+	}
+}
+
+// A body that its caller does not finish is not finished for the endpoint either, and gets an error.
+func TestCutBodyShows(t *testing.T) {
+	ended := make(chan error, 1)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		ended <- err
+	}))
+	head := "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Lane: once\r\nX-Remaining: 900m\r\n"
+	part := string(noise(100000))
+	for id, framing := range []string{
+		"Content-Length: 200000\r\n\r\n" + part, "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + part + "\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + part + "\r\nzz\r\n",
+	} {
+		c := rg.dial()
+		fmt.Fprintf(c, head, fmt.Sprint("cut", id))
+		io.WriteString(c, framing)
+		c.CloseWrite()
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && res.StatusCode != http.StatusBadRequest {
+			t.Errorf("%.40q: answered %d", framing, res.StatusCode)
+		}
+		if err := <-ended; err == nil {
+			t.Errorf("%.40q: the endpoint took it for whole", framing)
+		}
+	}
+	rg.idle()
+}
+
+// The time of a long body counts from its last byte, and a long answer that has begun is not cut off.
+func TestLongBodiesOutlastTheDeadline(t *testing.T) {
+	const left = 600 * time.Millisecond
+	body := noise(200000)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			t.Error(err)
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		w.Write(body[:1])
+		w.(http.Flusher).Flush()
+		time.Sleep(2 * left)
+		w.Write(body[1:])
+	}))
+	c := rg.dial()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: a\r\nX-Lane: once\r\nX-Remaining: %dm\r\nContent-Length: %d\r\n\r\n",
+		left.Milliseconds(), len(body))
+	for at := 0; at < len(body); at += 50000 {
+		c.Write(body[at : at+50000])
+		time.Sleep(left / 2)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(res.Body); err != nil || res.StatusCode != 200 || !bytes.Equal(got, body) {
+		t.Errorf("got %d, %d bytes, %v", res.StatusCode, len(got), err)
+	}
+}
+
+// What of a body has gone out and is not kept can't be sent again: the caller is told that nothing has run.
+func TestTurnedAwayInTheMiddle(t *testing.T) {
+	var whole atomic.Int64
+	turnAway := func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadFull(r.Body, make([]byte, maxBody+100000)); err != nil {
+			t.Error(err)
+		}
+		w.Header().Set("X-Turned-Away", "1")
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.(http.Flusher).Flush()
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	}
+	rg := start(t, 1024, peer(t, "s-1", turnAway), peer(t, "s-2", turnAway))
+	c := rg.dial()
+	io.WriteString(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: a\r\nX-Lane: once\r\nX-Remaining: 9000m\r\nContent-Length: 1000000\r\n\r\n")
+	go func() {
+		for range 10 { // and then no more
+			c.Write(noise(20000))
+		}
+	}()
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("answer %+v, %v", res, err)
+	}
+	if whole.Load() != 0 {
+		t.Error("an endpoint got it whole")
+	}
+	rg.idle()
+}
+
+// A long body that nothing is missing of goes to another endpoint when the first cannot be reached.
+func TestLongBodyGoesElsewhere(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	body := noise(300000)
+	rg := start(t, 1024, target{UID: "s-1", Address: dead.Addr().String(), Zone: "z", Model: "m", Cell: 1, State: "Ready", Weight: 1},
+		peer(t, "s-2", func(w http.ResponseWriter, r *http.Request) {
+			got, _ := io.ReadAll(r.Body)
+			fmt.Fprint(w, bytes.Equal(got, body))
+		}))
+	for range 8 {
+		r := rg.request("once", 9*time.Second)
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		if status, got := rg.ask(r); status != 200 || got != "true" {
+			t.Errorf("got %d %q", status, got)
+		}
+	}
+}
+
+// A caller that waits for word before it sends its body gets it, unless its head is wrong already.
+func TestExpectContinue(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Expect") != "" {
+			t.Error("Expect goes on")
+		}
+		io.Copy(w, r.Body)
+	}))
+	head := "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: a\r\nX-Remaining: 900m\r\nExpect: 100-continue\r\nContent-Length: 2\r\nX-Lane: %s\r\n\r\n"
+	c := rg.dial()
+	fmt.Fprintf(c, head, "once")
+	r := bufio.NewReader(c)
+	if line, err := r.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	r.ReadString('\n')
+	io.WriteString(c, "hi")
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := io.ReadAll(res.Body); string(got) != "hi" {
+		t.Errorf("got %q", got)
+	}
+	if status, _ := rg.raw(fmt.Sprintf(head, "none")); status != http.StatusBadRequest {
+		t.Errorf("a wrong head is answered %d", status)
+	}
+}
+
+// Requests that come behind one another on a connection are answered in turn, with nothing between them lost.
+func TestPipelining(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, r.Header.Get("X-Txn"), " ", len(body))
+	}))
+	head := "POST /api HTTP/1.1\r\nHost: h\r\nX-Lane: once\r\nX-Remaining: 9000m\r\nX-Txn: "
+	long := string(noise(100000))
+	text := head + "a\r\nContent-Length: 3\r\n\r\nabc" + "\r\n" + head + "b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" +
+		head + "c\r\nContent-Length: 100000\r\n\r\n" + long + head + "d\r\nContent-Length: 0\r\n\r\n"
+	c := rg.dial()
+	go func() {
+		for i := 0; i < len(text); i += 700 { // in pieces that end anywhere
+			io.WriteString(c, text[i:min(i+700, len(text))])
+		}
+	}()
+	r := bufio.NewReader(c)
+	for _, want := range []string{"a 3", "b 2", "c 100000", "d 0"} {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", want, err)
+		}
+		if got, err := io.ReadAll(res.Body); string(got) != want || err != nil {
+			t.Errorf("got %q, %v, want %q", got, err, want)
+		}
+	}
+}
+
+// A caller that goes while its long answer is on its way ends that, and nothing is left of it.
+func TestCallerGoneInALongAnswer(t *testing.T) {
+	gaveUp := make(chan bool)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		for piece := noise(1 << 16); ; {
+			if _, err := w.Write(piece); err != nil {
+				close(gaveUp)
+				return
+			}
+		}
+	}))
+	c := rg.dial()
+	rg.request("once", 9*time.Second).Write(c)
+	if _, err := io.ReadFull(c, make([]byte, 1<<20)); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatal(err)
+	}
+	c.SetLinger(0)
+	c.Close()
+	<-gaveUp
+	rg.idle()
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"log"
-	"sync/atomic"
 	"time"
 
 	"gingerlead"
@@ -22,7 +21,7 @@
 	events chan func()
 	origin time.Time // zero of the event clock
 	life   *lifecycle
-	bodies budget
+	*memory
 
 	config    *Config
 	endsAt    time.Time // when all must be answered; zero unless this sidecar was told to stop
@@ -57,12 +56,11 @@
 
 func newLoop(c *Config) (*loop, error) {
 	l := &loop{
-		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(),
+		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(), memory: newMemory(c),
 		requests: map[gingerlead.RequestID]*request{},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
-	l.bodies.left.Store(int64(bodyShare * float64(c.plan().MemoryMB<<20)))
 	l.watcher = newWatcher(c.Discovery, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
@@ -152,46 +150,65 @@
 	l.forget(r)
 }
 
-// bodyShare is the part of the memory that bodies may use.
-const bodyShare = 0.25
-
-// budget bounds the bytes that are held for the bodies of all requests and answers together.
-type budget struct{ left atomic.Int64 }
-
-func (b *budget) take(n int) bool {
-	if b.left.Add(-int64(n)) >= 0 {
-		return true
-	}
-	b.give(n)
-	return false
-}
-
-func (b *budget) give(n int) { b.left.Add(int64(n)) }
-
 // closed takes the end of an attempt; its connection is closed or fit for another one.
 func (l *loop) closed(a *attempt, res result) {
 	r := a.request
 	l.pool.release(a.endpoint, res.conn)
 	r.out = nil
 	final := r.answered
-	if res.status == gingerlead.OK && !r.answered {
+	if res.status == gingerlead.OK && !r.answered && res.response.more == nil {
 		final = true
 		l.finish(r, answer{response: res.response})
-	} else {
+	} else if res.response != nil && res.response.more == nil {
 		l.discard(res.response)
 	}
 	l.balancer.Outcome(l.now(), gingerlead.Outcome{
 		ID: r.ID, Endpoint: a.endpoint.id, Attempt: a.number, Final: final,
-		Elapsed: res.took, Status: res.status, Load: res.load,
+		Elapsed: res.took, Status: res.status, Load: res.load, Spent: res.spent,
 	})
 	l.forget(r)
 }
 
 // discard lets go of a response.
 func (l *loop) discard(r *response) {
-	if r != nil {
-		l.bodies.give(len(r.body))
+	if r == nil {
+		return
 	}
+	l.bodies.give(len(r.body))
+	if r.more != nil {
+		select {
+		case r.more.done <- errCallerGone: // nobody has passed it on
+		default:
+		}
+	}
+}
+
+// written tells the Balancer that a long body is out: the client's time, and the endpoint's, count from now.
+func (l *loop) written(a *attempt) {
+	received := time.Now()
+	l.post(func() {
+		r := a.request
+		if r.out != a {
+			return
+		}
+		r.deadline = received.Add(r.Left)
+		r.endBy(l.endsAt)
+		a.endAt(r.deadline)
+		l.balancer.Written(l.now(), r.ID, time.Until(r.deadline))
+	})
+}
+
+// begin gives a request a long answer, that its handler passes on as it comes.
+func (l *loop) begin(a *attempt, response *response) {
+	l.post(func() {
+		r := a.request
+		if r.answered {
+			l.discard(response)
+			return
+		}
+		l.balancer.Begun(l.now(), r.ID, a.number, a.endpoint.id)
+		l.finish(r, answer{response: response})
+	})
 }
 
 func (l *loop) finish(r *request, a answer) {
@@ -243,15 +260,15 @@
 
 func (l *loop) Send(id gingerlead.RequestID, to gingerlead.EndpointID, timeout time.Duration) {
 	r := l.requests[id]
-	a := newAttempt(r, l.endpoints.byID[to], timeout)
+	a := newAttempt(r, l.endpoints.byID[to], timeout, l)
 	r.attempts++
 	r.out = a
 	c, ok := l.pool.acquire(a.endpoint, a.sent)
 	go func() {
-		defer a.cancel()
+		defer a.close()
 		res := result{status: gingerlead.Moot}
 		if ok {
-			res = a.run(c, l.config.Settings.ConnectTimeout, &l.bodies)
+			res = a.run(c, l.config.Settings.ConnectTimeout, l.memory)
 		}
 		l.post(func() { l.closed(a, res) })
 	}()
--- /dev/null
+++ b/internal/sidecar/reply.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// reply writes one answer to a caller.
+type reply struct {
+	caller *caller
+	old    bool // HTTP/1.0: a body whose length is not known ends with the connection
+	lasts  bool // the connection may bring another request
+}
+
+// answer gives the final answer. Like the other methods it tells whether the connection may go on.
+func (w *reply) answer(a answer) (lasts bool) {
+	switch {
+	case a.response != nil && a.response.more != nil:
+		return w.relay(a.response)
+	case a.response != nil:
+		return w.whole(http.StatusOK, a.response.header, a.response.body)
+	case a.refused:
+		header := http.Header{}
+		if a.retryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		}
+		return w.text(http.StatusServiceUnavailable, header, "refused: trying again is harmless")
+	default:
+		return w.status(http.StatusBadGateway, "failed")
+	}
+}
+
+// error says what is wrong with a request, and that it was the last one.
+func (w *reply) error(status int, text string) (lasts bool) {
+	w.lasts = false
+	return w.status(status, text)
+}
+
+func (w *reply) status(status int, text string) (lasts bool) {
+	return w.text(status, http.Header{}, text)
+}
+
+func (w *reply) text(status int, header http.Header, text string) (lasts bool) {
+	if text != "" {
+		header.Set("Content-Type", "text/plain; charset=utf-8")
+		text += "\n"
+	}
+	return w.whole(status, header, []byte(text))
+}
+
+func (w *reply) whole(status int, header http.Header, body []byte) (lasts bool) {
+	return w.write(w.head(status, header, fmt.Sprintf("Content-Length: %d\r\n", len(body))), body) && w.lasts
+}
+
+// inform writes a head that comes before the answer's.
+func (w *reply) inform(text string) bool { return w.write([]byte(text)) }
+
+// head is an answer's head, with what it says of its body's length.
+func (w *reply) head(status int, header http.Header, framing string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	header.WriteSubset(&b, worded)
+	b.WriteString(framing)
+	if !w.lasts {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// write writes pieces; a caller that takes nothing of them for writeTimeout has gone.
+func (w *reply) write(pieces ...[]byte) bool {
+	w.caller.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	buffers := net.Buffers(pieces)
+	_, err := buffers.WriteTo(w.caller.Conn)
+	return err == nil
+}
+
+// relay passes a long answer on as it comes. If it does not come to its end the caller can tell: the connection
+// ends before the length that was told, or before the last chunk, or, where neither was told, with a reset.
+func (w *reply) relay(r *response) (lasts bool) {
+	m := r.more
+	framing, chunked := "", false
+	switch {
+	case m.length >= 0:
+		framing = fmt.Sprintf("Content-Length: %d\r\n", m.length)
+	case w.old:
+		w.lasts = false
+	default:
+		framing, chunked = "Transfer-Encoding: chunked\r\n", true
+	}
+	pieces := [][]byte{w.head(http.StatusOK, r.header, framing)}
+	if len(r.body) > 0 {
+		pieces = append(pieces, framed(r.body, chunked)...)
+	}
+	if !w.write(pieces...) {
+		m.done <- errCallerGone
+		return false
+	}
+	buffer := m.buffers.get()
+	defer m.buffers.put(buffer)
+	for {
+		m.progress()
+		n, err := m.body.Read(buffer)
+		if n > 0 && !w.write(framed(buffer[:n], chunked)...) {
+			m.done <- errCallerGone
+			return false
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if chunked && !w.write(lastChunk(m.trailer())) {
+				m.done <- errCallerGone
+				return false
+			}
+			m.done <- nil
+			return w.lasts
+		case err != nil:
+			m.done <- err
+			if tcp, ok := w.caller.Conn.(*net.TCPConn); ok && w.old && m.length < 0 {
+				tcp.SetLinger(0)
+				tcp.Close()
+			}
+			return false
+		}
+	}
+}
+
+// lastChunk ends a chunked body.
+func lastChunk(trailer http.Header) []byte {
+	var b bytes.Buffer
+	b.WriteString("0\r\n")
+	trailer.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,13 +15,13 @@
 	// excessSockets: callers that come when all connections are busy, and are turned away.
 	reservedSockets = 32
 	excessSockets   = 12
-	// readTimeout is for a whole request, from the first byte or, of the first one, from the connection on:
-	// who takes longer is in the way of others.
+	// readTimeout is for a head, from its first byte on, and for that to come on a new connection: who takes
+	// longer is in the way of others. From the connection on the first head may take firstTimeout.
 	readTimeout  = 2500 * time.Millisecond
+	firstTimeout = 2900 * time.Millisecond
 	idleTimeout  = 30 * time.Second
-	writeTimeout = 10 * time.Second // beyond the longest deadline
-	maxHeader    = 8 << 10
-	maxName      = 128 // bytes of an id
+	writeTimeout = 10 * time.Second // for a piece of an answer to be taken
+	maxName      = 128              // bytes of an id
 	maxRemaining = time.Hour
 	// quietAfter is how long no new connection must have come before a sidecar that was told to stop, and that
 	// no caller is connected to, ends.
@@ -47,12 +45,12 @@
 	target string // as the client wrote it
 	host   string
 	header http.Header
-	body   []byte
+	body   []byte // all of it, or its beginning where there is more
+	more   *upload
 }
 
 // server takes callers' requests to the loop, and its answers back.
 type server struct {
-	http     http.Server
 	loop     *loop
 	config   *Config
 	classes  map[string]int
@@ -78,86 +76,19 @@
 	for i, tenant := range c.Settings.Tenants {
 		s.tenants[tenant.Name] = i
 	}
-	s.http = http.Server{
-		Handler: s, ConnContext: withCaller, ConnState: s.callers.state, MaxHeaderBytes: maxHeader,
-		ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: s.longest + writeTimeout,
-	}
 	return s
 }
 
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/ready" && r.Header.Get("X-Txn") == "" {
-		if !s.life.ready() {
-			s.closeAfter(w)
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-		return
-	}
-	c := r.Context().Value(callerKey{}).(*caller)
-	began, over := c.taken()
-	if over {
-		w.Header().Set("Connection", "close")
-		s.write(w, answer{refused: true})
-		return
-	}
-	if s.sentAway() {
-		s.write(w, answer{refused: true, retryAfter: min(time.Second, s.config.Settings.MaxRetryAfter)})
-		return
-	}
-	req, status, fault := s.parse(r)
-	if fault != "" {
-		// What follows on the connection may be no request.
-		w.Header().Set("Connection", "close")
-		http.Error(w, fault, status)
-		return
-	}
-	// An attempt writes a copy of the body.
-	if held := 2 * int(r.ContentLength); held > 0 {
-		if !s.loop.bodies.take(held) {
-			w.Header().Set("Connection", "close")
-			s.write(w, answer{refused: true, retryAfter: time.Second})
-			return
-		}
-		defer s.loop.bodies.give(held)
-	}
-	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(began.Add(readTimeout))
-	body, err := readAll(r.Body)
-	control.SetReadDeadline(time.Time{})
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		http.Error(w, "request body cut short", http.StatusBadRequest)
-		return
-	}
-	received := time.Now()
-	req.Idle = c.served()
-	removeHopByHop(r.Header)
-	req.inbound = inbound{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}
-	s.loop.post(func() { s.loop.arrive(req, received) })
-	select {
-	case a := <-req.answer:
-		s.write(w, a)
-		s.loop.discard(a.response)
-	case <-r.Context().Done():
-		s.loop.post(func() { s.loop.lapse(req) })
-		// To return would send an empty 200 to a client that has closed only its side.
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // single are the headers that must not be repeated: of two, an endpoint may read the other one.
 var single = []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"}
 
 // parse reads what the Balancer is told of a request, or names what is wrong with it.
 func (s *server) parse(r *http.Request) (req *request, status int, fault string) {
 	switch {
-	case len(r.TransferEncoding) > 0:
-		// A chunked body may hide another request: net/http drops the Content-Length that contradicts it, so
-		// the pair cannot be seen here. Callers know the length of what they send.
-		return nil, http.StatusLengthRequired, "a request must tell its Content-Length"
-	case r.ContentLength > maxBody:
+	case r.ContentLength > maxLong:
 		return nil, http.StatusRequestEntityTooLarge, "request body too large"
+	case r.Header.Get("Expect") != "" && !expectsContinue(r):
+		return nil, http.StatusExpectationFailed, "Expect: only 100-continue is known"
 	}
 	if req, fault = s.read(r); fault != "" {
 		return nil, http.StatusBadRequest, fault
@@ -233,27 +164,6 @@
 	return time.Duration(n * float64(unit)), true
 }
 
-// write gives the final answer.
-func (s *server) write(w http.ResponseWriter, a answer) {
-	s.closeAfter(w)
-	switch {
-	case a.response != nil:
-		header := w.Header()
-		for name, values := range a.response.header {
-			header[name] = values
-		}
-		header.Set("Content-Length", strconv.Itoa(len(a.response.body)))
-		w.Write(a.response.body) // a client that has gone cannot be told
-	case a.refused:
-		if a.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-		}
-		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
-	default:
-		http.Error(w, "failed", http.StatusBadGateway)
-	}
-}
-
 // hopByHop are the headers that belong to one connection.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
@@ -269,33 +179,38 @@
 	}
 }
 
+// expectsContinue tells whether a caller waits for word before it sends its body.
+func expectsContinue(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
+
 // stop ends the server shortly before it would be killed, with all answered that it has taken. Until then it
 // goes on serving: no front sends it new callers, but those that it has go on using their connections, and
 // where it is the only sidecar, or the others are gone or just starting, whom it cuts off has nowhere to go.
 // Where there are others it closes what is idle handOver before the end, so that its last callers move there.
 // Where a successor accepts on the same socket, it accepts no more and sends its callers there as in a drain.
 // It ends early when nobody is connected any more. It does harm where the platform kills sooner than it says.
-func (s *server) stop() error {
+func (s *server) stop() {
 	told := time.Now()
 	end := told.Add(s.linger)
-	s.life.stop(end)
-	if s.handsOver() {
-		s.callers.Listener.Close() // its own copy: the successor has the socket
-	}
-	s.loop.post(func() { s.loop.leave(end, s.handsOver()) })
 	last := end
 	if s.config.Settings.Instances > 1 && !s.handsOver() {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
 	}
+	s.life.stop(last, end)
+	if s.handsOver() {
+		s.callers.Listener.Close() // its own copy: the successor has the socket
+	}
+	s.loop.post(func() { s.loop.leave(end, s.handsOver()) })
 	for time.Now().Before(last) && !s.quits(time.Since(told)) {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(killMargin/2))
-	defer cancel()
-	if err := s.http.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-		return err
+	s.callers.Listener.Close()
+	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.quietFor(0) {
+		s.callers.retire(0, 0)
+		time.Sleep(stopPoll)
 	}
-	return s.http.Close() // what is left has not brought a whole request, or does not read its answer
+	s.callers.closeAll() // what is left has not brought a whole request, or does not read its answer
 }
 
 // handsOver tells whether a successor accepts in this process's place when it stops.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,12 +1,10 @@
 package sidecar
 
 import (
-	"errors"
 	"fmt"
 	"log"
 	"math"
 	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -50,6 +48,7 @@
 }
 
 func (s *server) run(listener net.Listener, stop, reload <-chan os.Signal) error {
+	s.callers.Listener = listener
 	go s.loop.run()
 	ended := make(chan struct{})
 	defer close(ended)
@@ -59,18 +58,19 @@
 			s.reload()
 		}
 	}()
-	stopped := make(chan error, 1)
+	stopped := make(chan struct{})
 	go func() {
+		defer close(stopped)
 		log.Printf("%v: stopping", <-stop)
-		stopped <- s.stop()
+		s.stop()
 	}()
 	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
-	s.callers.Listener = listener
-	err := s.http.Serve(&s.callers)
-	if phase, _, _ := s.life.now(); phase != stopping && !errors.Is(err, http.ErrServerClosed) {
+	err := s.accept()
+	if phase, _, _ := s.life.now(); phase != stopping {
 		return err
 	}
-	return <-stopped
+	<-stopped
+	return nil
 }
 
 // listen makes the socket that callers connect to, or takes the one that the platform holds.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -12,9 +12,11 @@
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,8 +25,17 @@
 )
 
 const (
-	maxBody       = 64 << 10
+	maxBody       = 64 << 10 // of a body that is held whole
+	maxLong       = 32 << 20 // of one that is passed on as it comes
 	maxAnswerHead = 16 << 10
+	// answerStart is what is held of an answer that is passed on as it comes, until that begins.
+	answerStart = 4 << 10
+	// answerPatience is how long an answer of unknown length may take to come before it is passed on as it does.
+	answerPatience = 250 * time.Millisecond
+	// skipPatience is how long a body that nobody wants may take.
+	skipPatience = 20 * time.Millisecond
+	// relayStall is how long an endpoint may take no more of a body, or give no more of an answer.
+	relayStall = 10 * time.Second
 	// outboundShare is the part of the sockets that connections to endpoints may use.
 	outboundShare = 0.4
 	// idleShare is the part of connIdle after which an idle connection is retired: a request that is written
@@ -84,15 +95,19 @@
 func peekByte(raw syscall.RawConn) (n int, err error) {
 	n = -1
 	// Not raw.Read: that would wait for another goroutine's Read to end.
-	if fault := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}); fault != nil {
+	if fault := raw.Control(func(fd uintptr) { n, err = peek(fd) }); fault != nil {
 		return -1, fault
 	}
 	return n, err
 }
 
+// peek looks for a byte to read; 0 without an error is the end.
+func peek(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // pool holds the idle connections to all endpoints, and bounds all connections to them. The loop owns it.
 type pool struct {
 	idle    map[*endpoint][]*conn // the most recently used last
@@ -189,9 +204,24 @@
 	request  *request
 	endpoint *endpoint
 	number   int
-	sent     time.Time
 	ctx      context.Context // ends with the time-out, or when the attempt is cancelled
-	cancel   context.CancelFunc
+	end      context.CancelCauseFunc
+	host     relayHost
+	left     time.Duration // what an endpoint is told that its answer is waited for
+	out      chan struct{} // closed when the last byte of a long body is out
+
+	mu    sync.Mutex
+	sent  time.Time   // since when its time counts
+	timer *time.Timer // ends it with its time-out; nil while a long body is being sent
+	begun bool        // a long answer is on its way to the caller: it is no longer timed
+}
+
+// relayHost is what an attempt needs of the sidecar round it.
+type relayHost interface {
+	// written tells that the last byte of a long body is out.
+	written(*attempt)
+	// begin passes a long answer on, and tells at its done how that ended.
+	begin(*attempt, *response)
 }
 
 // result is how an attempt ended. Its connection is nil unless it can carry another attempt.
@@ -201,29 +231,101 @@
 	response *response
 	load     *gingerlead.Load
 	conn     *conn
+	spent    bool // what was sent can't be sent again
 }
 
-// response is an endpoint's whole answer.
+// response is an endpoint's answer: the whole of it, or its beginning and where there is more.
 type response struct {
 	header http.Header
 	body   []byte
+	more   *download
+}
+
+// download is the part of a long answer that is still to come. Who passes it on reads it, and tells at done how
+// that ended: nil, what the endpoint's side broke with, or errCallerGone.
+type download struct {
+	body     io.Reader
+	length   int64 // of the whole body; -1 where only its end tells
+	trailer  func() http.Header
+	progress func() // before each read
+	buffers  *buffers
+	done     chan error
 }
 
-func newAttempt(r *request, e *endpoint, timeout time.Duration) *attempt {
-	a := &attempt{request: r, endpoint: e, number: r.attempts, sent: time.Now()}
+func newAttempt(r *request, e *endpoint, timeout time.Duration, host relayHost) *attempt {
+	a := &attempt{request: r, endpoint: e, number: r.attempts, sent: time.Now(), host: host,
+		out: make(chan struct{})}
+	a.ctx, a.end = context.WithCancelCause(context.Background())
 	deadline := r.deadline
 	if end := a.sent.Add(timeout); timeout != 0 && end.Before(deadline) {
 		deadline = end
 	}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), deadline)
+	if r.more != nil {
+		a.left = r.Left // its time has not begun
+		return a
+	}
+	a.left = time.Until(deadline)
+	a.endAt(deadline)
 	return a
 }
 
+// cancel gives the attempt up.
+func (a *attempt) cancel() { a.end(context.Canceled) }
+
+// close lets go of what an attempt that is over holds.
+func (a *attempt) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.end(context.Canceled)
+}
+
+// endAt has the attempt time out.
+func (a *attempt) endAt(deadline time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.begun {
+		return
+	}
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.timer = time.AfterFunc(time.Until(deadline), func() { a.end(context.DeadlineExceeded) })
+}
+
+// untime frees the attempt of its time-out, unless that has passed, and tells how long its answer took to begin.
+func (a *attempt) untime() (took time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begun = a.timer == nil || a.timer.Stop()
+	return time.Since(a.sent), a.begun
+}
+
+// restart has the time count from now on.
+func (a *attempt) restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent = time.Now()
+}
+
+// elapsed is the time that counts.
+func (a *attempt) elapsed() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.sent)
+}
+
 // run makes the attempt: one write on one connection, and the answer to it. net/http's Transport would send
 // a request again by itself and does not tell whether its last byte was written, so it is not used here.
 // When run returns, the connection is either closed or free, so the Balancer may send again.
-func (a *attempt) run(c *conn, connectTimeout time.Duration, bodies *budget) (res result) {
-	defer func() { res.took = time.Since(a.sent) }()
+func (a *attempt) run(c *conn, connectTimeout time.Duration, room *memory) (res result) {
+	defer func() {
+		if res.took == 0 {
+			res.took = a.elapsed()
+		}
+	}()
 	if c != nil {
 		time.Sleep(time.Until(c.idleSince.Add(settle)))
 		if !c.alive() {
@@ -237,7 +339,7 @@
 			return result{status: a.unsent()}
 		}
 	}
-	res = a.over(c, bodies)
+	res = a.over(c, room)
 	if res.status == gingerlead.Reset {
 		a.whatBroke(&res, connectTimeout)
 	}
@@ -273,9 +375,14 @@
 }
 
 // over makes the attempt over a connection.
-func (a *attempt) over(c *conn, bodies *budget) result {
-	release := context.AfterFunc(a.ctx, func() { c.Close() })
-	res := a.exchange(c, bodies)
+func (a *attempt) over(c *conn, room *memory) result {
+	release := context.AfterFunc(a.ctx, func() {
+		c.Close()
+		if a.request.more != nil {
+			a.request.more.caller.stop()
+		}
+	})
+	res := a.exchange(c, room)
 	if !release() || res.conn == nil {
 		c.Close()
 		res.conn = nil
@@ -285,52 +392,185 @@
 
 // unsent is the status of an attempt whose last byte was certainly not written.
 func (a *attempt) unsent() gingerlead.Status {
-	// The dialer keeps the context's deadline by a timer of its own, which may fire before the context's does.
-	// Taken for a failed connection, a request's own deadline would isolate a sound endpoint.
-	if deadline, _ := a.ctx.Deadline(); a.ctx.Err() != nil || !time.Now().Before(deadline) {
+	if a.ctx.Err() != nil {
 		return gingerlead.Moot
 	}
 	return gingerlead.ConnectFailed
 }
 
-func (a *attempt) exchange(c *conn, bodies *budget) result {
-	deadline, _ := a.ctx.Deadline()
-	text := a.request.encode(time.Until(deadline))
+func (a *attempt) exchange(c *conn, room *memory) result {
 	// The dial may have outlasted the endpoint's welcome.
 	if !a.endpoint.open.Load() || a.ctx.Err() != nil {
 		return result{status: gingerlead.Moot}
 	}
-	if n, err := c.Write(text); err != nil && n < len(text) {
+	if a.request.more != nil {
+		return a.exchangeLong(c, room)
+	}
+	text := a.request.encode(a.left - a.elapsed())
+	pieces := net.Buffers{text}
+	if len(a.request.body) > 0 {
+		pieces = append(pieces, a.request.body)
+	}
+	if n, err := pieces.WriteTo(c.Conn); err != nil && n < int64(len(text)+len(a.request.body)) {
 		return result{status: a.unsent()}
 	}
+	return a.hear(c, room)
+}
+
+// hear takes the answer to a request that is written.
+func (a *attempt) hear(c *conn, room *memory) result {
 	a.endpoint.waiting.Add(1)
-	res, err := a.read(c, bodies)
+	res, err := a.read(c, room)
 	a.endpoint.waiting.Add(-1)
-	switch {
-	case err == nil:
-	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
-		res.status = gingerlead.Timeout
-	case a.ctx.Err() != nil:
-		res.status = gingerlead.Cancelled
+	if err != nil {
+		res.status = a.broken(err)
+	}
+	return res
+}
+
+// broken is the status of an attempt that was written and whose answer did not come whole.
+func (a *attempt) broken(err error) gingerlead.Status {
+	switch cause := context.Cause(a.ctx); {
+	case errors.Is(err, errCallerGone):
+		return gingerlead.Cancelled
+	case errors.Is(cause, context.DeadlineExceeded):
+		return gingerlead.Timeout
+	case cause != nil:
+		return gingerlead.Cancelled
 	case errors.As(err, new(*net.OpError)), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
 		errors.Is(err, io.ErrClosedPipe):
-		res.status = gingerlead.Reset
-	default:
-		// The endpoint has run it and is well, but what it says cannot be used.
-		res.status = gingerlead.Spoilt
+		return gingerlead.Reset
+	}
+	// The endpoint has run it and is well, but what it says cannot be used.
+	return gingerlead.Spoilt
+}
+
+// exchangeLong sends a long body as it comes, and listens at the same time: an endpoint may turn it away before
+// its end. Until the last byte is out the request has not run.
+func (a *attempt) exchangeLong(c *conn, room *memory) (res result) {
+	type ending struct{ caller, write error }
+	sent := make(chan ending, 1)
+	go func() {
+		var e ending
+		e.caller, e.write = a.sendLong(c, room)
+		switch {
+		case e.caller != nil:
+			a.cancel()
+		case e.write != nil:
+			c.SetReadDeadline(time.Now().Add(lastWord)) // what it said before it broke off
+		}
+		sent <- e
+	}()
+	answer := make(chan result, 1)
+	go func() { answer <- a.hear(c, room) }()
+	var e ending
+	select {
+	case e = <-sent:
+		res = <-answer
+	case res = <-answer:
+		select {
+		case e = <-sent:
+		default:
+			e.write = errEarly
+			a.cancel() // ends the sending
+			<-sent
+		}
+	}
+	if e == (ending{}) {
+		res.spent = true
+		return res
+	}
+	// Its last byte is not out: whatever was answered, it has not run.
+	early := res.status
+	res = result{status: gingerlead.Moot, spent: a.request.more.spent}
+	switch {
+	case early == gingerlead.Full:
+		res.status = gingerlead.Full
+	case e.caller == nil && e.write != errEarly:
+		res.status = a.unsent()
 	}
 	return res
 }
 
+// errEarly is an answer that comes before the request's last byte is out.
+var errEarly = errors.New("answered too early")
+
+// isOut tells whether the last byte of the request is out. Its answer may be here before its sender knows.
+func (a *attempt) isOut() bool {
+	if a.request.more == nil {
+		return true
+	}
+	select {
+	case <-a.out:
+		return true
+	case <-time.After(lastWord):
+		return false
+	}
+}
+
+// lastWord is how long an endpoint that broke off in the middle of a body may take to say why.
+const lastWord = 200 * time.Millisecond
+
+// sendLong writes a request with a long body.
+func (a *attempt) sendLong(c *conn, room *memory) (callerErr, writeErr error) {
+	u := a.request.more
+	w := &lengthWriter{conn: c, chunked: u.length < 0}
+	c.SetWriteDeadline(time.Now().Add(relayStall))
+	if _, err := c.Conn.Write(a.request.encode(a.left)); err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(a.request.body); err != nil {
+		return nil, err
+	}
+	buffer := room.buffers.get()
+	defer room.buffers.put(buffer)
+	callerErr, writeErr = u.pass(w, buffer, func() { c.SetWriteDeadline(time.Now().Add(relayStall)) })
+	if callerErr == nil && writeErr == nil && w.chunked {
+		_, writeErr = c.Conn.Write(lastChunk(u.trailer()))
+	}
+	if callerErr == nil && writeErr == nil {
+		a.restart()
+		close(a.out)
+		a.host.written(a)
+	}
+	return callerErr, writeErr
+}
+
+// lengthWriter writes a body, in chunks where its length is not known.
+type lengthWriter struct {
+	conn    *conn
+	chunked bool
+}
+
+func (w *lengthWriter) Write(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	pieces := net.Buffers(framed(b, w.chunked))
+	if _, err := pieces.WriteTo(w.conn.Conn); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// framed is a piece of a body as it is written: a chunk of it where its length is not known.
+func framed(b []byte, chunked bool) [][]byte {
+	if !chunked {
+		return [][]byte{b}
+	}
+	return [][]byte{fmt.Appendf(nil, "%x\r\n", len(b)), b, []byte("\r\n")}
+}
+
 var (
-	errTooLarge = errors.New("too large")
-	errSpoilt   = errors.New("cannot be read")
-	errNoRoom   = errors.New("no memory for the body")
+	errTooLarge   = errors.New("too large")
+	errSpoilt     = errors.New("cannot be read")
+	errNoRoom     = errors.New("no memory for the body")
+	errCallerGone = errors.New("the caller has gone")
 )
 
 // read takes the response to the request that was written. An error that is not the connection's means that
 // the response cannot be used; its connection is of no more use then.
-func (a *attempt) read(c *conn, bodies *budget) (res result, err error) {
+func (a *attempt) read(c *conn, room *memory) (res result, err error) {
 	c.left = maxAnswerHead
 	var code int
 	var header textproto.MIMEHeader
@@ -346,13 +586,7 @@
 	if code < http.StatusOK {
 		return res, errSpoilt // its real answer is still to come
 	}
-	if !bodies.take(maxBody) {
-		return res, errNoRoom
-	}
-	kept := 0
-	defer func() { bodies.give(maxBody - kept) }()
-	c.left = maxBody + maxAnswerHead // beside the body, what its chunks take
-	body, err := readBody(c.reader, code, header)
+	body, err := newAnswerBody(c, code, header, room.longest)
 	if err != nil {
 		return res, err
 	}
@@ -361,24 +595,88 @@
 		res.load, _ = settings.ParseLoad(report, "=") // a report that cannot be read is none
 	}
 	switch {
+	case code == http.StatusOK && !a.isOut():
+		return res, errSpoilt // it has not been asked yet
 	case code == http.StatusOK:
 		res.status = gingerlead.OK
 		removeHopByHop(http.Header(header))
-		res.response = &response{header: http.Header(header), body: body}
-		kept = len(body)
+		res.response, err = a.take(c, body, header, room)
 	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
 		if header.Get("X-Turned-Away") == "1" {
 			res.status = gingerlead.Full
 		}
+		err = body.skip()
 	case code < http.StatusInternalServerError:
 		res.status = gingerlead.Spoilt // the request is at fault, not the endpoint
+		fallthrough
+	default:
+		err = body.skip()
+	}
+	if err != nil {
+		return res, err
+	}
+	if res.response != nil && res.response.more != nil {
+		// Nobody else has the connection until the answer has been passed on.
+		if res.took, err = a.pass(res.response); err != nil {
+			return res, err
+		}
 	}
-	if lasting && c.reader.Buffered() == 0 {
+	if lasting && body.ended && !body.toClose && c.reader.Buffered() == 0 {
+		c.Conn.SetDeadline(time.Time{})
 		res.conn = c
 	}
 	return res, nil
 }
 
+// take reads a good answer: the whole of it if it is short enough and comes in one go, else its beginning.
+func (a *attempt) take(c *conn, body *answerBody, header textproto.MIMEHeader, room *memory) (*response, error) {
+	r := &response{header: http.Header(header)}
+	most := maxBody
+	if body.length >= 0 {
+		most = int(min(body.length, maxBody))
+	}
+	long := body.length > maxBody || !room.bodies.take(most)
+	if long {
+		most = answerStart
+		room.bodies.force(most)
+	}
+	kept := 0
+	defer func() { room.bodies.give(most - kept) }()
+	patience := time.Now().Add(answerPatience)
+	for !body.ended && (!long || len(r.body) == 0) {
+		if body.length < 0 && len(r.body) > 0 && !c.awaits(patience) {
+			break // it comes slowly, and may be long
+		}
+		if len(r.body) == most && body.length < 0 {
+			break
+		}
+		if len(r.body) == cap(r.body) {
+			r.body = append(make([]byte, 0, min(most, max(512, 2*cap(r.body)))), r.body...)
+		}
+		n, err := body.Read(r.body[len(r.body):cap(r.body)])
+		if r.body = r.body[:len(r.body)+n]; err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+	}
+	kept = len(r.body)
+	if !body.ended {
+		r.more = &download{body: body, length: body.length, trailer: func() http.Header { return body.trailer },
+			progress: func() { c.SetReadDeadline(time.Now().Add(relayStall)) }, buffers: room.buffers,
+			done: make(chan error, 1)}
+	}
+	return r, nil
+}
+
+// pass has a long answer passed on, and returns when it has been.
+func (a *attempt) pass(r *response) (took time.Duration, err error) {
+	took, ok := a.untime()
+	if !ok {
+		return took, context.DeadlineExceeded
+	}
+	a.host.begin(a, r)
+	return took, <-r.more.done
+}
+
 // readHead reads a response's status and headers, and tells whether its connection is to last.
 func readHead(r *bufio.Reader) (code int, header textproto.MIMEHeader, lasting bool, err error) {
 	text := textproto.NewReader(r)
@@ -402,63 +700,131 @@
 	return int(n), header, lasting, nil
 }
 
-// readBody reads a response's body of at most maxBody bytes. Where its end is in doubt it is spoilt: lengths
-// that disagree, or none, so that the connection's end would be the body's.
-func readBody(r *bufio.Reader, code int, header textproto.MIMEHeader) ([]byte, error) {
+// answerBody reads a response's body.
+type answerBody struct {
+	conn    *conn
+	reader  io.Reader
+	length  int64 // -1 where only its end tells
+	longest int64 // that it may be
+	read    int64
+	chunked bool
+	toClose bool // the connection's end is the body's
+	ended   bool
+	trailer http.Header
+}
+
+// newAnswerBody finds out how a body ends. Lengths that disagree, or cannot be, spoil it.
+func newAnswerBody(c *conn, code int, header textproto.MIMEHeader, longest int64) (*answerBody, error) {
+	b := &answerBody{conn: c, reader: c.reader, longest: longest}
 	lengths, codings := header["Content-Length"], header["Transfer-Encoding"]
 	switch {
 	case code == http.StatusNoContent || code == http.StatusNotModified:
-		return nil, nil
 	case len(codings) == 1 && len(lengths) == 0 && strings.EqualFold(codings[0], "chunked"):
-		body, err := readAll(httputil.NewChunkedReader(r))
-		if err != nil {
-			return nil, err
-		}
-		_, err = textproto.NewReader(r).ReadMIMEHeader() // what follows the last chunk
-		return body, err
+		b.length, b.chunked, b.reader = -1, true, httputil.NewChunkedReader(c.reader)
 	case len(codings) == 0 && len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
 		if err != nil {
 			return nil, errSpoilt
 		}
-		if n > maxBody {
+		if n > uint64(longest) {
 			return nil, errTooLarge
 		}
-		body, err := readAll(io.LimitReader(r, int64(n)))
-		if err == nil && len(body) < int(n) {
-			err = io.ErrUnexpectedEOF
+		b.length = int64(n)
+	case len(codings) == 0 && len(lengths) == 0:
+		b.length, b.toClose = -1, true
+	default:
+		return nil, errSpoilt
+	}
+	// Beside the body, what its chunks take: the chunked reader bounds that by what they hold.
+	c.left = int(2*longest) + maxAnswerHead
+	b.ended = b.length == 0
+	return b, nil
+}
+
+// Read reads the body; its end is io.EOF, with the trailers read.
+func (b *answerBody) Read(p []byte) (n int, err error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	if b.length >= 0 {
+		p = p[:min(int64(len(p)), b.length-b.read)]
+	}
+	n, err = b.reader.Read(p)
+	b.read += int64(n)
+	eof := errors.Is(err, io.EOF)
+	switch {
+	case b.read > b.longest:
+		return n, errTooLarge
+	case b.length >= 0 && b.read == b.length:
+		err = io.EOF
+	case eof && b.length >= 0:
+		err = io.ErrUnexpectedEOF
+	case eof && b.chunked:
+		b.conn.left = min(b.conn.left, maxAnswerHead)
+		trailer, fault := textproto.NewReader(b.conn.reader).ReadMIMEHeader()
+		if fault != nil {
+			return n, noEOF(fault)
 		}
-		return body, err
+		removeHopByHop(http.Header(trailer))
+		b.trailer = http.Header(trailer)
 	}
-	return nil, errSpoilt
+	b.ended = errors.Is(err, io.EOF)
+	return n, err
 }
 
-// readAll reads a body of at most maxBody bytes. Space is taken as they come: a length is only a word.
-func readAll(body io.Reader) ([]byte, error) {
-	b := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
-	if _, err := b.ReadFrom(io.LimitReader(body, maxBody+1)); err != nil {
-		return nil, err
+// noEOF is an end that came too early.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// skip reads a short body that nobody wants, so that its connection can be used again. What is long or does not
+// come at once is left: what the head says does not wait for it.
+func (b *answerBody) skip() error {
+	buffer := make([]byte, 512)
+	for patience := time.Now().Add(skipPatience); !b.ended && !b.toClose && b.read < maxBody; {
+		if !b.conn.awaits(patience) {
+			return nil
+		}
+		if _, err := b.Read(buffer); err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
 	}
-	if b.Len() > maxBody {
-		return nil, errTooLarge
+	return nil
+}
+
+// awaits waits for something to read, for a while.
+func (c *conn) awaits(until time.Time) bool {
+	if _, ok := c.Conn.(syscall.Conn); !ok || c.reader.Buffered() > 0 {
+		return true
 	}
-	return b.Bytes(), nil
+	c.SetReadDeadline(until)
+	err := awaitInput(c.Conn)
+	c.SetReadDeadline(time.Time{})
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// written are the headers that encode words itself.
-var written = map[string]bool{"Content-Length": true, "X-Remaining": true}
+// worded are the headers that encode words itself.
+var worded = map[string]bool{"Content-Length": true, "X-Remaining": true}
 
-// encode is the request as it goes on to an endpoint, which is told how long its answer is waited for.
+// encode is the head of the request as it goes on to an endpoint, which is told how long its answer is waited
+// for.
 func (in *inbound) encode(left time.Duration) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Remaining: %du\r\n", in.method, in.target, in.host,
 		max(left, 0).Microseconds())
-	if len(in.body) > 0 || in.method != http.MethodGet {
+	switch {
+	case in.more != nil && in.more.length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case in.more != nil:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", in.more.length)
+	case len(in.body) > 0 || in.method != http.MethodGet:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(in.body))
 	}
-	in.header.WriteSubset(&b, written)
+	in.header.WriteSubset(&b, worded)
 	b.WriteString("\r\n")
-	b.Write(in.body)
 	return b.Bytes()
 }
 
--- a/state.go
+++ b/state.go
@@ -32,6 +32,7 @@
 	coldFrom   time.Duration // since when its ramp counts
 
 	calls      []*request // own calls in flight, oldest first
+	coming     int        // and those whose request is still being sent
 	debts      []time.Duration
 	choked     bool    // far slower than its kind, and not yet recovered
 	broke      bool    // a connection broke: it may have restarted, and be cold
@@ -65,7 +66,9 @@
 	cell     int
 	runAt    time.Duration // when the first attempt that may have run was sent
 	held     bool
-	stream   bool
+	long     bool // it is sent as it comes,
+	coming   bool // and some of it is still to come
+	stream   bool // its answer is on its way to the client
 	done     bool
 	quit     bool // withdrawn by us: the outcome is still to come
 
@@ -189,3 +192,33 @@
 	b.kinds[e.kind].add(slow, kindWeight)
 	e.pace.add(slow, paceWeight)
 }
+
+// tally counts a request of a class, and lets the past fade.
+func (b *Balancer) tally(c *class) {
+	if c.asked++; c.asked < classMemory {
+		return
+	}
+	for i := range b.classes {
+		b.classes[i].asked /= 2
+		b.classes[i].good /= 2
+	}
+}
+
+// slow is an endpoint's latency over the fleet's, drawn towards its kind's while its own answers are few.
+func (b *Balancer) slow(e *endpoint) float64 {
+	kind := 1.0
+	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
+		kind = b.kinds[e.kind].mean
+	}
+	return (paceTrust*kind + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
+}
+
+func (b *Balancer) noteError(e *endpoint, x float64) {
+	e.errors += errorWeight * (x - e.errors)
+	b.errors += fleetWeight * (x - b.errors)
+}
+
+// debt counts a failed call as in flight for a number of base latencies more.
+func (b *Balancer) debt(now time.Duration, e *endpoint, c *class, times float64) {
+	e.debts = append(e.debts, now+seconds(times*c.base))
+}
