Limit calls by the endpoints in service, so that the few left do not choke

A log of the limits showed the cause: with one of four endpoints left in a release, the limit stood at what four had borne, and the one choked. Ruled out: refusals at the door (none), tenants' shares (buckets full), the new process's start (it held nothing).

--- a/balancer.go
+++ b/balancer.go
@@ -399,14 +399,14 @@
 	return r.aimBy - seconds(slackMeans*r.class.mean)
 }
 
-// shed refuses what is held beyond what can be sent in time: what will miss its aim, and the least worth
-// when more is held than the present rate works off.
+// shed refuses what is held beyond what can be sent in time, as soon as that shows: what will miss its aim or
+// could not even be answered at little load, and the least worth when more is held than the rate works off.
 func (b *Balancer) shed(now time.Duration) {
 	room := max(int(holdPerSecond*b.served.value(now, b.window)), len(b.listed))
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
 		late := now >= r.sendBy() && r.class.LateWorth == 0
-		if late || now+2*b.tick >= r.deadline {
+		if late || now+max(2*b.tick, seconds(r.class.base)) >= r.deadline {
 			b.unhold(i)
 			b.finish(now, r)
 		}
@@ -429,14 +429,26 @@
 func (b *Balancer) refit(now time.Duration) {
 	b.credit = min(b.credit+b.pace*(now-b.creditAt).Seconds(), max(paceBurst, b.pace/2))
 	b.creditAt = now
-	least := b.perInstance(leastHolds)
+	able := b.able(now)
+	calls := leastHolds
 	if !b.settled() {
-		least = b.perInstance(startHolds)
+		calls = startHolds
 	}
-	base := b.rate.peak(now, b.window)
-	queue := b.queue * float64(len(b.listed)*max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
-	queue = min(queue, queueShare*base, b.spare.peak(now, b.window))
-	b.limit = max(base+queue+limitSlack, least)
+	base := able * b.rate.peak(now, b.window)
+	queue := b.queue * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
+	queue = min(queue, queueShare*base, able*b.spare.peak(now, b.window))
+	b.limit = limitSlack + max(base+queue, calls*able/float64(b.set.Instances))
+}
+
+// able is how many whole endpoints are in service. Rates are kept for each, so that the limit falls at once
+// when some leave: what all could bear would choke the few that are left.
+func (b *Balancer) able(now time.Duration) (n float64) {
+	for _, e := range b.listed {
+		if e.mark <= ramping {
+			n += b.share(now, e)
+		}
+	}
+	return max(n, 1)
 }
 
 // settled tells whether the base latencies rest on enough to set limits by.
@@ -444,11 +456,6 @@
 	return slices.ContainsFunc(b.classes, func(c class) bool { return c.windows > baseSkip })
 }
 
-// perInstance is a number of calls for each listed endpoint, divided among the tier's instances.
-func (b *Balancer) perInstance(calls float64) float64 {
-	return limitSlack + calls*float64(len(b.listed))/float64(b.set.Instances)
-}
-
 // room tells whether an endpoint may get one more call.
 func (b *Balancer) room(now time.Duration, e *endpoint) bool {
 	if e.fullUntil > now || e.mark == ramping && !b.rampRoom(now, e) {
@@ -859,8 +866,9 @@
 		c.look(c.sum / float64(c.n))
 		c.sum, c.n, c.since = 0, 0, now
 	}
-	b.rate.add(now, b.window, c.base)
-	b.spare.add(now, b.window, aimShare*max(c.Aim.Seconds()-c.base, 0))
+	able := b.able(now)
+	b.rate.add(now, b.window, c.base/able)
+	b.spare.add(now, b.window, aimShare*max(c.Aim.Seconds()-c.base, 0)/able)
 	b.notePace(e, s/c.mean)
 	b.fit(now, e)
 	b.served.add(now, b.window, 1)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1237,3 +1237,133 @@
 		}
 	}
 }
+
+// When most endpoints leave, the few that are left get no more than they bore before, at once: all that the tier
+// held together would choke them.
+func TestLimitFollowsTheEndpointsInService(t *testing.T) {
+	s := settings()
+	s.Classes[read].Deadline = time.Minute
+	d := start(t, s, 8)
+	for range 400 { // 16 calls at a time, so that the limit rests on a full tier
+		for len(d.b.requests) < 16 {
+			d.ask(read)
+		}
+		out := slices.Clone(d.b.listed[0].calls)
+		for _, e := range d.b.listed[1:] {
+			out = append(out, e.calls...)
+		}
+		d.pass(20 * ms)
+		for _, r := range out {
+			d.end(sent{r.id, r.to.id, r.attempts - 1, 0}, OK, 20*ms)
+		}
+	}
+	before := d.b.limit
+	for id := EndpointID(1); id < 8; id++ {
+		d.list(Entry{Endpoint: id, State: Draining})
+	}
+	d.ask(read)
+	if d.b.limit > before/2 {
+		t.Errorf("the limit is %.1f for one endpoint and was %.1f for eight", d.b.limit, before)
+	}
+}
+
+// What is held is refused once it could not be answered in time any more, not when its time is up.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	s := settings()
+	s.Classes[read].LateWorth = 0.5
+	d := start(t, s, 1)
+	for range 60 {
+		d.ask(read)
+		d.pass(300 * ms)
+		d.end(d.last(), OK, 300*ms)
+	}
+	d.list(Entry{Endpoint: 1, State: Draining})
+	asked := d.now
+	d.ask(read)
+	for len(d.refusals) == 0 {
+		d.pass(10 * ms)
+	}
+	if left := asked + 1500*ms - d.now; left < 200*ms {
+		t.Errorf("refused %v before its time was up, and an answer takes 300ms", left)
+	}
+}
+
+// A long request counts once the endpoint has it: until then it is neither slow nor overtaken, and has all its
+// time. What has gone out of it is not sent again.
+func TestLongRequestCountsFromItsLastByte(t *testing.T) {
+	d := start(t, settings(), 2)
+	d.serve(100, nil)
+	ask := func(id RequestID) sent {
+		d.b.Request(d.now, Request{ID: id, Class: read, Left: 1500 * ms, Long: true})
+		return d.last()
+	}
+	call := ask("long")
+	for range 200 { // it takes longer to come than it has time
+		d.serve(1, nil)
+	}
+	if len(d.cancels) > 0 || d.last().id == "long" && d.last() != call || call.timeout != 0 {
+		t.Fatalf("while it came: withdrawn %v, sent %v", d.cancels, call)
+	}
+	d.b.Written(d.now, "long", 1500*ms)
+	d.b.Written(d.now, "long", 1500*ms) // nothing new
+	if got := d.b.out; got != 1 {
+		t.Errorf("%d calls in flight, want the one", got)
+	}
+	sends := len(d.sent)
+	d.b.Outcome(d.now, Outcome{ID: "long", Endpoint: call.to, Status: Error, Spent: true, Elapsed: 20 * ms})
+	if len(d.sent) != sends || len(d.refusals) != 1 {
+		t.Errorf("%d more sends, refused %v: a read may be asked again by its client", len(d.sent)-sends, d.refusals)
+	}
+	call = ask("turned away")
+	d.b.Outcome(d.now, Outcome{ID: call.id, Endpoint: call.to, Status: Full, Spent: true})
+	d.pass(100 * ms)
+	call = ask("elsewhere")
+	d.end(call, Full, ms)
+	if len(d.refusals) != 2 || d.last().id != "elsewhere" || d.last().to == call.to {
+		t.Errorf("refused %v, then sent %v: what is still whole goes to another endpoint", d.refusals, d.last())
+	}
+	d.end(d.last(), OK, ms)
+	for _, e := range d.b.listed {
+		if e.coming != 0 || len(e.calls) != 0 || d.b.out != 0 {
+			t.Errorf("endpoint %d: %d coming, %d calls; %d out", e.id, e.coming, len(e.calls), d.b.out)
+		}
+	}
+}
+
+// How long a client takes to read a long answer says nothing of the endpoint, and uses up none of the limit.
+func TestLongAnswerLeavesTheEndpointFree(t *testing.T) {
+	d := start(t, settings(), 2)
+	d.serve(100, nil)
+	id := d.ask(read)
+	call := d.last()
+	d.pass(20 * ms)
+	d.b.Begun(d.now, id, 0, call.to)
+	if d.b.out != 0 || d.b.classes[read].mean > 0.1 {
+		t.Errorf("%d out, mean %v", d.b.out, d.b.classes[read].mean)
+	}
+	d.serve(500, nil) // for ten seconds
+	d.b.Outcome(d.now, Outcome{ID: id, Endpoint: call.to, Final: true, Status: Cancelled, Elapsed: 10 * time.Second})
+	if mean := d.b.classes[read].mean; mean > 0.1 || d.b.out != 0 || len(d.cancels) > 0 || len(d.b.requests) > 0 {
+		t.Errorf("mean %v, %d out, withdrawn %v, %d open", mean, d.b.out, d.cancels, len(d.b.requests))
+	}
+}
+
+// Where a successor serves already, nothing is refused for want of idle connections, and who is refused need not
+// wait.
+func TestLeavingToASuccessor(t *testing.T) {
+	s := settings()
+	s.MaxRetryAfter = 5 * time.Second
+	d := start(t, s, 4)
+	d.serve(100, nil)
+	sends := len(d.sent)
+	d.b.Leave(d.now, d.now+200*ms, true)
+	d.ask(read)
+	if len(d.sent) != sends+1 {
+		t.Error("in good time: not sent")
+	}
+	d.pass(190 * ms)
+	d.ask(read)
+	if len(d.refusals) != 1 || d.advice[0] <= 0 || d.advice[0] > 100*ms {
+		t.Errorf("too late: refused %v, told to come back after %v", d.refusals, d.advice)
+	}
+}
