--- a/balancer.go
+++ b/balancer.go
@@ -195,7 +195,7 @@
 func (b *Balancer) Request(now time.Duration, q Request) {
 	c := &b.classes[q.Class]
 	low, spare := b.beyondShare(now, q)
-	r := &request{id: q.ID, class: c, deadline: min(now+q.Left, b.endsAt), low: low}
+	r := &request{id: q.ID, at: now, class: c, deadline: min(now+q.Left, b.endsAt), low: low}
 	r.aimBy = min(now+c.Aim-b.spent(c, q), b.endsAt)
 	r.long, r.coming = q.Long, q.Long
 	b.requests[q.ID] = r
@@ -1042,7 +1042,7 @@
 	r.done = true
 	if r.mayRun == nil && r.to == nil || r.class.Effect == Safe ||
 		r.class.Effect == Keyed && r.class.Scope == ScopeAll {
-		b.host.Refuse(r.id, b.comeBack(now, r.class))
+		b.host.Refuse(r.id, b.comeBack(now, r))
 	} else {
 		b.host.Fail(r.id)
 	}
@@ -1052,16 +1052,21 @@
 }
 
 // comeBack is when a refused client should ask again: when what is held and in flight now will have been
-// answered at the present rate, or, where that outlasts the only instance, when its successor serves. Clients
-// that come sooner find the same queue, or nobody; 0 gives no advice.
-func (b *Balancer) comeBack(now time.Duration, c *class) (wait time.Duration) {
+// answered at the present rate, no sooner than after the time that it waited here in vain, or, where that
+// outlasts the only instance, when its successor serves. Clients that come sooner find the same queue, or
+// nobody; 0 gives no advice.
+func (b *Balancer) comeBack(now time.Duration, r *request) (wait time.Duration) {
+	if r.attempts == 0 {
+		wait = min(now-r.at, b.set.MaxRetryAfter)
+	}
 	if rate := b.served.value(now, b.window); rate > 0 {
-		wait = seconds(min(float64(len(b.held)+b.out)/rate, b.set.MaxRetryAfter.Seconds()))
+		queue := seconds(float64(len(b.held)+b.out) / rate)
+		wait = max(wait, min(queue, b.set.MaxRetryAfter))
 	}
 	switch {
 	case b.succeeded:
 		wait = min(b.tick, b.set.MaxRetryAfter) // the other one's queue is not this one's
-	case b.set.Instances == 1 && b.ends(now+wait, c):
+	case b.set.Instances == 1 && b.ends(now+wait, r.class):
 		wait = min(b.endsAt+seconds(successor)-now, b.set.MaxRetryAfter)
 	}
 	return wait
@@ -1222,13 +1227,6 @@
 	b.arm()
 }
 
-// weigh notes whether the listed weights are all above 0 and tell endpoints apart.
-func (b *Balancer) weigh() {
-	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
-	none := func(e *endpoint) bool { return e.weight <= 0 }
-	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
-}
-
 // rewatch subscribes after a pause that doubles with each failure; its spread keeps many instances from
 // asking at once.
 func (b *Balancer) rewatch() {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1270,7 +1270,7 @@
 // What is held is refused once it could not be answered in time any more, not when its time is up.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	s := settings()
-	s.Classes[read].LateWorth = 0.5
+	s.Classes[read].LateWorth, s.MaxRetryAfter = 0.5, time.Second
 	d := start(t, s, 1)
 	for range 60 {
 		d.ask(read)
@@ -1286,6 +1286,9 @@
 	if left := asked + 1500*ms - d.now; left < 200*ms {
 		t.Errorf("refused %v before its time was up, and an answer takes 300ms", left)
 	}
+	if d.advice[0] < time.Second {
+		t.Errorf("told to come back after %v, having waited %v in vain", d.advice[0], d.now-asked)
+	}
 }
 
 // A long request counts once the endpoint has it: until then it is neither slow nor overtaken, and has all its
--- a/state.go
+++ b/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -51,6 +52,7 @@
 // request is one request from its arrival to its final answer and last outcome.
 type request struct {
 	id       RequestID
+	at       time.Duration // when it came
 	class    *class
 	low      bool // beyond its tenant's share
 	deadline time.Duration
@@ -222,3 +224,10 @@
 func (b *Balancer) debt(now time.Duration, e *endpoint, c *class, times float64) {
 	e.debts = append(e.debts, now+seconds(times*c.base))
 }
+
+// weigh notes whether the listed weights are all above 0 and tell endpoints apart.
+func (b *Balancer) weigh() {
+	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
+	none := func(e *endpoint) bool { return e.weight <= 0 }
+	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
+}
