--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -23,12 +23,14 @@
 
 const (
 	maxList      = 4 << 20 // bytes of one list
-	fetchTimeout = 5 * time.Second
+	fetchTimeout = 3200 * time.Millisecond
 	// watchSilence ends a watch that says nothing: an empty line is due every 2 s, and what discovery has to
 	// tell counts as told 6 s later at the latest, by which time another watch must have brought it.
-	watchSilence = 4500 * time.Millisecond
-	backoffLeast = 50 * time.Millisecond
-	backoffMost  = 2 * time.Second
+	watchSilence = 3200 * time.Millisecond
+	// answerSilence ends a watch that is not even answered.
+	answerSilence = 2 * time.Second
+	backoffLeast  = 50 * time.Millisecond
+	backoffMost   = 2 * time.Second
 )
 
 // endpointList is discovery's list of endpoints, whole or what changed.
@@ -207,6 +209,7 @@
 	client   *http.Client
 	again    bool // reconnect by itself: where lists are pushed, asking costs nothing
 	cancel   context.CancelFunc
+	watching bool // until a watch has ended by itself
 	fetching bool
 }
 
@@ -220,7 +223,7 @@
 // never waits.
 func (w *watcher) start(since *uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
+	w.cancel, w.watching = cancel, true
 	go w.run(ctx, since)
 }
 
@@ -229,6 +232,7 @@
 	if w.cancel != nil {
 		w.cancel()
 	}
+	w.watching = false
 }
 
 // post hands what the watch brought to the loop, unless it has been stopped by then.
@@ -251,7 +255,10 @@
 		}
 		since = reached
 		if !w.again {
-			w.post(ctx, func() { w.loop.listFailed(err) })
+			w.post(ctx, func() {
+				w.watching = false
+				w.loop.listFailed(err)
+			})
 			return
 		}
 		if got {
@@ -270,13 +277,21 @@
 	}
 }
 
+// errSilent is a watch that stands and brings nothing, not even an empty line.
+var errSilent = errors.New("watch: silent")
+
 // watch follows the list until the connection ends, and tells whether it brought anything and what version
 // it reached, so that the next watch misses nothing.
 func (w *watcher) watch(ctx context.Context, since *uint64) (reached *uint64, got bool, err error) {
-	ctx2, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	ctx2, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(answerSilence, func() { cancel(errSilent) })
 	defer silence.Stop()
+	defer func() {
+		if errors.Is(context.Cause(ctx2), errSilent) {
+			err = errSilent
+		}
+	}()
 	url := w.url + "?follow=1"
 	if since != nil {
 		url += "&since=" + strconv.FormatUint(*since, 10)
@@ -286,6 +301,7 @@
 		return since, false, err
 	}
 	defer body.Close()
+	silence.Reset(watchSilence)
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxList)
 	for lines.Scan() {
@@ -321,6 +337,8 @@
 			w.fetching = false
 			switch {
 			case w.loop.watcher != w:
+			case err != nil && w.watching:
+				log.Printf("discovery: %v; the watch stands", err) // and brings what changes
 			case err != nil:
 				w.loop.listFailed(err)
 			default:
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -265,3 +265,98 @@
 		}
 	})
 }
+
+// asking starts a sidecar whose discovery must be asked, and that the test plays.
+func asking(t *testing.T, play http.HandlerFunc) *rig {
+	t.Helper()
+	discovery := httptest.NewServer(play)
+	t.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	return startWith(t, 1, 1024, func(c *Config) {
+		c.Discovery = discovery.Listener.Addr().String()
+		c.Settings.MustAsk, c.Settings.AskEvery = true, time.Second
+	}, ready("s-1", 0))
+}
+
+// Where discovery must be asked, a watch that falls silent, breaks off in the middle of a line or is not answered
+// is asked for anew, from the last change on; the list stays meanwhile.
+func TestBrokenWatchesAreAskedAnew(t *testing.T) {
+	asked := make(chan string, 8)
+	step := 0
+	line := func(rev uint64) string {
+		text, _ := json.Marshal(endpointList{Rev: rev, Targets: []target{ready(fmt.Sprint("s-", rev), 0)}})
+		return string(text)
+	}
+	rg := asking(t, func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		switch step++; step {
+		case 1: // silent after its first line
+			fmt.Fprintln(w, line(8))
+			http.NewResponseController(w).Flush()
+		case 2: // breaks off
+			half := line(9)
+			fmt.Fprint(w, half[:len(half)/2])
+			http.NewResponseController(w).Flush()
+			breakOff(w)
+			return
+		case 3: // not answered
+		default:
+			fmt.Fprintln(w, line(9))
+			http.NewResponseController(w).Flush()
+		}
+		<-r.Context().Done()
+	})
+	for _, want := range []string{"follow=1&since=1", "follow=1&since=8", "follow=1&since=8", "follow=1&since=8"} {
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Errorf("asked %q, want %q", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatal("not asked anew")
+		}
+		rg.inLoop(func() {
+			if !rg.server.loop.endpoints.byID[1].open.Load() {
+				t.Error("the list was lost")
+			}
+		})
+	}
+	rg.until("the change is taken in", func() (done bool) {
+		rg.inLoop(func() { done = rg.server.loop.rev == 9 && rg.server.loop.endpoints.byID[8].open.Load() })
+		return done
+	})
+}
+
+// A fetch that fails does not end a watch that stands.
+func TestFailedFetchLeavesTheWatch(t *testing.T) {
+	watches, fetched := make(chan bool, 8), make(chan bool)
+	rg := asking(t, func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has("follow") {
+			breakOff(w)
+			fetched <- true
+			return
+		}
+		watches <- true
+		for r.Context().Err() == nil {
+			fmt.Fprintln(w)
+			http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	<-watches
+	for range 2 {
+		rg.inLoop(func() { rg.server.loop.Fetch() })
+		<-fetched
+		rg.until("its end is known", func() (done bool) {
+			rg.inLoop(func() { done = !rg.server.loop.watcher.fetching })
+			return done
+		})
+	}
+	rg.inLoop(func() {
+		if !rg.server.loop.watcher.watching || len(watches) > 0 {
+			t.Error("the watch was ended")
+		}
+	})
+}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -88,11 +88,7 @@
 	}
 	if over || s.sentAway() {
 		w.lasts = false
-		a := answer{refused: true}
-		if !over {
-			a.retryAfter = min(time.Second, s.config.Settings.MaxRetryAfter)
-		}
-		return w.answer(a)
+		return w.answer(s.config.turnedAway())
 	}
 	req, status, text := s.parse(in)
 	if text != "" {
@@ -108,7 +104,7 @@
 	switch {
 	case errors.Is(err, errNoRoom):
 		w.lasts = false
-		return w.answer(answer{refused: true, retryAfter: min(time.Second, s.config.Settings.MaxRetryAfter)})
+		return w.answer(s.config.turnedAway())
 	case errors.Is(err, errTooLarge):
 		return w.error(http.StatusRequestEntityTooLarge, "request body too large")
 	case err != nil:
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -54,6 +54,14 @@
 	retryAfter time.Duration
 }
 
+// noRoomFor is how long callers should stay away from a sidecar that has no room for them, or drains.
+const noRoomFor = time.Second
+
+// turnedAway is the answer to a request that there is no room for, and that the Balancer never hears of.
+func (c *Config) turnedAway() answer {
+	return answer{refused: true, retryAfter: min(noRoomFor, c.Settings.MaxRetryAfter)}
+}
+
 func newLoop(c *Config) (*loop, error) {
 	l := &loop{
 		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(), memory: newMemory(c),
@@ -97,7 +105,7 @@
 		r.answer <- answer{} // the id is taken: nothing may be promised of it
 		return
 	case limit > 0 && len(l.requests) >= limit:
-		r.answer <- answer{refused: true}
+		r.answer <- l.config.turnedAway()
 		return
 	}
 	r.deadline = received.Add(r.Left - l.config.Settings.GraceToAnswer)
