Let long answers outlast a stop; refuse what comes whole too late

The relays that were cut had begun after SIGTERM for uploads taken before it; a log of relays showed it. Ruled out: cuts by this process (none failed to read or write), a request withdrawn as its answer begins (closed as well). Found by a test: a long request whose attempt timed out lost its caller's connection without an answer, as the read deadline that ends a body also ended the watch of its caller.

--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -6,6 +6,10 @@
 	// awayAfter is how long after the start of a drain the last idle connection is closed. Until then callers
 	// that have not heard of it are served; who asks later is told to come back.
 	awayAfter = 1600 * time.Millisecond
+	// handedOverAfter is the same for a process whose successor serves already: who is turned away is served
+	// there at once, and what comes too late here may not be whole when this process is killed.
+	handedOverAfter = 600 * time.Millisecond
+	handedOverWait  = 50 * time.Millisecond
 	// awayMute is how long a connection may say nothing once a drain has lasted awayAfter.
 	awayMute = 500 * time.Millisecond
 	awayPoll = 20 * time.Millisecond
@@ -24,12 +28,12 @@
 		phase, since, changed := s.life.now()
 		var next <-chan time.Time
 		if s.away(phase) {
-			took := time.Since(since)
-			mute := awayAfter
-			if took > awayAfter {
+			took, after := time.Since(since), s.awayAfter()
+			mute := after
+			if took > after {
 				mute = awayMute
 			}
-			s.callers.retire(max(awayAfter-took, 0), mute)
+			s.callers.retire(max(after-took, 0), mute)
 			next = time.After(awayPoll)
 		}
 		select {
@@ -44,10 +48,23 @@
 // away tells whether callers are to go elsewhere in a phase: by a drain, or to a successor.
 func (s *server) away(p phase) bool { return p == draining || p == stopping && s.handsOver() }
 
-// sentAway tells whether a drain has lasted so long that nobody should be asking here.
-func (s *server) sentAway() bool {
+// awayAfter is how long callers that have not heard that they are to go elsewhere are served.
+func (s *server) awayAfter() time.Duration {
+	if s.life.canServe() {
+		return s.heardFor
+	}
+	return s.handsFor
+}
+
+// sentAway tells whether callers have been sent away for so long that nobody should be asking here, and what they
+// are told then.
+func (s *server) sentAway() (a answer, away bool) {
 	phase, since, _ := s.life.now()
-	return phase == draining && time.Since(since) > awayAfter
+	a = s.config.turnedAway()
+	if phase == stopping {
+		a.retryAfter = min(a.retryAfter, handedOverWait)
+	}
+	return a, s.away(phase) && time.Since(since) > s.awayAfter()
 }
 
 // closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere.
@@ -55,7 +72,7 @@
 func (s *server) closes(c *caller, buffered int) bool {
 	phase, since, _ := s.life.now()
 	if s.away(phase) {
-		return time.Since(since) > awayAfter || buffered == 0 && !c.waiting()
+		return time.Since(since) > s.awayAfter() || buffered == 0 && !c.waiting()
 	}
 	return s.life.closing(lastAnswers)
 }
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -16,10 +16,11 @@
 type stage int
 
 const (
-	mute    stage = iota // new, and has said nothing
-	idle                 // its last request is answered
-	reading              // some of a request has come
-	busy                 // a request has been read
+	mute     stage = iota // new, and has said nothing
+	idle                  // its last request is answered
+	reading               // some of a request has come
+	busy                  // a request has been read
+	relaying              // a long answer is on its way
 	stages
 )
 
@@ -272,6 +273,20 @@
 	return c.callers.stages[idle].Len()
 }
 
+// relays notes that a long answer is on its way.
+func (c *caller) relays() {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	c.callers.move(c, relaying)
+}
+
+// onlyRelays tells whether nothing but long answers is on its way.
+func (cs *callers) onlyRelays() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open == cs.stages[relaying].Len()
+}
+
 // quietFor tells whether no connection is open and none has come for a while.
 func (cs *callers) quietFor(d time.Duration) bool {
 	cs.mu.Lock()
@@ -279,12 +294,12 @@
 	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
-// closeAll ends what is left.
+// closeAll ends what is left, but for long answers.
 func (cs *callers) closeAll() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for i := range cs.stages {
-		for cs.stages[i].Len() > 0 {
+		for stage(i) != relaying && cs.stages[i].Len() > 0 {
 			cs.drop(cs.stages[i].Front().Value.(*caller))
 		}
 	}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -86,9 +86,9 @@
 		}
 		return w.status(http.StatusOK, "")
 	}
-	if over || s.sentAway() {
+	if a, away := s.sentAway(); over || away {
 		w.lasts = false
-		return w.answer(s.config.turnedAway())
+		return w.answer(a)
 	}
 	req, status, text := s.parse(in)
 	if text != "" {
@@ -110,6 +110,10 @@
 	case err != nil:
 		return w.error(http.StatusBadRequest, "request body cut short")
 	}
+	if a, away := s.sentAway(); away && req.more == nil {
+		w.lasts = false
+		return w.answer(a) // its last byte came too late
+	}
 	return s.decide(c, r, w, req)
 }
 
@@ -136,7 +140,11 @@
 	if req.body = body; err != nil || whole {
 		return held, err
 	}
-	req.more = &upload{caller: c, body: in, length: in.ContentLength, first: len(body),
+	late := func() bool {
+		_, away := s.sentAway()
+		return away
+	}
+	req.more = &upload{caller: c, body: in, length: in.ContentLength, first: len(body), late: late,
 		ended: make(chan struct{}), broken: make(chan error, 1)}
 	req.Long = true
 	return held, nil
@@ -189,6 +197,10 @@
 				gone = nil // another request has come behind this one
 				continue
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				gone = c.watch() // an attempt that ended stopped the reading of a body that had just ended
+				continue
+			}
 			s.loop.post(func() { s.loop.lapse(req) })
 			return false
 		case a := <-req.answer:
@@ -196,6 +208,9 @@
 				c.unwatch(gone)
 			}
 			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered())
+			if a.response != nil && a.response.more != nil {
+				c.relays()
+			}
 			lasts := w.answer(a)
 			s.loop.discard(a.response)
 			return lasts
@@ -221,9 +236,10 @@
 type upload struct {
 	caller *caller
 	body   *http.Request
-	length int64 // of the whole body; -1 where only its end tells
-	first  int   // bytes of it that are held
-	spent  bool  // reading has begun: what comes of it is in nobody's memory
+	length int64       // of the whole body; -1 where only its end tells
+	first  int         // bytes of it that are held
+	late   func() bool // nobody should be asking here any more, when its last byte comes
+	spent  bool        // reading has begun: what comes of it is in nobody's memory
 
 	ended  chan struct{} // closed once all has been read
 	broken chan error    // why it can't be read to its end
@@ -232,6 +248,9 @@
 // trailer is what the caller has sent behind its body.
 func (u *upload) trailer() http.Header { return u.body.Trailer }
 
+// errLate is a body whose last byte came when its caller should have gone elsewhere.
+var errLate = errors.New("it came too late")
+
 // pass writes what is still to come. It returns the caller's fault apart from the writer's.
 func (u *upload) pass(w io.Writer, buffer []byte, progress func()) (callerErr, writeErr error) {
 	u.spent = true
@@ -242,6 +261,14 @@
 			u.broken <- errTooLarge
 			return errTooLarge, nil
 		}
+		ended := errors.Is(err, io.EOF)
+		if ended {
+			u.caller.paced = false
+			close(u.ended)
+			if u.late() {
+				return nil, errLate // without its end it does not run
+			}
+		}
 		if n > 0 {
 			progress()
 			if _, err := w.Write(buffer[:n]); err != nil {
@@ -249,9 +276,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
-			u.caller.paced = false
-			close(u.ended)
+		case ended:
 			return nil, nil
 		case errors.Is(err, errStopped):
 			return nil, err
--- a/internal/sidecar/inherit_test.go
+++ b/internal/sidecar/inherit_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -46,6 +48,8 @@
 	socket, descriptor := shared(t)
 	accept := func(c *Config) { c.Accept = descriptor() }
 	old := startWith(t, 1, 1024, accept, endpoint)
+	old.server.handsFor = 4 * time.Second // for slow machines
+	old.server.linger = time.Minute
 	idles := old.connect(3)
 	answer := make(chan *http.Response)
 	ask := func(rg *rig, c *net.TCPConn) { answer <- rg.send(c, rg.request("once", 9*time.Second)) }
@@ -83,6 +87,75 @@
 	c.Close()
 }
 
+// A long answer that has begun when its process is to end comes whole: the process ends after it.
+func TestLongAnswerOutlastsTheEnd(t *testing.T) {
+	body := noise(300000)
+	begun, goOn := make(chan bool), make(chan bool)
+	endpoint := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		w.Write(body[:1000])
+		w.(http.Flusher).Flush()
+		close(begun)
+		<-goOn
+		w.Write(body[1000:])
+	})
+	_, descriptor := shared(t)
+	old := startWith(t, 1, 1024, func(c *Config) { c.Accept = descriptor() }, endpoint)
+	old.server.linger = 10 * time.Millisecond
+	c := old.dial()
+	r := old.request("once", 9*time.Second)
+	r.Write(c)
+	<-begun
+	res, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.stop()
+	old.until("its end is there", func() bool { return time.Now().After(old.server.life.ends().Add(killMargin)) })
+	close(goOn)
+	if got, err := io.ReadAll(res.Body); err != nil || !bytes.Equal(got, body) {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	old.over()
+}
+
+// A long request whose last byte comes when callers have been sent away is read to its end and refused: nothing of
+// it has run, and its connection ends.
+func TestLongRequestThatComesTooLate(t *testing.T) {
+	body := noise(300000)
+	began, whole := make(chan bool, 1), make(chan bool, 1)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		began <- true
+		_, err := io.ReadAll(r.Body)
+		whole <- err == nil
+	}))
+	rg.server.heardFor = time.Millisecond
+	for _, framing := range []string{"Content-Length: 300000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n493e0\r\n"} {
+		c := rg.dial()
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: %d\r\nX-Lane: once\r\nX-Remaining: 9000m\r\n%s", len(framing), framing)
+		c.Write(body[:200000])
+		<-began
+		rg.server.Drain()
+		rg.until("nobody is asked to be here", func() bool {
+			_, away := rg.server.sentAway()
+			return away
+		})
+		c.Write(body[200000:])
+		if strings.HasPrefix(framing, "T") {
+			io.WriteString(c, "\r\n0\r\n\r\n")
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+			t.Errorf("answer %+v, %v", res, err)
+		}
+		if <-whole {
+			t.Error("the endpoint got it whole")
+		}
+		rg.server.Resume()
+	}
+	rg.idle()
+}
+
 // What is not a listening socket is named, and left alone.
 func TestInheritFaults(t *testing.T) {
 	file, err := os.Create(filepath.Join(t.TempDir(), "file"))
--- a/internal/sidecar/long_test.go
+++ b/internal/sidecar/long_test.go
@@ -296,6 +296,17 @@
 	}
 }
 
+// A long request that its endpoint leaves unanswered gets its final answer when its time is up.
+func TestLongBodyThatIsNotAnswered(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { gone(r) }))
+	r := rg.request("once", 300*time.Millisecond)
+	r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(noise(300000))), 300000
+	if status, _ := rg.ask(r); status != http.StatusBadGateway {
+		t.Errorf("got %d", status)
+	}
+	rg.idle()
+}
+
 // What of a body has gone out and is not kept can't be sent again: the caller is told that nothing has run.
 func TestTurnedAwayInTheMiddle(t *testing.T) {
 	var whole atomic.Int64
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -125,7 +125,8 @@
 	time.AfterFunc(time.Until(end), func() {
 		l.post(func() {
 			for _, r := range l.requests {
-				if r.out != nil {
+				// A long answer that has begun goes on for as long as this process does: to cut it off would lose it.
+				if r.out != nil && !r.answered {
 					r.out.cancel()
 				}
 			}
@@ -210,7 +211,7 @@
 func (l *loop) begin(a *attempt, response *response) {
 	l.post(func() {
 		r := a.request
-		if r.answered {
+		if r.answered || a.ctx.Err() != nil { // given up in this moment
 			l.discard(response)
 			return
 		}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -59,6 +59,8 @@
 	quiet    time.Duration // see quietAfter
 	linger   time.Duration // from being told to stop until all is answered
 	handOver time.Duration // see handOver
+	heardFor time.Duration // see awayAfter
+	handsFor time.Duration // see handedOverAfter
 	life     *lifecycle
 
 	callers callers
@@ -66,7 +68,7 @@
 
 func newServer(c *Config, l *loop) *server {
 	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
-		handOver: handOver, life: l.life}
+		handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, life: l.life}
 	s.callers.most = int((1 - outboundShare) * float64(c.plan().Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
@@ -206,11 +208,14 @@
 		time.Sleep(stopPoll)
 	}
 	s.callers.Listener.Close()
-	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.quietFor(0) {
+	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.onlyRelays() {
 		s.callers.retire(0, 0)
 		time.Sleep(stopPoll)
 	}
 	s.callers.closeAll() // what is left has not brought a whole request, or does not read its answer
+	for !s.callers.quietFor(0) {
+		time.Sleep(stopPoll) // long answers end with their peers, which must make progress
+	}
 }
 
 // handsOver tells whether a successor accepts in this process's place when it stops.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -454,7 +454,7 @@
 		var e ending
 		e.caller, e.write = a.sendLong(c, room)
 		switch {
-		case e.caller != nil:
+		case e.caller != nil, e.write == errLate:
 			a.cancel()
 		case e.write != nil:
 			c.SetReadDeadline(time.Now().Add(lastWord)) // what it said before it broke off
@@ -486,7 +486,7 @@
 	switch {
 	case early == gingerlead.Full:
 		res.status = gingerlead.Full
-	case e.caller == nil && e.write != errEarly:
+	case e.caller == nil && e.write != errEarly && e.write != errLate:
 		res.status = a.unsent()
 	}
 	return res
