--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,8 +18,9 @@
 	callTimeout = 4 * time.Second
 	maxHead     = 4 << 10
 	maxBody     = 4 << 10 // a call needs none; what it brings must be whole all the same
-	// MaxConnections bounds the callers that are connected at a time.
-	MaxConnections = 8
+	// MaxConnections bounds the callers that are connected at a time. It is more than come while a call waits for
+	// its turn on a busy machine.
+	MaxConnections = 16
 )
 
 // Sidecar is what can be asked of a sidecar. Its methods must not block: an answer is due whatever the load.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// reservedSockets are for the listener, discovery, probes, standard streams and the runtime, and for
-	// excessSockets: callers that come when all connections are busy, and are turned away.
-	reservedSockets = 32
+	// reservedSockets are for the listeners, discovery, probes, standard streams and the runtime, for
+	// control.MaxConnections, and for excessSockets: callers that come when all connections are busy, and are
+	// turned away.
+	reservedSockets = 40
 	excessSockets   = 12
 	// readTimeout is for a head, from its first byte on, and for that to come on a new connection: who takes
 	// longer is in the way of others. From the connection on the first head may take firstTimeout.
