Serve callers for 0.4 s after a handover, with room for a late signal

The one that was cut had been counted as coming more than 0.7 s after SIGTERM; 0.6 s left little room for a signal that is heard late on a busy machine. That cause is a guess that fits: it was not seen in a log.

--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -8,7 +8,7 @@
 	awayAfter = 1600 * time.Millisecond
 	// handedOverAfter is the same for a process whose successor serves already: who is turned away is served
 	// there at once, and what comes too late here may not be whole when this process is killed.
-	handedOverAfter = 600 * time.Millisecond
+	handedOverAfter = 400 * time.Millisecond
 	handedOverWait  = 50 * time.Millisecond
 	// awayMute is how long a connection may say nothing once a drain has lasted awayAfter.
 	awayMute = 500 * time.Millisecond
