Pass connections and long answers on to the successor at a handover

Cause: a process that was told to stop kept its long answers until the platform killed it 3.7 s later, with callers that read for longer still being served.

Change: internal/handover passes open connections (SCM_RIGHTS, three steps, so that there is one owner at any time) to the process that accepts on the same socket. A long answer is a state between two steps and goes on in the successor; idle connections and requests that have come whole and are undecided go there as well. The chunked reader is our own now: its place in a body can be told. What a stop closes is only what is owed nothing; busy connections end with their answers.

--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,373 @@
+// Package handover passes open connections from a process that ends to the one that serves in its place, both on
+// one machine and of one user. What a connection is in the middle of goes along as text that this package does
+// not read.
+//
+// The way is a Unix socket of whole messages (SOCK_SEQPACKET, unix(7)) whose file lies in a directory that both
+// processes have; descriptors travel as SCM_RIGHTS. One connection is passed in three steps: it is offered, the
+// other side makes room and says yes, and it is told to go on. Until that last word the process that offers has
+// the connection, and after it the other one: neither a message that is lost nor a process that dies in between
+// leaves it with two owners.
+package handover
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// MaxState bounds, in bytes, what goes along with a connection. A message has to fit into a socket's buffer, by
+	// default 208 KiB on Linux, together with what the kernel adds.
+	MaxState = 128 << 10
+	maxConns = 2
+	// stepTimeout is for each step; a process that has not the time for one is as good as gone.
+	stepTimeout = 500 * time.Millisecond
+	// maxPeers bounds the processes that pass something on at a time. There is one, and one more that has been
+	// replaced while it did.
+	maxPeers = 2
+	// staleAfter is how old a file must be that nobody listens behind before it is removed: a younger one may be
+	// about to be listened to.
+	staleAfter = 10 * time.Second
+	maxPath    = 107 // bytes of a Unix socket's path, sockaddr_un less its end
+)
+
+// The words of the three steps; an offer is this and the state.
+const (
+	offered  = 'o'
+	accepted = 'y'
+	declined = 'n'
+	goOn     = 'g'
+)
+
+var (
+	// ErrDeclined is the other side's word that it has no room; the connection is still the caller's.
+	ErrDeclined = errors.New("handover: declined")
+	// ErrNobody says that no other process listens.
+	ErrNobody = errors.New("handover: nobody to pass anything to")
+)
+
+// prefix is the beginning of the file names of all processes that serve under a name at an address.
+func prefix(name string) string {
+	sum := sha256.Sum256([]byte(name))
+	return "handover-" + hex.EncodeToString(sum[:6]) + "-"
+}
+
+// Receiver takes connections of the process before.
+type Receiver struct {
+	listener *net.UnixListener
+	path     string
+
+	mu     sync.Mutex
+	open   map[*net.UnixConn]bool
+	closed bool
+}
+
+// Listen makes the socket that a process before this one passes its connections to. Both have to give the same
+// directory and name.
+func Listen(dir, name string) (*Receiver, error) {
+	// The age tells the youngest process from older ones that may still listen.
+	path := filepath.Join(dir, fmt.Sprintf("%s%d.%d", prefix(name), time.Now().UnixNano(), os.Getpid()))
+	if len(path) > maxPath {
+		return nil, fmt.Errorf("handover: %s: a socket's path has at most %d bytes", path, maxPath)
+	}
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return &Receiver{listener: l, path: path, open: map[*net.UnixConn]bool{}}, nil
+}
+
+// Take makes room for a connection. It returns what goes on with it, or false when there is no room. The
+// connections are its own once it has said yes, and start is called; where it is not, drop is, and they are closed.
+type Take func(state []byte, conns []net.Conn) (start, drop func(), ok bool)
+
+// Serve hands what comes to take, until the receiver is closed. Take is called by one goroutine for each process
+// that passes something on.
+func (r *Receiver) Serve(take Take) error {
+	for {
+		c, err := r.listener.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("handover: %w", err)
+		}
+		if !r.enter(c) {
+			c.Close()
+			continue
+		}
+		go func() {
+			defer r.leave(c)
+			for r.next(c, take) == nil {
+			}
+		}()
+	}
+}
+
+func (r *Receiver) enter(c *net.UnixConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || len(r.open) >= maxPeers || !ownUser(c) {
+		return false
+	}
+	r.open[c] = true
+	return true
+}
+
+func (r *Receiver) leave(c *net.UnixConn) {
+	c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, c)
+}
+
+// Close ends the receiver and takes its file away.
+func (r *Receiver) Close() error {
+	r.mu.Lock()
+	r.closed = true
+	for c := range r.open {
+		c.Close()
+	}
+	r.mu.Unlock()
+	return r.listener.Close() // removes the file
+}
+
+// ownUser tells whether a peer runs as the user of this process.
+func ownUser(c *net.UnixConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var cred *syscall.Ucred
+	fault := raw.Control(func(fd uintptr) {
+		cred, err = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	})
+	return fault == nil && err == nil && int(cred.Uid) == os.Geteuid()
+}
+
+// next takes one connection in. An error ends the way.
+func (r *Receiver) next(c *net.UnixConn, take Take) error {
+	text := make([]byte, 1+MaxState)
+	oob := make([]byte, syscall.CmsgSpace(4*maxConns))
+	c.SetReadDeadline(time.Time{}) // ends with the peer, or with Close
+	n, oobn, flags, _, err := c.ReadMsgUnix(text, oob)
+	if err != nil {
+		return err
+	}
+	conns, err := connections(oob[:oobn])
+	closeAll := func() {
+		for _, conn := range conns {
+			conn.Close()
+		}
+	}
+	if err != nil || n == 0 || text[0] != offered || flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) != 0 {
+		closeAll()
+		return errors.Join(errors.New("handover: malformed offer"), err)
+	}
+	start, drop, ok := take(text[1:n], conns)
+	if !ok {
+		closeAll()
+		return say(c, declined)
+	}
+	if err = say(c, accepted); err == nil {
+		var word byte
+		if word, err = hear(c); err == nil && word != goOn {
+			err = errors.New("handover: not told to go on")
+		}
+	}
+	if err != nil {
+		drop()
+		closeAll()
+		return err
+	}
+	start()
+	return nil
+}
+
+// connections makes connections of the descriptors that came. They are closed on exec.
+func connections(oob []byte) (conns []net.Conn, err error) {
+	messages, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range messages {
+		fds, err := syscall.ParseUnixRights(&m)
+		if err != nil {
+			return conns, err
+		}
+		for _, fd := range fds {
+			file := os.NewFile(uintptr(fd), "passed connection")
+			c, fault := net.FileConn(file) // a copy
+			file.Close()
+			if fault != nil {
+				err = fault
+				continue
+			}
+			conns = append(conns, c)
+		}
+		if err != nil {
+			return conns, err
+		}
+	}
+	return conns, nil
+}
+
+func say(c *net.UnixConn, word byte) error {
+	c.SetWriteDeadline(time.Now().Add(stepTimeout))
+	_, err := c.Write([]byte{word})
+	return err
+}
+
+func hear(c *net.UnixConn) (byte, error) {
+	var b [2]byte
+	c.SetReadDeadline(time.Now().Add(stepTimeout))
+	n, err := c.Read(b[:])
+	if err == nil && n != 1 {
+		err = errors.New("handover: malformed word")
+	}
+	return b[0], err
+}
+
+// Sender passes connections to the process that serves in this one's place. Its methods may be called by many.
+type Sender struct {
+	mu   sync.Mutex
+	conn *net.UnixConn
+	err  error // why nothing can be passed any more
+}
+
+// Dial finds the youngest other process that listens under a name. A file that nobody listens behind is one that a
+// process left which was killed; it is passed over and, once old, removed.
+func Dial(dir, name string, own *Receiver) (*Sender, error) {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	type candidate struct {
+		path string
+		born int64
+	}
+	var found []candidate
+	for _, f := range files {
+		rest, ours := strings.CutPrefix(f.Name(), prefix(name))
+		if !ours || f.Type()&fs.ModeSocket == 0 {
+			continue
+		}
+		born, _, _ := strings.Cut(rest, ".")
+		if at, err := strconv.ParseInt(born, 10, 64); err == nil {
+			if path := filepath.Join(dir, f.Name()); own == nil || path != own.path {
+				found = append(found, candidate{path, at})
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int { return int(min(1, max(-1, b.born-a.born))) })
+	for _, f := range found {
+		dialer := net.Dialer{Timeout: stepTimeout}
+		c, err := dialer.Dial("unixpacket", f.path)
+		if err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) && time.Since(time.Unix(0, f.born)) > staleAfter {
+				os.Remove(f.path) // if it cannot be removed it is passed over the next time as well
+			}
+			continue
+		}
+		u := c.(*net.UnixConn)
+		if !ownUser(u) {
+			u.Close()
+			continue
+		}
+		return &Sender{conn: u}, nil
+	}
+	return nil, ErrNobody
+}
+
+// Pass gives connections away, with what they are in the middle of. Without an error they are the other process's
+// from now on, and have to be closed here, without a word to their peers. With ErrDeclined or another error they
+// are still the caller's.
+func (s *Sender) Pass(state []byte, conns ...syscall.Conn) error {
+	if len(state) > MaxState || len(conns) > maxConns {
+		return fmt.Errorf("handover: %d bytes with %d connections are too much to pass", len(state), len(conns))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return s.err
+	}
+	var fds []int
+	err := withDescriptors(conns, &fds, func() error {
+		s.conn.SetWriteDeadline(time.Now().Add(stepTimeout))
+		_, _, err := s.conn.WriteMsgUnix(append([]byte{offered}, state...), syscall.UnixRights(fds...), nil)
+		return err
+	})
+	word := byte(0)
+	if err == nil {
+		word, err = hear(s.conn)
+	}
+	switch {
+	case err == nil && word == declined:
+		return ErrDeclined
+	case err == nil && word != accepted:
+		err = errors.New("handover: malformed word")
+	case err == nil:
+		err = say(s.conn, goOn)
+	}
+	if errors.Is(err, syscall.EMSGSIZE) {
+		return fmt.Errorf("handover: %w", err) // nothing has been offered
+	}
+	if err != nil {
+		// Who has not heard the last word lets go when the way ends.
+		s.err = fmt.Errorf("handover: %w", err)
+		s.conn.Close()
+		return s.err
+	}
+	return nil
+}
+
+// withDescriptors calls f while the descriptors of connections cannot be closed.
+func withDescriptors(conns []syscall.Conn, fds *[]int, f func() error) error {
+	if len(conns) == 0 {
+		return f()
+	}
+	raw, err := conns[0].SyscallConn()
+	if err != nil {
+		return err
+	}
+	if fault := raw.Control(func(fd uintptr) {
+		*fds = append(*fds, int(fd))
+		err = withDescriptors(conns[1:], fds, f)
+	}); fault != nil {
+		return fault
+	}
+	return err
+}
+
+// Alive tells whether anything can still be passed.
+func (s *Sender) Alive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == nil
+}
+
+// Close ends the way.
+func (s *Sender) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return nil
+	}
+	s.err = net.ErrClosed
+	return s.conn.Close()
+}
--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -12,7 +12,9 @@
 	handedOverWait  = 50 * time.Millisecond
 	// awayMute is how long a connection may say nothing once a drain has lasted awayAfter.
 	awayMute = 500 * time.Millisecond
-	awayPoll = 20 * time.Millisecond
+	// leastToAnswer is what must be left of a process's time when a long request has come whole.
+	leastToAnswer = 1200 * time.Millisecond
+	awayPoll      = 20 * time.Millisecond
 )
 
 // CanServe, Drain and Resume are what the second address asks of a sidecar. They do not wait for the loop.
@@ -33,6 +35,10 @@
 			if took > after {
 				mute = awayMute
 			}
+			if s.handing() {
+				after, mute = 0, 0 // to be passed on, not to be closed
+				s.callers.interrupt()
+			}
 			s.callers.retire(max(after-took, 0), mute)
 			next = time.After(awayPoll)
 		}
@@ -67,10 +73,22 @@
 	return a, s.away(phase) && time.Since(since) > s.awayAfter()
 }
 
+// tooLate tells whether a long body's last byte comes when it can no longer be answered here.
+func (s *server) tooLate() bool {
+	if s.handing() {
+		return time.Until(s.life.ends()) < leastToAnswer
+	}
+	_, away := s.sentAway()
+	return away
+}
+
 // closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere.
 // Requests that have come behind the one that is answered are still served, for a while.
 func (s *server) closes(c *caller, buffered int) bool {
 	phase, since, _ := s.life.now()
+	if s.handing() {
+		return false // the successor has the connection in a moment
+	}
 	if s.away(phase) {
 		return time.Since(since) > s.awayAfter() || buffered == 0 && !c.waiting()
 	}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -32,6 +32,8 @@
 	at      *list.Element
 	began   time.Time // when the request that it brings began, or its connection, or its rest
 	over    bool      // it came when there was no room
+	relay   *relay    // the long answer that is on its way
+	input   []byte    // what the process before has read of it
 
 	heard   atomic.Int64  // when something last came, in Unix nanoseconds
 	paced   bool          // a body is read: its pace is watched
@@ -97,6 +99,20 @@
 	return true
 }
 
+// adopt takes a connection of the process before in, if there is room.
+func (cs *callers) adopt(c *caller) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.open >= cs.most {
+		return false
+	}
+	cs.newest = c.began
+	cs.open++
+	c.stage = idle
+	c.at = cs.stages[idle].PushBack(c)
+	return true
+}
+
 func (cs *callers) makeRoom(now time.Time) bool {
 	for at := cs.stages[mute].Front(); at != nil; at = at.Next() {
 		if c := at.Value.(*caller); !c.waiting() {
@@ -172,6 +188,9 @@
 // await waits until something has come, for a while. What has come when the wait ends is not left unread, even
 // if the wait was ended by the connection's being retired.
 func (c *caller) await(until time.Time) error {
+	if len(c.input) > 0 {
+		return nil
+	}
 	c.Conn.SetReadDeadline(until)
 	err := awaitInput(c.Conn)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.waiting() {
@@ -219,6 +238,11 @@
 
 // Read reads. Of a body, time that the caller takes counts, and time that passes until more is wanted does not.
 func (c *caller) Read(b []byte) (n int, err error) {
+	if len(c.input) > 0 {
+		n := copy(b, c.input)
+		c.input = c.input[n:]
+		return n, nil
+	}
 	for {
 		began := time.Now()
 		if c.paced {
@@ -274,17 +298,27 @@
 }
 
 // relays notes that a long answer is on its way.
-func (c *caller) relays() {
+func (c *caller) relays(l *relay) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
+	c.relay = l
 	c.callers.move(c, relaying)
 }
 
-// onlyRelays tells whether nothing but long answers is on its way.
-func (cs *callers) onlyRelays() bool {
+// interrupt asks for all long answers to be passed on.
+func (cs *callers) interrupt() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for at := cs.stages[relaying].Front(); at != nil; at = at.Next() {
+		at.Value.(*caller).relay.interrupt()
+	}
+}
+
+// onlyAnswers tells whether nothing but answers is on its way.
+func (cs *callers) onlyAnswers() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.open == cs.stages[relaying].Len()
+	return cs.open == cs.stages[relaying].Len()+cs.stages[busy].Len()
 }
 
 // quietFor tells whether no connection is open and none has come for a while.
@@ -294,13 +328,13 @@
 	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
-// closeAll ends what is left, but for long answers.
+// closeAll ends the connections whose callers are owed nothing: they have not brought a whole request.
 func (cs *callers) closeAll() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for i := range cs.stages {
-		for stage(i) != relaying && cs.stages[i].Len() > 0 {
-			cs.drop(cs.stages[i].Front().Value.(*caller))
+	for _, stage := range []stage{mute, idle, reading} {
+		for cs.stages[stage].Len() > 0 {
+			cs.drop(cs.stages[stage].Front().Value.(*caller))
 		}
 	}
 }
--- /dev/null
+++ b/internal/sidecar/chunked.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+)
+
+// maxChunkLine bounds a line that tells a chunk's size, with its extensions.
+const maxChunkLine = 4096
+
+// chunkStage is what a chunked body's reader is to find next.
+type chunkStage int
+
+const (
+	chunkSize chunkStage = iota
+	chunkData
+	chunkEnd // the line end behind a chunk
+	chunkTrailer
+	chunkDone
+)
+
+// chunked reads a body in chunks (RFC 9112, section 7.1). net/http/httputil has a reader too, but its place in the
+// body cannot be told to another process: here an error of the connection, such as a deadline that interrupts it,
+// leaves a place to go on from, and the exported fields are all of it.
+type chunked struct {
+	Stage   chunkStage
+	Left    uint64 // of the chunk
+	Line    []byte // what has come of a line
+	Trailer []byte // the lines of the trailer that have come
+	Digest  int    // bytes of trailer and extensions that may still come
+
+	r *bufio.Reader
+}
+
+func newChunked(r *bufio.Reader) *chunked { return &chunked{r: r, Digest: maxAnswerHead} }
+
+// Read reads; the end of the body, with its trailer, is io.EOF.
+func (c *chunked) Read(p []byte) (n int, err error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	for {
+		switch c.Stage {
+		case chunkSize:
+			line, err := c.line(maxChunkLine)
+			if err != nil {
+				return 0, err
+			}
+			size, extension, _ := bytes.Cut(line, []byte(";"))
+			size = bytes.TrimRight(size, " \t")
+			if c.Digest -= len(extension); c.Digest < 0 {
+				return 0, errTooLarge
+			}
+			if len(size) > 15 || bytes.ContainsAny(size, "+-_xX") {
+				return 0, errSpoilt
+			}
+			if c.Left, err = strconv.ParseUint(string(size), 16, 63); err != nil {
+				return 0, errSpoilt
+			}
+			if c.Stage = chunkData; c.Left == 0 {
+				c.Stage = chunkTrailer
+			}
+		case chunkData:
+			n, err = c.r.Read(p[:min(uint64(len(p)), c.Left)])
+			if c.Left -= uint64(n); c.Left == 0 {
+				c.Stage = chunkEnd
+			}
+			if n > 0 {
+				return n, nil // an error comes again
+			}
+			return 0, noEOF(err)
+		case chunkEnd:
+			line, err := c.line(0)
+			if err != nil {
+				return 0, err
+			}
+			if len(line) > 0 {
+				return 0, errSpoilt
+			}
+			c.Stage = chunkSize
+		case chunkTrailer:
+			line, err := c.line(c.Digest)
+			if err != nil {
+				return 0, err
+			}
+			if len(line) == 0 {
+				c.Stage = chunkDone
+				break
+			}
+			c.Digest -= len(line) + 2
+			c.Trailer = append(append(c.Trailer, line...), '\r', '\n')
+		case chunkDone:
+			return 0, io.EOF
+		}
+	}
+}
+
+// line reads a line of up to so many bytes, without its end. What has come of it is kept over an error.
+func (c *chunked) line(most int) ([]byte, error) {
+	for {
+		part, err := c.r.ReadSlice('\n')
+		c.Line = append(c.Line, part...)
+		if len(c.Line) > most+2 {
+			return nil, errSpoilt
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, noEOF(err)
+		}
+		line, ok := bytes.CutSuffix(c.Line, []byte("\r\n"))
+		if c.Line = c.Line[:0]; !ok {
+			return nil, errSpoilt // a bare line feed ends a line for some readers and not for others
+		}
+		return line, nil
+	}
+}
+
+// trailer is what came behind the body; nil before its end, or when it cannot be read.
+func (c *chunked) trailer() (http.Header, error) {
+	if len(c.Trailer) == 0 {
+		return http.Header{}, nil
+	}
+	h, err := textproto.NewReader(bufio.NewReader(io.MultiReader(bytes.NewReader(c.Trailer), bytes.NewReader([]byte("\r\n"))))).ReadMIMEHeader()
+	if err != nil {
+		return nil, errSpoilt
+	}
+	return http.Header(h), nil
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -27,6 +27,10 @@
 	// where it makes its own. Another process, the version before or after this one, may accept on it too.
 	Accept *int
 
+	// Handover is a directory that the processes that accept on that socket share; empty where they have none. Who
+	// ends passes its connections on to its successor there.
+	Handover string
+
 	getenv func(string) string // where it was loaded from
 }
 
@@ -89,6 +93,7 @@
 		}
 		inherited := int(fd)
 		c.Accept = &inherited
+		c.Handover = getenv("TMPDIR")
 	}
 	if file.Known != nil {
 		c.Known = *file.Known
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -39,16 +39,30 @@
 func (s *server) serve(c *caller) {
 	defer c.end()
 	until := c.began.Add(readTimeout)
+	s.serveFrom(c, until)
+}
+
+// serveFrom serves a connection that brings nothing at the moment.
+func (s *server) serveFrom(c *caller, until time.Time) {
 	var r *bufio.Reader
 	for {
+		if s.handing() && s.passIdle(c, r) {
+			return
+		}
 		if r == nil {
 			if c.await(until) != nil {
+				if s.handing() {
+					s.passIdle(c, r) // whether or not, it ends here
+				}
 				return
 			}
 			r = readers.Get().(*bufio.Reader)
 			r.Reset(c)
 		}
-		if !s.exchange(c, r) {
+		switch lasts, passed := s.exchange(c, r); {
+		case passed:
+			return
+		case !lasts:
 			c.linger()
 			return
 		}
@@ -61,12 +75,18 @@
 	}
 }
 
-// exchange reads a request and answers it, and tells whether the connection may bring another.
-func (s *server) exchange(c *caller, r *bufio.Reader) (lasts bool) {
+// exchange reads a request and answers it, and tells whether the connection may bring another, or has been passed
+// on to the successor.
+func (s *server) exchange(c *caller, r *bufio.Reader) (lasts, passed bool) {
+	w := &reply{caller: c, gift: s.giftOf(r)}
+	lasts = s.answerOne(c, r, w)
+	return lasts, w.passed
+}
+
+func (s *server) answerOne(c *caller, r *bufio.Reader, w *reply) (lasts bool) {
 	until, over := c.begin()
 	c.Conn.SetReadDeadline(until)
 	in, err := readRequest(r)
-	w := &reply{caller: c}
 	var f *fault
 	switch {
 	case errors.As(err, &f):
@@ -79,6 +99,11 @@
 	w.old = !in.ProtoAtLeast(1, 1)
 	w.lasts = !in.Close && !w.old
 	unread := in.ContentLength != 0 // what stands in its place in the connection's stream is no request
+	if !unread && s.handing() {
+		if w.passed = s.passWhole(c, r, in, nil); w.passed {
+			return false
+		}
+	}
 	if in.URL.Path == "/ready" && in.Header.Get("X-Txn") == "" {
 		w.lasts = w.lasts && !unread && !s.closes(c, r.Buffered())
 		if !s.life.ready() {
@@ -86,7 +111,7 @@
 		}
 		return w.status(http.StatusOK, "")
 	}
-	if a, away := s.sentAway(); over || away {
+	if a, away := s.sentAway(); over || away && !(unread && s.handing()) {
 		w.lasts = false
 		return w.answer(a)
 	}
@@ -110,6 +135,11 @@
 	case err != nil:
 		return w.error(http.StatusBadRequest, "request body cut short")
 	}
+	if unread && req.more == nil && s.handing() {
+		if w.passed = s.passWhole(c, r, in, req.body); w.passed {
+			return false
+		}
+	}
 	if a, away := s.sentAway(); away && req.more == nil {
 		w.lasts = false
 		return w.answer(a) // its last byte came too late
@@ -140,11 +170,7 @@
 	if req.body = body; err != nil || whole {
 		return held, err
 	}
-	late := func() bool {
-		_, away := s.sentAway()
-		return away
-	}
-	req.more = &upload{caller: c, body: in, length: in.ContentLength, first: len(body), late: late,
+	req.more = &upload{caller: c, body: in, length: in.ContentLength, first: len(body), late: s.tooLate,
 		ended: make(chan struct{}), broken: make(chan error, 1)}
 	req.Long = true
 	return held, nil
@@ -208,9 +234,6 @@
 				c.unwatch(gone)
 			}
 			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered())
-			if a.response != nil && a.response.more != nil {
-				c.relays()
-			}
 			lasts := w.answer(a)
 			s.loop.discard(a.response)
 			return lasts
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,13 +14,15 @@
 	caller *caller
 	old    bool // HTTP/1.0: a body whose length is not known ends with the connection
 	lasts  bool // the connection may bring another request
+	gift   gift // nil where nothing can be passed on
+	passed bool // the successor has the connection
 }
 
 // answer gives the final answer. Like the other methods it tells whether the connection may go on.
 func (w *reply) answer(a answer) (lasts bool) {
 	switch {
 	case a.response != nil && a.response.more != nil:
-		return w.relay(a.response)
+		return w.relay(newRelay(w, a.response))
 	case a.response != nil:
 		return w.whole(http.StatusOK, a.response.header, a.response.body)
 	case a.refused:
@@ -82,55 +82,6 @@
 	return err == nil
 }
 
-// relay passes a long answer on as it comes. If it does not come to its end the caller can tell: the connection
-// ends before the length that was told, or before the last chunk, or, where neither was told, with a reset.
-func (w *reply) relay(r *response) (lasts bool) {
-	m := r.more
-	framing, chunked := "", false
-	switch {
-	case m.length >= 0:
-		framing = fmt.Sprintf("Content-Length: %d\r\n", m.length)
-	case w.old:
-		w.lasts = false
-	default:
-		framing, chunked = "Transfer-Encoding: chunked\r\n", true
-	}
-	pieces := [][]byte{w.head(http.StatusOK, r.header, framing)}
-	if len(r.body) > 0 {
-		pieces = append(pieces, framed(r.body, chunked)...)
-	}
-	if !w.write(pieces...) {
-		m.done <- errCallerGone
-		return false
-	}
-	buffer := m.buffers.get()
-	defer m.buffers.put(buffer)
-	for {
-		m.progress()
-		n, err := m.body.Read(buffer)
-		if n > 0 && !w.write(framed(buffer[:n], chunked)...) {
-			m.done <- errCallerGone
-			return false
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			if chunked && !w.write(lastChunk(m.trailer())) {
-				m.done <- errCallerGone
-				return false
-			}
-			m.done <- nil
-			return w.lasts
-		case err != nil:
-			m.done <- err
-			if tcp, ok := w.caller.Conn.(*net.TCPConn); ok && w.old && m.length < 0 {
-				tcp.SetLinger(0)
-				tcp.Close()
-			}
-			return false
-		}
-	}
-}
-
 // lastChunk ends a chunked body.
 func lastChunk(trailer http.Header) []byte {
 	var b bytes.Buffer
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,9 +5,11 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/handover"
 )
 
 const (
@@ -63,6 +65,8 @@
 	heardFor time.Duration // see awayAfter
 	handsFor time.Duration // see handedOverAfter
 	life     *lifecycle
+	receiver *handover.Receiver              // of the process before; nil where there is no way
+	heir     atomic.Pointer[handover.Sender] // to whom connections are passed on; nil for nobody
 
 	callers callers
 }
@@ -196,6 +200,9 @@
 func (s *server) stop() {
 	told := time.Now()
 	end := told.Add(s.linger)
+	if s.handsOver() {
+		s.findHeir()
+	}
 	last := end
 	if s.config.Settings.Instances > 1 && !s.handsOver() {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
@@ -209,13 +216,13 @@
 		time.Sleep(stopPoll)
 	}
 	s.callers.Listener.Close()
-	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.onlyRelays() {
+	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.onlyAnswers() {
 		s.callers.retire(0, 0)
 		time.Sleep(stopPoll)
 	}
-	s.callers.closeAll() // what is left has not brought a whole request, or does not read its answer
+	s.callers.closeAll()
 	for !s.callers.quietFor(0) {
-		time.Sleep(stopPoll) // long answers end with their peers, which must make progress
+		time.Sleep(stopPoll) // answers end with their peers, which must make progress, or with the successor
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,9 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sendAway(ended)
+	if close := s.receive(); close != nil {
+		defer close()
+	}
 	go func() {
 		for range reload {
 			s.reload()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"os"
 	"slices"
@@ -54,6 +53,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader // of what Read gives
+	input     []byte        // what another process has read of it
 	left      int           // bytes that may still be read
 	idleSince time.Time
 	endpoint  *endpoint // while it is idle:
@@ -68,6 +68,11 @@
 
 // Read never brings more than was allowed: an endpoint may go on without end.
 func (c *conn) Read(b []byte) (int, error) {
+	if len(c.input) > 0 {
+		n := copy(b, c.input)
+		c.input = c.input[n:]
+		return n, nil
+	}
 	if c.left <= 0 {
 		return 0, errTooLarge
 	}
@@ -136,15 +141,20 @@
 		}
 		p.closeIdle(e) // the others are older
 	}
+	return nil, p.room()
+}
+
+// room takes a place for a connection.
+func (p *pool) room() bool {
 	if p.open >= p.most {
 		oldest := p.order.Front()
 		if oldest == nil {
-			return nil, false
+			return false
 		}
 		p.close(oldest.Value.(*conn))
 	}
 	p.open++
-	return nil, true
+	return true
 }
 
 // release takes a connection back after an attempt; nil if it is closed.
@@ -244,12 +254,9 @@
 // download is the part of a long answer that is still to come. Who passes it on reads it, and tells at done how
 // that ended: nil, what the endpoint's side broke with, or errCallerGone.
 type download struct {
-	body     io.Reader
-	length   int64 // of the whole body; -1 where only its end tells
-	trailer  func() http.Header
-	progress func() // before each read
-	buffers  *buffers
-	done     chan error
+	body    *answerBody
+	buffers *buffers
+	done    chan error
 }
 
 func newAttempt(r *request, e *endpoint, timeout time.Duration, host relayHost) *attempt {
@@ -433,6 +440,8 @@
 	switch cause := context.Cause(a.ctx); {
 	case errors.Is(err, errCallerGone):
 		return gingerlead.Cancelled
+	case errors.Is(err, errPassedOn):
+		return gingerlead.OK // the successor has the rest of the answer, and both connections
 	case errors.Is(cause, context.DeadlineExceeded):
 		return gingerlead.Timeout
 	case cause != nil:
@@ -566,6 +575,7 @@
 	errSpoilt     = errors.New("cannot be read")
 	errNoRoom     = errors.New("no memory for the body")
 	errCallerGone = errors.New("the caller has gone")
+	errPassedOn   = errors.New("passed on to the successor")
 )
 
 // read takes the response to the request that was written. An error that is not the connection's means that
@@ -660,9 +670,7 @@
 	}
 	kept = len(r.body)
 	if !body.ended {
-		r.more = &download{body: body, length: body.length, trailer: func() http.Header { return body.trailer },
-			progress: func() { c.SetReadDeadline(time.Now().Add(relayStall)) }, buffers: room.buffers,
-			done: make(chan error, 1)}
+		r.more = &download{body: body, buffers: room.buffers, done: make(chan error, 1)}
 	}
 	return r, nil
 }
@@ -704,10 +712,10 @@
 type answerBody struct {
 	conn    *conn
 	reader  io.Reader
-	length  int64 // -1 where only its end tells
-	longest int64 // that it may be
+	chunks  *chunked // nil unless it comes in chunks
+	length  int64    // -1 where only its end tells
+	longest int64    // that it may be
 	read    int64
-	chunked bool
 	toClose bool // the connection's end is the body's
 	ended   bool
 	trailer http.Header
@@ -720,7 +728,8 @@
 	switch {
 	case code == http.StatusNoContent || code == http.StatusNotModified:
 	case len(codings) == 1 && len(lengths) == 0 && strings.EqualFold(codings[0], "chunked"):
-		b.length, b.chunked, b.reader = -1, true, httputil.NewChunkedReader(c.reader)
+		b.length, b.chunks = -1, newChunked(c.reader)
+		b.reader = b.chunks
 	case len(codings) == 0 && len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
 		if err != nil {
@@ -759,14 +768,13 @@
 		err = io.EOF
 	case eof && b.length >= 0:
 		err = io.ErrUnexpectedEOF
-	case eof && b.chunked:
-		b.conn.left = min(b.conn.left, maxAnswerHead)
-		trailer, fault := textproto.NewReader(b.conn.reader).ReadMIMEHeader()
+	case eof && b.chunks != nil:
+		trailer, fault := b.chunks.trailer()
 		if fault != nil {
-			return n, noEOF(fault)
+			return n, fault
 		}
-		removeHopByHop(http.Header(trailer))
-		b.trailer = http.Header(trailer)
+		removeHopByHop(trailer)
+		b.trailer = trailer
 	}
 	b.ended = errors.Is(err, io.EOF)
 	return n, err
