Pass bodies that are still coming on to the successor at a handover

Change: a long body is a state between two steps, as a long answer is. It goes on in the successor with both connections while nothing of the answer has come; what was decided about it stands, as it can go out only once. Chunked request bodies are read by the reader whose place can be told.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -29,7 +29,7 @@
 const (
 	// MaxState bounds, in bytes, what goes along with a connection. A message has to fit into a socket's buffer, by
 	// default 208 KiB on Linux, together with what the kernel adds.
-	MaxState = 128 << 10
+	MaxState = 160 << 10
 	maxConns = 2
 	// stepTimeout is for each step; a process that has not the time for one is as good as gone.
 	stepTimeout = 500 * time.Millisecond
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -32,15 +32,19 @@
 	at      *list.Element
 	began   time.Time // when the request that it brings began, or its connection, or its rest
 	over    bool      // it came when there was no room
-	relay   *relay    // the long answer that is on its way
+	passing passing   // the long body or answer that is on its way; nil for none
 	input   []byte    // what the process before has read of it
 
 	heard   atomic.Int64  // when something last came, in Unix nanoseconds
 	paced   bool          // a body is read: its pace is watched
 	credit  time.Duration // how long the body may make no progress
 	stopped atomic.Bool   // nobody wants the rest of the body
+	asked   atomic.Bool   // the body's reading is to stop, and may go on
 }
 
+// passing is what can be passed on to the successor while it is on its way.
+type passing interface{ interrupt() }
+
 // callers bounds the connections from callers. Accepting never waits: a connection in the backlog may already
 // hold a request.
 type callers struct {
@@ -218,6 +222,7 @@
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.began = time.Now()
+	c.passing = nil
 	c.callers.move(c, idle)
 	return c.began.Add(idleTimeout)
 }
@@ -250,6 +255,9 @@
 			if c.stopped.Load() {
 				return 0, errStopped
 			}
+			if c.asked.Load() {
+				return 0, errAsked
+			}
 		}
 		n, err = c.Conn.Read(b)
 		if n > 0 {
@@ -258,6 +266,9 @@
 		if c.paced {
 			c.credit = min(c.credit-time.Since(began)+time.Duration(n)*time.Second/bodyPace, bodyAhead)
 		}
+		if c.paced && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.asked.Load() {
+			return 0, errAsked
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.stopped.Load() || !c.waiting() {
 			return n, err
 		}
@@ -267,7 +278,10 @@
 	}
 }
 
-var errStopped = errors.New("the rest of the body is not wanted")
+var (
+	errStopped = errors.New("the rest of the body is not wanted")
+	errAsked   = errors.New("the reading of the body is to stop for a moment")
+)
 
 // stop ends the reading of a body from another goroutine.
 func (c *caller) stop() {
@@ -301,16 +315,27 @@
 func (c *caller) relays(l *relay) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
-	c.relay = l
+	c.passing = l
 	c.callers.move(c, relaying)
 }
 
-// interrupt asks for all long answers to be passed on.
+// passes notes what is on its way on the connection, that can be passed on.
+func (c *caller) passes(p passing) {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	c.passing = p
+}
+
+// interrupt asks for all long bodies and answers to be passed on.
 func (cs *callers) interrupt() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for at := cs.stages[relaying].Front(); at != nil; at = at.Next() {
-		at.Value.(*caller).relay.interrupt()
+	for _, stage := range []stage{busy, relaying} {
+		for at := cs.stages[stage].Front(); at != nil; at = at.Next() {
+			if p := at.Value.(*caller).passing; p != nil {
+				p.interrupt()
+			}
+		}
 	}
 }
 
--- a/internal/sidecar/chunked.go
+++ b/internal/sidecar/chunked.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -133,3 +134,29 @@
 	}
 	return http.Header(h), nil
 }
+
+// sound tells whether a place in a body that another process tells is one.
+func (c *chunked) sound() bool {
+	return c.Stage >= chunkSize && c.Stage <= chunkDone && c.Digest >= 0 && len(c.Line) <= maxChunkLine+2
+}
+
+// replay writes a chunked body anew from its beginning, of which got has been read, up to the place where the
+// reading stands. What comes next on the connection goes on from there.
+func (c *chunked) replay(w *bytes.Buffer, got []byte) {
+	size := uint64(len(got))
+	if c.Stage == chunkData {
+		size += c.Left
+	}
+	if size > 0 {
+		fmt.Fprintf(w, "%x\r\n", size)
+		w.Write(got)
+		if c.Stage != chunkData && c.Stage != chunkEnd {
+			w.WriteString("\r\n")
+		}
+	}
+	if c.Stage == chunkTrailer {
+		w.WriteString("0\r\n")
+		w.Write(c.Trailer)
+	}
+	w.Write(c.Line)
+}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"net"
@@ -39,12 +38,11 @@
 func (s *server) serve(c *caller) {
 	defer c.end()
 	until := c.began.Add(readTimeout)
-	s.serveFrom(c, until)
+	s.serveFrom(c, until, nil)
 }
 
-// serveFrom serves a connection that brings nothing at the moment.
-func (s *server) serveFrom(c *caller, until time.Time) {
-	var r *bufio.Reader
+// serveFrom serves a connection on which nothing is owed; r, if there is one, has read some of it.
+func (s *server) serveFrom(c *caller, until time.Time, r *bufio.Reader) {
 	for {
 		if s.handing() && s.passIdle(c, r) {
 			return
@@ -97,10 +95,11 @@
 		return false
 	}
 	w.old = !in.ProtoAtLeast(1, 1)
+	body := newRequestBody(in, r)
 	w.lasts = !in.Close && !w.old
 	unread := in.ContentLength != 0 // what stands in its place in the connection's stream is no request
 	if !unread && s.handing() {
-		if w.passed = s.passWhole(c, r, in, nil); w.passed {
+		if w.passed = s.passRequest(c, r, in, nil, nil); w.passed {
 			return false
 		}
 	}
@@ -124,7 +123,7 @@
 			return false
 		}
 	}
-	held, err := s.take(c, in, req)
+	held, err := s.take(c, in, req, body)
 	defer s.loop.bodies.give(held)
 	switch {
 	case errors.Is(err, errNoRoom):
@@ -135,8 +134,12 @@
 	case err != nil:
 		return w.error(http.StatusBadRequest, "request body cut short")
 	}
-	if unread && req.more == nil && s.handing() {
-		if w.passed = s.passWhole(c, r, in, req.body); w.passed {
+	if unread && s.handing() {
+		rest := body
+		if req.more == nil {
+			rest = nil
+		}
+		if w.passed = s.passRequest(c, r, in, req.body, rest); w.passed {
 			return false
 		}
 	}
@@ -149,7 +152,7 @@
 
 // take reads a request's body, or as much of it as is held of a long one, and tells how many bytes of the bodies'
 // memory that has taken.
-func (s *server) take(c *caller, in *http.Request, req *request) (held int, err error) {
+func (s *server) take(c *caller, in *http.Request, req *request, from *requestBody) (held int, err error) {
 	header := in.Header
 	removeHopByHop(header)
 	req.inbound = inbound{method: in.Method, target: in.RequestURI, host: in.Host, header: header}
@@ -164,14 +167,13 @@
 		return 0, errNoRoom
 	}
 	c.pace()
-	body, whole, err := readSome(in.Body, held)
+	body, whole, err := readSome(from, held)
 	whole = whole || int64(len(body)) == in.ContentLength
 	c.paced = !whole
 	if req.body = body; err != nil || whole {
 		return held, err
 	}
-	req.more = &upload{caller: c, body: in, length: in.ContentLength, first: len(body), late: s.tooLate,
-		ended: make(chan struct{}), broken: make(chan error, 1)}
+	req.more = newUpload(c, from, s.tooLate)
 	req.Long = true
 	return held, nil
 }
@@ -199,10 +201,19 @@
 func (s *server) decide(c *caller, r *bufio.Reader, w *reply, req *request) (lasts bool) {
 	received := time.Now()
 	req.Idle = c.served()
+	if req.more != nil {
+		req.more.gift = s.giftOfUpload(r, w, req)
+	}
 	s.loop.post(func() { s.loop.arrive(req, received) })
+	return s.await(c, r, w, req, func() { s.loop.post(func() { s.loop.lapse(req) }) })
+}
+
+// await carries the answer to a request back; lapse is called where nobody waits for it any more.
+func (s *server) await(c *caller, r *bufio.Reader, w *reply, req *request, lapse func()) (lasts bool) {
+	var passed <-chan struct{}
 	ended, broken := make(chan struct{}), (chan error)(nil)
 	if req.more != nil {
-		ended, broken = req.more.ended, req.more.broken
+		ended, broken, passed = req.more.ended, req.more.broken, req.more.passed
 	} else {
 		close(ended)
 	}
@@ -212,8 +223,12 @@
 		case <-ended:
 			ended = nil
 			gone = c.watch()
+		case <-passed:
+			lapse()
+			w.passed = true
+			return false
 		case err := <-broken:
-			s.loop.post(func() { s.loop.lapse(req) })
+			lapse()
 			if errors.Is(err, errTooLarge) {
 				return w.error(http.StatusRequestEntityTooLarge, "request body too large")
 			}
@@ -227,9 +242,14 @@
 				gone = c.watch() // an attempt that ended stopped the reading of a body that had just ended
 				continue
 			}
-			s.loop.post(func() { s.loop.lapse(req) })
+			lapse()
 			return false
 		case a := <-req.answer:
+			if req.more != nil && req.more.settle() {
+				s.loop.discard(a.response)
+				w.passed = true
+				return false
+			}
 			if gone != nil {
 				c.unwatch(gone)
 			}
@@ -254,60 +274,3 @@
 	c.Conn.SetReadDeadline(time.Now())
 	<-told
 }
-
-// upload is the part of a long body that is not held. It is read by the attempt that sends it, once.
-type upload struct {
-	caller *caller
-	body   *http.Request
-	length int64       // of the whole body; -1 where only its end tells
-	first  int         // bytes of it that are held
-	late   func() bool // nobody should be asking here any more, when its last byte comes
-	spent  bool        // reading has begun: what comes of it is in nobody's memory
-
-	ended  chan struct{} // closed once all has been read
-	broken chan error    // why it can't be read to its end
-}
-
-// trailer is what the caller has sent behind its body.
-func (u *upload) trailer() http.Header { return u.body.Trailer }
-
-// errLate is a body whose last byte came when its caller should have gone elsewhere.
-var errLate = errors.New("it came too late")
-
-// pass writes what is still to come. It returns the caller's fault apart from the writer's.
-func (u *upload) pass(w io.Writer, buffer []byte, progress func()) (callerErr, writeErr error) {
-	u.spent = true
-	total := int64(u.first)
-	for {
-		n, err := u.body.Body.Read(buffer)
-		if total += int64(n); total > maxLong {
-			u.broken <- errTooLarge
-			return errTooLarge, nil
-		}
-		ended := errors.Is(err, io.EOF)
-		if ended {
-			u.caller.paced = false
-			close(u.ended)
-			if u.late() {
-				return nil, errLate // without its end it does not run
-			}
-		}
-		if n > 0 {
-			progress()
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return nil, fmt.Errorf("body: %w", err)
-			}
-		}
-		switch {
-		case ended:
-			return nil, nil
-		case errors.Is(err, errStopped):
-			return nil, err
-		case err != nil:
-			if !u.caller.stopped.Load() {
-				u.broken <- err
-			}
-			return err, nil
-		}
-	}
-}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,6 +32,7 @@
 	past      past
 	endpoints *endpoints
 	pool      pool
+	adopted   map[*attempt]bool // that the process before has begun
 	watcher   *watcher
 }
 
@@ -65,7 +66,7 @@
 func newLoop(c *Config) (*loop, error) {
 	l := &loop{
 		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(), memory: newMemory(c),
-		requests: map[gingerlead.RequestID]*request{},
+		requests: map[gingerlead.RequestID]*request{}, adopted: map[*attempt]bool{},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
@@ -130,6 +131,11 @@
 					r.out.cancel()
 				}
 			}
+			for a := range l.adopted {
+				if !a.isBegun() {
+					a.cancel()
+				}
+			}
 		})
 	})
 }
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -9,10 +9,11 @@
 	"log"
 	"net"
 	"net/http"
-	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
+	"gingerlead"
 	"gingerlead/internal/handover"
 )
 
@@ -23,9 +24,24 @@
 // passage is what a process that ends tells its successor of a caller's connection: what has been read of it and
 // not been answered, and the long answer that is on its way on it.
 type passage struct {
-	Version int        `json:"version"`
-	Input   []byte     `json:"input,omitempty"`
-	Relay   *relayLeft `json:"relay,omitempty"`
+	Version int         `json:"version"`
+	Input   []byte      `json:"input,omitempty"`
+	Relay   *relayLeft  `json:"relay,omitempty"`
+	Upload  *uploadLeft `json:"upload,omitempty"`
+}
+
+// uploadLeft is what is left of a long body, on its way to an endpoint: a request that goes out once and cannot be
+// sent again, so that nothing is left to decide about it but what its outcome means.
+type uploadLeft struct {
+	ID      string        `json:"id"`
+	Wait    time.Duration `json:"wait"` // for the answer, from the body's last byte on
+	Old     bool          `json:"old,omitempty"`
+	Lasts   bool          `json:"lasts,omitempty"`
+	Pending []byte        `json:"pending,omitempty"`
+	Total   int64         `json:"total"`
+	Length  int64         `json:"length"`
+	Left    int64         `json:"left,omitempty"`
+	Chunks  *chunked      `json:"chunks,omitempty"`
 }
 
 // relayLeft is what is left of a relay.
@@ -104,9 +120,9 @@
 	return s.pass(c, passage{Input: unread(c, r)}, nil) == nil
 }
 
-// passWhole passes on a connection with a request on it that has come whole and that no decision has been made
-// about: the successor reads it as if it had come there.
-func (s *server) passWhole(c *caller, r *bufio.Reader, in *http.Request, body []byte) bool {
+// passRequest passes on a connection with a request on it that no decision has been made about, and of whose body
+// some may still be to come: the successor reads it as if it had come there.
+func (s *server) passRequest(c *caller, r *bufio.Reader, in *http.Request, body []byte, rest *requestBody) bool {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s %s\r\n", in.Method, in.RequestURI, in.Proto)
 	if in.Host != "" {
@@ -115,12 +131,22 @@
 	if in.Close {
 		b.WriteString("Connection: close\r\n")
 	}
-	if len(body) > 0 || in.Method != http.MethodGet {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	chunks := rest != nil && rest.chunks != nil
+	switch {
+	case chunks:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case rest != nil:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", rest.length)
+	case len(body) > 0 || in.Method != http.MethodGet:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
 	in.Header.WriteSubset(&b, map[string]bool{"Content-Length": true, "Connection": true, "Host": true})
 	b.WriteString("\r\n")
-	b.Write(body)
+	if chunks {
+		rest.chunks.replay(&b, body)
+	} else {
+		b.Write(body)
+	}
 	b.Write(unread(c, r))
 	return s.pass(c, passage{Input: b.Bytes()}, nil) == nil
 }
@@ -144,6 +170,19 @@
 	}
 }
 
+// giftOfUpload passes on a long body.
+func (s *server) giftOfUpload(r *bufio.Reader, w *reply, req *request) func(*attempt, *conn) error {
+	return func(a *attempt, c *conn) error {
+		if !s.handing() {
+			return handover.ErrNobody
+		}
+		u := req.more
+		left := &uploadLeft{ID: string(req.ID), Wait: a.request.Left, Old: w.old, Lasts: w.lasts, Pending: u.pending,
+			Total: u.total, Length: u.body.length, Left: u.body.left, Chunks: u.body.chunks}
+		return s.pass(u.caller, passage{Input: unread(u.caller, r), Upload: left}, c)
+	}
+}
+
 // receive takes over the connections of the process before. Without a way to it the two work as they did before
 // there was one: callers are sent from one to the other.
 func (s *server) receive() (close func()) {
@@ -185,7 +224,10 @@
 			s.loop.unreserve()
 		}
 	}
-	if p.Relay == nil {
+	switch {
+	case p.Upload != nil:
+		return func() { go s.serveUpload(c, p.Upload, conns[1]) }, drop, true
+	case p.Relay == nil:
 		return func() { go s.serveAdopted(c) }, drop, true
 	}
 	l := s.resume(c, p.Relay, conns[1:])
@@ -195,7 +237,7 @@
 // fits tells whether a passage and what came with it are of one piece.
 func (p *passage) fits(conns []net.Conn) bool {
 	want := 1
-	if p.Relay != nil && !p.Relay.Ended {
+	if p.Relay != nil && !p.Relay.Ended || p.Upload != nil {
 		want = 2
 	}
 	for _, c := range conns {
@@ -203,14 +245,26 @@
 			return false
 		}
 	}
-	return len(conns) == want && (p.Relay == nil || p.Relay.sound())
+	return len(conns) == want && (p.Relay == nil || p.Relay.sound()) &&
+		(p.Upload == nil || p.Relay == nil && p.Upload.sound())
+}
+
+// sound tells whether an upload can be gone on with.
+func (u *uploadLeft) sound() bool {
+	if u.Wait < 0 || u.Wait > maxRemaining || u.Total < 0 || u.Total > maxLong {
+		return false
+	}
+	if u.Chunks != nil {
+		return u.Length == -1 && u.Chunks.sound()
+	}
+	return u.Length <= maxLong && u.Left >= 0 && u.Left <= u.Length
 }
 
 // sound tells whether a relay can be gone on with.
 func (l *relayLeft) sound() bool {
 	return l.Length >= -1 && l.Length <= maxLong && l.Read >= 0 && (l.Length < 0 || l.Read <= l.Length) &&
 		l.Allowed >= 0 &&
-		(l.Chunks == nil || l.Chunks.Stage >= chunkSize && l.Chunks.Stage <= chunkDone && l.Length == -1)
+		(l.Chunks == nil || l.Chunks.sound() && l.Length == -1)
 }
 
 // resume makes a relay of what is left of one.
@@ -236,7 +290,7 @@
 // serveAdopted serves a caller's connection that was another process's.
 func (s *server) serveAdopted(c *caller) {
 	defer c.end()
-	s.serveFrom(c, c.began.Add(idleTimeout))
+	s.serveFrom(c, c.began.Add(idleTimeout), nil)
 }
 
 // serveRelay goes on with a long answer, and then with its caller's connection.
@@ -251,12 +305,120 @@
 	switch {
 	case w.passed:
 	case lasts:
-		s.serveFrom(c, c.rest())
+		s.serveFrom(c, c.rest(), nil)
+	default:
+		c.linger()
+	}
+}
+
+// serveUpload goes on with a long body, passes its answer back, and then serves its caller's connection.
+func (s *server) serveUpload(c *caller, left *uploadLeft, upstream net.Conn) {
+	defer c.end()
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(c)
+	w := &reply{caller: c, old: left.Old, lasts: left.Lasts, gift: s.giftOf(r)}
+	body := &requestBody{r: r, length: left.Length, left: left.Left, chunks: left.Chunks}
+	if body.chunks != nil {
+		body.chunks.r = r
+	}
+	req := &request{answer: make(chan answer, 1)}
+	req.ID, req.Left, req.Long = gingerlead.RequestID(left.ID), left.Wait, true
+	req.more = newUpload(c, body, s.tooLate)
+	req.more.total, req.more.pending, req.more.resumed = left.Total, left.Pending, true
+	req.more.gift = s.giftOfUpload(r, w, req)
+	c.served()
+	c.pace()
+	e := &endpoint{address: upstream.RemoteAddr().String()}
+	e.open.Store(true)
+	host := &heirHost{server: s, answer: req.answer}
+	a := newAttempt(req, e, 0, host)
+	s.loop.post(func() { s.loop.adopted[a] = true })
+	go func() {
+		defer a.close()
+		res := a.over(newConn(upstream), s.loop.memory)
+		if res.conn != nil {
+			res.conn.Close()
+		}
+		s.loop.post(func() {
+			delete(s.loop.adopted, a)
+			s.loop.pool.open--
+		})
+		host.outcome(res)
+	}()
+	lapse := func() {
+		host.lapse()
+		a.cancel()
+	}
+	switch lasts := s.await(c, r, w, req, lapse); {
+	case w.passed:
+	case lasts:
+		if r.Buffered() == 0 {
+			s.serveFrom(c, c.rest(), nil)
+		} else {
+			s.serveFrom(c, c.rest(), r)
+		}
 	default:
 		c.linger()
 	}
 }
 
+// heirHost is what an attempt needs whose decisions were made in the process before.
+type heirHost struct {
+	server *server
+	answer chan answer // holds one
+
+	mu    sync.Mutex
+	given bool // the answer, or nobody waits for it
+}
+
+func (h *heirHost) written(a *attempt) {
+	end := time.Now().Add(a.request.Left - h.server.config.Settings.GraceToAnswer)
+	if ends := h.server.life.ends(); !ends.IsZero() && ends.Before(end) {
+		end = ends
+	}
+	a.endAt(end)
+}
+
+func (h *heirHost) begin(a *attempt, r *response) {
+	h.give(answer{response: r})
+}
+
+func (h *heirHost) give(a answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.given {
+		h.server.loop.discard(a.response)
+		return
+	}
+	h.given = true
+	h.answer <- a
+}
+
+// lapse notes that nobody waits for an answer any more.
+func (h *heirHost) lapse() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.given = true
+	select {
+	case a := <-h.answer:
+		h.server.loop.discard(a.response)
+	default:
+	}
+}
+
+// outcome gives the final answer that follows from how the only attempt ended: it is not made again, as what went
+// out of it is not kept.
+func (h *heirHost) outcome(res result) {
+	switch {
+	case res.status == gingerlead.OK && res.response != nil && res.response.more == nil:
+		h.give(answer{response: res.response})
+	case res.status.NeverRan():
+		h.give(h.server.config.turnedAway())
+	default:
+		h.give(answer{})
+	}
+}
+
 // reserve takes a place for a connection to an endpoint that the process before has made.
 func (l *loop) reserve() bool {
 	ok := make(chan bool, 1)
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -115,16 +115,7 @@
 func (l *relay) fill(buffer []byte) error {
 	l.within(l.body.conn.SetReadDeadline, relayStall)
 	n, err := l.body.Read(buffer[chunkFrame : len(buffer)-chunkTail])
-	from, to := chunkFrame, chunkFrame+n
-	if l.framed && n > 0 {
-		size := fmt.Appendf(nil, "%x\r\n", n)
-		from -= copy(buffer[chunkFrame-len(size):], size)
-		to += copy(buffer[to:], "\r\n")
-	}
-	l.pending = buffer[from:to]
-	if n == 0 {
-		l.pending = nil
-	}
+	l.pending = inFrame(buffer, n, l.framed)
 	if errors.Is(err, io.EOF) {
 		if l.framed {
 			l.pending = append(l.pending[:len(l.pending):len(l.pending)], lastChunk(l.body.trailer)...)
--- /dev/null
+++ b/internal/sidecar/upload.go
@@ -0,0 +1,311 @@
+package sidecar
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// requestBody reads a request's body. Like chunked it can be gone on with after an error of the connection, and by
+// another process.
+type requestBody struct {
+	r      *bufio.Reader
+	length int64    // of the whole body; -1 where it comes in chunks
+	left   int64    // of a body whose length is known
+	chunks *chunked // of one that comes in chunks
+}
+
+func newRequestBody(in *http.Request, r *bufio.Reader) *requestBody {
+	b := &requestBody{r: r, length: in.ContentLength, left: in.ContentLength}
+	if in.ContentLength < 0 {
+		b.chunks = newChunked(r)
+	}
+	return b
+}
+
+// Read reads; the end, io.EOF, comes with the last bytes of a body whose length is known.
+func (b *requestBody) Read(p []byte) (n int, err error) {
+	if b.chunks != nil {
+		return b.chunks.Read(p)
+	}
+	if b.left > 0 {
+		n, err = b.r.Read(p[:min(int64(len(p)), b.left)])
+		b.left -= int64(n)
+		err = noEOF(err)
+	}
+	if b.left == 0 {
+		return n, io.EOF
+	}
+	return n, err
+}
+
+// trailer is what the caller has sent behind its body.
+func (b *requestBody) trailer() http.Header {
+	if b.chunks == nil {
+		return nil
+	}
+	h, err := b.chunks.trailer()
+	if err != nil {
+		return nil // what cannot be read is not passed on
+	}
+	removeHopByHop(h)
+	h.Del("Content-Length") // a second length, for who merges trailers into the head
+	return h
+}
+
+// upload is the part of a long body that is not held. It is read by the attempt that sends it, once. Like a relay
+// it can be passed on between two of its steps.
+type upload struct {
+	caller *caller
+	body   *requestBody
+	late   func() bool // nobody should be asking here any more, when its last byte comes
+	gift   func(*attempt, *conn) error
+
+	total   int64  // bytes of the body that have been read
+	pending []byte // framed, for the endpoint
+	whole   bool   // its last byte has been read
+	spent   bool   // reading has begun: what comes of it is in nobody's memory
+	resumed bool   // another process has begun to send it
+
+	ended  chan struct{} // closed once all has been read
+	broken chan error    // why it can't be read to its end
+	passed chan struct{} // closed once it is the successor's
+
+	own     sync.Mutex // held while it is being passed on
+	settled bool       // it has its answer: it is passed on no more
+	gone    bool       // it is the successor's
+
+	mu        sync.Mutex
+	to        *conn // that it goes out on; nil while it does not
+	asked     bool  // to stop between two steps, to be passed on
+	notBefore time.Time
+}
+
+func newUpload(c *caller, body *requestBody, late func() bool) *upload {
+	u := &upload{caller: c, body: body, late: late,
+		ended: make(chan struct{}), broken: make(chan error, 1), passed: make(chan struct{})}
+	if u.total = body.length - body.left; body.chunks != nil {
+		u.total = maxBody // what is held of it
+	}
+	return u
+}
+
+// errLate is a body whose last byte came when its caller should have gone elsewhere.
+var errLate = errors.New("it came too late")
+
+// pass writes what is still to come. It returns the caller's fault apart from the writer's.
+func (u *upload) pass(a *attempt, c *conn, buffer []byte) (callerErr, writeErr error) {
+	u.spent = true
+	u.begin(c)
+	defer u.begin(nil)
+	for {
+		switch {
+		case u.isAsked() && u.passOn(a, c):
+			return nil, errPassedOn
+		case len(u.pending) > 0:
+			u.within(c.SetWriteDeadline, relayStall)
+			n, err := c.Conn.Write(u.pending)
+			if u.pending = u.pending[n:]; err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && u.isAsked()) {
+				return nil, fmt.Errorf("body: %w", err)
+			}
+		case u.whole:
+			return nil, nil
+		default:
+			if callerErr, writeErr = u.fill(buffer); callerErr != nil || writeErr != nil {
+				return callerErr, writeErr
+			}
+		}
+	}
+}
+
+// fill reads the next piece.
+func (u *upload) fill(buffer []byte) (callerErr, writeErr error) {
+	n, err := u.body.Read(buffer[chunkFrame : len(buffer)-chunkTail])
+	if u.total += int64(n); u.total > maxLong {
+		u.broken <- errTooLarge
+		return errTooLarge, nil
+	}
+	framed := u.body.chunks != nil
+	u.pending = inFrame(buffer, n, framed)
+	switch {
+	case errors.Is(err, io.EOF):
+		u.whole, u.caller.paced = true, false
+		close(u.ended)
+		if u.late() {
+			return nil, errLate // without its end it does not run
+		}
+		if framed {
+			u.pending = append(u.pending[:len(u.pending):len(u.pending)], lastChunk(u.body.trailer())...)
+		}
+	case errors.Is(err, errAsked):
+	case errors.Is(err, errStopped):
+		return nil, err
+	case err != nil:
+		if !u.caller.stopped.Load() {
+			u.broken <- err
+		}
+		return err, nil
+	}
+	return nil, nil
+}
+
+// inFrame is the piece of n bytes in a buffer that has room around it, as a chunk if it is to be framed.
+func inFrame(buffer []byte, n int, framed bool) []byte {
+	if n == 0 {
+		return nil
+	}
+	from, to := chunkFrame, chunkFrame+n
+	if framed {
+		size := fmt.Appendf(nil, "%x\r\n", n)
+		from -= copy(buffer[chunkFrame-len(size):], size)
+		to += copy(buffer[to:], "\r\n")
+	}
+	return buffer[from:to]
+}
+
+// begin notes the connection that the upload goes out on.
+func (u *upload) begin(c *conn) {
+	u.mu.Lock()
+	u.to = c
+	u.asked = false
+	u.caller.asked.Store(false)
+	u.mu.Unlock()
+	if c == nil {
+		u.caller.passes(nil)
+	} else {
+		u.caller.passes(u)
+	}
+}
+
+// within gives a step its time; none when the upload has been asked to stop.
+func (u *upload) within(set func(time.Time) error, d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.asked {
+		d = 0
+	}
+	set(time.Now().Add(d))
+}
+
+// interrupt asks the upload to stop between two steps and to be passed on.
+func (u *upload) interrupt() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if u.to == nil || u.asked || !now.After(u.notBefore) {
+		return
+	}
+	u.asked = true
+	u.to.SetWriteDeadline(now)
+	u.caller.asked.Store(true)
+	u.caller.Conn.SetReadDeadline(now)
+}
+
+func (u *upload) isAsked() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.asked
+}
+
+// passOn passes the upload on; if that fails it goes on here. Once its last byte has been read it stays: its caller
+// is watched then by who awaits the answer, and its answer can be passed on.
+func (u *upload) passOn(a *attempt, c *conn) bool {
+	if u.give(a, c) {
+		return true
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.caller.asked.Store(false)
+	u.asked, u.notBefore = false, time.Now().Add(passAgain)
+	return false
+}
+
+func (u *upload) give(a *attempt, c *conn) bool {
+	u.own.Lock()
+	defer u.own.Unlock()
+	if u.whole || u.settled || u.gift == nil || a.quietly(c, func() error { return u.gift(a, c) }) != nil {
+		return false
+	}
+	u.gone = true
+	close(u.passed)
+	return true
+}
+
+// settle is called before the caller is answered. It tells whether its connection has become the successor's, and
+// keeps it from that if not.
+func (u *upload) settle() (gone bool) {
+	u.own.Lock()
+	defer u.own.Unlock()
+	u.settled = true
+	return u.gone
+}
+
+// ear is what listens for an endpoint's answer while a long body is still going out. Until something comes it can be
+// made to hold still, so that the connection may be passed on with nothing of it read.
+type ear struct {
+	mu    sync.Mutex
+	still bool          // it is to hold still
+	heard chan struct{} // closed once something has come
+	quiet chan bool     // it holds still: true, or something has come
+	goOn  chan bool     // whether it is to go on
+}
+
+func newEar() *ear {
+	return &ear{heard: make(chan struct{}), quiet: make(chan bool), goOn: make(chan bool)}
+}
+
+// listen waits for something to come. It returns errPassedOn when the connection is the successor's.
+func (e *ear) listen(c *conn) error {
+	for {
+		err := awaitInput(c.Conn)
+		e.mu.Lock()
+		still := e.still
+		e.still = false
+		if still {
+			c.SetReadDeadline(time.Time{})
+		}
+		silent := still && errors.Is(err, os.ErrDeadlineExceeded)
+		if !silent {
+			close(e.heard)
+		}
+		e.mu.Unlock()
+		if !silent {
+			return nil // whatever it is, it shows when it is read
+		}
+		e.quiet <- true
+		if !<-e.goOn {
+			return errPassedOn
+		}
+	}
+}
+
+var errHeard = errors.New("an answer has begun to come")
+
+// quietly calls f while nothing of the endpoint's answer is read. If f fails, or something has come already, the
+// attempt goes on.
+func (a *attempt) quietly(c *conn, f func() error) error {
+	e := a.ear
+	e.mu.Lock()
+	select {
+	case <-e.heard:
+		e.mu.Unlock()
+		return errHeard
+	default:
+	}
+	e.still = true
+	c.SetReadDeadline(time.Now())
+	e.mu.Unlock()
+	select {
+	case <-e.heard:
+		return errHeard
+	case <-e.quiet:
+	}
+	err := f()
+	e.goOn <- err != nil
+	return err
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -219,6 +219,7 @@
 	host     relayHost
 	left     time.Duration // what an endpoint is told that its answer is waited for
 	out      chan struct{} // closed when the last byte of a long body is out
+	ear      *ear          // see ear
 
 	mu    sync.Mutex
 	sent  time.Time   // since when its time counts
@@ -261,7 +262,7 @@
 
 func newAttempt(r *request, e *endpoint, timeout time.Duration, host relayHost) *attempt {
 	a := &attempt{request: r, endpoint: e, number: r.attempts, sent: time.Now(), host: host,
-		out: make(chan struct{})}
+		out: make(chan struct{}), ear: newEar()}
 	a.ctx, a.end = context.WithCancelCause(context.Background())
 	deadline := r.deadline
 	if end := a.sent.Add(timeout); timeout != 0 && end.Before(deadline) {
@@ -310,6 +311,13 @@
 	return time.Since(a.sent), a.begun
 }
 
+// isBegun tells whether a long answer is on its way to the caller.
+func (a *attempt) isBegun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.begun
+}
+
 // restart has the time count from now on.
 func (a *attempt) restart() {
 	a.mu.Lock()
@@ -465,16 +473,25 @@
 		switch {
 		case e.caller != nil, e.write == errLate:
 			a.cancel()
+		case errors.Is(e.write, errPassedOn):
 		case e.write != nil:
 			c.SetReadDeadline(time.Now().Add(lastWord)) // what it said before it broke off
 		}
 		sent <- e
 	}()
 	answer := make(chan result, 1)
-	go func() { answer <- a.hear(c, room) }()
+	go func() {
+		if a.ear.listen(c) != nil {
+			return // it is passed on
+		}
+		answer <- a.hear(c, room)
+	}()
 	var e ending
 	select {
 	case e = <-sent:
+		if errors.Is(e.write, errPassedOn) {
+			return result{status: gingerlead.Cancelled, spent: true}
+		}
 		res = <-answer
 	case res = <-answer:
 		select {
@@ -523,20 +540,16 @@
 // sendLong writes a request with a long body.
 func (a *attempt) sendLong(c *conn, room *memory) (callerErr, writeErr error) {
 	u := a.request.more
-	w := &lengthWriter{conn: c, chunked: u.length < 0}
-	c.SetWriteDeadline(time.Now().Add(relayStall))
-	if _, err := c.Conn.Write(a.request.encode(a.left)); err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(a.request.body); err != nil {
-		return nil, err
+	if !u.resumed {
+		c.SetWriteDeadline(time.Now().Add(relayStall))
+		pieces := append(net.Buffers{a.request.encode(a.left)}, framed(a.request.body, u.body.chunks != nil)...)
+		if _, err := pieces.WriteTo(c.Conn); err != nil {
+			return nil, err
+		}
 	}
 	buffer := room.buffers.get()
 	defer room.buffers.put(buffer)
-	callerErr, writeErr = u.pass(w, buffer, func() { c.SetWriteDeadline(time.Now().Add(relayStall)) })
-	if callerErr == nil && writeErr == nil && w.chunked {
-		_, writeErr = c.Conn.Write(lastChunk(u.trailer()))
-	}
+	callerErr, writeErr = u.pass(a, c, buffer)
 	if callerErr == nil && writeErr == nil {
 		a.restart()
 		close(a.out)
@@ -545,23 +558,6 @@
 	return callerErr, writeErr
 }
 
-// lengthWriter writes a body, in chunks where its length is not known.
-type lengthWriter struct {
-	conn    *conn
-	chunked bool
-}
-
-func (w *lengthWriter) Write(b []byte) (int, error) {
-	if len(b) == 0 {
-		return 0, nil
-	}
-	pieces := net.Buffers(framed(b, w.chunked))
-	if _, err := pieces.WriteTo(w.conn.Conn); err != nil {
-		return 0, err
-	}
-	return len(b), nil
-}
-
 // framed is a piece of a body as it is written: a chunk of it where its length is not known.
 func framed(b []byte, chunked bool) [][]byte {
 	if !chunked {
@@ -824,10 +820,10 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Remaining: %du\r\n", in.method, in.target, in.host,
 		max(left, 0).Microseconds())
 	switch {
-	case in.more != nil && in.more.length < 0:
+	case in.more != nil && in.more.body.length < 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
 	case in.more != nil:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", in.more.length)
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", in.more.body.length)
 	case len(in.body) > 0 || in.method != http.MethodGet:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(in.body))
 	}
