--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -39,7 +39,7 @@
 	// staleAfter is how old a file must be that nobody listens behind before it is removed: a younger one may be
 	// about to be listened to.
 	staleAfter = 10 * time.Second
-	maxPath    = 107 // bytes of a Unix socket's path, sockaddr_un less its end
+	maxPath    = 107 // bytes of a Unix socket's path, sockaddr_un less its end (unix(7))
 )
 
 // The words of the three steps; an offer is this and the state.
@@ -78,20 +78,37 @@
 func Listen(dir, name string) (*Receiver, error) {
 	// The age tells the youngest process from older ones that may still listen.
 	path := filepath.Join(dir, fmt.Sprintf("%s%d.%d", prefix(name), time.Now().UnixNano(), os.Getpid()))
-	if len(path) > maxPath {
-		return nil, fmt.Errorf("handover: %s: a socket's path has at most %d bytes", path, maxPath)
-	}
-	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	var l *net.UnixListener
+	err := within(path, func(address *net.UnixAddr) (err error) {
+		l, err = net.ListenUnix("unixpacket", address)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
+	l.SetUnlinkOnClose(false) // Close does it, by the whole path
 	if err := os.Chmod(path, 0o600); err != nil {
 		l.Close()
+		os.Remove(path)
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	return &Receiver{listener: l, path: path, open: map[*net.UnixConn]bool{}}, nil
 }
 
+// within calls f with the address of a socket's file. Where the path is longer than an address may be, it is that of
+// the directory's descriptor.
+func within(path string, f func(*net.UnixAddr) error) error {
+	if len(path) > maxPath {
+		dir, err := os.Open(filepath.Dir(path))
+		if err != nil {
+			return err
+		}
+		defer dir.Close()
+		path = fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))
+	}
+	return f(&net.UnixAddr{Name: path, Net: "unixpacket"})
+}
+
 // Take makes room for a connection. It returns what goes on with it, or false when there is no room. The
 // connections are its own once it has said yes, and start is called; where it is not, drop is, and they are closed.
 type Take func(state []byte, conns []net.Conn) (start, drop func(), ok bool)
@@ -144,7 +161,7 @@
 		c.Close()
 	}
 	r.mu.Unlock()
-	return r.listener.Close() // removes the file
+	return errors.Join(r.listener.Close(), os.Remove(r.path))
 }
 
 // ownUser tells whether a peer runs as the user of this process.
@@ -277,7 +294,11 @@
 	slices.SortFunc(found, func(a, b candidate) int { return int(min(1, max(-1, b.born-a.born))) })
 	for _, f := range found {
 		dialer := net.Dialer{Timeout: stepTimeout}
-		c, err := dialer.Dial("unixpacket", f.path)
+		var c net.Conn
+		err := within(f.path, func(address *net.UnixAddr) (err error) {
+			c, err = dialer.Dial("unixpacket", address.Name)
+			return err
+		})
 		if err != nil {
 			if errors.Is(err, syscall.ECONNREFUSED) && time.Since(time.Unix(0, f.born)) > staleAfter {
 				os.Remove(f.path) // if it cannot be removed it is passed over the next time as well
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,316 @@
+package handover
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// pair is a TCP connection, and its far end.
+func pair(t testing.TB) (near, far *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); s.Close() })
+	for _, x := range []net.Conn{c, s} {
+		x.SetDeadline(time.Now().Add(20 * time.Second))
+	}
+	return s.(*net.TCPConn), c.(*net.TCPConn)
+}
+
+// heard reads so many bytes.
+func heard(t testing.TB, c net.Conn, n int) string {
+	t.Helper()
+	b := make([]byte, n)
+	if _, err := io.ReadFull(c, b); err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// serve has a receiver take what comes in a way, until the test ends.
+func serve(t testing.TB, dir string, take Take) *Receiver {
+	t.Helper()
+	r, err := Listen(dir, "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error)
+	go func() { ended <- r.Serve(take) }()
+	t.Cleanup(func() {
+		r.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// Connections come with what was told of them, however much that is, and the process that gave them away may close
+// its own without a word to their peers.
+func TestPass(t *testing.T) {
+	type got struct {
+		state []byte
+		conns []net.Conn
+	}
+	came := make(chan got, 1)
+	dir := t.TempDir()
+	serve(t, dir, func(state []byte, conns []net.Conn) (func(), func(), bool) {
+		return func() { came <- got{bytes.Clone(state), conns} }, func() { t.Error("dropped") }, true
+	})
+	s, err := Dial(dir, "n0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for _, size := range []int{0, 1, 100000, MaxState} {
+		for conns := range maxConns + 1 {
+			var mine []syscall.Conn
+			var far []net.Conn
+			for range conns {
+				n, f := pair(t)
+				mine, far = append(mine, n), append(far, f)
+			}
+			state := bytes.Repeat([]byte{'x'}, size)
+			if err := s.Pass(state, mine...); err != nil {
+				t.Fatalf("%d bytes, %d connections: %v", size, conns, err)
+			}
+			g := <-came
+			if !bytes.Equal(g.state, state) || len(g.conns) != conns {
+				t.Errorf("got %d bytes of %d, %d connections of %d", len(g.state), size, len(g.conns), conns)
+			}
+			for i := range g.conns {
+				mine[i].(net.Conn).Close()
+				io.WriteString(g.conns[i], "there")
+				io.WriteString(far[i], "back")
+				if a, b := heard(t, far[i], 5), heard(t, g.conns[i], 4); a != "there" || b != "back" {
+					t.Errorf("heard %q and %q", a, b)
+				}
+				g.conns[i].Close()
+			}
+		}
+	}
+	n, _ := pair(t)
+	if err := s.Pass(make([]byte, MaxState+1), n); err == nil || !s.Alive() {
+		t.Errorf("too much was passed: %v", err)
+	}
+}
+
+// Whatever goes wrong before the last word, the connection is still its first owner's, and works.
+func TestNotPassed(t *testing.T) {
+	yes := func(c *net.UnixConn) { say(c, accepted) }
+	for name, play := range map[string]func(c *net.UnixConn){
+		"declined":         func(c *net.UnixConn) { say(c, declined) },
+		"ends unheard":     func(c *net.UnixConn) { c.Close() },
+		"says nonsense":    func(c *net.UnixConn) { say(c, 'q') },
+		"says too much":    func(c *net.UnixConn) { c.Write([]byte("yy")) },
+		"says nothing":     func(c *net.UnixConn) {},
+		"accepts and ends": func(c *net.UnixConn) { yes(c); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			r, err := Listen(dir, "n0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			done := make(chan bool)
+			go func() {
+				defer close(done)
+				c, err := r.listener.AcceptUnix()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { c.Close() })
+				oob := make([]byte, 64)
+				_, n, _, _, _ := c.ReadMsgUnix(make([]byte, 8), oob)
+				conns, _ := connections(oob[:n])
+				play(c)
+				for _, x := range conns {
+					x.Close()
+				}
+			}()
+			s, err := Dial(dir, "n0", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			near, far := pair(t)
+			err = s.Pass([]byte("s"), near)
+			<-done
+			if name == "accepts and ends" && err == nil {
+				return // said in time or not: that process took it, and ended with it
+			}
+			if err == nil || errors.Is(err, ErrDeclined) != (name == "declined") || s.Alive() != (name == "declined") {
+				t.Errorf("got %v, alive %v", err, s.Alive())
+			}
+			io.WriteString(near, "still")
+			if got := heard(t, far, 5); got != "still" {
+				t.Errorf("heard %q", got)
+			}
+		})
+	}
+}
+
+// A receiver that is not told to go on leaves the connection alone, and hears the next process.
+func TestNotToldToGoOn(t *testing.T) {
+	for name, play := range map[string]func(c *net.UnixConn, near *net.TCPConn){
+		"ends before the last word": func(c *net.UnixConn, near *net.TCPConn) {
+			raw, _ := near.SyscallConn()
+			raw.Control(func(fd uintptr) { c.WriteMsgUnix([]byte("os"), syscall.UnixRights(int(fd)), nil) })
+			hear(c)
+		},
+		"another word": func(c *net.UnixConn, near *net.TCPConn) {
+			raw, _ := near.SyscallConn()
+			raw.Control(func(fd uintptr) { c.WriteMsgUnix([]byte("os"), syscall.UnixRights(int(fd)), nil) })
+			hear(c)
+			say(c, 'x')
+			c.Read(make([]byte, 1)) // until it is closed
+		},
+		"no offer": func(c *net.UnixConn, near *net.TCPConn) {
+			c.Write([]byte("hello"))
+			c.Read(make([]byte, 1))
+		},
+		"nothing": func(c *net.UnixConn, near *net.TCPConn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			dropped, started := make(chan bool, 1), make(chan bool, 1)
+			r := serve(t, dir, func([]byte, []net.Conn) (func(), func(), bool) {
+				return func() { started <- true }, func() { dropped <- true }, true
+			})
+			var c *net.UnixConn
+			if err := within(r.path, func(a *net.UnixAddr) (err error) {
+				c, err = net.DialUnix("unixpacket", nil, a)
+				return err
+			}); err != nil {
+				t.Fatal(err)
+			}
+			near, far := pair(t)
+			play(c, near)
+			c.Close()
+			if strings.Contains(name, "word") {
+				<-dropped
+			}
+			io.WriteString(near, "mine")
+			if got := heard(t, far, 4); got != "mine" {
+				t.Errorf("heard %q", got)
+			}
+			s, err := Dial(dir, "n0", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			if err := s.Pass(nil, near); err != nil {
+				t.Fatal(err)
+			}
+			<-started
+			if len(started) > 0 {
+				t.Error("started twice")
+			}
+		})
+	}
+}
+
+// The youngest other process is found among others, files that killed ones left, and what is none.
+func TestDial(t *testing.T) {
+	dir := t.TempDir()
+	if _, err := Dial(dir, "n0", nil); !errors.Is(err, ErrNobody) {
+		t.Errorf("an empty directory: %v", err)
+	}
+	if _, err := Dial(filepath.Join(dir, "none"), "n0", nil); err == nil || errors.Is(err, ErrNobody) {
+		t.Errorf("no directory: %v", err)
+	}
+	var own *Receiver
+	came := make(chan string, 1)
+	for _, who := range []string{"oldest", "youngest", "own"} {
+		own = serve(t, dir, func([]byte, []net.Conn) (func(), func(), bool) {
+			came <- who
+			return nil, nil, false
+		})
+	}
+	if err := within(filepath.Join(dir, prefix("n0")+"9.9"), func(a *net.UnixAddr) error {
+		left, err := net.ListenUnix("unixpacket", a)
+		if err != nil {
+			return err
+		}
+		left.SetUnlinkOnClose(false)
+		return left.Close()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{prefix("n0") + "99999999999999999999999.1", prefix("n0") + "1.1", "other"} {
+		if err := os.WriteFile(filepath.Join(dir, name), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := Dial(dir, "n0", own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.Pass(nil); !errors.Is(err, ErrDeclined) {
+		t.Errorf("got %v", err)
+	}
+	if who := <-came; who != "youngest" {
+		t.Errorf("found the %s", who)
+	}
+	if _, err := Dial(dir, "n1", nil); !errors.Is(err, ErrNobody) {
+		t.Errorf("another name: %v", err)
+	}
+	if _, err := Listen(filepath.Join(dir, "none"), "n0"); err == nil {
+		t.Error("listens in no directory")
+	}
+	long := filepath.Join(dir, strings.Repeat("x", maxPath))
+	if err := os.Mkdir(long, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	serve(t, long, func([]byte, []net.Conn) (func(), func(), bool) { return nil, nil, false })
+	if s, err := Dial(long, "n0", nil); err != nil {
+		t.Errorf("a path that is longer than an address: %v", err)
+	} else {
+		s.Close()
+	}
+}
+
+func BenchmarkPass(b *testing.B) {
+	dir := b.TempDir()
+	serve(b, dir, func(_ []byte, conns []net.Conn) (func(), func(), bool) {
+		done := func() {
+			for _, c := range conns {
+				c.Close()
+			}
+		}
+		return done, done, true
+	})
+	s, err := Dial(dir, "n0", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	x, _ := pair(b)
+	y, _ := pair(b)
+	state := make([]byte, 1000)
+	for b.Loop() {
+		if err := s.Pass(state, x, y); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/sidecar/chunked.go
+++ b/internal/sidecar/chunked.go
@@ -116,8 +116,8 @@
 			return nil, noEOF(err)
 		}
 		line, ok := bytes.CutSuffix(c.Line, []byte("\r\n"))
-		if c.Line = c.Line[:0]; !ok {
-			return nil, errSpoilt // a bare line feed ends a line for some readers and not for others
+		if c.Line = c.Line[:0]; !ok || bytes.IndexByte(line, '\r') >= 0 {
+			return nil, errSpoilt // a bare line feed or carriage return ends a line for some readers and not for others
 		}
 		return line, nil
 	}
