Test every stage of an exchange at which a process hands over or ends

Change: a matrix with a stand-in endpoint that answers by pieces: Content-Length, chunked and close-delimited answers and short, long and chunked bodies, cut in the head, the body, the trailer and the last chunk, with a successor and without; slow readers through four successors; outcomes of a passed upload; a successor without room; malformed passages; five handovers under load with no request lost or run twice.

--- /dev/null
+++ b/internal/sidecar/passage_test.go
@@ -0,0 +1,458 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// handed is a sidecar and, from its succeed on, the process that serves in its place; both share a directory.
+type handed struct {
+	*rig
+	target     target
+	dir        string
+	descriptor func() *int
+}
+
+func startHanded(t *testing.T, e target) *handed {
+	t.Helper()
+	_, descriptor := shared(t)
+	h := &handed{target: e, dir: t.TempDir(), descriptor: descriptor}
+	h.rig = h.succeed(t)
+	return h
+}
+
+func (h *handed) succeed(t *testing.T) *rig {
+	t.Helper()
+	rg := startWith(t, 1, 1024, func(c *Config) { c.Accept, c.Handover = h.descriptor(), h.dir }, h.target)
+	rg.server.linger = time.Minute // nothing here ends by its time
+	return rg
+}
+
+// allRead waits until a sidecar has read all that its callers have written.
+func (rg *rig) allRead() {
+	rg.t.Helper()
+	cs := &rg.server.callers
+	rg.until("all is read", func() bool {
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		for i := range cs.stages {
+			for at := cs.stages[i].Front(); at != nil; at = at.Next() {
+				if at.Value.(*caller).waiting() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// atStage waits until a sidecar's only connection is at a stage.
+func (rg *rig) atStage(s stage) {
+	rg.t.Helper()
+	cs := &rg.server.callers
+	rg.until(fmt.Sprint("its caller is at stage ", s), func() bool {
+		http.DefaultClient.CloseIdleConnections()
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		return cs.stages[s].Len() == 1 && cs.open == 1
+	})
+}
+
+// bySteps is an endpoint that reads requests whole, and answers with the pieces that it is given, as they are.
+func bySteps(t *testing.T) (e target, pieces chan string, got chan string) {
+	pieces, got = make(chan string), make(chan string, 8)
+	return peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		c, _, fault := http.NewResponseController(w).Hijack()
+		if fault != nil {
+			t.Error(fault)
+			return
+		}
+		defer c.Close()
+		got <- fmt.Sprintf("%s %d %x %v", r.Header.Get("X-Txn"), len(body), body[:min(8, len(body))], err)
+		for piece := range pieces {
+			if piece == "" {
+				return
+			}
+			if _, err := io.WriteString(c, piece); err != nil {
+				got <- "its connection has ended: " + err.Error()
+				return
+			}
+		}
+	}), pieces, got
+}
+
+// cut cuts a text at places that are counted from its beginning or, below 0, from its end.
+func cut(text string, at ...int) (pieces []string) {
+	last := 0
+	for _, n := range at {
+		if n < 0 {
+			n += len(text)
+		}
+		pieces = append(pieces, text[last:n])
+		last = n
+	}
+	return append(pieces, text[last:])
+}
+
+// An answer is not lost however much of it is through when its process is to end: with a successor the old process
+// need not wait for it, and without one it does.
+func TestAnswerOutlastsItsProcess(t *testing.T) {
+	body := string(noise(300000))
+	chunks := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n"
+	head := len(chunks)
+	for at := 0; at < len(body); at += 50000 {
+		chunks += fmt.Sprintf("%x;of=6\r\n%s\r\n", 50000, body[at:at+50000])
+	}
+	chunks += "0\r\nX-Sum: done\r\n\r\n"
+	forms := map[string][]string{
+		"length": cut("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+body, 15, 43, 1000, 250000),
+		"chunks": cut(chunks, 15, head, head+2, head+20000, head+50000+9, head+2*50000+18, -20, -16, -8, -2),
+		"close":  cut("HTTP/1.1 200 OK\r\n\r\n"+body, 10, 19, 1000, 250000),
+	}
+	for name, pieces := range forms {
+		for after := range len(pieces) + 1 {
+			for _, succeeded := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s after %d, succeeded %v", name, after, succeeded), func(t *testing.T) {
+					e, give, got := bySteps(t)
+					defer close(give)
+					h := startHanded(t, e)
+					c := h.dial()
+					r := h.request("once", 9*time.Second)
+					r.Write(c)
+					<-got
+					for _, piece := range pieces[:after] {
+						give <- piece
+					}
+					begun := after >= 4 && after < len(pieces) // more than what is held of an answer before it begins
+					if begun {
+						h.atStage(relaying)
+					}
+					var heir *rig
+					if succeeded {
+						heir = h.succeed(t)
+					}
+					h.stop()
+					early := succeeded && begun
+					if early {
+						h.over()
+						heir.atStage(relaying)
+					}
+					for _, piece := range pieces[after:] {
+						give <- piece
+					}
+					give <- "" // the end of its connection
+					answers := bufio.NewReader(c)
+					res, err := http.ReadResponse(answers, r)
+					if err != nil {
+						t.Fatal(err)
+					}
+					text, err := io.ReadAll(res.Body)
+					if err != nil || res.StatusCode != http.StatusOK || string(text) != body {
+						t.Errorf("%d bytes, %v, %+v", len(text), err, res)
+					}
+					if name == "chunks" && res.Trailer.Get("X-Sum") != "done" {
+						t.Errorf("trailer %v", res.Trailer)
+					}
+					if !early {
+						h.over()
+					}
+					if succeeded && !res.Close { // its connection serves on
+						heir.atStage(idle)
+						r := h.request("once", 9*time.Second)
+						go r.Write(c)
+						<-got
+						give <- "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n!"
+						if res, err := http.ReadResponse(answers, r); err != nil || res.StatusCode != http.StatusOK {
+							t.Errorf("afterwards: %+v, %v", res, err)
+						}
+						heir.idle()
+					}
+				})
+			}
+		}
+	}
+}
+
+// A caller that reads slowly gets all of its answer, through any number of successors, and whether or not its
+// endpoint has given the whole of it.
+func TestSlowReaderOutlastsProcesses(t *testing.T) {
+	const n = 8 << 20 // more than the kernel holds
+	body := noise(n)
+	e := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(n))
+		w.Write(body)
+	})
+	h := startHanded(t, e)
+	c := h.dial()
+	r := h.request("read", 9*time.Second)
+	r.Write(c)
+	res, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bytes.Buffer
+	now := h.rig
+	for range 4 {
+		io.CopyN(&got, res.Body, 500000)
+		next := h.succeed(t)
+		now.stop()
+		now.over()
+		next.atStage(relaying)
+		now = next
+	}
+	if _, err := io.Copy(&got, res.Body); err != nil || !bytes.Equal(got.Bytes(), body) {
+		t.Errorf("%d bytes, %v", got.Len(), err)
+	}
+	now.atStage(idle)
+	now.idle()
+}
+
+// A request is served once, as its caller wrote it, at whatever place in it its process is to end.
+func TestRequestOutlastsItsProcess(t *testing.T) {
+	body := string(noise(300000))
+	line := "POST /api?q=1 HTTP/1.1\r\nHost: h\r\nX-Txn: t-1\r\nX-Lane: once\r\nX-Remaining: 9000m\r\n"
+	chunked := ""
+	for at := 0; at < len(body); at += 50000 {
+		chunked += fmt.Sprintf("%x;of=6\r\n%s\r\n", 50000, body[at:at+50000])
+	}
+	chunked += "0\r\nX-Sum: done\r\n\r\n"
+	short, long, parts := line+"Content-Length: 1000\r\n\r\n", line+"Content-Length: 300000\r\n\r\n", line+"Transfer-Encoding: chunked\r\n\r\n"
+	forms := map[string]struct {
+		pieces []string
+		length int
+	}{
+		"short":  {cut(short+body[:1000], 10, len(short)-2, len(short)+400), 1000},
+		"long":   {cut(long+body, 10, len(long)-2, len(long)+400, len(long)+100000, -1), 300000},
+		"chunks": {cut(parts+chunked, 10, len(parts)-2, len(parts)+2, len(parts)+400, len(parts)+50000+9, len(parts)+100000, len(parts)+100000+19, -20, -8, -1), 300000},
+	}
+	for name, form := range forms {
+		for after := range len(form.pieces) + 1 {
+			for _, succeeded := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s after %d, succeeded %v", name, after, succeeded), func(t *testing.T) {
+					e, give, got := bySteps(t)
+					defer close(give)
+					h := startHanded(t, e)
+					h.server.handsFor = time.Minute // without a successor to pass it to
+					http.DefaultClient.CloseIdleConnections()
+					c := h.dial()
+					pieces := form.pieces
+					for _, piece := range pieces[:after] {
+						io.WriteString(c, piece)
+					}
+					h.allRead()
+					if succeeded {
+						h.succeed(t)
+					}
+					h.stop()
+					for _, piece := range pieces[after:] {
+						io.WriteString(c, piece)
+						h.allRead()
+					}
+					if want := fmt.Sprintf("t-1 %d %x <nil>", form.length, body[:8]); <-got != want {
+						t.Errorf("the endpoint got something other than %q", want)
+					}
+					give <- "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+					res, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if text, err := io.ReadAll(res.Body); err != nil || res.StatusCode != http.StatusOK || string(text) != "ok" {
+						t.Errorf("%q, %v, %+v", text, err, res)
+					}
+					h.over()
+					if len(got) > 0 {
+						t.Errorf("the endpoint got more: %s", <-got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// An upload whose process has ended gets the answer that follows from how its only attempt ended.
+func TestPassedUploadsOutcomes(t *testing.T) {
+	body := noise(300000)
+	for name, test := range map[string]struct {
+		answer string // "" for none, and an end of the connection
+		status int
+	}{
+		"served":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", http.StatusOK},
+		"error":       {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", http.StatusBadGateway},
+		"turned away": {"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable},
+		"reset":       {"", http.StatusBadGateway},
+		"noise":       {"what?\r\n\r\n", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, give, got := bySteps(t)
+			defer close(give)
+			h := startHanded(t, e)
+			c := h.dial()
+			fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: t-1\r\nX-Lane: once\r\nX-Remaining: 9000m\r\nContent-Length: 300000\r\n\r\n")
+			c.Write(body[:200000])
+			h.allRead()
+			heir := h.succeed(t)
+			h.stop()
+			h.over()
+			c.Write(body[200000:])
+			<-got
+			give <- test.answer
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || res.StatusCode != test.status {
+				t.Fatalf("%+v, %v", res, err)
+			}
+			if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") == "" {
+				t.Error("no word when to come back")
+			}
+			c.Close()
+			heir.idle()
+		})
+	}
+}
+
+// A successor that has no room leaves a connection where it is, and it is served there.
+func TestDeclinedPassage(t *testing.T) {
+	e, give, got := bySteps(t)
+	defer close(give)
+	h := startHanded(t, e)
+	c := h.dial()
+	r := h.request("once", 9*time.Second)
+	r.Write(c)
+	<-got
+	heir := h.succeed(t)
+	heir.server.callers.mu.Lock()
+	heir.server.callers.most = 0
+	heir.server.callers.mu.Unlock()
+	pieces := cut("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+string(noise(300000)), 100000)
+	give <- pieces[0]
+	h.atStage(relaying)
+	h.stop()
+	tried := h.server.callers.stages[relaying].Front().Value.(*caller).passing.(*relay)
+	h.until("it has been tried", func() bool {
+		tried.mu.Lock()
+		defer tried.mu.Unlock()
+		return !tried.notBefore.IsZero()
+	})
+	give <- pieces[1]
+	res, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(res.Body); err != nil || !bytes.Equal(text, noise(300000)) {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+	h.over()
+}
+
+// What cannot be a passage is declined, and leaves nothing behind.
+func TestMalformedPassages(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(http.ResponseWriter, *http.Request) {}))
+	near, _ := tcpPair(t)
+	far, _ := tcpPair(t)
+	good := passage{Version: passageVersion, Relay: &relayLeft{Length: 10, Read: 3, Allowed: 99}}
+	text := func(change func(*passage)) string {
+		p, l := good, *good.Relay
+		p.Relay = &l
+		change(&p)
+		b, _ := json.Marshal(p)
+		return string(b)
+	}
+	for name, state := range map[string]string{
+		"nothing":           "",
+		"no JSON":           "{",
+		"another version":   text(func(p *passage) { p.Version++ }),
+		"one connection":    text(func(p *passage) { p.Relay = nil }),
+		"read beyond":       text(func(p *passage) { p.Relay.Read = 11 }),
+		"no length":         text(func(p *passage) { p.Relay.Length = -2 }),
+		"too long":          text(func(p *passage) { p.Relay.Length = maxLong + 1 }),
+		"both":              text(func(p *passage) { p.Upload = &uploadLeft{Length: 10} }),
+		"a stage of none":   text(func(p *passage) { p.Relay.Length, p.Relay.Chunks = -1, &chunked{Stage: 9} }),
+		"chunks and length": text(func(p *passage) { p.Relay.Chunks = &chunked{} }),
+		"an endless wait":   text(func(p *passage) { p.Relay, p.Upload = nil, &uploadLeft{Length: 10, Wait: 2 * maxRemaining} }),
+		"more than all":     text(func(p *passage) { p.Relay, p.Upload = nil, &uploadLeft{Length: 10, Left: 11} }),
+	} {
+		if _, _, ok := rg.server.adopt([]byte(state), []net.Conn{near.Conn, far.Conn}); ok {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	start, drop, ok := rg.server.adopt([]byte(text(func(*passage) {})), []net.Conn{near.Conn, far.Conn})
+	if !ok || start == nil {
+		t.Fatal("a good one is declined")
+	}
+	drop()
+	rg.until("nothing is open", func() (done bool) {
+		rg.inLoop(func() { done = rg.server.loop.pool.open == 0 })
+		return done
+	})
+}
+
+// Callers that go on asking while one process after another takes over lose nothing and are never turned away:
+// each answer is the one made for it, and no request runs twice.
+func TestManyHandovers(t *testing.T) {
+	var ran atomic.Int64
+	h := startHanded(t, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		n, _ := io.Copy(io.Discard, r.Body)
+		w.Write(noise(int(n)))
+	}))
+	url := h.url
+	var asked, lost atomic.Int64
+	done, ended := make(chan bool), make(chan bool)
+	for i := range 8 {
+		go func() {
+			defer func() { ended <- true }()
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			for k := 0; ; k++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				size := []int{10, 30000, 100000, 400000}[(i+k)%4]
+				r, _ := http.NewRequest("POST", url+"/api", struct{ io.Reader }{bytes.NewReader(make([]byte, size))})
+				if k%2 == 0 {
+					r.ContentLength = int64(size)
+				}
+				r.Header = http.Header{"X-Txn": {fmt.Sprintf("c%d-%d", i, k)}, "X-Lane": {"once"}, "X-Remaining": {"9000m"}}
+				asked.Add(1)
+				res, err := client.Do(r)
+				if err != nil {
+					lost.Add(1)
+					t.Error(err)
+					continue
+				}
+				text, err := io.ReadAll(res.Body)
+				res.Body.Close()
+				if err != nil || res.StatusCode != 200 || !bytes.Equal(text, noise(size)) {
+					lost.Add(1)
+					t.Errorf("%d bytes of %d, %v, %s", len(text), size, err, res.Status)
+				}
+			}
+		}()
+	}
+	now := h.rig
+	for range 5 {
+		before := asked.Load()
+		now.until("callers ask", func() bool { return asked.Load() > before+40 })
+		next := h.succeed(t)
+		now.stop()
+		now.over()
+		now = next
+	}
+	close(done)
+	for range 8 {
+		<-ended
+	}
+	if lost.Load() > 0 || ran.Load() != asked.Load() {
+		t.Errorf("%d lost, %d ran of %d", lost.Load(), ran.Load(), asked.Load())
+	}
+}
