--- a/internal/sidecar/away.go
+++ b/internal/sidecar/away.go
@@ -36,7 +36,6 @@
 				mute = awayMute
 			}
 			if s.handing() {
-				after, mute = 0, 0 // to be passed on, not to be closed
 				s.callers.interrupt()
 			}
 			s.callers.retire(max(after-took, 0), mute)
@@ -86,9 +85,6 @@
 // Requests that have come behind the one that is answered are still served, for a while.
 func (s *server) closes(c *caller, buffered int) bool {
 	phase, since, _ := s.life.now()
-	if s.handing() {
-		return false // the successor has the connection in a moment
-	}
 	if s.away(phase) {
 		return time.Since(since) > s.awayAfter() || buffered == 0 && !c.waiting()
 	}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -44,7 +44,7 @@
 // serveFrom serves a connection on which nothing is owed; r, if there is one, has read some of it.
 func (s *server) serveFrom(c *caller, until time.Time, r *bufio.Reader) {
 	for {
-		if s.handing() && s.passIdle(c, r) {
+		if s.moves() && s.passIdle(c, r) {
 			return
 		}
 		if r == nil {
@@ -98,7 +98,7 @@
 	body := newRequestBody(in, r)
 	w.lasts = !in.Close && !w.old
 	unread := in.ContentLength != 0 // what stands in its place in the connection's stream is no request
-	if !unread && s.handing() {
+	if !unread && s.moves() {
 		if w.passed = s.passRequest(c, r, in, nil, nil); w.passed {
 			return false
 		}
@@ -110,7 +110,7 @@
 		}
 		return w.status(http.StatusOK, "")
 	}
-	if a, away := s.sentAway(); over || away && !(unread && s.handing()) {
+	if a, away := s.sentAway(); over || away && !(unread && s.moves()) {
 		w.lasts = false
 		return w.answer(a)
 	}
@@ -134,7 +134,7 @@
 	case err != nil:
 		return w.error(http.StatusBadRequest, "request body cut short")
 	}
-	if unread && s.handing() {
+	if unread && s.moves() {
 		rest := body
 		if req.more == nil {
 			rest = nil
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -81,6 +81,14 @@
 	return heir != nil && heir.Alive()
 }
 
+// moves tells whether requests that have not been decided about are passed on to the successor, and what is idle with
+// them. Until then callers are sent away one by one, each with its answer, and the front spreads them: a process that
+// has just begun to serve cannot judge all that comes if all of it comes at once (HANDOVER.md).
+func (s *server) moves() bool {
+	_, since, _ := s.life.now()
+	return s.handing() && time.Since(since) > s.handsFor
+}
+
 // pass gives a caller's connection to the successor, and with it an endpoint's where there is one.
 func (s *server) pass(c *caller, p passage, upstream *conn) error {
 	p.Version = passageVersion
--- a/internal/sidecar/passage_test.go
+++ b/internal/sidecar/passage_test.go
@@ -33,6 +33,7 @@
 	t.Helper()
 	rg := startWith(t, 1, 1024, func(c *Config) { c.Accept, c.Handover = h.descriptor(), h.dir }, h.target)
 	rg.server.linger = time.Minute // nothing here ends by its time
+	rg.server.handsFor = 0
 	return rg
 }
 
@@ -250,6 +251,7 @@
 					}
 					h.allRead()
 					if succeeded {
+						h.server.handsFor = 0
 						h.succeed(t)
 					}
 					h.stop()
@@ -440,7 +442,8 @@
 		}()
 	}
 	now := h.rig
-	for range 5 {
+	for i := range 5 {
+		now.server.handsFor = time.Duration(i%2) * handedOverAfter
 		before := asked.Load()
 		now.until("callers ask", func() bool { return asked.Load() > before+40 })
 		next := h.succeed(t)
