Let the last word of a handover come at any time; one pause for bodies and answers

Cause: a review. A successor that gave up waiting for the last word just as it came left a connection with no owner; a request read ahead of an adopted connection was not seen when connections close; relay and upload each had their own way to stop between steps, and an adopted upload kept its reader.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -109,8 +109,9 @@
 	return f(&net.UnixAddr{Name: path, Net: "unixpacket"})
 }
 
-// Take makes room for a connection. It returns what goes on with it, or false when there is no room. The
-// connections are its own once it has said yes, and start is called; where it is not, drop is, and they are closed.
+// Take makes room for a connection. It returns what goes on with it, or false when there is no room. Its connections
+// are the taker's once start is called; where that does not come, drop is called and they are closed. The state is
+// good until Take returns.
 type Take func(state []byte, conns []net.Conn) (start, drop func(), ok bool)
 
 // Serve hands what comes to take, until the receiver is closed. Take is called by one goroutine for each process
@@ -130,7 +131,7 @@
 		}
 		go func() {
 			defer r.leave(c)
-			for r.next(c, take) == nil {
+			for text := make([]byte, 1+MaxState); r.next(c, text, take) == nil; {
 			}
 		}()
 	}
@@ -178,8 +179,7 @@
 }
 
 // next takes one connection in. An error ends the way.
-func (r *Receiver) next(c *net.UnixConn, take Take) error {
-	text := make([]byte, 1+MaxState)
+func (r *Receiver) next(c *net.UnixConn, text []byte, take Take) error {
 	oob := make([]byte, syscall.CmsgSpace(4*maxConns))
 	c.SetReadDeadline(time.Time{}) // ends with the peer, or with Close
 	n, oobn, flags, _, err := c.ReadMsgUnix(text, oob)
@@ -202,8 +202,10 @@
 		return say(c, declined)
 	}
 	if err = say(c, accepted); err == nil {
+		// The last word or the peer's end is waited for without a deadline: were it to pass just as the word comes,
+		// neither side would have the connection.
 		var word byte
-		if word, err = hear(c); err == nil && word != goOn {
+		if word, err = hear(c, time.Time{}); err == nil && word != goOn {
 			err = errors.New("handover: not told to go on")
 		}
 	}
@@ -250,9 +252,9 @@
 	return err
 }
 
-func hear(c *net.UnixConn) (byte, error) {
+func hear(c *net.UnixConn, until time.Time) (byte, error) {
 	var b [2]byte
-	c.SetReadDeadline(time.Now().Add(stepTimeout))
+	c.SetReadDeadline(until)
 	n, err := c.Read(b[:])
 	if err == nil && n != 1 {
 		err = errors.New("handover: malformed word")
@@ -335,7 +337,7 @@
 	})
 	word := byte(0)
 	if err == nil {
-		word, err = hear(s.conn)
+		word, err = hear(s.conn, time.Now().Add(stepTimeout))
 	}
 	switch {
 	case err == nil && word == declined:
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -44,6 +44,11 @@
 // serveFrom serves a connection on which nothing is owed; r, if there is one, has read some of it.
 func (s *server) serveFrom(c *caller, until time.Time, r *bufio.Reader) {
 	for {
+		if r != nil && r.Buffered() == 0 {
+			r.Reset(nil)
+			readers.Put(r)
+			r = nil
+		}
 		if s.moves() && s.passIdle(c, r) {
 			return
 		}
@@ -65,11 +70,6 @@
 			return
 		}
 		until = c.rest()
-		if r.Buffered() == 0 {
-			r.Reset(nil)
-			readers.Put(r)
-			r = nil
-		}
 	}
 }
 
@@ -104,7 +104,7 @@
 		}
 	}
 	if in.URL.Path == "/ready" && in.Header.Get("X-Txn") == "" {
-		w.lasts = w.lasts && !unread && !s.closes(c, r.Buffered())
+		w.lasts = w.lasts && !unread && !s.closes(c, r.Buffered()+len(c.input))
 		if !s.life.ready() {
 			return w.status(http.StatusServiceUnavailable, "not ready")
 		}
@@ -253,7 +253,7 @@
 			if gone != nil {
 				c.unwatch(gone)
 			}
-			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered())
+			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered()+len(c.input))
 			lasts := w.answer(a)
 			s.loop.discard(a.response)
 			return lasts
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -22,7 +22,7 @@
 const passageVersion = 1
 
 // passage is what a process that ends tells its successor of a caller's connection: what has been read of it and
-// not been answered, and the long answer that is on its way on it.
+// not been answered, and the long answer or the long body that is on its way on it.
 type passage struct {
 	Version int         `json:"version"`
 	Input   []byte      `json:"input,omitempty"`
@@ -360,11 +360,7 @@
 	switch lasts := s.await(c, r, w, req, lapse); {
 	case w.passed:
 	case lasts:
-		if r.Buffered() == 0 {
-			s.serveFrom(c, c.rest(), nil)
-		} else {
-			s.serveFrom(c, c.rest(), r)
-		}
+		s.serveFrom(c, c.rest(), r)
 	default:
 		c.linger()
 	}
--- a/internal/sidecar/relay.go
+++ b/internal/sidecar/relay.go
@@ -24,10 +24,54 @@
 	lasts   bool       // the caller's connection may bring another request
 	gift    gift       // where it may be passed on to
 
+	pause
+	from *conn // whose answer is read; nil once that is over. The pause's mutex guards it
+}
+
+// pause is how what is carried on in steps is asked to stop between two of them, to be passed on.
+type pause struct {
 	mu        sync.Mutex
-	from      *conn // whose answer is read; nil once that is over
-	asked     bool  // to stop between two steps, to be passed on
-	notBefore time.Time
+	asked     bool
+	notBefore time.Time // it is asked again
+}
+
+// ask asks, by f, unless that has been done or is too soon.
+func (p *pause) ask(f func(now time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); !p.asked && now.After(p.notBefore) {
+		p.asked = true
+		f(now)
+	}
+}
+
+func (p *pause) isAsked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
+// interrupted tells whether a step ended only because it was asked to.
+func (p *pause) interrupted(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && p.isAsked()
+}
+
+// within gives a step its time; none after it was asked to end.
+func (p *pause) within(set func(time.Time) error, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked {
+		d = 0
+	}
+	set(time.Now().Add(d))
+}
+
+// over ends the pause: nothing could be passed on, and it goes on here.
+func (p *pause) over(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked, p.notBefore = false, time.Now().Add(passAgain)
+	f()
 }
 
 // gift passes a relay on to the successor. Without an error it is the successor's from then on.
@@ -134,38 +178,14 @@
 	}
 }
 
-// within gives a step its time; none when the relay has been asked to stop.
-func (l *relay) within(set func(time.Time) error, d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.asked {
-		d = 0
-	}
-	set(time.Now().Add(d))
-}
-
 // interrupt asks the relay to stop between two steps and to be passed on.
 func (l *relay) interrupt() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); !l.asked && now.After(l.notBefore) {
-		l.asked = true
+	l.ask(func(now time.Time) {
 		l.caller.Conn.SetWriteDeadline(now)
 		if l.from != nil {
 			l.from.SetReadDeadline(now)
 		}
-	}
-}
-
-func (l *relay) isAsked() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.asked
-}
-
-// interrupted tells whether a step ended only because the relay was asked to stop.
-func (l *relay) interrupted(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) && l.isAsked()
+	})
 }
 
 // passOn passes the relay on; if that fails it goes on here.
@@ -173,8 +193,6 @@
 	if l.gift != nil && l.gift(l) == nil {
 		return true
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.asked, l.notBefore = false, time.Now().Add(passAgain)
+	l.over(func() {})
 	return false
 }
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -80,10 +80,8 @@
 	settled bool       // it has its answer: it is passed on no more
 	gone    bool       // it is the successor's
 
-	mu        sync.Mutex
-	to        *conn // that it goes out on; nil while it does not
-	asked     bool  // to stop between two steps, to be passed on
-	notBefore time.Time
+	pause
+	to *conn // that it goes out on; nil while it does not. The pause's mutex guards it
 }
 
 func newUpload(c *caller, body *requestBody, late func() bool) *upload {
@@ -110,7 +108,7 @@
 		case len(u.pending) > 0:
 			u.within(c.SetWriteDeadline, relayStall)
 			n, err := c.Conn.Write(u.pending)
-			if u.pending = u.pending[n:]; err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && u.isAsked()) {
+			if u.pending = u.pending[n:]; err != nil && !u.interrupted(err) {
 				return nil, fmt.Errorf("body: %w", err)
 			}
 		case u.whole:
@@ -182,34 +180,17 @@
 	}
 }
 
-// within gives a step its time; none when the upload has been asked to stop.
-func (u *upload) within(set func(time.Time) error, d time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.asked {
-		d = 0
-	}
-	set(time.Now().Add(d))
-}
-
 // interrupt asks the upload to stop between two steps and to be passed on.
 func (u *upload) interrupt() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := time.Now()
-	if u.to == nil || u.asked || !now.After(u.notBefore) {
-		return
-	}
-	u.asked = true
-	u.to.SetWriteDeadline(now)
-	u.caller.asked.Store(true)
-	u.caller.Conn.SetReadDeadline(now)
-}
-
-func (u *upload) isAsked() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.asked
+	u.ask(func(now time.Time) {
+		if u.to == nil {
+			u.asked = false // it does not go out yet, or any more
+			return
+		}
+		u.to.SetWriteDeadline(now)
+		u.caller.asked.Store(true)
+		u.caller.Conn.SetReadDeadline(now)
+	})
 }
 
 // passOn passes the upload on; if that fails it goes on here. Once its last byte has been read it stays: its caller
@@ -218,10 +199,7 @@
 	if u.give(a, c) {
 		return true
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.caller.asked.Store(false)
-	u.asked, u.notBefore = false, time.Now().Add(passAgain)
+	u.over(func() { u.caller.asked.Store(false) })
 	return false
 }
 
@@ -251,12 +229,12 @@
 	mu    sync.Mutex
 	still bool          // it is to hold still
 	heard chan struct{} // closed once something has come
-	quiet chan bool     // it holds still: true, or something has come
-	goOn  chan bool     // whether it is to go on
+	quiet chan struct{} // it holds still
+	goOn  chan bool     // whether it is to go on, where it holds still
 }
 
 func newEar() *ear {
-	return &ear{heard: make(chan struct{}), quiet: make(chan bool), goOn: make(chan bool)}
+	return &ear{heard: make(chan struct{}), quiet: make(chan struct{}), goOn: make(chan bool)}
 }
 
 // listen waits for something to come. It returns errPassedOn when the connection is the successor's.
@@ -277,7 +255,7 @@
 		if !silent {
 			return nil // whatever it is, it shows when it is read
 		}
-		e.quiet <- true
+		e.quiet <- struct{}{}
 		if !<-e.goOn {
 			return errPassedOn
 		}
