Tell the successor what is learnt and what is still out, and count it there

Logs of the limits had shown why: a process that starts on a crowded tier learnt crowded latencies as those at little load, and for 1.5 s the two processes each filled the tier to a limit that did not know of the other.

Change: at SIGTERM a process tells its successor over the handover's socket its figures (Learnt, Inherit) and every 50 ms its calls in flight (Calls, Beside), which the successor counts against its limit and at each endpoint until they have ended, for 0.5 s at most after the last word. Marks of endpoints, the retry budget and tenants' shares pass on as well. Figures that cannot be are refused whole; a version that knows no such word declines it.

--- a/balancer.go
+++ b/balancer.go
@@ -127,7 +127,8 @@
 	held     []*request
 	scratch  []*endpoint
 
-	out      int     // attempts in flight
+	out      int // attempts in flight
+	elder    predecessor
 	lost     int     // those of them that no answer is expected for
 	answered int     // answers of any kind
 	rate     flow    // base latencies answered a second: the calls in flight at little load
@@ -283,7 +284,7 @@
 		b.rateClasses()
 	}
 	for len(b.held) > 0 {
-		if float64(b.out-b.lost) >= b.limit || b.paced && b.credit < 1 {
+		if float64(b.out-b.lost+b.elder.all(now)) >= b.limit || b.paced && b.credit < 1 {
 			break
 		}
 		i := b.next(now)
@@ -466,11 +467,11 @@
 	return float64(b.load(now, e)-e.lost) < max(most, limitSlack)
 }
 
-// load is the number of own calls in flight, with those that failed a short while ago: few in flight must
-// not draw calls to an endpoint that fails fast, and timed-out work may still run there.
+// load is the number of own calls in flight, the process before's too, and of those that failed a short while
+// ago: few in flight must not draw calls to an endpoint that fails fast, and timed-out work may run on.
 func (b *Balancer) load(now time.Duration, e *endpoint) int {
 	e.debts = slices.DeleteFunc(e.debts, func(t time.Duration) bool { return t <= now })
-	return len(e.calls) + e.coming + len(e.debts)
+	return len(e.calls) + e.coming + len(e.debts) + b.elder.at(now, e)
 }
 
 // share is the part of its capacity that a ramping endpoint is taken to have.
@@ -1060,7 +1061,7 @@
 		wait = min(now-r.at, b.set.MaxRetryAfter)
 	}
 	if rate := b.served.value(now, b.window); rate > 0 {
-		queue := seconds(float64(len(b.held)+b.out) / rate)
+		queue := seconds(float64(len(b.held)+b.out+b.elder.all(now)) / rate)
 		wait = max(wait, min(queue, b.set.MaxRetryAfter))
 	}
 	switch {
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -22,12 +22,14 @@
 const passageVersion = 1
 
 // passage is what a process that ends tells its successor of a caller's connection: what has been read of it and
-// not been answered, and the long answer or the long body that is on its way on it.
+// not been answered, and the long answer or the long body that is on its way on it. Without a connection it is a word
+// of the process itself.
 type passage struct {
 	Version int         `json:"version"`
 	Input   []byte      `json:"input,omitempty"`
 	Relay   *relayLeft  `json:"relay,omitempty"`
 	Upload  *uploadLeft `json:"upload,omitempty"`
+	Word    *word       `json:"word,omitempty"`
 }
 
 // uploadLeft is what is left of a long body, on its way to an endpoint: a request that goes out once and cannot be
@@ -91,15 +93,20 @@
 
 // pass gives a caller's connection to the successor, and with it an endpoint's where there is one.
 func (s *server) pass(c *caller, p passage, upstream *conn) error {
+	raw := []net.Conn{c.Conn}
+	if upstream != nil {
+		raw = append(raw, upstream.Conn)
+	}
+	return s.hand(p, raw...)
+}
+
+// hand gives a passage to the successor.
+func (s *server) hand(p passage, raw ...net.Conn) error {
 	p.Version = passageVersion
 	state, err := json.Marshal(p)
 	if err != nil {
 		return err
 	}
-	raw := []net.Conn{c.Conn}
-	if upstream != nil {
-		raw = append(raw, upstream.Conn)
-	}
 	conns := make([]syscall.Conn, len(raw))
 	for i, x := range raw {
 		var ok bool
@@ -218,6 +225,9 @@
 		log.Printf("handover: version %d with %d connections cannot be taken over: %v", p.Version, len(conns), err)
 		return nil, nil, false
 	}
+	if p.Word != nil {
+		return func() { s.loop.post(func() { s.loop.heed(p.Word) }) }, func() {}, true
+	}
 	c := &caller{Conn: conns[0], callers: &s.callers, began: time.Now(), input: p.Input}
 	if !s.life.canServe() || !s.callers.adopt(c) {
 		return nil, nil, false
@@ -245,6 +255,9 @@
 // fits tells whether a passage and what came with it are of one piece.
 func (p *passage) fits(conns []net.Conn) bool {
 	want := 1
+	if p.Word != nil {
+		return len(conns) == 0 && p.Relay == nil && p.Upload == nil && p.Input == nil
+	}
 	if p.Relay != nil && !p.Relay.Ended || p.Upload != nil {
 		want = 2
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -203,6 +203,17 @@
 	if s.handsOver() {
 		s.findHeir()
 	}
+	if s.handing() {
+		done, told := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(told)
+			s.tell(done)
+		}()
+		defer func() {
+			close(done)
+			<-told
+		}()
+	}
 	last := end
 	if s.config.Settings.Instances > 1 && !s.handsOver() {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
--- /dev/null
+++ b/internal/sidecar/succession_test.go
@@ -0,0 +1,150 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gingerlead"
+	"gingerlead/internal/handover"
+)
+
+// windows is what a sidecar has looked at of the latencies of a class.
+func (rg *rig) windows() (n int) {
+	rg.inLoop(func() { n = rg.server.loop.balancer.Learnt(rg.server.loop.now()).Classes[0].Windows })
+	return n
+}
+
+// out is what a sidecar has at endpoints, and all that it has.
+func (rg *rig) out() (n, all int) {
+	rg.inLoop(func() {
+		for _, r := range rg.server.loop.requests {
+			if r.out != nil {
+				n++
+			}
+		}
+		all = len(rg.server.loop.requests)
+	})
+	return n, all
+}
+
+// A successor goes by the figures of the process before, and what that has in flight counts for both: where it
+// fills the limit, the successor holds back until a call has ended.
+func TestSuccessorCountsWhatIsInFlight(t *testing.T) {
+	answer := make(chan bool)
+	h := startHanded(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			io.Copy(io.Discard, r.Body)
+			select {
+			case <-answer:
+			case <-r.Context().Done():
+			}
+		}
+	})
+	h.until("it has learnt", func() bool {
+		h.ask(h.request("read", 9*time.Second))
+		return h.windows() > 2
+	})
+	done := make(chan int, 100)
+	ask := func(rg *rig) {
+		r := rg.request("once", 9*time.Second)
+		go func() {
+			res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+			if err != nil {
+				done <- 0
+				return
+			}
+			res.Body.Close()
+			done <- res.StatusCode
+		}()
+	}
+	asked := 0
+	for out, all := 0, 0; out == all; asked++ {
+		ask(h.rig)
+		h.until("it has come", func() bool { out, all = h.out(); return all > asked })
+	}
+	heir := h.succeed(t)
+	h.stop()
+	heir.until("it has inherited", func() bool { return heir.windows() > 2 })
+	ask(heir)
+	asked++
+	heir.until("it has come", func() bool { out, all := heir.out(); return all == 1 && out == 0 })
+	answer <- true // makes room for the one that the process before holds
+	answer <- true
+	heir.until("the one that is held goes out", func() bool { out, _ := heir.out(); return out == 1 })
+	for close(answer); asked > 0; asked-- {
+		if status := <-done; status != 200 {
+			t.Errorf("status %d", status)
+		}
+	}
+	h.over()
+}
+
+// A word that cannot be used changes nothing, and one of figures that cannot be still counts what is in flight.
+func TestWordsOfTheProcessBefore(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(http.ResponseWriter, *http.Request) {}))
+	near, _ := tcpPair(t)
+	for name, tc := range map[string]struct {
+		text  string
+		conns []net.Conn
+		taken bool
+	}{
+		"with a connection": {`{"version":1,"word":{"calls":{"1":3}}}`, []net.Conn{near.Conn}, false},
+		"beside an input":   {`{"version":1,"word":{},"input":"AAAA"}`, nil, false},
+		"no passage":        {`{"version":1}`, nil, false},
+		"no endpoint":       {`{"version":1,"word":{"calls":{"x":3}}}`, nil, false},
+		"of its calls":      {`{"version":1,"word":{"calls":{"1":3}}}`, nil, true},
+		"that all is over":  {`{"version":1,"word":{}}`, nil, true},
+		"faulty figures":    {`{"version":1,"word":{"learnt":{"classes":[]}}}`, nil, true},
+	} {
+		before, _ := json.Marshal(rg.learnt())
+		start, _, ok := rg.server.adopt([]byte(tc.text), tc.conns)
+		if ok != tc.taken {
+			t.Errorf("%s: taken is %v", name, ok)
+		}
+		if ok {
+			start()
+		}
+		if after, _ := json.Marshal(rg.learnt()); string(after) != string(before) {
+			t.Errorf("%s: it changed %s to %s", name, before, after)
+		}
+	}
+}
+
+func (rg *rig) learnt() (l gingerlead.Learnt) {
+	rg.inLoop(func() { l = rg.server.loop.balancer.Learnt(24 * time.Hour) })
+	return l
+}
+
+// A successor of a version that knows no words declines them; it is told no more, and connections still pass.
+func TestSuccessorThatTakesNoWords(t *testing.T) {
+	h := startHanded(t, func(http.ResponseWriter, *http.Request) {})
+	idles := h.connect(1)
+	words, passed := make(chan bool, 100), make(chan bool, 1)
+	receiver, err := handover.Listen(h.dir, h.server.heirName())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	go receiver.Serve(func(state []byte, conns []net.Conn) (start, drop func(), ok bool) {
+		if len(conns) == 0 {
+			words <- strings.Contains(string(state), "learnt")
+			return nil, nil, false
+		}
+		return func() {
+			passed <- true
+			conns[0].Close()
+		}, func() {}, true
+	})
+	h.stop()
+	<-passed
+	h.over()
+	idles[0].Close()
+	if n := len(words); n != 1 || !<-words {
+		t.Errorf("%d words to one that declined the first", n)
+	}
+}
--- /dev/null
+++ b/succession_test.go
@@ -0,0 +1,203 @@
+package gingerlead
+
+import (
+	"encoding/json"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// work has calls of a latency go on, some at a time, for a while.
+func (d *bed) work(atOnce int, took, lasts time.Duration) {
+	for end := d.now + lasts; d.now < end; {
+		at := len(d.sent)
+		for range atOnce {
+			d.ask(read)
+		}
+		d.pass(took)
+		for _, s := range d.sent[at:] {
+			d.end(s, OK, took)
+		}
+	}
+}
+
+// fill asks until nothing more is sent, and tells how many were.
+func (d *bed) fill() (n int) {
+	for at := -1; at < len(d.sent); n++ {
+		at = len(d.sent)
+		d.ask(read)
+	}
+	return n - 1
+}
+
+// heir is a successor that has been told what a process has learnt, in the form in which it travels.
+func (d *bed) heir(s Settings, n int) *bed {
+	d.t.Helper()
+	text, err := json.Marshal(d.b.Learnt(d.now))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	var l Learnt
+	if err := json.Unmarshal(text, &l); err != nil {
+		d.t.Fatal(err)
+	}
+	h := start(d.t, s, n)
+	h.pass(17 * ms) // the clocks differ
+	if err := h.b.Inherit(h.now, l); err != nil {
+		d.t.Fatal(err)
+	}
+	return h
+}
+
+// A process that starts on a crowded tier learns crowded latencies, and lets in flight what keeps it crowded. One that
+// inherits goes by those at little load.
+func TestSuccessorGoesByInheritedFigures(t *testing.T) {
+	elder := start(t, settings(), 6)
+	elder.work(8, 100*ms, 8*time.Second)
+	crowd := func(d *bed) *bed { d.work(40, 600*ms, 4*time.Second); return d }
+	told, alone := crowd(elder.heir(settings(), 6)), crowd(start(t, settings(), 6))
+	if most, least := alone.fill(), told.fill(); least > most*2/3 {
+		t.Errorf("%d in flight after inheriting, %d without", least, most)
+	}
+	if base := told.b.classes[read].base; base < 0.09 || base > 0.2 {
+		t.Errorf("its base latency is %v", base)
+	}
+	fresh := elder.heir(settings(), 6)
+	if own, theirs := fresh.fill(), elder.fill(); own < theirs-1 || own > theirs+1 {
+		t.Errorf("%d in flight at first, %d in the process before", own, theirs)
+	}
+}
+
+// What two processes of one instance have in flight together is what one may have.
+func TestCallsOfThePredecessorCount(t *testing.T) {
+	for name, tc := range map[string]struct {
+		calls map[EndpointID]int
+		after time.Duration // from the word on
+		again map[EndpointID]int
+		less  int
+	}{
+		"in flight":                 {calls: map[EndpointID]int{1: 5, 2: 4}, less: 9},
+		"some have ended":           {calls: map[EndpointID]int{1: 5, 2: 4}, again: map[EndpointID]int{2: 1}, less: 1},
+		"all have ended":            {calls: map[EndpointID]int{1: 5, 2: 4}, again: map[EndpointID]int{}},
+		"it says nothing any more":  {calls: map[EndpointID]int{1: 5, 2: 4}, after: 600 * ms},
+		"at endpoints that are not": {calls: map[EndpointID]int{77: 9, 78: 9}},
+		"no number of calls":        {calls: map[EndpointID]int{1: -9}},
+	} {
+		d, alone := start(t, settings(), 6), start(t, settings(), 6)
+		d.b.Beside(d.now, tc.calls, d.now+500*ms)
+		d.pass(tc.after)
+		if tc.again != nil {
+			d.b.Beside(d.now, tc.again, d.now+500*ms)
+		}
+		if got, want := d.fill(), alone.fill()-tc.less; got != want {
+			t.Errorf("%s: %d sent, want %d", name, got, want)
+		}
+	}
+	d := start(t, settings(), 2)
+	d.b.Beside(d.now, map[EndpointID]int{1: 3}, d.now+500*ms)
+	for range 3 {
+		if d.ask(read); d.last().to != 2 {
+			t.Error("a call to the endpoint with more in flight")
+		}
+	}
+}
+
+// Held calls go out when the process before says that its own have ended, or says nothing any more.
+func TestHeldCallsFollowThePredecessors(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"said": 0, "silence": 520 * ms} {
+		d := start(t, settings(), 6)
+		d.work(4, 50*ms, 3*time.Second)
+		d.b.Beside(d.now, map[EndpointID]int{1: 50}, d.now+500*ms)
+		at := len(d.sent)
+		if d.ask(read); len(d.sent) > at {
+			t.Fatalf("%s: sent beside 50", name)
+		}
+		if wait == 0 {
+			d.b.Beside(d.now, nil, d.now+500*ms)
+		}
+		if d.pass(wait); len(d.sent) == at {
+			t.Errorf("%s: still held", name)
+		}
+	}
+}
+
+// An endpoint that the process before has isolated, or that ramps, is no fresh one to its successor.
+func TestMarksAreInherited(t *testing.T) {
+	elder := start(t, settings(), 6)
+	elder.work(6, 20*ms, 4*time.Second)
+	elder.ask(read)
+	broken := elder.last().to
+	elder.end(elder.last(), Reset, ms)
+	heir := elder.heir(settings(), 6)
+	if n := heir.serve(10, func(EndpointID) Status { return OK })[broken]; n > 0 {
+		t.Errorf("%d calls to an endpoint that is isolated", n)
+	}
+	for elder.b.byID[broken].mark == isolated {
+		elder.work(1, 20*ms, 20*ms)
+	}
+	back := elder.heir(settings(), 6).serve(100, func(EndpointID) Status { return OK })
+	if n := back[broken]; n > 9 {
+		t.Errorf("%d of 100 calls to an endpoint that ramps", n)
+	}
+}
+
+// Of figures that cannot be, none is taken; nor of those of a process that knows less.
+func TestWhatIsNotInherited(t *testing.T) {
+	elder := start(t, settings(), 6)
+	elder.work(8, 100*ms, 8*time.Second)
+	good := elder.b.Learnt(elder.now)
+	for fault, change := range map[string]func(*Learnt){
+		"classes":      func(l *Learnt) { l.Classes = l.Classes[:1] },
+		"classes[1]":   func(l *Learnt) { l.Classes[1].Name = "other" },
+		"usual":        func(l *Learnt) { l.Classes[0].Usual = math.Inf(1) },
+		"latency":      func(l *Learnt) { l.Classes[0].Mean = 0 },
+		"windows":      func(l *Learnt) { l.Classes[0].Windows = -1 },
+		"maxLeft":      func(l *Learnt) { l.Classes[0].MaxLeft = -1 },
+		"rate.peak":    func(l *Learnt) { l.Rate.Peak = math.NaN() },
+		"served.now":   func(l *Learnt) { l.Served.Now = math.Inf(1) },
+		"queue":        func(l *Learnt) { l.Queue = math.NaN() },
+		"errors":       func(l *Learnt) { l.Errors = 1.1 },
+		"kinds[0]":     func(l *Learnt) { l.Kinds = []LearntPace{{0, 3}} },
+		"services[0]":  func(l *Learnt) { l.Services = []LearntPace{{1, -3}} },
+		"endpoints[1]": func(l *Learnt) { l.Endpoints[1].Pace.N = math.NaN() },
+		"losses":       func(l *Learnt) { l.Endpoints[0].Losses = 2 },
+		"ramped":       func(l *Learnt) { l.Endpoints[0].Ramped = -1 },
+		"shares[0]":    func(l *Learnt) { l.Shares = []float64{math.NaN()} },
+	} {
+		l := good
+		l.Classes = append([]LearntClass(nil), l.Classes...)
+		l.Endpoints = append([]LearntEndpoint(nil), l.Endpoints...)
+		change(&l)
+		d := start(t, settings(), 6)
+		before := d.b.Learnt(d.now)
+		if err := d.b.Inherit(d.now, l); err == nil || !strings.Contains(err.Error(), fault) {
+			t.Errorf("%s: %v", fault, err)
+		}
+		if after := d.b.Learnt(d.now); !reflect.DeepEqual(before, after) {
+			t.Errorf("%s: something was taken: %+v", fault, after)
+		}
+	}
+	d := start(t, settings(), 6)
+	d.work(8, 50*ms, 16*time.Second)
+	before := d.b.Learnt(d.now)
+	if err := d.b.Inherit(d.now, good); err != nil || !reflect.DeepEqual(before, d.b.Learnt(d.now)) {
+		t.Errorf("the figures of a process that knows less are taken, %v", err)
+	}
+}
+
+// What is told of many endpoints has a bound.
+func TestLearntIsBounded(t *testing.T) {
+	d := start(t, settings(), 3*learntMost)
+	for _, e := range d.b.listed {
+		e.id += 4e9
+		d.b.notePace(e, 1/(1+d.b.rng.Float64()))
+		e.service.add(1/(1+d.b.rng.Float64()), reportWeight)
+		e.errors, e.losses = d.b.rng.Float64(), d.b.rng.Float64()
+	}
+	text, err := json.Marshal(d.b.Learnt(d.now))
+	if err != nil || len(text) > 140<<10 || len(d.b.Learnt(d.now).Endpoints) != learntMost {
+		t.Errorf("%d bytes, %d endpoints, %v", len(text), len(d.b.Learnt(d.now).Endpoints), err)
+	}
+}
