--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,14 @@
 # Development only: the library itself needs nothing but the Go tool chain.
 GO_FILES := $(shell find . -name '*.go' -not -path './journal/*')
 
+POLICY := internal/decision/balancer.go
+
 .PHONY: test
 test:
 	@unformatted=$$(gofmt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
-	@lines=$$(grep -c . balancer.go); if [ "$$lines" -lt 300 ] || [ "$$lines" -gt 1200 ]; then \
-		echo "balancer.go: $$lines nonblank lines, 300 to 1200 allowed"; exit 1; fi
-	@if grep -nE '.{111,}' balancer.go api.go; then echo "lines over 110 columns"; exit 1; fi
-	go vet . ./internal/... ./cmd/...
+	@lines=$$(grep -c . $(POLICY)); if [ "$$lines" -lt 300 ] || [ "$$lines" -gt 1200 ]; then \
+		echo "$(POLICY): $$lines nonblank lines, 300 to 1200 allowed"; exit 1; fi
+	@if grep -nE '.{111,}' $(POLICY) $(dir $(POLICY))api.go; then echo "lines over 110 columns"; exit 1; fi
+	go vet ./...
 	go build -buildvcs=false -o bin/ ./cmd/...
-	go test -race -count=1 . ./internal/... ./cmd/...
+	go test -race -count=1 ./...
--- a/cmd/gingerlead-sim/main.go
+++ b/cmd/dykering-sim/main.go
@@ -1,4 +1,4 @@
-// Command gingerlead-sim runs Balancer instances on the simulator's wire, from
+// Command dykering-sim runs Balancer instances on the simulator's wire, from
 // standard input to standard output.
 package main
 
@@ -6,12 +6,12 @@
 	"fmt"
 	"os"
 
-	"gingerlead/internal/wire"
+	"dykering/internal/wire"
 )
 
 func main() {
 	if err := wire.Run(os.Stdin, os.Stdout, os.Stderr); err != nil {
-		fmt.Fprintln(os.Stderr, "gingerlead-sim: "+err.Error())
+		fmt.Fprintln(os.Stderr, "dykering-sim: "+err.Error())
 		os.Exit(1)
 	}
 }
--- a/cmd/quincegap/main.go
+++ b/cmd/dykering/main.go
@@ -1,4 +1,4 @@
-// Command quincegap is a sidecar: it balances the calls of one service, or of
+// Command dykering is a sidecar: it balances the calls of one service, or of
 // clients, over the endpoints of the next tier.
 package main
 
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"gingerlead/internal/sidecar"
+	"dykering/internal/sidecar"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 		err = sidecar.Run(config, stop, reload)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "quincegap: "+err.Error())
+		fmt.Fprintln(os.Stderr, "dykering: "+err.Error())
 		os.Exit(1)
 	}
 }
--- a/cmd/quincegap/main_test.go
+++ b/cmd/dykering/main_test.go
@@ -19,7 +19,7 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("BE_QUINCEGAP") == "1" {
+	if os.Getenv("BE_DYKERING") == "1" {
 		main()
 		return
 	}
@@ -30,7 +30,7 @@
 func TestBadConfigurationEndsTheProgram(t *testing.T) {
 	for _, config := range []string{"", "/nowhere/config.json"} {
 		cmd := exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+config)
+		cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+config)
 		var stderr bytes.Buffer
 		cmd.Stderr = &stderr
 		err := cmd.Run()
@@ -39,7 +39,7 @@
 			t.Errorf("config %q: ended with %v", config, err)
 		}
 		text := stderr.String()
-		if !strings.HasPrefix(text, "quincegap: BALANCER_CONFIG: ") || strings.Count(text, "\n") != 1 {
+		if !strings.HasPrefix(text, "dykering: BALANCER_CONFIG: ") || strings.Count(text, "\n") != 1 {
 			t.Errorf("config %q: stderr %q", config, text)
 		}
 	}
@@ -58,12 +58,12 @@
 		"BALANCER_ACCEPT_FD: ": "BALANCER_ACCEPT_FD=99",
 	} {
 		cmd := exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+file, variable)
+		cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+file, variable)
 		var stderr bytes.Buffer
 		cmd.Stderr = &stderr
 		err := cmd.Run()
 		text := stderr.String()
-		if exit := new(exec.ExitError); !errors.As(err, &exit) || !strings.HasPrefix(text, "quincegap: "+want) ||
+		if exit := new(exec.ExitError); !errors.As(err, &exit) || !strings.HasPrefix(text, "dykering: "+want) ||
 			strings.Count(text, "\n") != 1 {
 			t.Errorf("%s: ended with %v, %q", variable, err, text)
 		}
@@ -97,7 +97,7 @@
 	defer discovery.CloseClientConnections()
 	file := configure(t, discovery.Listener.Addr().String())
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+file)
+	cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+file)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/api.go
+++ b/internal/decision/api.go
@@ -1,4 +1,4 @@
-// Package gingerlead makes the decisions of a load balancer for services that
+// Package decision makes the decisions of a load balancer for services that
 // call services: which endpoint gets a call, when a call is tried again, held,
 // refused or failed, and how the endpoint list is followed.
 //
@@ -8,7 +8,7 @@
 // clock and starts no goroutine: the program that embeds it hands over each
 // event with the time, counted from an arbitrary start, and carries out the
 // actions in the order they are asked for.
-package gingerlead
+package decision
 
 import (
 	"fmt"
--- a/balancer.go
+++ b/internal/decision/balancer.go
@@ -1,6 +1,6 @@
 // Interface: api.go (settings, events, actions). This file holds all decisions.
 
-package gingerlead
+package decision
 
 import (
 	"cmp"
--- a/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -1,4 +1,4 @@
-package gingerlead
+package decision
 
 import (
 	"fmt"
--- /dev/null
+++ b/internal/decision/example_test.go
@@ -0,0 +1,55 @@
+package decision_test
+
+import (
+	"fmt"
+	"time"
+
+	"dykering/internal/decision"
+)
+
+// printer is a Host that prints the actions it is asked for.
+type printer struct{}
+
+func (printer) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+	fmt.Println("send", id, "to", to)
+}
+func (printer) Refuse(id decision.RequestID, retryAfter time.Duration) { fmt.Println("refuse", id) }
+func (printer) Fail(id decision.RequestID)                             { fmt.Println("fail", id) }
+func (printer) Cancel(id decision.RequestID, attempt int)              {}
+func (printer) SetTimer(token uint64, after time.Duration)             {}
+func (printer) Probe(to decision.EndpointID)                           {}
+func (printer) Tell(peer int, data []byte)                             {}
+func (printer) Watch(on bool)                                          {}
+func (printer) Fetch()                                                 { fmt.Println("fetch the list") }
+func (printer) CloseIdle(to decision.EndpointID)                       {}
+func (printer) Log(text string)                                        { fmt.Println("log:", text) }
+
+// A Balancer is fed events with their times, and acts through its Host.
+func Example() {
+	b, err := decision.New(decision.Settings{
+		Instances: 1, Quantum: time.Millisecond, MaxAttempts: 3, ConnectTimeout: 100 * time.Millisecond,
+		ColdFrom: 0.2, Cold: 10 * time.Second, TipMultiple: 3, Fall: time.Second,
+		Classes: []decision.Class{{Name: "lookup", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1,
+			Effect: decision.Safe}},
+	}, 1, printer{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Second
+	b.Targets(now, decision.List{Kind: decision.Whole, Version: 5, Entries: []decision.Entry{
+		{Endpoint: 11}, {Endpoint: 12, State: decision.Draining}}})
+	b.Request(now, decision.Request{ID: "a", Left: 2 * time.Second})
+	b.Outcome(now+20*time.Millisecond, decision.Outcome{ID: "a", Endpoint: 11, Status: decision.OK, Final: true,
+		Elapsed: 20 * time.Millisecond})
+	b.Request(now+time.Second, decision.Request{ID: "b", Left: 2 * time.Second})
+	b.Targets(now+time.Second, decision.List{Kind: decision.Delta, Version: 6, Entries: []decision.Entry{
+		{Endpoint: 12}}})
+	b.Outcome(now+time.Second, decision.Outcome{ID: "b", Endpoint: 11, Status: decision.Reset})
+	// Output:
+	// send a to 11
+	// send b to 11
+	// log: endpoint 11 isolated: connection reset (list version 5)
+	// fetch the list
+	// send b to 12
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 // mostLoad is more than any figure of a load report can be.
@@ -14,8 +14,8 @@
 
 // ParseLoad reads a load report, pairs of a name of feedback.fields and a figure, divided by commas. The
 // sockets and the simulator's wire differ in what stands between the two.
-func ParseLoad(text, between string) (*gingerlead.Load, error) {
-	l := &gingerlead.Load{InFlight: -1, Queue: -1, Util: -1, Service: -1}
+func ParseLoad(text, between string) (*decision.Load, error) {
+	l := &decision.Load{InFlight: -1, Queue: -1, Util: -1, Service: -1}
 	for pair := range strings.SplitSeq(text, ",") {
 		name, figure, ok := strings.Cut(strings.TrimSpace(pair), between)
 		v, err := strconv.ParseFloat(figure, 64)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 // config mirrors the JSON object that starts an instance. Keys that are not
@@ -82,17 +82,17 @@
 // effects and scopes translate the wire's words; an unknown word is handed on
 // as it is, for the Balancer to reject by name.
 var (
-	effects = map[string]gingerlead.Effect{
-		"read_like": gingerlead.Safe, "idempotency_key": gingerlead.Keyed, "non_idempotent": gingerlead.Unsafe,
+	effects = map[string]decision.Effect{
+		"read_like": decision.Safe, "idempotency_key": decision.Keyed, "non_idempotent": decision.Unsafe,
 	}
-	scopes = map[string]gingerlead.Scope{
-		"all": gingerlead.ScopeAll, "zone": gingerlead.ScopeZone, "cell": gingerlead.ScopeCell,
+	scopes = map[string]decision.Scope{
+		"all": decision.ScopeAll, "zone": decision.ScopeZone, "cell": decision.ScopeCell,
 	}
 )
 
 // Settings is what a Balancer is started with, and what only the program round it needs.
 type Settings struct {
-	gingerlead.Settings
+	decision.Settings
 	Zones         []string // names; the Balancer knows their indexes
 	Models        []string
 	ConnIdle      time.Duration // an endpoint closes a connection that stood idle so long; 0 if not told
@@ -123,7 +123,7 @@
 	}
 	s = Settings{Zones: c.Zones, Models: c.Models, ConnIdle: Micros(c.Allowed.ConnIdle),
 		GraceToAnswer: Micros(c.Rules.Grace), OpenCap: c.Allowed.OpenCap}
-	s.Settings = gingerlead.Settings{
+	s.Settings = decision.Settings{
 		Instances: c.Instances, Ordinal: c.Ordinal, Stage: c.Stage, Tiers: len(c.Tiers), Quantum: Micros(c.Quantum),
 		OverShareWorth: c.OverShareWorth, WorthByWork: c.WorthBy == "work",
 		GoalWhole: c.Goal.Whole, GoalWorstClass: c.Goal.WorstClass,
@@ -140,14 +140,14 @@
 		s.MaxRetryAfter = Micros(c.Allowed.MaxRetryAfter)
 	}
 	for _, v := range c.Services {
-		s.Classes = append(s.Classes, gingerlead.Class{
+		s.Classes = append(s.Classes, decision.Class{
 			Name: v.Name, Aim: Micros(v.Aim), Deadline: Micros(v.Deadline), Worth: v.Gain,
 			LateWorth: v.LateValue, Effect: translate(effects, v.Effect), Scope: translate(scopes, v.KeyScope),
 			Window: Micros(v.Window), Stream: v.Streamed,
 		})
 	}
 	for _, v := range c.Tenants {
-		s.Tenants = append(s.Tenants, gingerlead.Tenant{Name: v.Name, QuotaPerS: v.QuotaPerS})
+		s.Tenants = append(s.Tenants, decision.Tenant{Name: v.Name, QuotaPerS: v.QuotaPerS})
 	}
 	return s, unknown, nil
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"gingerlead/internal/settings"
+	"dykering/internal/settings"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,7 +18,7 @@
 	"sync/atomic"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 const (
@@ -51,8 +51,8 @@
 	BootMS  int64   `json:"boot_ms"`
 }
 
-var states = map[string]gingerlead.State{
-	"Ready": gingerlead.Ready, "Terminating": gingerlead.Draining, "Gone": gingerlead.Gone,
+var states = map[string]decision.State{
+	"Ready": decision.Ready, "Terminating": decision.Draining, "Gone": decision.Gone,
 }
 
 // source is where a list came from.
@@ -66,7 +66,7 @@
 
 // endpoint is one start of an endpoint at one address. When either changes, another takes its place.
 type endpoint struct {
-	id      gingerlead.EndpointID
+	id      decision.EndpointID
 	uid     string
 	address string
 	bootMS  int64
@@ -78,8 +78,8 @@
 // still out to it holds on to its endpoint, that is open to nothing new. The loop owns the table.
 type endpoints struct {
 	origin time.Time // zero of the event clock
-	byID   map[gingerlead.EndpointID]*endpoint
-	ids    map[string]gingerlead.EndpointID
+	byID   map[decision.EndpointID]*endpoint
+	ids    map[string]decision.EndpointID
 	zones  names
 	models names
 }
@@ -103,8 +103,8 @@
 }
 
 func newEndpoints(zones, models []string, origin time.Time) *endpoints {
-	t := &endpoints{origin: origin, byID: map[gingerlead.EndpointID]*endpoint{},
-		ids: map[string]gingerlead.EndpointID{}, zones: names{}, models: names{}}
+	t := &endpoints{origin: origin, byID: map[decision.EndpointID]*endpoint{},
+		ids: map[string]decision.EndpointID{}, zones: names{}, models: names{}}
 	for _, z := range zones {
 		t.zones.index(z)
 	}
@@ -117,7 +117,7 @@
 // id numbers a uid. Where it ends in 32 bits of hexadecimal, as discovery's do, these are its number: the
 // same at every sidecar, and no two share it. Others are hashed, and where two would share a number, the
 // later one moves on.
-func (t *endpoints) id(uid string) gingerlead.EndpointID {
+func (t *endpoints) id(uid string) decision.EndpointID {
 	if id, ok := t.ids[uid]; ok {
 		return id
 	}
@@ -127,7 +127,7 @@
 		io.WriteString(h, uid)
 		n = uint64(h.Sum32())
 	}
-	id := gingerlead.EndpointID(n)
+	id := decision.EndpointID(n)
 	for t.byID[id] != nil {
 		id++
 	}
@@ -148,14 +148,14 @@
 
 // update takes a list in and returns it in the Balancer's terms, with the endpoints whose idle connections
 // are of no more use.
-func (t *endpoints) update(l endpointList) (entries []gingerlead.Entry, retired []*endpoint) {
-	listed := map[gingerlead.EndpointID]bool{}
+func (t *endpoints) update(l endpointList) (entries []decision.Entry, retired []*endpoint) {
+	listed := map[decision.EndpointID]bool{}
 	for _, x := range l.Targets {
 		state, ok := states[x.State]
 		zone, zoneOK := t.zones.index(x.Zone)
 		model, modelOK := t.models.index(x.Model)
 		_, _, err := net.SplitHostPort(x.Address)
-		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == gingerlead.Ready {
+		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == decision.Ready {
 			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID, x.State,
 				x.Address, x.Zone, x.Model)
 			continue
@@ -163,7 +163,7 @@
 		id := t.id(x.UID)
 		listed[id] = true
 		e := t.byID[id]
-		if e == nil || state == gingerlead.Ready && (e.address != x.Address || e.bootMS != x.BootMS) {
+		if e == nil || state == decision.Ready && (e.address != x.Address || e.bootMS != x.BootMS) {
 			if e != nil {
 				e.open.Store(false)
 				retired = append(retired, e)
@@ -171,14 +171,14 @@
 			e = &endpoint{id: id, uid: x.UID, address: x.Address, bootMS: x.BootMS}
 			t.put(e)
 		}
-		e.open.Store(state == gingerlead.Ready)
-		if state != gingerlead.Ready {
+		e.open.Store(state == decision.Ready)
+		if state != decision.Ready {
 			retired = append(retired, e)
 		}
-		if state == gingerlead.Gone {
+		if state == decision.Gone {
 			t.forget(e)
 		}
-		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
+		entries = append(entries, decision.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
 			Weight: x.Weight, Started: t.started(x.BootMS)})
 	}
 	if l.All {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 func ready(uid string, bootMS int64) target {
@@ -21,7 +21,7 @@
 // An endpoint's number is the same at every sidecar, in whatever order lists name it, and no two share one.
 func TestEndpointIDs(t *testing.T) {
 	a, b := newEndpoints(nil, nil, time.Now()), newEndpoints(nil, nil, time.Now())
-	put := func(t *endpoints, uid string) gingerlead.EndpointID {
+	put := func(t *endpoints, uid string) decision.EndpointID {
 		id := t.id(uid)
 		t.put(&endpoint{id: id, uid: uid})
 		return id
@@ -130,7 +130,7 @@
 		Known: endpointList{Rev: 41, All: true, Targets: []target{ready("s-1", 0)}}}
 	config.Settings.ConnectTimeout = patience
 	config.Settings.Instances = 1
-	config.Settings.Classes = []gingerlead.Class{{Name: "a", Effect: gingerlead.Safe}}
+	config.Settings.Classes = []decision.Class{{Name: "a", Effect: decision.Safe}}
 	l, err := newLoop(config)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,7 +4,7 @@
 	"log"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 const (
@@ -27,8 +27,8 @@
 	endsAt    time.Time // when all must be answered; zero unless this sidecar was told to stop
 	rev       uint64    // version of the list that the Balancer has
 	moved     bool      // that list is another discovery's than the one that is followed now
-	balancer  *gingerlead.Balancer
-	requests  map[gingerlead.RequestID]*request
+	balancer  *decision.Balancer
+	requests  map[decision.RequestID]*request
 	past      past
 	endpoints *endpoints
 	pool      pool
@@ -38,7 +38,7 @@
 
 // request is one request from its arrival until it is answered and its last attempt has ended.
 type request struct {
-	gingerlead.Request
+	decision.Request
 	inbound
 
 	deadline time.Time // when its attempts end, so that the last byte of its answer is out in time
@@ -66,13 +66,13 @@
 func newLoop(c *Config) (*loop, error) {
 	l := &loop{
 		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, life: newLifecycle(), memory: newMemory(c),
-		requests: map[gingerlead.RequestID]*request{}, adopted: map[*attempt]bool{},
+		requests: map[decision.RequestID]*request{}, adopted: map[*attempt]bool{},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
 	l.watcher = newWatcher(c.Discovery, l)
 	var err error
-	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
+	l.balancer, err = decision.New(c.Settings.Settings, c.Seed, l)
 	return l, err
 }
 
@@ -171,13 +171,13 @@
 	l.pool.release(a.endpoint, res.conn)
 	r.out = nil
 	final := r.answered
-	if res.status == gingerlead.OK && !r.answered && res.response.more == nil {
+	if res.status == decision.OK && !r.answered && res.response.more == nil {
 		final = true
 		l.finish(r, answer{response: res.response})
 	} else if res.response != nil && res.response.more == nil {
 		l.discard(res.response)
 	}
-	l.balancer.Outcome(l.now(), gingerlead.Outcome{
+	l.balancer.Outcome(l.now(), decision.Outcome{
 		ID: r.ID, Endpoint: a.endpoint.id, Attempt: a.number, Final: final,
 		Elapsed: res.took, Status: res.status, Load: res.load, Spent: res.spent,
 	})
@@ -250,13 +250,13 @@
 // past holds the ids of requests that have ended a short while ago. An id is new with every request: one that
 // comes again is another's, and endpoints may run it twice or turn it away.
 type past struct {
-	at  map[gingerlead.RequestID]time.Duration
-	ids []gingerlead.RequestID // in the order in which they ended
+	at  map[decision.RequestID]time.Duration
+	ids []decision.RequestID // in the order in which they ended
 }
 
-func (p *past) add(id gingerlead.RequestID, now time.Duration) {
+func (p *past) add(id decision.RequestID, now time.Duration) {
 	if p.at == nil {
-		p.at = map[gingerlead.RequestID]time.Duration{}
+		p.at = map[decision.RequestID]time.Duration{}
 	}
 	for len(p.ids) > 0 && (len(p.ids) >= pastMost || now-p.at[p.ids[0]] > pastFor) {
 		delete(p.at, p.ids[0])
@@ -266,14 +266,14 @@
 	p.ids = append(p.ids, id)
 }
 
-func (p *past) has(id gingerlead.RequestID, now time.Duration) bool {
+func (p *past) has(id decision.RequestID, now time.Duration) bool {
 	at, ok := p.at[id]
 	return ok && now-at <= pastFor
 }
 
 // The methods below are the Host. They never block and never call the Balancer.
 
-func (l *loop) Send(id gingerlead.RequestID, to gingerlead.EndpointID, timeout time.Duration) {
+func (l *loop) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
 	r := l.requests[id]
 	a := newAttempt(r, l.endpoints.byID[to], timeout, l)
 	r.attempts++
@@ -281,7 +281,7 @@
 	c, ok := l.pool.acquire(a.endpoint, a.sent)
 	go func() {
 		defer a.close()
-		res := result{status: gingerlead.Moot}
+		res := result{status: decision.Moot}
 		if ok {
 			res = a.run(c, l.config.Settings.ConnectTimeout, l.memory)
 		}
@@ -289,20 +289,20 @@
 	}()
 }
 
-func (l *loop) Refuse(id gingerlead.RequestID, retryAfter time.Duration) {
+func (l *loop) Refuse(id decision.RequestID, retryAfter time.Duration) {
 	l.end(id, answer{refused: true, retryAfter: retryAfter})
 }
 
-func (l *loop) Fail(id gingerlead.RequestID) { l.end(id, answer{}) }
+func (l *loop) Fail(id decision.RequestID) { l.end(id, answer{}) }
 
-func (l *loop) end(id gingerlead.RequestID, a answer) {
+func (l *loop) end(id decision.RequestID, a answer) {
 	if r := l.requests[id]; r != nil {
 		l.finish(r, a)
 		l.forget(r)
 	}
 }
 
-func (l *loop) Cancel(id gingerlead.RequestID, number int) {
+func (l *loop) Cancel(id decision.RequestID, number int) {
 	if r := l.requests[id]; r != nil && r.out != nil && r.out.number == number {
 		r.out.cancel()
 	}
@@ -314,7 +314,7 @@
 	})
 }
 
-func (l *loop) Probe(to gingerlead.EndpointID) {
+func (l *loop) Probe(to decision.EndpointID) {
 	e := l.endpoints.byID[to]
 	if e == nil {
 		return
@@ -323,7 +323,7 @@
 	go func() {
 		status := probe(e, l.config.Settings.ConnectTimeout)
 		l.post(func() {
-			l.balancer.Probed(l.now(), gingerlead.Probed{Endpoint: to, Status: status, Elapsed: time.Since(sent)})
+			l.balancer.Probed(l.now(), decision.Probed{Endpoint: to, Status: status, Elapsed: time.Since(sent)})
 		})
 	}()
 }
@@ -340,7 +340,7 @@
 
 func (l *loop) Fetch() { l.watcher.fetch() }
 
-func (l *loop) CloseIdle(to gingerlead.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
+func (l *loop) CloseIdle(to decision.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
 
 func (l *loop) Log(text string) { log.Print(text) }
 
@@ -352,7 +352,7 @@
 	l.moved = true
 	l.watcher.fetch()
 	if l.config.Settings.MustAsk {
-		l.balancer.Targets(l.now(), gingerlead.List{Kind: gingerlead.Failed}) // it watches in its own time
+		l.balancer.Targets(l.now(), decision.List{Kind: decision.Failed}) // it watches in its own time
 		return
 	}
 	l.watcher.start(nil)
@@ -388,14 +388,14 @@
 	for _, e := range retired {
 		l.pool.closeIdle(e)
 	}
-	kind := gingerlead.Delta
+	kind := decision.Delta
 	switch {
 	case from == fromCache:
-		kind = gingerlead.Cached
+		kind = decision.Cached
 	case got.All:
-		kind = gingerlead.Whole
+		kind = decision.Whole
 	}
-	l.balancer.Targets(l.now(), gingerlead.List{Kind: kind, Version: got.Rev, Entries: entries})
+	l.balancer.Targets(l.now(), decision.List{Kind: kind, Version: got.Rev, Entries: entries})
 	if from != fromCache || len(entries) > 0 {
 		l.life.haveList()
 	}
@@ -403,5 +403,5 @@
 
 func (l *loop) listFailed(err error) {
 	log.Printf("discovery: %v", err)
-	l.balancer.Targets(l.now(), gingerlead.List{Kind: gingerlead.Failed})
+	l.balancer.Targets(l.now(), decision.List{Kind: decision.Failed})
 }
--- a/internal/sidecar/passage.go
+++ b/internal/sidecar/passage.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/handover"
+	"dykering/internal/decision"
+	"dykering/internal/handover"
 )
 
 // passageVersion is the version of passage. A process that does not know the one that it is offered declines it,
@@ -343,7 +343,7 @@
 		body.chunks.r = r
 	}
 	req := &request{answer: make(chan answer, 1)}
-	req.ID, req.Left, req.Long = gingerlead.RequestID(left.ID), left.Wait, true
+	req.ID, req.Left, req.Long = decision.RequestID(left.ID), left.Wait, true
 	req.more = newUpload(c, body, s.tooLate)
 	req.more.total, req.more.pending, req.more.resumed = left.Total, left.Pending, true
 	req.more.gift = s.giftOfUpload(r, w, req)
@@ -427,7 +427,7 @@
 // out of it is not kept.
 func (h *heirHost) outcome(res result) {
 	switch {
-	case res.status == gingerlead.OK && res.response != nil && res.response.more == nil:
+	case res.status == decision.OK && res.response != nil && res.response.more == nil:
 		h.give(answer{response: res.response})
 	case res.status.NeverRan():
 		h.give(h.server.config.turnedAway())
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/handover"
+	"dykering/internal/decision"
+	"dykering/internal/handover"
 )
 
 const (
@@ -113,7 +113,7 @@
 		}
 	}
 	req = &request{answer: make(chan answer, 1)}
-	req.ID = gingerlead.RequestID(r.Header.Get("X-Txn"))
+	req.ID = decision.RequestID(r.Header.Get("X-Txn"))
 	if req.ID == "" || len(req.ID) > maxName {
 		return nil, "X-Txn: missing or too long"
 	}
@@ -134,10 +134,10 @@
 			return nil, "X-Org: unknown tenant"
 		}
 	}
-	if class.Effect == gingerlead.Keyed && r.Header.Get("Idempotency-Key") == "" {
+	if class.Effect == decision.Keyed && r.Header.Get("Idempotency-Key") == "" {
 		return nil, "Idempotency-Key: missing" // endpoints could not drop a repeat
 	}
-	if (class.Effect == gingerlead.Safe) != (r.Method == http.MethodGet) || r.Method != http.MethodGet && r.Method != http.MethodPost {
+	if (class.Effect == decision.Safe) != (r.Method == http.MethodGet) || r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, r.Method + ": not the method of this class"
 	}
 	if cookie, err := r.Cookie("obj"); err == nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,7 +9,7 @@
 	"runtime"
 	"runtime/debug"
 
-	"gingerlead/internal/control"
+	"dykering/internal/control"
 )
 
 // memoryShare is the part of the memory limit at which the collector works harder; the rest is for stacks
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 // patience bounds what a test waits for; it only passes when something is wrong.
@@ -838,7 +838,7 @@
 	})
 	var past past
 	for i := range 3 * pastMost {
-		past.add(gingerlead.RequestID(fmt.Sprint(i)), 0)
+		past.add(decision.RequestID(fmt.Sprint(i)), 0)
 	}
 	past.add("last", 2*pastFor)
 	if len(past.at) != 1 || len(past.ids) != 1 || past.has("1", 2*pastFor) || !past.has("last", 2*pastFor) {
--- a/internal/sidecar/succession.go
+++ b/internal/sidecar/succession.go
@@ -5,8 +5,8 @@
 	"log"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/handover"
+	"dykering/internal/decision"
+	"dykering/internal/handover"
 )
 
 const (
@@ -19,8 +19,8 @@
 
 // word is what a process that ends tells its successor of itself.
 type word struct {
-	Learnt *gingerlead.Learnt            `json:"learnt,omitempty"`
-	Calls  map[gingerlead.EndpointID]int `json:"calls,omitempty"`
+	Learnt *decision.Learnt            `json:"learnt,omitempty"`
+	Calls  map[decision.EndpointID]int `json:"calls,omitempty"`
 }
 
 // tell tells the successor what this process has learnt, and, until done, what it has in flight. A successor that
--- a/internal/sidecar/succession_test.go
+++ b/internal/sidecar/succession_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/handover"
+	"dykering/internal/decision"
+	"dykering/internal/handover"
 )
 
 // windows is what a sidecar has looked at of the latencies of a class.
@@ -115,7 +115,7 @@
 	}
 }
 
-func (rg *rig) learnt() (l gingerlead.Learnt) {
+func (rg *rig) learnt() (l decision.Learnt) {
 	rg.inLoop(func() { l = rg.server.loop.balancer.Learnt(24 * time.Hour) })
 	return l
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -19,8 +19,8 @@
 	"syscall"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/settings"
+	"dykering/internal/decision"
+	"dykering/internal/settings"
 )
 
 const (
@@ -237,10 +237,10 @@
 
 // result is how an attempt ended. Its connection is nil unless it can carry another attempt.
 type result struct {
-	status   gingerlead.Status
+	status   decision.Status
 	took     time.Duration
 	response *response
-	load     *gingerlead.Load
+	load     *decision.Load
 	conn     *conn
 	spent    bool // what was sent can't be sent again
 }
@@ -355,7 +355,7 @@
 		}
 	}
 	res = a.over(c, room)
-	if res.status == gingerlead.Reset {
+	if res.status == decision.Reset {
 		a.whatBroke(&res, connectTimeout)
 	}
 	return res
@@ -381,11 +381,11 @@
 func (a *attempt) whatBroke(res *result, connectTimeout time.Duration) {
 	time.Sleep(resetsSpread)
 	if a.endpoint.waiting.Load() > 0 {
-		res.status = gingerlead.Spoilt
+		res.status = decision.Spoilt
 		return
 	}
 	if c, err := a.dial(connectTimeout); err == nil {
-		res.status, res.conn = gingerlead.Spoilt, c
+		res.status, res.conn = decision.Spoilt, c
 	}
 }
 
@@ -406,17 +406,17 @@
 }
 
 // unsent is the status of an attempt whose last byte was certainly not written.
-func (a *attempt) unsent() gingerlead.Status {
+func (a *attempt) unsent() decision.Status {
 	if a.ctx.Err() != nil {
-		return gingerlead.Moot
+		return decision.Moot
 	}
-	return gingerlead.ConnectFailed
+	return decision.ConnectFailed
 }
 
 func (a *attempt) exchange(c *conn, room *memory) result {
 	// The dial may have outlasted the endpoint's welcome.
 	if !a.endpoint.open.Load() || a.ctx.Err() != nil {
-		return result{status: gingerlead.Moot}
+		return result{status: decision.Moot}
 	}
 	if a.request.more != nil {
 		return a.exchangeLong(c, room)
@@ -444,22 +444,22 @@
 }
 
 // broken is the status of an attempt that was written and whose answer did not come whole.
-func (a *attempt) broken(err error) gingerlead.Status {
+func (a *attempt) broken(err error) decision.Status {
 	switch cause := context.Cause(a.ctx); {
 	case errors.Is(err, errCallerGone):
-		return gingerlead.Cancelled
+		return decision.Cancelled
 	case errors.Is(err, errPassedOn):
-		return gingerlead.OK // the successor has the rest of the answer, and both connections
+		return decision.OK // the successor has the rest of the answer, and both connections
 	case errors.Is(cause, context.DeadlineExceeded):
-		return gingerlead.Timeout
+		return decision.Timeout
 	case cause != nil:
-		return gingerlead.Cancelled
+		return decision.Cancelled
 	case errors.As(err, new(*net.OpError)), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
 		errors.Is(err, io.ErrClosedPipe):
-		return gingerlead.Reset
+		return decision.Reset
 	}
 	// The endpoint has run it and is well, but what it says cannot be used.
-	return gingerlead.Spoilt
+	return decision.Spoilt
 }
 
 // exchangeLong sends a long body as it comes, and listens at the same time: an endpoint may turn it away before
@@ -490,7 +490,7 @@
 	select {
 	case e = <-sent:
 		if errors.Is(e.write, errPassedOn) {
-			return result{status: gingerlead.Cancelled, spent: true}
+			return result{status: decision.Cancelled, spent: true}
 		}
 		res = <-answer
 	case res = <-answer:
@@ -508,10 +508,10 @@
 	}
 	// Its last byte is not out: whatever was answered, it has not run.
 	early := res.status
-	res = result{status: gingerlead.Moot, spent: a.request.more.spent}
+	res = result{status: decision.Moot, spent: a.request.more.spent}
 	switch {
-	case early == gingerlead.Full:
-		res.status = gingerlead.Full
+	case early == decision.Full:
+		res.status = decision.Full
 	case e.caller == nil && e.write != errEarly && e.write != errLate:
 		res.status = a.unsent()
 	}
@@ -596,7 +596,7 @@
 	if err != nil {
 		return res, err
 	}
-	res.status = gingerlead.Error
+	res.status = decision.Error
 	if report := header.Get("X-Pressure"); report != "" {
 		res.load, _ = settings.ParseLoad(report, "=") // a report that cannot be read is none
 	}
@@ -604,16 +604,16 @@
 	case code == http.StatusOK && !a.isOut():
 		return res, errSpoilt // it has not been asked yet
 	case code == http.StatusOK:
-		res.status = gingerlead.OK
+		res.status = decision.OK
 		removeHopByHop(http.Header(header))
 		res.response, err = a.take(c, body, header, room)
 	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
 		if header.Get("X-Turned-Away") == "1" {
-			res.status = gingerlead.Full
+			res.status = decision.Full
 		}
 		err = body.skip()
 	case code < http.StatusInternalServerError:
-		res.status = gingerlead.Spoilt // the request is at fault, not the endpoint
+		res.status = decision.Spoilt // the request is at fault, not the endpoint
 		fallthrough
 	default:
 		err = body.skip()
@@ -833,24 +833,24 @@
 }
 
 // probe asks an endpoint for its health on a connection of its own.
-func probe(e *endpoint, timeout time.Duration) gingerlead.Status {
+func probe(e *endpoint, timeout time.Duration) decision.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	transport := &http.Transport{DisableKeepAlives: true}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+"/health", nil)
 	if err != nil {
-		return gingerlead.Moot
+		return decision.Moot
 	}
 	res, err := transport.RoundTrip(r)
 	switch {
 	case ctx.Err() != nil:
-		return gingerlead.Timeout
+		return decision.Timeout
 	case err != nil:
-		return gingerlead.ConnectFailed
+		return decision.ConnectFailed
 	}
 	res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return gingerlead.Error
+		return decision.Error
 	}
-	return gingerlead.OK
+	return decision.OK
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"gingerlead"
+	"dykering/internal/decision"
 )
 
 // tryOut makes an attempt at an endpoint, on a connection of the test's if there is one.
@@ -89,51 +89,51 @@
 	}
 	for name, c := range map[string]struct {
 		play func(net.Conn)
-		want gingerlead.Status
+		want decision.Status
 		keep bool
 	}{
-		"served":              {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
-		"served, then closes": {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"), gingerlead.OK, false},
-		"served, old version": {reply("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, false},
-		"served in chunks":    {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), gingerlead.OK, true},
-		"after information":   {reply("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
-		"with a report":       {reply("HTTP/1.1 200 OK\r\nX-Pressure: inflight=7,queue=2\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
-		"with a bad report":   {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
-		"with an odd report":  {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue=NaN\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
+		"served":              {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
+		"served, then closes": {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"), decision.OK, false},
+		"served, old version": {reply("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.OK, false},
+		"served in chunks":    {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), decision.OK, true},
+		"after information":   {reply("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
+		"with a report":       {reply("HTTP/1.1 200 OK\r\nX-Pressure: inflight=7,queue=2\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
+		"with a bad report":   {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
+		"with an odd report":  {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue=NaN\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
 		"after many informations": {reply(strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", maxInformation) +
-			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.OK, true},
 		"after too many": {reply(strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", maxInformation+1) +
-			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"and a copy":          {reply(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2)), gingerlead.OK, false},
-		"and noise":           {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\x00\x01"), gingerlead.OK, false},
-		"until closed":        {reply("HTTP/1.1 200 OK\r\n\r\nok"), gingerlead.OK, false},
-		"two lengths":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\noky"), gingerlead.Spoilt, false},
-		"length and chunks":   {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), gingerlead.Spoilt, false},
-		"negative length":     {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"length no number":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nok"), gingerlead.Spoilt, false},
-		"huge length":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), gingerlead.Spoilt, false},
-		"unknown coding":      {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"), gingerlead.Spoilt, false},
-		"broken chunks":       {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n"), gingerlead.Spoilt, false},
-		"other version":       {reply("ICY 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"status no number":    {reply("HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"status long":         {reply("HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"no colon":            {reply("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
-		"request at fault":    {reply("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), gingerlead.Spoilt, true},
-		"turned away, spoilt": {reply("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 2x\r\n\r\n"), gingerlead.Spoilt, false},
-		"error":               {reply("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"), gingerlead.Error, true},
-		"turned away":         {reply("HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), gingerlead.Full, true},
-		"no word of it":       {reply("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), gingerlead.Error, true},
-		"cut body":            {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), gingerlead.Reset, false},
-		"no answer":           {reply(""), gingerlead.Reset, false},
-		"nonsense":            {reply("who is there\r\n\r\n"), gingerlead.Spoilt, false},
-		"beyond all bounds":   {reply(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 4*maxBody+1)), gingerlead.Spoilt, false},
-		"large, cut short":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nok"), gingerlead.Reset, false},
-		"large":               {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), gingerlead.OK, true},
-		"with trailers":       {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"), gingerlead.OK, true},
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.Spoilt, false},
+		"and a copy":          {reply(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2)), decision.OK, false},
+		"and noise":           {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\x00\x01"), decision.OK, false},
+		"until closed":        {reply("HTTP/1.1 200 OK\r\n\r\nok"), decision.OK, false},
+		"two lengths":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\noky"), decision.Spoilt, false},
+		"length and chunks":   {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), decision.Spoilt, false},
+		"negative length":     {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), decision.Spoilt, false},
+		"length no number":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nok"), decision.Spoilt, false},
+		"huge length":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), decision.Spoilt, false},
+		"unknown coding":      {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"), decision.Spoilt, false},
+		"broken chunks":       {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n"), decision.Spoilt, false},
+		"other version":       {reply("ICY 200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.Spoilt, false},
+		"status no number":    {reply("HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok"), decision.Spoilt, false},
+		"status long":         {reply("HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok"), decision.Spoilt, false},
+		"no colon":            {reply("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nok"), decision.Spoilt, false},
+		"request at fault":    {reply("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), decision.Spoilt, true},
+		"turned away, spoilt": {reply("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 2x\r\n\r\n"), decision.Spoilt, false},
+		"error":               {reply("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"), decision.Error, true},
+		"turned away":         {reply("HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), decision.Full, true},
+		"no word of it":       {reply("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), decision.Error, true},
+		"cut body":            {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), decision.Reset, false},
+		"no answer":           {reply(""), decision.Reset, false},
+		"nonsense":            {reply("who is there\r\n\r\n"), decision.Spoilt, false},
+		"beyond all bounds":   {reply(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 4*maxBody+1)), decision.Spoilt, false},
+		"large, cut short":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nok"), decision.Reset, false},
+		"large":               {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), decision.OK, true},
+		"with trailers":       {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"), decision.OK, true},
 		"broken before the last byte": {func(c net.Conn) {
 			c.Read(make([]byte, 10))
 			c.Close()
-		}, gingerlead.ConnectFailed, false},
+		}, decision.ConnectFailed, false},
 	} {
 		res := tryOut("", true, pipe(t, c.play), patience, nil)
 		if res.status != c.want || (res.conn != nil) != c.keep {
@@ -142,7 +142,7 @@
 		if wantLoad := name == "with a report"; (res.load != nil) != wantLoad || wantLoad && res.load.Queue != 2 {
 			t.Errorf("%s: load %+v", name, res.load)
 		}
-		if c.want == gingerlead.OK && name != "large" && string(res.response.body) != "ok" {
+		if c.want == decision.OK && name != "large" && string(res.response.body) != "ok" {
 			t.Errorf("%s: body %q", name, res.response.body)
 		}
 	}
@@ -171,7 +171,7 @@
 				}
 			}
 		})
-		if res := tryOut("", true, near, patience, nil); res.status != gingerlead.Spoilt || res.conn != nil {
+		if res := tryOut("", true, near, patience, nil); res.status != decision.Spoilt || res.conn != nil {
 			t.Errorf("%s: status %v", name, res.status)
 		}
 		near.Close()
@@ -196,11 +196,11 @@
 		return a.over(newConn(pipe(t, answer)), b)
 	}
 	tight := roomFor(1)
-	if res := try(tight); res.status != gingerlead.OK || tight.bodies.left.Load() != 1-2 {
+	if res := try(tight); res.status != decision.OK || tight.bodies.left.Load() != 1-2 {
 		t.Errorf("status %v, %d bytes left", res.status, tight.bodies.left.Load())
 	}
 	tight = roomFor(maxBody)
-	if res := try(tight); res.status != gingerlead.OK || tight.bodies.left.Load() != maxBody-2 {
+	if res := try(tight); res.status != decision.OK || tight.bodies.left.Load() != maxBody-2 {
 		t.Errorf("status %v, %d bytes left", res.status, tight.bodies.left.Load())
 	}
 }
@@ -229,7 +229,7 @@
 	e.open.Store(true)
 	a := newAttempt(&request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}, e, 0, aside{})
 	defer a.close()
-	if res := a.run(c, patience, roomy()); res.status != gingerlead.OK || string(res.response.body) != "new" {
+	if res := a.run(c, patience, roomy()); res.status != decision.OK || string(res.response.body) != "new" {
 		t.Errorf("status %v, response %+v", res.status, res.response)
 	}
 }
@@ -241,7 +241,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	if res := tryOut(l.Addr().String(), false, nil, patience, nil); res.status != gingerlead.Moot || res.conn != nil {
+	if res := tryOut(l.Addr().String(), false, nil, patience, nil); res.status != decision.Moot || res.conn != nil {
 		t.Errorf("status %v, conn %v", res.status, res.conn)
 	}
 	c, err := l.Accept()
@@ -283,12 +283,12 @@
 	e.open.Store(true)
 	a := newAttempt(&request{deadline: time.Now().Add(patience)}, e, 0, aside{})
 	defer a.close()
-	if res := a.run(nil, 100*time.Millisecond, roomy()); res.status != gingerlead.ConnectFailed {
+	if res := a.run(nil, 100*time.Millisecond, roomy()); res.status != decision.ConnectFailed {
 		t.Errorf("status %v", res.status)
 	}
 	a = newAttempt(&request{deadline: time.Now().Add(100 * time.Millisecond)}, e, 0, aside{})
 	defer a.close()
-	if res := a.run(nil, patience, roomy()); res.status != gingerlead.Moot {
+	if res := a.run(nil, patience, roomy()); res.status != decision.Moot {
 		t.Errorf("status %v at the request's deadline", res.status)
 	}
 }
@@ -300,7 +300,7 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	if res := tryOut(address, true, nil, patience, nil); res.status != gingerlead.ConnectFailed {
+	if res := tryOut(address, true, nil, patience, nil); res.status != decision.ConnectFailed {
 		t.Errorf("status %v", res.status)
 	}
 }
@@ -310,10 +310,10 @@
 	for name, c := range map[string]struct {
 		timeout time.Duration
 		cancel  bool
-		want    gingerlead.Status
+		want    decision.Status
 	}{
-		"time-out": {100 * time.Millisecond, false, gingerlead.Timeout},
-		"cancel":   {patience, true, gingerlead.Cancelled},
+		"time-out": {100 * time.Millisecond, false, decision.Timeout},
+		"cancel":   {patience, true, decision.Cancelled},
 	} {
 		written := make(chan bool)
 		near := pipe(t, func(far net.Conn) {
@@ -431,15 +431,15 @@
 		w.WriteHeader(int(health.Load()))
 	})
 	e := &endpoint{address: x.Address}
-	if got := probe(e, patience); got != gingerlead.OK {
+	if got := probe(e, patience); got != decision.OK {
 		t.Errorf("healthy: %v", got)
 	}
 	health.Store(http.StatusServiceUnavailable)
-	if got := probe(e, patience); got != gingerlead.Error {
+	if got := probe(e, patience); got != decision.Error {
 		t.Errorf("unwell: %v", got)
 	}
 	mute := peer(t, "s-2", func(w http.ResponseWriter, r *http.Request) { gone(r) })
-	if got := probe(&endpoint{address: mute.Address}, 100*time.Millisecond); got != gingerlead.Timeout {
+	if got := probe(&endpoint{address: mute.Address}, 100*time.Millisecond); got != decision.Timeout {
 		t.Errorf("mute: %v", got)
 	}
 }
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/settings"
+	"dykering/internal/decision"
+	"dykering/internal/settings"
 )
 
 // fields takes the values off a line one by one. The first that is missing or
@@ -103,16 +103,16 @@
 
 func (f *fields) time(field string) time.Duration { return settings.Micros(f.number(field)) }
 
-func (f *fields) id(field string) gingerlead.RequestID {
-	return gingerlead.RequestID(f.value(field))
+func (f *fields) id(field string) decision.RequestID {
+	return decision.RequestID(f.value(field))
 }
 
-func (f *fields) endpoint() gingerlead.EndpointID {
+func (f *fields) endpoint() decision.EndpointID {
 	n := f.number("endpoint")
 	if f.err == nil && (n < 0 || n > math.MaxUint32) {
 		f.fail("endpoint", "out of range")
 	}
-	return gingerlead.EndpointID(n)
+	return decision.EndpointID(n)
 }
 
 func (f *fields) flag(field string) bool {
@@ -123,46 +123,46 @@
 	return n == 1
 }
 
-func (f *fields) status() gingerlead.Status {
+func (f *fields) status() decision.Status {
 	switch n := f.number("ending"); n {
 	case 100:
-		return gingerlead.OK
+		return decision.OK
 	case 301:
-		return gingerlead.Error
+		return decision.Error
 	case 302:
-		return gingerlead.Full
+		return decision.Full
 	case 303:
-		return gingerlead.Timeout
+		return decision.Timeout
 	case 304:
-		return gingerlead.ConnectFailed
+		return decision.ConnectFailed
 	case 305:
-		return gingerlead.Reset
+		return decision.Reset
 	case 306:
-		return gingerlead.Cancelled
+		return decision.Cancelled
 	case 307:
-		return gingerlead.Moot
+		return decision.Moot
 	default:
 		f.fail("ending", fmt.Sprintf("unknown outcome %d", n))
-		return gingerlead.Error
+		return decision.Error
 	}
 }
 
-func (f *fields) state() gingerlead.State {
+func (f *fields) state() decision.State {
 	switch n := f.number("mode"); n {
 	case 2:
-		return gingerlead.Ready
+		return decision.Ready
 	case 0:
-		return gingerlead.Draining
+		return decision.Draining
 	case 1:
-		return gingerlead.Gone
+		return decision.Gone
 	default:
 		f.fail("mode", fmt.Sprintf("unknown state %d", n))
-		return gingerlead.Gone
+		return decision.Gone
 	}
 }
 
 // load reads a load report; nil where there is none.
-func (f *fields) load() *gingerlead.Load {
+func (f *fields) load() *decision.Load {
 	p := f.part()
 	if len(p) == 0 {
 		f.fail("pressure", "missing")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"time"
 
-	"gingerlead"
-	"gingerlead/internal/settings"
+	"dykering/internal/decision"
+	"dykering/internal/settings"
 )
 
 // maxLists is how many numbered lists the protocol has.
@@ -28,14 +28,14 @@
 	line      int
 	now       time.Duration
 	instances map[int64]*instance
-	lists     [maxLists][]gingerlead.Entry
+	lists     [maxLists][]decision.Entry
 	listed    [maxLists]bool
 	noted     map[string]bool
 	buf       []byte // the line being read
 	scratch   []byte // the action being written
 }
 
-type balancer = gingerlead.Balancer
+type balancer = decision.Balancer
 
 // instance is one sidecar's Balancer and its Host.
 type instance struct {
@@ -133,7 +133,7 @@
 func (s *server) noteOnce(text string) {
 	if !s.noted[text] {
 		s.noted[text] = true
-		fmt.Fprintln(s.notes, "gingerlead-sim: "+text)
+		fmt.Fprintln(s.notes, "dykering-sim: "+text)
 	}
 }
 
@@ -177,7 +177,7 @@
 		l := s.list(f)
 		return func(b *balancer) { b.Targets(now, l) }
 	case "knock":
-		r := gingerlead.Request{ID: f.id("corr"), Class: int(f.number("type")),
+		r := decision.Request{ID: f.id("corr"), Class: int(f.number("type")),
 			Tenant: int(f.optional("userGroup")), Key: f.optionalText(), Left: f.time("left"),
 			Hint: settings.Micros(f.optional("workHint"))}
 		bits := f.optional("attrs")
@@ -195,7 +195,7 @@
 		f.time("elapsed")
 		return func(b *balancer) { b.Begun(now, id, n, ep) }
 	case "closed_attempt":
-		o := gingerlead.Outcome{ID: f.id("corr"), Endpoint: f.endpoint(), Final: f.flag("final"),
+		o := decision.Outcome{ID: f.id("corr"), Endpoint: f.endpoint(), Final: f.flag("final"),
 			Elapsed: f.time("elapsed"), Status: f.status(), Attempt: int(f.number("n")), Load: f.load()}
 		return func(b *balancer) { b.Outcome(now, o) }
 	case "lapsed":
@@ -205,7 +205,7 @@
 		token := uint64(f.number("label"))
 		return func(b *balancer) { b.Timer(now, token) }
 	case "echo":
-		p := gingerlead.Probed{Endpoint: f.endpoint(), Status: f.status(), Elapsed: f.time("elapsed"),
+		p := decision.Probed{Endpoint: f.endpoint(), Status: f.status(), Elapsed: f.time("elapsed"),
 			Load: f.load()}
 		return func(b *balancer) { b.Probed(now, p) }
 	default: // inbox
@@ -231,7 +231,7 @@
 		s.noteOnce("unknown settings key " + k + " passed over")
 	}
 	in := &instance{s: s, number: n, classes: len(config.Classes)}
-	in.b, err = gingerlead.New(config.Settings, uint64(seed), in)
+	in.b, err = decision.New(config.Settings, uint64(seed), in)
 	if err != nil {
 		return s.malformed(f.name, "config", err.Error())
 	}
@@ -259,11 +259,11 @@
 	}
 }
 
-var listKinds = []gingerlead.ListKind{gingerlead.Delta, gingerlead.Whole, gingerlead.Cached, gingerlead.Failed}
+var listKinds = []decision.ListKind{decision.Delta, decision.Whole, decision.Cached, decision.Failed}
 
 // list reads the fields of a targets event and resolves its list number.
-func (s *server) list(f *fields) gingerlead.List {
-	var l gingerlead.List
+func (s *server) list(f *fields) decision.List {
+	var l decision.List
 	kind := f.number("kind")
 	if f.err == nil && (kind < 0 || kind >= int64(len(listKinds))) {
 		f.fail("kind", "unknown list kind")
@@ -274,7 +274,7 @@
 	l.Kind = listKinds[kind]
 	buffer := f.optional("buffer")
 	l.Version = uint64(f.optional("version"))
-	if l.Kind == gingerlead.Failed || f.err != nil {
+	if l.Kind == decision.Failed || f.err != nil {
 		return l
 	}
 	if buffer < 0 || buffer >= maxLists || !s.listed[buffer] {
@@ -297,7 +297,7 @@
 	if f.err != nil {
 		return f.err
 	}
-	var entries []gingerlead.Entry // a fresh one: a Balancer may still hold the old
+	var entries []decision.Entry // a fresh one: a Balancer may still hold the old
 	for i := int64(0); i < rows; i++ {
 		item, err := s.next()
 		if errors.Is(err, io.EOF) || err == nil && item.name != "item" {
@@ -306,7 +306,7 @@
 		if err != nil {
 			return err
 		}
-		entries = append(entries, gingerlead.Entry{Endpoint: item.endpoint(), Zone: int(item.number("area")),
+		entries = append(entries, decision.Entry{Endpoint: item.endpoint(), Zone: int(item.number("area")),
 			Kind: int(item.number("kind")), Cell: int(item.number("stripe")), State: item.state(),
 			Weight: item.float("units"), Started: settings.Micros(item.optional("cameUp"))})
 		if item.err != nil {
@@ -337,17 +337,17 @@
 
 // The methods below are the Host.
 
-func (in *instance) Send(id gingerlead.RequestID, to gingerlead.EndpointID, timeout time.Duration) {
+func (in *instance) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
 	in.action("dispatch", string(id), int64(to), timeout.Microseconds())
 }
 
-func (in *instance) Refuse(id gingerlead.RequestID, retryAfter time.Duration) {
+func (in *instance) Refuse(id decision.RequestID, retryAfter time.Duration) {
 	in.action("overload_reply", string(id), retryAfter.Microseconds())
 }
 
-func (in *instance) Fail(id gingerlead.RequestID) { in.action("end_failed", string(id)) }
+func (in *instance) Fail(id decision.RequestID) { in.action("end_failed", string(id)) }
 
-func (in *instance) Cancel(id gingerlead.RequestID, attempt int) {
+func (in *instance) Cancel(id decision.RequestID, attempt int) {
 	in.action("retract", string(id), int64(attempt))
 }
 
@@ -355,7 +355,7 @@
 	in.action("remind", "", int64(token), after.Microseconds())
 }
 
-func (in *instance) Probe(to gingerlead.EndpointID) { in.action("check", "", int64(to)) }
+func (in *instance) Probe(to decision.EndpointID) { in.action("check", "", int64(to)) }
 
 func (in *instance) Tell(peer int, data []byte) {
 	text := "-"
@@ -375,7 +375,7 @@
 
 func (in *instance) Fetch() { in.action("query_all", "") }
 
-func (in *instance) CloseIdle(to gingerlead.EndpointID) { in.action("release", "", int64(to)) }
+func (in *instance) CloseIdle(to decision.EndpointID) { in.action("release", "", int64(to)) }
 
 func (in *instance) Log(text string) {
 	fmt.Fprintf(in.s.out, "trace %d %s\n", in.number, text)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -81,8 +81,8 @@
 func TestUnknownEventsAndKeysAreNotedOnce(t *testing.T) {
 	known := strings.Replace(start("3"), `"stage":0`, `"stage":0,"novelty":{"x":1}`, 1)
 	out, notes, fault := run(t, batch("1000000", known, known, "surprise 1 2", "surprise 3", "wonder"))
-	want := "gingerlead-sim: unknown settings key novelty passed over\n" +
-		"gingerlead-sim: unknown event surprise passed over\ngingerlead-sim: unknown event wonder passed over\n"
+	want := "dykering-sim: unknown settings key novelty passed over\n" +
+		"dykering-sim: unknown event surprise passed over\ndykering-sim: unknown event wonder passed over\n"
 	if out != "eor\n" || notes != want || fault != "" {
 		t.Errorf("out %q, notes %q, fault %q", out, notes, fault)
 	}
