--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"dykering/internal/config"
 	"dykering/internal/sidecar"
 )
 
@@ -17,9 +18,9 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP) // first of all: uncaught, it ends the process
-	config, err := sidecar.LoadConfig(os.Getenv)
+	c, err := config.Load(os.Getenv)
 	if err == nil {
-		err = sidecar.Run(config, stop, reload)
+		err = sidecar.Run(c, stop, reload)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "dykering: "+err.Error())
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,511 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"dykering/internal/decision"
+	"dykering/internal/settings"
+)
+
+const patience = 20 * time.Second
+
+// link is a connection in memory.
+type link struct {
+	Idle
+	closed bool
+}
+
+func (l *link) Close() error { l.closed = true; return nil }
+func (l *link) Alive() bool  { return !l.closed }
+
+// said is a response in memory.
+type said struct {
+	text      string
+	discarded chan string
+}
+
+func (s said) Discard() { s.discarded <- s.text }
+
+// bench is a loop between a front and an upstream that are the test's.
+type bench struct {
+	t         *testing.T
+	loop      *Loop
+	send      func(a *Attempt, n int) Result // the upstream; n counts the sends of a call from 1
+	discarded chan string
+
+	mu    sync.Mutex
+	sends map[decision.RequestID][]*Attempt
+	asked []string // of the discovery
+}
+
+func (b *bench) Send(a *Attempt, over Conn) Result {
+	b.mu.Lock()
+	b.sends[a.Call.ID] = append(b.sends[a.Call.ID], a)
+	n := len(b.sends[a.Call.ID])
+	b.mu.Unlock()
+	res := b.send(a, n)
+	if res.Conn = over; over == nil {
+		res.Conn = &link{}
+	}
+	return res
+}
+
+func (b *bench) Probe(*Endpoint, time.Duration) decision.Status { return decision.OK }
+
+// lister is a Discovery that notes what it is asked for.
+type lister struct {
+	b       *bench
+	address string
+}
+
+func (l *lister) note(what string) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.b.asked = append(l.b.asked, l.address+" "+what)
+}
+func (l *lister) Watch(*uint64) { l.note("watch") }
+func (l *lister) Stop()         { l.note("stop") }
+func (l *lister) Fetch()        { l.note("fetch") }
+
+const read, once = 0, 1
+
+// newBench starts a loop that knows some endpoints.
+func newBench(t *testing.T, send func(a *Attempt, n int) Result, targets ...Target) *bench {
+	t.Helper()
+	b := &bench{t: t, send: send, sends: map[decision.RequestID][]*Attempt{}, discarded: make(chan string, 100)}
+	class := decision.Class{Aim: 9 * time.Second, Deadline: 10 * time.Second, Worth: 1}
+	safe, unsafe := class, class
+	safe.Name, safe.Effect, unsafe.Name, unsafe.Effect = "read", decision.Safe, "once", decision.Unsafe
+	s := settings.Settings{OpenCap: 50, Settings: decision.Settings{Instances: 1, Quantum: time.Millisecond,
+		MayCancel: true, MaxAttempts: 3, ConnectTimeout: time.Second, Cold: time.Second, ColdFrom: 0.5, TipMultiple: 3,
+		Fall: time.Second, MaxRetryAfter: time.Second, Classes: []decision.Class{safe, unsafe}}}
+	l, err := New(Config{Settings: s, Limits: Limits{MemoryMB: 64, Sockets: 1024}, Discovery: "first",
+		Known: List{Rev: 1, All: true, Targets: targets}}, b,
+		func(address string, _ Sink) Discovery { return &lister{b, address} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.loop = l
+	go l.Run()
+	return b
+}
+
+func (b *bench) served(text string) Result {
+	return Result{Status: decision.OK, Took: 5 * time.Millisecond, Response: said{text, b.discarded}}
+}
+
+// ask brings a call.
+func (b *bench) ask(id string, class int) *Call {
+	c := NewCall(decision.Request{ID: decision.RequestID(id), Class: class, Left: 10 * time.Second}, id)
+	b.loop.Arrive(c, time.Now())
+	return c
+}
+
+// final waits for a call's answer, and tells what sort it is.
+func (b *bench) final(c *Call) string {
+	b.t.Helper()
+	select {
+	case a := <-c.Final:
+		switch {
+		case a.Response != nil:
+			return a.Response.(said).text
+		case a.Refused:
+			return "refused"
+		}
+		return "failed"
+	case <-time.After(patience):
+		b.t.Fatal("no answer to ", c.ID)
+		return ""
+	}
+}
+
+// until waits for something that shows in what the loop holds.
+func (b *bench) until(what string, done func(Stats) bool) {
+	b.t.Helper()
+	for end := time.Now().Add(patience); !done(b.loop.Stats()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			b.t.Fatal("never: ", what)
+		}
+	}
+}
+
+// Every way in which an attempt can end has one final answer, repeats only as the class allows, and leaves nothing
+// behind.
+func TestOutcomes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first      Result
+		read, once string // final answer, and
+		reads      int    // attempts
+		onces      int
+	}{
+		"error":          {Result{Status: decision.Error}, "again", "failed", 2, 1},
+		"full":           {Result{Status: decision.Full}, "again", "again", 2, 2},
+		"time-out":       {Result{Status: decision.Timeout}, "again", "failed", 2, 1},
+		"connect failed": {Result{Status: decision.ConnectFailed}, "again", "again", 2, 2},
+		"reset":          {Result{Status: decision.Reset}, "again", "failed", 2, 1},
+		"cancelled":      {Result{Status: decision.Cancelled}, "again", "failed", 2, 1},
+		"moot":           {Result{Status: decision.Moot}, "again", "again", 2, 2},
+		"spoilt":         {Result{Status: decision.Spoilt}, "again", "failed", 2, 1},
+		"full, spent":    {Result{Status: decision.Full, Spent: true}, "refused", "refused", 1, 1},
+		"error, spent":   {Result{Status: decision.Error, Spent: true}, "refused", "failed", 1, 1},
+	} {
+		for class, want := range []string{tc.read, tc.once} {
+			b := newBench(t, nil, ready("s-1", 0), ready("s-2", 0))
+			b.send = func(a *Attempt, n int) Result {
+				if n == 1 {
+					return tc.first
+				}
+				return b.served("again")
+			}
+			c := b.ask(fmt.Sprint(name, class), class)
+			if got := b.final(c); got != want {
+				t.Errorf("%s, class %d: %s, want %s", name, class, got, want)
+			}
+			b.until("it is forgotten", func(s Stats) bool { return s.Calls+s.Out == 0 && s.Conns == s.Idle })
+			b.mu.Lock()
+			if got, most := len(b.sends[c.ID]), []int{tc.reads, tc.onces}[class]; got != most {
+				t.Errorf("%s, class %d: %d attempts, want %d", name, class, got, most)
+			}
+			b.mu.Unlock()
+		}
+	}
+}
+
+// An answer that is given at once, or whose end is still to come, is the call's; what nobody wants is let go of.
+func TestResponses(t *testing.T) {
+	goOn := make(chan bool)
+	b := newBench(t, nil, ready("s-1", 0))
+	b.send = func(a *Attempt, n int) Result {
+		switch a.Call.Message {
+		case "long":
+			if _, ok := a.Begin(said{"begun", b.discarded}); !ok {
+				t.Error("out of time")
+			}
+			<-goOn
+			return Result{Status: decision.OK}
+		case "left":
+			<-a.Ctx.Done()
+			return b.served("too late")
+		}
+		return b.served("whole")
+	}
+	if got := b.final(b.ask("short", once)); got != "whole" {
+		t.Error(got)
+	}
+	if got := b.final(b.ask("long", once)); got != "begun" {
+		t.Error(got)
+	}
+	b.until("it is still under way", func(s Stats) bool { return s.Calls == 1 && s.Out == 1 })
+	goOn <- true
+	left := b.ask("left", once)
+	b.until("it is out", func(s Stats) bool { return s.Out == 1 })
+	b.loop.Lapse(left)
+	if got := <-b.discarded; got != "too late" {
+		t.Error(got)
+	}
+	b.until("all is forgotten", func(s Stats) bool { return s.Calls+s.Out == 0 })
+	if len(left.Final) > 0 {
+		t.Error("a client that has gone gets an answer")
+	}
+}
+
+// An id that is taken, or was a moment ago, gets an answer that promises nothing, and never runs.
+func TestTwoIDsAlike(t *testing.T) {
+	goOn := make(chan bool)
+	b := newBench(t, nil, ready("s-1", 0))
+	b.send = func(a *Attempt, n int) Result { <-goOn; return b.served("ok") }
+	first := b.ask("x", read)
+	if got := b.final(b.ask("x", read)); got != "failed" {
+		t.Error(got)
+	}
+	goOn <- true
+	if got := b.final(first); got != "ok" {
+		t.Error(got)
+	}
+	b.until("it is forgotten", func(s Stats) bool { return s.Calls == 0 })
+	if got := b.final(b.ask("x", read)); got != "failed" || len(b.sends["x"]) != 1 {
+		t.Errorf("%s after %d sends", got, len(b.sends["x"]))
+	}
+	var held []*Call
+	for i := range 51 {
+		held = append(held, b.ask(fmt.Sprint(i), read))
+	}
+	if got := b.final(held[50]); got != "refused" {
+		t.Errorf("beyond the cap: %s", got)
+	}
+	close(goOn)
+	for _, c := range held[:50] {
+		b.final(c)
+	}
+}
+
+// At the end of its process a call is answered, and what is out is called off.
+func TestLeave(t *testing.T) {
+	b := newBench(t, nil, ready("s-1", 0))
+	b.send = func(a *Attempt, n int) Result {
+		<-a.Ctx.Done()
+		if !errors.Is(context.Cause(a.Ctx), context.Canceled) {
+			return Result{Status: decision.Timeout}
+		}
+		return Result{Status: decision.Cancelled}
+	}
+	calls := []*Call{b.ask("r", read), b.ask("o", once)}
+	b.until("they are out", func(s Stats) bool { return s.Out == 2 })
+	end := time.Now().Add(50 * time.Millisecond)
+	b.loop.Leave(end, true)
+	for i, want := range []string{"refused", "failed"} {
+		if got := b.final(calls[i]); got != want || time.Now().Before(end) {
+			t.Errorf("%s, want %s at the end", got, want)
+		}
+	}
+	if got := b.final(b.ask("late", read)); got != "refused" {
+		t.Error(got)
+	}
+}
+
+// What an endpoint has when it drains it may end; it gets nothing new, and no connection to it is kept.
+func TestDrain(t *testing.T) {
+	goOn := make(chan bool)
+	b := newBench(t, nil, ready("s-1", 0))
+	b.send = func(a *Attempt, n int) Result {
+		if a.Call.ID == "slow" {
+			<-goOn
+		}
+		return b.served(a.Endpoint.Address)
+	}
+	slow := b.ask("slow", once)
+	b.final(b.ask("quick", once))
+	b.until("one is idle", func(s Stats) bool { return s.Idle == 1 && s.Out == 1 })
+	drains, other := ready("s-1", 0), ready("s-2", 0)
+	drains.State, other.Address = "Terminating", "127.0.0.1:10"
+	b.loop.Post(func() { b.loop.Listed(b.loop.discovery, List{Rev: 2, Targets: []Target{drains, other}}, FromWatch) })
+	b.until("it is taken in", func(s Stats) bool { return s.Rev == 2 && s.Idle == 0 })
+	for i := range 9 {
+		if got := b.final(b.ask(fmt.Sprint(i), read)); got != other.Address {
+			t.Errorf("a call went to %s", got)
+		}
+	}
+	goOn <- true
+	if got := b.final(slow); got != drains.Address {
+		t.Errorf("what was running: %s", got)
+	}
+	b.until("its connection is closed", func(s Stats) bool { return s.Conns == s.Idle && s.Idle == 1 })
+}
+
+// Lists reach the Balancer in order: what is older than its list is dropped, and what another discovery says is not
+// heard.
+func TestOlderListsAreDropped(t *testing.T) {
+	b := newBench(t, nil, ready("s-1", 0), ready("s-2", 0))
+	open := func(uid string) (open bool) {
+		told := make(chan bool)
+		b.loop.Post(func() {
+			e := b.loop.endpoints.byID[b.loop.endpoints.id(uid)]
+			told <- e != nil && e.Open()
+		})
+		return <-told
+	}
+	tell := func(from Discovery, l List, how Source) {
+		b.loop.Post(func() { b.loop.Listed(from, l, how) })
+	}
+	draining := ready("s-1", 0)
+	draining.State = "Terminating"
+	first := b.loop.discovery
+	tell(first, List{Rev: 5, Targets: []Target{draining}}, FromWatch)
+	tell(first, List{Rev: 4, All: true, Targets: []Target{ready("s-1", 0)}}, FromFetch)
+	tell(first, List{Rev: 5, Targets: []Target{ready("s-1", 0)}}, FromWatch)
+	if open("s-1") || !open("s-2") || b.loop.Stats().Rev != 5 {
+		t.Error("an older list undid a drain")
+	}
+	tell(first, List{Rev: 6, All: true, Targets: []Target{ready("s-1", 0)}}, FromFetch)
+	if !open("s-1") || open("s-2") {
+		t.Error("a newer list is not followed")
+	}
+	b.loop.Follow("second")
+	tell(first, List{Rev: 9, All: true}, FromFetch)
+	b.loop.Post(func() { b.loop.ListFailed(first, errors.New("old")) })
+	if s := b.loop.Stats(); s.Rev != 6 || !s.Moved || s.Discovery != "second" || !open("s-1") {
+		t.Errorf("the old discovery is heard: %+v", s)
+	}
+	tell(b.loop.discovery, List{Rev: 3, Targets: []Target{ready("s-3", 0)}}, FromWatch)
+	tell(b.loop.discovery, List{Rev: 2, All: true, Targets: []Target{ready("s-4", 0)}}, FromFetch)
+	if s := b.loop.Stats(); s.Rev != 2 || s.Moved || open("s-3") || !open("s-4") {
+		t.Errorf("the new discovery is followed from changes on, or not at all: %+v", s)
+	}
+	want := "[first watch first stop second fetch second watch second stop second watch]"
+	if got := fmt.Sprint(b.asked); got != want {
+		t.Errorf("asked %s, want %s", got, want)
+	}
+}
+
+// The ids of what has ended are kept for a while, and no more of them than there is room for.
+func TestPastIsBounded(t *testing.T) {
+	var past past
+	for i := range 3 * pastMost {
+		past.add(decision.RequestID(fmt.Sprint(i)), 0)
+	}
+	past.add("last", 2*pastFor)
+	if len(past.at) != 1 || len(past.ids) != 1 || past.has("1", 2*pastFor) || !past.has("last", 2*pastFor) {
+		t.Errorf("%d ids are kept", len(past.at))
+	}
+}
+
+func TestPool(t *testing.T) {
+	e, other := NewEndpoint(1, ""), NewEndpoint(2, "")
+	p := newPool(&settings.Settings{ConnIdle: 2 * time.Minute}, 3)
+	var conns []*link
+	for range 3 {
+		if c, ok := p.acquire(e, time.Now()); c != nil || !ok {
+			t.Fatal(c, ok)
+		}
+		c := &link{}
+		conns = append(conns, c)
+	}
+	if _, ok := p.acquire(e, time.Now()); ok {
+		t.Error("more connections than the bound")
+	}
+	for _, c := range conns {
+		p.release(e, c)
+	}
+	if c, _ := p.acquire(e, time.Now()); c != Conn(conns[2]) {
+		t.Error("not the most recently used one")
+	}
+	if c, ok := p.acquire(other, time.Now()); c != nil || !ok || len(p.idle[e]) != 1 || !conns[0].closed {
+		t.Error("the one that has been idle the longest did not make room")
+	}
+	p.release(other, nil)
+	p.release(e, conns[2])
+	if c, _ := p.acquire(e, time.Now().Add(2*p.maxIdle)); c != nil || p.open != 1 {
+		t.Error("a connection outlived its idle time")
+	}
+	p.release(e, nil)
+	c := &link{}
+	p.open++
+	p.release(e, c)
+	p.sweep(time.Now().Add(2 * p.maxIdle))
+	if p.open != 0 || len(p.idle) != 0 || !c.closed {
+		t.Error("swept connections are still there")
+	}
+	c = &link{}
+	p.open++
+	e.Shut()
+	p.release(e, c)
+	if p.open != 0 || len(p.idle) != 0 {
+		t.Error("a connection to a draining endpoint is kept")
+	}
+}
+
+// Stopping is for good, and a drain before it ends in it.
+func TestLifecycle(t *testing.T) {
+	f := newLifecycle()
+	check := func(step string, ready, canServe bool) {
+		t.Helper()
+		if f.Ready() != ready || f.CanServe() != canServe {
+			t.Errorf("%s: ready %v, can serve %v", step, f.Ready(), f.CanServe())
+		}
+	}
+	check("new", false, false)
+	f.Resume()
+	f.Drain()
+	f.Resume()
+	check("drained and resumed without a list", false, false)
+	_, _, changed := f.Now()
+	f.haveList()
+	<-changed
+	check("with a list", true, true)
+	f.Drain()
+	f.haveList()
+	check("draining", false, true)
+	f.Resume()
+	check("back", true, true)
+	f.Drain()
+	f.Stop(time.Now(), time.Now())
+	f.Resume()
+	f.Drain()
+	f.Resume()
+	f.haveList()
+	check("stopping", false, false)
+}
+
+func ready(uid string, bootMS int64) Target {
+	return Target{UID: uid, Address: "127.0.0.1:9", Zone: "z", Model: "m", State: "Ready", Weight: 1, BootMS: bootMS}
+}
+
+// An endpoint's number is the same at every sidecar, in whatever order lists name it, and no two share one.
+func TestEndpointIDs(t *testing.T) {
+	a, b := newEndpoints(nil, nil, time.Now()), newEndpoints(nil, nil, time.Now())
+	put := func(t *endpoints, uid string) decision.EndpointID {
+		id := t.id(uid)
+		t.put(&Endpoint{ID: id, uid: uid})
+		return id
+	}
+	if a.id("s-00000001") != 1 || a.id("s-5be2a07c") != 0x5be2a07c {
+		t.Error("the uid's own number is not used")
+	}
+	b.id("s-5be2a07c")
+	if b.id("s-00000001") != a.id("s-00000001") || a.id("box.west") != b.id("box.west") {
+		t.Error("the order tells")
+	}
+	if x, y := put(a, "s-1"), put(a, "t-1"); x == y || x != a.id("s-1") || y != a.id("t-1") {
+		t.Errorf("two uids have %d and %d", x, y)
+	}
+}
+
+// Starts are put on the event clock, alike each time: a later one means a restart.
+func TestStarts(t *testing.T) {
+	now := time.Now()
+	e := newEndpoints(nil, nil, now.Add(-clockStart))
+	boot := now.Add(-3 * time.Second).UnixMilli()
+	if got := e.started(boot); got < clockStart-4*time.Second || got > clockStart-2*time.Second || got != e.started(boot) {
+		t.Errorf("3 s ago is %v on a clock at %v", got, clockStart)
+	}
+	if e.started(0) != 0 || e.started(1) != 0 {
+		t.Error("long past is not 0")
+	}
+}
+
+func TestChangedAddressOrBootTakesEffect(t *testing.T) {
+	e := newEndpoints([]string{"y", "z"}, []string{"m"}, time.Now().Add(-clockStart))
+	x := ready("s-1", 0)
+	entries, _ := e.update(List{All: true, Targets: []Target{x, ready("s-2", 0)}})
+	if len(entries) != 2 || entries[0].Zone != 1 || entries[0].Kind != 0 {
+		t.Fatalf("entries %+v", entries)
+	}
+	first := e.byID[1]
+	for _, change := range []func(){
+		func() { x.Address = "127.0.0.1:10" },
+		func() { x.BootMS = time.Now().UnixMilli() },
+	} {
+		change()
+		old := e.byID[1]
+		entries, retired := e.update(List{Targets: []Target{x}})
+		if len(retired) != 1 || retired[0] != old || old.Open() || !e.byID[1].Open() || e.byID[1].Address != x.Address {
+			t.Errorf("after a change: %+v", e.byID[1])
+		}
+		if x.BootMS > 0 && entries[0].Started == 0 {
+			t.Error("the start is not told")
+		}
+	}
+	if first.Open() || !e.byID[2].Open() {
+		t.Error("a delta closed what it does not name, or left the old address open")
+	}
+	e.update(List{All: true, Targets: []Target{x}})
+	if e.byID[2] != nil || len(e.ids) != 1 {
+		t.Error("an endpoint that left the whole list is open")
+	}
+	for i := range 2 * mostNames {
+		y := ready("s-3", 0)
+		y.Zone, y.Model = fmt.Sprint(i), fmt.Sprint(i)
+		e.update(List{Targets: []Target{y}})
+	}
+	if len(e.zones) > mostNames || len(e.models) > mostNames {
+		t.Error("names that lists bring are kept without end")
+	}
+	if entries, _ := e.update(List{Targets: []Target{{UID: "s-3", Address: "nowhere", State: "Ready"}}}); len(entries) != 0 {
+		t.Error("an endpoint without an address is told to the Balancer")
+	}
+}
--- /dev/null
+++ b/internal/core/endpoints.go
@@ -0,0 +1,197 @@
+package core
+
+import (
+	"hash/fnv"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dykering/internal/decision"
+)
+
+// List is discovery's list of endpoints, whole or what changed.
+type List struct {
+	Rev     uint64   `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one line of a list.
+type Target struct {
+	UID     string  `json:"uid"`
+	Address string  `json:"endpoint"`
+	Zone    string  `json:"az"`
+	Model   string  `json:"model"`
+	Cell    int     `json:"pod_group"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"capacity_hint"`
+	BootMS  int64   `json:"boot_ms"`
+}
+
+var states = map[string]decision.State{
+	"Ready": decision.Ready, "Terminating": decision.Draining, "Gone": decision.Gone,
+}
+
+// Source is where a list came from.
+type Source int
+
+const (
+	FromCache Source = iota
+	FromWatch
+	FromFetch
+)
+
+// Endpoint is one start of an endpoint at one address. When either changes, another takes its place.
+type Endpoint struct {
+	ID      decision.EndpointID
+	Address string
+	Waiting atomic.Int32 // attempts that wait for its answer, on connections that stand
+
+	uid    string
+	bootMS int64
+	open   atomic.Bool
+}
+
+// NewEndpoint makes an endpoint that is open.
+func NewEndpoint(id decision.EndpointID, address string) *Endpoint {
+	e := &Endpoint{ID: id, Address: address}
+	e.open.Store(true)
+	return e
+}
+
+// Open tells whether it may get new attempts.
+func (e *Endpoint) Open() bool { return e.open.Load() }
+
+// Shut closes it to new attempts.
+func (e *Endpoint) Shut() { e.open.Store(false) }
+
+// endpoints is the table of the endpoints that are listed. One that has gone is forgotten at once: what is
+// still out to it holds on to its endpoint, that is open to nothing new. The loop owns the table.
+type endpoints struct {
+	origin time.Time // zero of the event clock
+	byID   map[decision.EndpointID]*Endpoint
+	ids    map[string]decision.EndpointID
+	zones  names
+	models names
+}
+
+// names numbers names as the settings do, and those that they lack after them.
+type names map[string]int
+
+// mostNames bounds the names of one sort that lists may bring.
+const mostNames = 256
+
+// index is false when there are too many names.
+func (n names) index(name string) (int, bool) {
+	if i, ok := n[name]; ok {
+		return i, true
+	}
+	if len(n) >= mostNames {
+		return 0, false
+	}
+	n[name] = len(n)
+	return n[name], true
+}
+
+func newEndpoints(zones, models []string, origin time.Time) *endpoints {
+	t := &endpoints{origin: origin, byID: map[decision.EndpointID]*Endpoint{},
+		ids: map[string]decision.EndpointID{}, zones: names{}, models: names{}}
+	for _, z := range zones {
+		t.zones.index(z)
+	}
+	for _, m := range models {
+		t.models.index(m)
+	}
+	return t
+}
+
+// id numbers a uid. Where it ends in 32 bits of hexadecimal, as discovery's do, these are its number: the
+// same at every sidecar, and no two share it. Others are hashed, and where two would share a number, the
+// later one moves on.
+func (t *endpoints) id(uid string) decision.EndpointID {
+	if id, ok := t.ids[uid]; ok {
+		return id
+	}
+	n, err := strconv.ParseUint(uid[strings.LastIndexByte(uid, '-')+1:], 16, 32)
+	if err != nil {
+		h := fnv.New32a()
+		io.WriteString(h, uid)
+		n = uint64(h.Sum32())
+	}
+	id := decision.EndpointID(n)
+	for t.byID[id] != nil {
+		id++
+	}
+	return id
+}
+
+// put puts an endpoint into the table, in the place of one that it replaces.
+func (t *endpoints) put(e *Endpoint) {
+	t.byID[e.ID], t.ids[e.uid] = e, e.ID
+}
+
+// forget takes an endpoint that has gone out of the table.
+func (t *endpoints) forget(e *Endpoint) {
+	e.Shut()
+	delete(t.byID, e.ID)
+	delete(t.ids, e.uid)
+}
+
+// update takes a list in and returns it in the Balancer's terms, with the endpoints whose idle connections
+// are of no more use.
+func (t *endpoints) update(l List) (entries []decision.Entry, retired []*Endpoint) {
+	listed := map[decision.EndpointID]bool{}
+	for _, x := range l.Targets {
+		state, ok := states[x.State]
+		zone, zoneOK := t.zones.index(x.Zone)
+		model, modelOK := t.models.index(x.Model)
+		_, _, err := net.SplitHostPort(x.Address)
+		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == decision.Ready {
+			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID, x.State,
+				x.Address, x.Zone, x.Model)
+			continue
+		}
+		id := t.id(x.UID)
+		listed[id] = true
+		e := t.byID[id]
+		if e == nil || state == decision.Ready && (e.Address != x.Address || e.bootMS != x.BootMS) {
+			if e != nil {
+				e.Shut()
+				retired = append(retired, e)
+			}
+			e = &Endpoint{ID: id, uid: x.UID, Address: x.Address, bootMS: x.BootMS}
+			t.put(e)
+		}
+		e.open.Store(state == decision.Ready)
+		if state != decision.Ready {
+			retired = append(retired, e)
+		}
+		if state == decision.Gone {
+			t.forget(e)
+		}
+		entries = append(entries, decision.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
+			Weight: x.Weight, Started: t.started(x.BootMS)})
+	}
+	if l.All {
+		for id, e := range t.byID {
+			if !listed[id] {
+				t.forget(e)
+				retired = append(retired, e)
+			}
+		}
+	}
+	return entries, retired
+}
+
+// started puts a start in Unix time on the event clock. It always gives the same for the same start: the
+// Balancer takes a later one for a restart.
+func (t *endpoints) started(bootMS int64) time.Duration {
+	if bootMS == 0 {
+		return 0
+	}
+	return max(time.UnixMilli(bootMS).Sub(t.origin.Round(0)), 0)
+}
--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,452 @@
+package core
+
+import (
+	"log"
+	"time"
+
+	"dykering/internal/decision"
+)
+
+const (
+	// clockStart is the event clock at the start of the process. It is well above 0, so that an endpoint
+	// that started shortly before this sidecar did has a start above 0 too: 0 stands for long past.
+	clockStart = 24 * time.Hour
+	eventQueue = 1024
+	sweepEvery = time.Second
+)
+
+// Loop owns the Balancer and all state that goes with it: one goroutine runs the functions in events, and
+// only it touches the fields from endsAt on. It is the Balancer's Host.
+type Loop struct {
+	events   chan func()
+	origin   time.Time // zero of the event clock
+	config   Config
+	upstream Upstream
+	discover Discover
+	life     *Lifecycle
+
+	endsAt    time.Time // when all must be answered; zero unless this process was told to stop
+	rev       uint64    // version of the list that the Balancer has
+	moved     bool      // that list is another discovery's than the one that is followed now
+	balancer  *decision.Balancer
+	calls     map[decision.RequestID]*Call
+	past      past
+	endpoints *endpoints
+	pool      pool
+	adopted   map[*Attempt]bool // that the process before has begun
+	discovery Discovery
+	address   string // of discovery
+}
+
+// New makes a loop, or names the setting that cannot be acted on.
+func New(c Config, up Upstream, discover Discover) (*Loop, error) {
+	l := &Loop{
+		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, upstream: up,
+		discover: discover, life: newLifecycle(), calls: map[decision.RequestID]*Call{},
+		adopted: map[*Attempt]bool{}, address: c.Discovery,
+	}
+	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
+	l.pool = newPool(&c.Settings, c.Limits.Outbound())
+	l.discovery = discover(c.Discovery, l)
+	var err error
+	l.balancer, err = decision.New(c.Settings.Settings, c.Seed, l)
+	return l, err
+}
+
+// Lifecycle is that of the process.
+func (l *Loop) Lifecycle() *Lifecycle { return l.life }
+
+func (l *Loop) now() time.Duration { return time.Since(l.origin) }
+
+// Post hands an event to the loop. Only other goroutines may call it; it blocks while the queue is full.
+func (l *Loop) Post(event func()) { l.events <- event }
+
+// Run handles events for the life of the process.
+func (l *Loop) Run() {
+	l.targets(l.config.Known, FromCache)
+	if !l.config.Settings.MustAsk {
+		l.discovery.Watch(l.place())
+	}
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for {
+		select {
+		case event := <-l.events:
+			event()
+		case <-sweep.C:
+			l.pool.sweep(time.Now())
+		}
+	}
+}
+
+// Arrive takes a call from its front, that came whole, or with the beginning of a long body, at a time.
+func (l *Loop) Arrive(c *Call, received time.Time) { l.Post(func() { l.arrive(c, received) }) }
+
+func (l *Loop) arrive(c *Call, received time.Time) {
+	switch limit := l.config.Settings.OpenCap; {
+	case l.calls[c.ID] != nil || l.past.has(c.ID, l.now()):
+		c.Final <- Answer{} // the id is taken: nothing may be promised of it
+		return
+	case limit > 0 && len(l.calls) >= limit:
+		c.Final <- TurnedAway(&l.config.Settings)
+		return
+	}
+	c.Deadline = received.Add(c.Left - l.config.Settings.GraceToAnswer)
+	c.Left = time.Until(c.Deadline) // also where this process ends before: the Balancer knows
+	c.endBy(l.endsAt)
+	l.calls[c.ID] = c
+	l.balancer.Request(l.now(), c.Request)
+}
+
+// Leave has everything answered by a given time, as the process ends then; succeeded tells whether another one
+// serves in its place already. What is out at that time is called off.
+func (l *Loop) Leave(end time.Time, succeeded bool) { l.Post(func() { l.leave(end, succeeded) }) }
+
+func (l *Loop) leave(end time.Time, succeeded bool) {
+	l.endsAt = end
+	for _, c := range l.calls {
+		c.endBy(end)
+	}
+	l.balancer.Leave(l.now(), end.Sub(l.origin), succeeded)
+	time.AfterFunc(time.Until(end), func() {
+		l.Post(func() {
+			for _, c := range l.calls {
+				// A long answer that has begun goes on for as long as this process does: to cut it off would lose it.
+				if c.out != nil && !c.answered {
+					c.out.Cancel()
+				}
+			}
+			for a := range l.adopted {
+				if !a.isBegun() {
+					a.Cancel()
+				}
+			}
+		})
+	})
+}
+
+// Lapse tells that a call's client has gone: nothing is owed.
+func (l *Loop) Lapse(c *Call) { l.Post(func() { l.lapse(c) }) }
+
+func (l *Loop) lapse(c *Call) {
+	if l.calls[c.ID] != c || c.answered {
+		select {
+		case a := <-c.Final: // crossed the client's going
+			a.Discard()
+		default:
+		}
+		return
+	}
+	c.answered = true
+	if c.out != nil {
+		c.out.Cancel() // nobody waits for it any more; its outcome follows
+	}
+	l.balancer.Lapsed(l.now(), c.ID)
+	l.forget(c)
+}
+
+// closed takes the end of an attempt; its connection is closed or fit for another one.
+func (l *Loop) closed(a *Attempt, res Result) {
+	c := a.Call
+	l.pool.release(a.Endpoint, res.Conn)
+	c.out = nil
+	final := c.answered
+	switch {
+	case res.Response == nil:
+	case res.Status == decision.OK && !c.answered:
+		final = true
+		l.finish(c, Answer{Response: res.Response})
+	default:
+		res.Response.Discard()
+	}
+	l.balancer.Outcome(l.now(), decision.Outcome{
+		ID: c.ID, Endpoint: a.Endpoint.ID, Attempt: a.number, Final: final,
+		Elapsed: res.Took, Status: res.Status, Load: res.Load, Spent: res.Spent,
+	})
+	l.forget(c)
+}
+
+// Written tells the Balancer that a long body is out: the client's time, and the endpoint's, count from now.
+func (l *Loop) Written(a *Attempt) {
+	received := time.Now()
+	l.Post(func() {
+		c := a.Call
+		if c.out != a {
+			return
+		}
+		c.Deadline = received.Add(c.Left)
+		c.endBy(l.endsAt)
+		a.EndAt(c.Deadline)
+		l.balancer.Written(l.now(), c.ID, time.Until(c.Deadline))
+	})
+}
+
+// Begin gives a call a long answer, that its front passes on as it comes.
+func (l *Loop) Begin(a *Attempt, response Response) {
+	l.Post(func() {
+		c := a.Call
+		if c.answered || a.Ctx.Err() != nil { // given up in this moment
+			response.Discard()
+			return
+		}
+		l.balancer.Begun(l.now(), c.ID, a.number, a.Endpoint.ID)
+		l.finish(c, Answer{Response: response})
+	})
+}
+
+func (l *Loop) finish(c *Call, a Answer) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	c.Final <- a
+}
+
+// forget drops a call that nothing is owed to and nothing is out for.
+func (l *Loop) forget(c *Call) {
+	if c.answered && c.out == nil && l.calls[c.ID] == c {
+		delete(l.calls, c.ID)
+		l.past.add(c.ID, l.now())
+	}
+}
+
+const (
+	pastFor  = 10 * time.Second
+	pastMost = 4096
+)
+
+// past holds the ids of requests that have ended a short while ago. An id is new with every request: one that
+// comes again is another's, and endpoints may run it twice or turn it away.
+type past struct {
+	at  map[decision.RequestID]time.Duration
+	ids []decision.RequestID // in the order in which they ended
+}
+
+func (p *past) add(id decision.RequestID, now time.Duration) {
+	if p.at == nil {
+		p.at = map[decision.RequestID]time.Duration{}
+	}
+	for len(p.ids) > 0 && (len(p.ids) >= pastMost || now-p.at[p.ids[0]] > pastFor) {
+		delete(p.at, p.ids[0])
+		p.ids = p.ids[1:]
+	}
+	p.at[id] = now
+	p.ids = append(p.ids, id)
+}
+
+func (p *past) has(id decision.RequestID, now time.Duration) bool {
+	at, ok := p.at[id]
+	return ok && now-at <= pastFor
+}
+
+// The methods below are the Host. They never block and never call the Balancer.
+
+func (l *Loop) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+	c := l.calls[id]
+	a := NewAttempt(c, l.endpoints.byID[to], timeout, l)
+	c.attempts++
+	c.out = a
+	conn, ok := l.pool.acquire(a.Endpoint, a.sent)
+	go func() {
+		defer a.Close()
+		res := Result{Status: decision.Moot}
+		if ok {
+			res = l.upstream.Send(a, conn)
+		}
+		l.Post(func() { l.closed(a, res) })
+	}()
+}
+
+func (l *Loop) Refuse(id decision.RequestID, retryAfter time.Duration) {
+	l.end(id, Answer{Refused: true, RetryAfter: retryAfter})
+}
+
+func (l *Loop) Fail(id decision.RequestID) { l.end(id, Answer{}) }
+
+func (l *Loop) end(id decision.RequestID, a Answer) {
+	if c := l.calls[id]; c != nil {
+		l.finish(c, a)
+		l.forget(c)
+	}
+}
+
+func (l *Loop) Cancel(id decision.RequestID, number int) {
+	if c := l.calls[id]; c != nil && c.out != nil && c.out.number == number {
+		c.out.Cancel()
+	}
+}
+
+func (l *Loop) SetTimer(token uint64, after time.Duration) {
+	time.AfterFunc(after, func() {
+		l.Post(func() { l.balancer.Timer(l.now(), token) })
+	})
+}
+
+func (l *Loop) Probe(to decision.EndpointID) {
+	e := l.endpoints.byID[to]
+	if e == nil {
+		return
+	}
+	sent := time.Now()
+	go func() {
+		status := l.upstream.Probe(e, l.config.Settings.ConnectTimeout)
+		l.Post(func() {
+			l.balancer.Probed(l.now(), decision.Probed{Endpoint: to, Status: status, Elapsed: time.Since(sent)})
+		})
+	}()
+}
+
+// Tell has nowhere to send: the Balancer sends its peers nothing, and no peer sockets are opened for it.
+func (l *Loop) Tell(peer int, data []byte) {}
+
+func (l *Loop) Watch(on bool) {
+	l.discovery.Stop()
+	if on {
+		l.discovery.Watch(l.place())
+	}
+}
+
+func (l *Loop) Fetch() { l.discovery.Fetch() }
+
+func (l *Loop) CloseIdle(to decision.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
+
+func (l *Loop) Log(text string) { log.Print(text) }
+
+// Follow turns to the discovery at another address. Its versions may count otherwise, so its whole list is
+// asked for, and nothing that the old one still says is heard. Until that comes, the list stays as it is.
+func (l *Loop) Follow(address string) { l.Post(func() { l.follow(address) }) }
+
+func (l *Loop) follow(address string) {
+	l.discovery.Stop()
+	l.discovery, l.address = l.discover(address, l), address
+	l.moved = true
+	l.discovery.Fetch()
+	if l.config.Settings.MustAsk {
+		l.balancer.Targets(l.now(), decision.List{Kind: decision.Failed}) // it watches in its own time
+		return
+	}
+	l.discovery.Watch(nil)
+}
+
+// Unwatch ends the following of the list, as at the end of a process.
+func (l *Loop) Unwatch() { l.Post(func() { l.discovery.Stop() }) }
+
+// place is where a watch goes on from: the version of the list, nil for the whole list.
+func (l *Loop) place() *uint64 {
+	if l.moved {
+		return nil
+	}
+	rev := l.rev
+	return &rev
+}
+
+// Listed takes what the discovery that is followed says.
+func (l *Loop) Listed(from Discovery, got List, how Source) {
+	if from == l.discovery {
+		l.targets(got, how)
+	}
+}
+
+// ListFailed takes its word that it could not be asked.
+func (l *Loop) ListFailed(from Discovery, err error) {
+	if from != l.discovery {
+		return
+	}
+	log.Printf("discovery: %v", err)
+	l.balancer.Targets(l.now(), decision.List{Kind: decision.Failed})
+}
+
+// targets takes a list in, first into the table of endpoints, so that what the Balancer then sends finds
+// its address.
+func (l *Loop) targets(got List, from Source) {
+	switch {
+	case l.moved && !got.All:
+		return // changes to a list that the Balancer has not got
+	case l.moved:
+		l.moved = false
+		if from == FromFetch && !l.config.Settings.MustAsk {
+			// The watch may have brought changes before this list, that were passed over.
+			l.discovery.Stop()
+			l.discovery.Watch(&got.Rev)
+		}
+	case from == FromFetch && got.Rev < l.rev || from == FromWatch && !got.All && got.Rev <= l.rev:
+		return // older than what the Balancer has: an endpoint that left would come back
+	}
+	l.rev = got.Rev
+	entries, retired := l.endpoints.update(got)
+	for _, e := range retired {
+		l.pool.closeIdle(e)
+	}
+	kind := decision.Delta
+	switch {
+	case from == FromCache:
+		kind = decision.Cached
+	case got.All:
+		kind = decision.Whole
+	}
+	l.balancer.Targets(l.now(), decision.List{Kind: kind, Version: got.Rev, Entries: entries})
+	if from != FromCache || len(entries) > 0 {
+		l.life.haveList()
+	}
+}
+
+// Adopt notes an attempt that the process before has begun, and Disown that it has ended. Its connection has a place
+// that was reserved.
+func (l *Loop) Adopt(a *Attempt) { l.Post(func() { l.adopted[a] = true }) }
+
+func (l *Loop) Disown(a *Attempt) {
+	l.Post(func() {
+		delete(l.adopted, a)
+		l.pool.open--
+	})
+}
+
+// Reserve takes a place for a connection to an endpoint that the process before has made, and Unreserve gives it
+// back.
+func (l *Loop) Reserve() bool {
+	ok := make(chan bool, 1)
+	l.Post(func() { ok <- l.pool.room() })
+	return <-ok
+}
+
+func (l *Loop) Unreserve() { l.Post(func() { l.pool.open-- }) }
+
+// Stats is what a loop holds.
+type Stats struct {
+	Calls     int // not yet answered, or with an attempt out
+	Out       int // attempts
+	Conns     int // to endpoints
+	Idle      int // of them
+	Rev       uint64
+	Moved     bool   // a list of the discovery that is followed is still to come
+	Discovery string // its address
+	Endpoints []EndpointStats
+}
+
+// EndpointStats is what a loop holds of an endpoint.
+type EndpointStats struct {
+	ID      decision.EndpointID
+	Address string
+	Open    bool // it may get new attempts
+	Idle    int  // connections
+}
+
+// Stats looks at what the loop holds.
+func (l *Loop) Stats() Stats {
+	got := make(chan Stats, 1)
+	l.Post(func() {
+		s := Stats{Calls: len(l.calls), Out: len(l.adopted), Conns: l.pool.open, Idle: l.pool.order.Len(), Rev: l.rev,
+			Moved: l.moved, Discovery: l.address}
+		for _, c := range l.calls {
+			if c.out != nil {
+				s.Out++
+			}
+		}
+		for _, e := range l.endpoints.byID {
+			s.Endpoints = append(s.Endpoints, EndpointStats{ID: e.ID, Address: e.Address, Open: e.Open(),
+				Idle: len(l.pool.idle[e])})
+		}
+		got <- s
+	})
+	return <-got
+}
--- /dev/null
+++ b/internal/core/succession.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"log"
+	"time"
+
+	"dykering/internal/decision"
+)
+
+// TellEvery is how often a process that ends tells its successor what it still has in flight: often beside what a
+// call takes, and rarely beside what telling it costs. BelievedFor is how long a successor goes by the last that it
+// was told: a process that is killed says nothing.
+const (
+	TellEvery   = 50 * time.Millisecond
+	BelievedFor = 10 * TellEvery
+)
+
+// Word is what a process that ends tells its successor of itself.
+type Word struct {
+	Learnt *decision.Learnt            `json:"learnt,omitempty"`
+	Calls  map[decision.EndpointID]int `json:"calls,omitempty"`
+}
+
+// Word is what is to be told now: what is in flight and, at first, what this process has learnt.
+func (l *Loop) Word(first bool) Word {
+	told := make(chan Word, 1)
+	l.Post(func() {
+		w := Word{Calls: l.balancer.Calls()}
+		if first {
+			learnt := l.balancer.Learnt(l.now())
+			w.Learnt = &learnt
+		}
+		told <- w
+	})
+	return <-told
+}
+
+// Heed takes the word of the process before.
+func (l *Loop) Heed(w *Word) {
+	l.Post(func() {
+		if w.Learnt != nil {
+			if err := l.balancer.Inherit(l.now(), *w.Learnt); err != nil {
+				log.Printf("handover: %v; this process learns by itself", err)
+			}
+		}
+		l.balancer.Beside(l.now(), w.Calls, l.now()+BelievedFor)
+	})
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,219 @@
+// Package discovery asks a service discovery, over HTTP, which endpoints there are, and follows what changes.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dykering/internal/core"
+)
+
+const (
+	maxList      = 4 << 20 // bytes of one list
+	fetchTimeout = 3200 * time.Millisecond
+	// watchSilence ends a watch that says nothing: an empty line is due every 2 s, and what discovery has to
+	// tell counts as told 6 s later at the latest, by which time another watch must have brought it.
+	watchSilence = 3200 * time.Millisecond
+	// answerSilence ends a watch that is not even answered.
+	answerSilence = 2 * time.Second
+	backoffLeast  = 50 * time.Millisecond
+	backoffMost   = 2 * time.Second
+)
+
+// Options are how a discovery is asked.
+type Options struct {
+	ConnectTimeout time.Duration
+	MustAsk        bool // a watch costs: it is not taken up again but when the sink says so
+}
+
+// watcher talks to the discovery at one address. It belongs to the loop that it serves; what its goroutines bring is
+// heard only while they are wanted.
+type watcher struct {
+	url      string
+	sink     core.Sink
+	client   *http.Client
+	again    bool // reconnect by itself: where lists are pushed, asking costs nothing
+	cancel   context.CancelFunc
+	watching bool // until a watch has ended by itself
+	fetching bool
+}
+
+// New makes the discovery at an address.
+func New(address string, to core.Sink, o Options) core.Discovery {
+	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
+	return &watcher{url: "http://" + address + "/v1/endpoints", sink: to, again: !o.MustAsk,
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
+}
+
+// Watch begins to watch for what changes after a version; nil asks for the whole list first. Like Stop it
+// never waits.
+func (w *watcher) Watch(since *uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel, w.watching = cancel, true
+	go w.run(ctx, since)
+}
+
+// Stop ends the watch: nothing that it brought and that the loop has not yet taken counts.
+func (w *watcher) Stop() {
+	if w.cancel != nil {
+		w.cancel()
+	}
+	w.watching = false
+}
+
+// post hands what the watch brought to the loop, unless it has been stopped by then.
+func (w *watcher) post(ctx context.Context, event func()) {
+	w.sink.Post(func() {
+		if ctx.Err() == nil {
+			event()
+		}
+	})
+}
+
+// run watches until it is stopped, or, where discovery must be asked, until the watch ends.
+func (w *watcher) run(ctx context.Context, since *uint64) {
+	pause := backoffLeast
+	told := ""
+	for {
+		reached, got, err := w.watch(ctx, since)
+		if ctx.Err() != nil {
+			return
+		}
+		since = reached
+		if !w.again {
+			w.post(ctx, func() {
+				w.watching = false
+				w.sink.ListFailed(w, err)
+			})
+			return
+		}
+		if got {
+			pause, told = backoffLeast, ""
+		}
+		if text := err.Error(); text != told {
+			log.Printf("discovery: %s", text)
+			told = text
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, backoffMost)
+	}
+}
+
+// errSilent is a watch that stands and brings nothing, not even an empty line.
+var errSilent = errors.New("watch: silent")
+
+// watch follows the list until the connection ends, and tells whether it brought anything and what version
+// it reached, so that the next watch misses nothing.
+func (w *watcher) watch(ctx context.Context, since *uint64) (reached *uint64, got bool, err error) {
+	ctx2, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(answerSilence, func() { cancel(errSilent) })
+	defer silence.Stop()
+	defer func() {
+		if errors.Is(context.Cause(ctx2), errSilent) {
+			err = errSilent
+		}
+	}()
+	url := w.url + "?follow=1"
+	if since != nil {
+		url += "&since=" + strconv.FormatUint(*since, 10)
+	}
+	body, err := w.get(ctx2, url)
+	if err != nil {
+		return since, false, err
+	}
+	defer body.Close()
+	silence.Reset(watchSilence)
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxList)
+	for lines.Scan() {
+		silence.Reset(watchSilence)
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l core.List
+		if err := json.Unmarshal(line, &l); err != nil {
+			// What the line held is missing: begin again with the whole list.
+			return nil, got, fmt.Errorf("watch: %w", err)
+		}
+		got, since = true, &l.Rev
+		w.post(ctx, func() { w.sink.Listed(w, l, core.FromWatch) })
+	}
+	if err := lines.Err(); err != nil {
+		return since, got, fmt.Errorf("watch: %w", err)
+	}
+	return since, got, errors.New("watch ended")
+}
+
+// Fetch gets the whole list once, unless that is under way. It is heard only while its discovery is the one
+// that is followed.
+func (w *watcher) Fetch() {
+	if w.fetching {
+		return
+	}
+	w.fetching = true
+	go func() {
+		got, err := w.whole()
+		w.sink.Post(func() {
+			w.fetching = false
+			switch {
+			case err != nil && w.watching:
+				log.Printf("discovery: %v; the watch stands", err) // and brings what changes
+			case err != nil:
+				w.sink.ListFailed(w, err)
+			default:
+				w.sink.Listed(w, got, core.FromFetch)
+			}
+		})
+	}()
+}
+
+// whole asks for the whole list.
+func (w *watcher) whole() (l core.List, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	body, err := w.get(ctx, w.url)
+	if err != nil {
+		return l, err
+	}
+	defer body.Close()
+	if err := json.NewDecoder(io.LimitReader(body, maxList)).Decode(&l); err != nil {
+		return l, fmt.Errorf("fetch: %w", err)
+	}
+	if !l.All {
+		return l, errors.New("fetch: not the whole list")
+	}
+	return l, nil
+}
+
+func (w *watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := w.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		res.Body.Close()
+		return nil, fmt.Errorf("answered %s", res.Status)
+	}
+	return res.Body, nil
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,186 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"dykering/internal/core"
+)
+
+const patience = 20 * time.Second
+
+// sink runs what is posted in one goroutine, and notes what it is told.
+type sink struct {
+	events chan func()
+	told   chan string
+}
+
+func newSink(t *testing.T) *sink {
+	s := &sink{events: make(chan func(), 16), told: make(chan string, 16)}
+	done := make(chan bool)
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case event := <-s.events:
+				event()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return s
+}
+
+func (s *sink) Post(event func()) { s.events <- event }
+func (s *sink) Listed(_ core.Discovery, l core.List, how core.Source) {
+	s.told <- fmt.Sprint("list ", l.Rev, " by ", how)
+}
+func (s *sink) ListFailed(_ core.Discovery, err error) { s.told <- "failed" }
+
+// play makes a discovery that the test plays.
+func play(t *testing.T, mustAsk bool, serve http.HandlerFunc) (*sink, *watcher) {
+	t.Helper()
+	place := httptest.NewServer(serve)
+	s := newSink(t)
+	w := New(place.Listener.Addr().String(), s, Options{ConnectTimeout: patience, MustAsk: mustAsk}).(*watcher)
+	t.Cleanup(func() {
+		s.Post(w.Stop)
+		place.CloseClientConnections()
+		place.Close()
+	})
+	return s, w
+}
+
+func line(rev uint64) string {
+	text, _ := json.Marshal(core.List{Rev: rev, All: rev%2 == 0})
+	return "\n" + string(text) + "\n\n"
+}
+
+func watch(s *sink, w *watcher, since uint64) { s.Post(func() { w.Watch(&since) }) }
+
+func next[T any](t *testing.T, c <-chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing comes")
+	}
+	return x
+}
+
+// A watch that ends is taken up where it ended; after a line that cannot be read, the whole list is asked for.
+func TestWatchReconnects(t *testing.T) {
+	asked, replies := make(chan string, 8), make(chan string, 8)
+	s, w := play(t, false, func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		select {
+		case reply := <-replies:
+			fmt.Fprint(w, reply)
+		case <-r.Context().Done():
+		}
+	})
+	watch(s, w, 41)
+	for _, step := range []struct{ query, reply string }{
+		{"follow=1&since=41", line(43)}, {"follow=1&since=43", line(44) + line(45)}, {"follow=1&since=45", "{broken\n"},
+		{"follow=1", ""},
+	} {
+		if got := next(t, asked); got != step.query {
+			t.Errorf("asked %q, want %q", got, step.query)
+		}
+		replies <- step.reply
+	}
+	for _, rev := range []int{43, 44, 45} {
+		if got := next(t, s.told); got != fmt.Sprint("list ", rev, " by ", core.FromWatch) {
+			t.Errorf("told %q", got)
+		}
+	}
+}
+
+// A watch may fall silent and stay open. Another one is taken up before what changed meanwhile counts as told.
+func TestSilentWatchIsReplaced(t *testing.T) {
+	const told = 6 * time.Second
+	asked := make(chan time.Time, 8)
+	s, w := play(t, false, func(w http.ResponseWriter, r *http.Request) {
+		asked <- time.Now()
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	watch(s, w, 1)
+	began := next(t, asked)
+	if took := next(t, asked).Sub(began); took > told-500*time.Millisecond {
+		t.Errorf("silent for %v", took)
+	}
+}
+
+// Where discovery must be asked, a watch that falls silent, breaks off in the middle of a line or is not answered ends
+// with word of it, and is taken up again when that is asked for.
+func TestBrokenWatchesEnd(t *testing.T) {
+	step := 0
+	s, w := play(t, true, func(w http.ResponseWriter, r *http.Request) {
+		switch step++; step {
+		case 1: // silent after its first line
+			fmt.Fprint(w, line(8))
+			http.NewResponseController(w).Flush()
+		case 2: // breaks off
+			half := line(9)
+			fmt.Fprint(w, half[:len(half)/2])
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		<-r.Context().Done() // not answered
+	})
+	for i, want := range []string{fmt.Sprint("list 8 by ", core.FromWatch), "failed", "failed", "failed"} {
+		if i != 1 {
+			watch(s, w, 7)
+		}
+		if got := next(t, s.told); got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+	}
+}
+
+// A fetch brings the whole list; one that fails does not end a watch that stands, and is told of where there is none.
+func TestFetch(t *testing.T) {
+	watches, replies := make(chan bool, 8), make(chan string, 8)
+	s, w := play(t, true, func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has("follow") {
+			if reply := <-replies; reply != "" {
+				fmt.Fprint(w, reply)
+				return
+			}
+			panic(http.ErrAbortHandler)
+		}
+		watches <- true
+		for r.Context().Err() == nil {
+			fmt.Fprintln(w)
+			http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	watch(s, w, 1)
+	next(t, watches)
+	for _, reply := range []string{"", line(3), "{", line(4)} {
+		replies <- reply
+		s.Post(w.Fetch)
+		for idle := make(chan bool); ; time.Sleep(time.Millisecond) {
+			s.Post(func() { idle <- !w.fetching })
+			if <-idle {
+				break
+			}
+		}
+	}
+	if got := next(t, s.told); got != fmt.Sprint("list 4 by ", core.FromFetch) || len(s.told) > 0 || len(watches) > 0 {
+		t.Errorf("told %q and %d more; %d more watches", got, len(s.told), len(watches))
+	}
+	s.Post(w.Stop)
+	replies <- ""
+	s.Post(w.Fetch)
+	if got := next(t, s.told); got != "failed" {
+		t.Errorf("told %q", got)
+	}
+}
--- a/internal/sidecar/away.go
+++ b/internal/http1/away.go
@@ -1,6 +1,10 @@
-package sidecar
+package http1
 
-import "time"
+import (
+	"time"
+
+	"dykering/internal/core"
+)
 
 const (
 	// awayAfter is how long after the start of a drain the last idle connection is closed. Until then callers
@@ -18,16 +22,16 @@
 )
 
 // CanServe, Drain and Resume are what the second address asks of a sidecar. They do not wait for the loop.
-func (s *server) CanServe() bool { return s.life.canServe() }
-func (s *server) Drain()         { s.life.drain() }
-func (s *server) Resume()        { s.life.resume() }
+func (s *Server) CanServe() bool { return s.life.CanServe() }
+func (s *Server) Drain()         { s.life.Drain() }
+func (s *Server) Resume()        { s.life.Resume() }
 
 // sendAway closes callers' connections while the sidecar drains or hands over: first those that have been idle
 // for so long that their callers will hardly use them, in the end all that are idle. What is in use closes with
 // its answer. It ends with done.
-func (s *server) sendAway(done <-chan struct{}) {
+func (s *Server) sendAway(done <-chan struct{}) {
 	for {
-		phase, since, changed := s.life.now()
+		phase, since, changed := s.life.Now()
 		var next <-chan time.Time
 		if s.away(phase) {
 			took, after := time.Since(since), s.awayAfter()
@@ -51,11 +55,13 @@
 }
 
 // away tells whether callers are to go elsewhere in a phase: by a drain, or to a successor.
-func (s *server) away(p phase) bool { return p == draining || p == stopping && s.handsOver() }
+func (s *Server) away(p core.Phase) bool {
+	return p == core.Draining || p == core.Stopping && s.handsOver()
+}
 
 // awayAfter is how long callers that have not heard that they are to go elsewhere are served.
-func (s *server) awayAfter() time.Duration {
-	if s.life.canServe() {
+func (s *Server) awayAfter() time.Duration {
+	if s.life.CanServe() {
 		return s.heardFor
 	}
 	return s.handsFor
@@ -63,19 +69,19 @@
 
 // sentAway tells whether callers have been sent away for so long that nobody should be asking here, and what they
 // are told then.
-func (s *server) sentAway() (a answer, away bool) {
-	phase, since, _ := s.life.now()
-	a = s.config.turnedAway()
-	if phase == stopping {
-		a.retryAfter = min(a.retryAfter, handedOverWait)
+func (s *Server) sentAway() (a core.Answer, away bool) {
+	phase, since, _ := s.life.Now()
+	a = core.TurnedAway(&s.config.Settings)
+	if phase == core.Stopping {
+		a.RetryAfter = min(a.RetryAfter, handedOverWait)
 	}
 	return a, s.away(phase) && time.Since(since) > s.awayAfter()
 }
 
 // tooLate tells whether a long body's last byte comes when it can no longer be answered here.
-func (s *server) tooLate() bool {
+func (s *Server) tooLate() bool {
 	if s.handing() {
-		return time.Until(s.life.ends()) < leastToAnswer
+		return time.Until(s.life.Ends()) < leastToAnswer
 	}
 	_, away := s.sentAway()
 	return away
@@ -83,10 +89,10 @@
 
 // closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere.
 // Requests that have come behind the one that is answered are still served, for a while.
-func (s *server) closes(c *caller, buffered int) bool {
-	phase, since, _ := s.life.now()
+func (s *Server) closes(c *caller, buffered int) bool {
+	phase, since, _ := s.life.Now()
 	if s.away(phase) {
 		return time.Since(since) > s.awayAfter() || buffered == 0 && !c.waiting()
 	}
-	return s.life.closing(lastAnswers)
+	return s.life.Closing(lastAnswers)
 }
--- a/internal/sidecar/callers.go
+++ b/internal/http1/callers.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"container/list"
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"dykering/internal/core"
 )
 
 // stage is how far the request has come that a caller's connection is to bring.
@@ -93,7 +95,7 @@
 	defer cs.mu.Unlock()
 	cs.newest = c.began
 	if cs.open >= cs.most && !cs.makeRoom(c.began) {
-		if cs.open >= cs.most+excessSockets {
+		if cs.open >= cs.most+core.ExcessSockets {
 			return false
 		}
 		c.over = true
--- a/internal/sidecar/chunked.go
+++ b/internal/http1/chunked.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
--- a/internal/sidecar/inbound.go
+++ b/internal/http1/inbound.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"dykering/internal/core"
 )
 
 // readers are those of the callers' connections that bring a request; idle ones need none.
@@ -19,7 +21,7 @@
 const acceptPause = 5 * time.Millisecond
 
 // accept serves callers until the listener is closed.
-func (s *server) accept() error {
+func (s *Server) accept() error {
 	for {
 		c, err := s.callers.accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -35,14 +37,14 @@
 }
 
 // serve serves one connection, for as long as it lasts.
-func (s *server) serve(c *caller) {
+func (s *Server) serve(c *caller) {
 	defer c.end()
 	until := c.began.Add(readTimeout)
 	s.serveFrom(c, until, nil)
 }
 
 // serveFrom serves a connection on which nothing is owed; r, if there is one, has read some of it.
-func (s *server) serveFrom(c *caller, until time.Time, r *bufio.Reader) {
+func (s *Server) serveFrom(c *caller, until time.Time, r *bufio.Reader) {
 	for {
 		if r != nil && r.Buffered() == 0 {
 			r.Reset(nil)
@@ -75,13 +77,13 @@
 
 // exchange reads a request and answers it, and tells whether the connection may bring another, or has been passed
 // on to the successor.
-func (s *server) exchange(c *caller, r *bufio.Reader) (lasts, passed bool) {
+func (s *Server) exchange(c *caller, r *bufio.Reader) (lasts, passed bool) {
 	w := &reply{caller: c, gift: s.giftOf(r)}
 	lasts = s.answerOne(c, r, w)
 	return lasts, w.passed
 }
 
-func (s *server) answerOne(c *caller, r *bufio.Reader, w *reply) (lasts bool) {
+func (s *Server) answerOne(c *caller, r *bufio.Reader, w *reply) (lasts bool) {
 	until, over := c.begin()
 	c.Conn.SetReadDeadline(until)
 	in, err := readRequest(r)
@@ -105,7 +107,7 @@
 	}
 	if in.URL.Path == "/ready" && in.Header.Get("X-Txn") == "" {
 		w.lasts = w.lasts && !unread && !s.closes(c, r.Buffered()+len(c.input))
-		if !s.life.ready() {
+		if !s.life.Ready() {
 			return w.status(http.StatusServiceUnavailable, "not ready")
 		}
 		return w.status(http.StatusOK, "")
@@ -124,11 +126,11 @@
 		}
 	}
 	held, err := s.take(c, in, req, body)
-	defer s.loop.bodies.give(held)
+	defer s.memory.Bodies.Give(held)
 	switch {
 	case errors.Is(err, errNoRoom):
 		w.lasts = false
-		return w.answer(s.config.turnedAway())
+		return w.answer(core.TurnedAway(&s.config.Settings))
 	case errors.Is(err, errTooLarge):
 		return w.error(http.StatusRequestEntityTooLarge, "request body too large")
 	case err != nil:
@@ -152,7 +154,7 @@
 
 // take reads a request's body, or as much of it as is held of a long one, and tells how many bytes of the bodies'
 // memory that has taken.
-func (s *server) take(c *caller, in *http.Request, req *request, from *requestBody) (held int, err error) {
+func (s *Server) take(c *caller, in *http.Request, req *request, from *requestBody) (held int, err error) {
 	header := in.Header
 	removeHopByHop(header)
 	req.inbound = inbound{method: in.Method, target: in.RequestURI, host: in.Host, header: header}
@@ -163,7 +165,7 @@
 	if in.ContentLength > 0 {
 		held = min(held, int(in.ContentLength))
 	}
-	if !s.loop.bodies.take(held) {
+	if !s.memory.Bodies.Take(held) {
 		return 0, errNoRoom
 	}
 	c.pace()
@@ -198,18 +200,18 @@
 }
 
 // decide hands a request to the loop and carries the answer back.
-func (s *server) decide(c *caller, r *bufio.Reader, w *reply, req *request) (lasts bool) {
+func (s *Server) decide(c *caller, r *bufio.Reader, w *reply, req *request) (lasts bool) {
 	received := time.Now()
 	req.Idle = c.served()
 	if req.more != nil {
 		req.more.gift = s.giftOfUpload(r, w, req)
 	}
-	s.loop.post(func() { s.loop.arrive(req, received) })
-	return s.await(c, r, w, req, func() { s.loop.post(func() { s.loop.lapse(req) }) })
+	s.loop.Arrive(req.Call, received)
+	return s.await(c, r, w, req, func() { s.loop.Lapse(req.Call) })
 }
 
 // await carries the answer to a request back; lapse is called where nobody waits for it any more.
-func (s *server) await(c *caller, r *bufio.Reader, w *reply, req *request, lapse func()) (lasts bool) {
+func (s *Server) await(c *caller, r *bufio.Reader, w *reply, req *request, lapse func()) (lasts bool) {
 	var passed <-chan struct{}
 	ended, broken := make(chan struct{}), (chan error)(nil)
 	if req.more != nil {
@@ -244,9 +246,9 @@
 			}
 			lapse()
 			return false
-		case a := <-req.answer:
+		case a := <-req.Final:
 			if req.more != nil && req.more.settle() {
-				s.loop.discard(a.response)
+				a.Discard()
 				w.passed = true
 				return false
 			}
@@ -255,7 +257,7 @@
 			}
 			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered()+len(c.input))
 			lasts := w.answer(a)
-			s.loop.discard(a.response)
+			a.Discard()
 			return lasts
 		}
 	}
--- a/internal/sidecar/passage.go
+++ b/internal/http1/passage.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"dykering/internal/core"
 	"dykering/internal/decision"
 	"dykering/internal/handover"
 )
@@ -29,7 +30,7 @@
 	Input   []byte      `json:"input,omitempty"`
 	Relay   *relayLeft  `json:"relay,omitempty"`
 	Upload  *uploadLeft `json:"upload,omitempty"`
-	Word    *word       `json:"word,omitempty"`
+	Word    *core.Word  `json:"word,omitempty"`
 }
 
 // uploadLeft is what is left of a long body, on its way to an endpoint: a request that goes out once and cannot be
@@ -62,7 +63,7 @@
 }
 
 // findHeir looks for the process that serves in this one's place.
-func (s *server) findHeir() {
+func (s *Server) findHeir() {
 	if s.config.Handover == "" {
 		return
 	}
@@ -75,10 +76,10 @@
 }
 
 // heirName is the name under which this process and its successor find each other.
-func (s *server) heirName() string { return s.config.Name + " " + s.config.Listen }
+func (s *Server) heirName() string { return s.config.Name + " " + s.config.Listen }
 
 // handing tells whether connections are passed on to a successor.
-func (s *server) handing() bool {
+func (s *Server) handing() bool {
 	heir := s.heir.Load()
 	return heir != nil && heir.Alive()
 }
@@ -86,13 +87,13 @@
 // moves tells whether requests that have not been decided about are passed on to the successor, and what is idle with
 // them. Until then callers are sent away one by one, each with its answer, and the front spreads them: a process that
 // has just begun to serve cannot judge all that comes if all of it comes at once (HANDOVER.md).
-func (s *server) moves() bool {
-	_, since, _ := s.life.now()
+func (s *Server) moves() bool {
+	_, since, _ := s.life.Now()
 	return s.handing() && time.Since(since) > s.handsFor
 }
 
 // pass gives a caller's connection to the successor, and with it an endpoint's where there is one.
-func (s *server) pass(c *caller, p passage, upstream *conn) error {
+func (s *Server) pass(c *caller, p passage, upstream *conn) error {
 	raw := []net.Conn{c.Conn}
 	if upstream != nil {
 		raw = append(raw, upstream.Conn)
@@ -101,7 +102,7 @@
 }
 
 // hand gives a passage to the successor.
-func (s *server) hand(p passage, raw ...net.Conn) error {
+func (s *Server) hand(p passage, raw ...net.Conn) error {
 	p.Version = passageVersion
 	state, err := json.Marshal(p)
 	if err != nil {
@@ -131,13 +132,13 @@
 }
 
 // passIdle passes on a connection on which nothing is owed.
-func (s *server) passIdle(c *caller, r *bufio.Reader) bool {
+func (s *Server) passIdle(c *caller, r *bufio.Reader) bool {
 	return s.pass(c, passage{Input: unread(c, r)}, nil) == nil
 }
 
 // passRequest passes on a connection with a request on it that no decision has been made about, and of whose body
 // some may still be to come: the successor reads it as if it had come there.
-func (s *server) passRequest(c *caller, r *bufio.Reader, in *http.Request, body []byte, rest *requestBody) bool {
+func (s *Server) passRequest(c *caller, r *bufio.Reader, in *http.Request, body []byte, rest *requestBody) bool {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s %s\r\n", in.Method, in.RequestURI, in.Proto)
 	if in.Host != "" {
@@ -167,7 +168,7 @@
 }
 
 // giftOf passes on a long answer to a caller whose connection is read by r.
-func (s *server) giftOf(r *bufio.Reader) gift {
+func (s *Server) giftOf(r *bufio.Reader) gift {
 	return func(l *relay) error {
 		if !s.handing() {
 			return handover.ErrNobody
@@ -186,13 +187,13 @@
 }
 
 // giftOfUpload passes on a long body.
-func (s *server) giftOfUpload(r *bufio.Reader, w *reply, req *request) func(*attempt, *conn) error {
+func (s *Server) giftOfUpload(r *bufio.Reader, w *reply, req *request) func(*attempt, *conn) error {
 	return func(a *attempt, c *conn) error {
 		if !s.handing() {
 			return handover.ErrNobody
 		}
 		u := req.more
-		left := &uploadLeft{ID: string(req.ID), Wait: a.request.Left, Old: w.old, Lasts: w.lasts, Pending: u.pending,
+		left := &uploadLeft{ID: string(req.ID), Wait: a.Call.Left, Old: w.old, Lasts: w.lasts, Pending: u.pending,
 			Total: u.total, Length: u.body.length, Left: u.body.left, Chunks: u.body.chunks}
 		return s.pass(u.caller, passage{Input: unread(u.caller, r), Upload: left}, c)
 	}
@@ -200,7 +201,7 @@
 
 // receive takes over the connections of the process before. Without a way to it the two work as they did before
 // there was one: callers are sent from one to the other.
-func (s *server) receive() (close func()) {
+func (s *Server) receive() (close func()) {
 	if !s.handsOver() || s.config.Handover == "" {
 		return nil
 	}
@@ -219,27 +220,27 @@
 }
 
 // adopt makes room for a connection of the process before.
-func (s *server) adopt(state []byte, conns []net.Conn) (start, drop func(), ok bool) {
+func (s *Server) adopt(state []byte, conns []net.Conn) (start, drop func(), ok bool) {
 	var p passage
 	if err := json.Unmarshal(state, &p); err != nil || p.Version != passageVersion || !p.fits(conns) {
 		log.Printf("handover: version %d with %d connections cannot be taken over: %v", p.Version, len(conns), err)
 		return nil, nil, false
 	}
 	if p.Word != nil {
-		return func() { s.loop.post(func() { s.loop.heed(p.Word) }) }, func() {}, true
+		return func() { s.loop.Heed(p.Word) }, func() {}, true
 	}
 	c := &caller{Conn: conns[0], callers: &s.callers, began: time.Now(), input: p.Input}
-	if !s.life.canServe() || !s.callers.adopt(c) {
+	if !s.life.CanServe() || !s.callers.adopt(c) {
 		return nil, nil, false
 	}
-	if len(conns) > 1 && !s.loop.reserve() {
+	if len(conns) > 1 && !s.loop.Reserve() {
 		c.end()
 		return nil, nil, false
 	}
 	drop = func() {
 		c.end()
 		if len(conns) > 1 {
-			s.loop.unreserve()
+			s.loop.Unreserve()
 		}
 	}
 	switch {
@@ -289,16 +290,16 @@
 }
 
 // resume makes a relay of what is left of one.
-func (s *server) resume(c *caller, left *relayLeft, upstream []net.Conn) *relay {
+func (s *Server) resume(c *caller, left *relayLeft, upstream []net.Conn) *relay {
 	l := &relay{caller: c, pending: left.Pending, framed: left.Framed, old: left.Old, lasts: left.Lasts,
-		buffers: s.loop.buffers, gift: s.giftOf(nil), body: &answerBody{ended: true}}
+		buffers: s.memory.Buffers, gift: s.giftOf(nil), body: &answerBody{ended: true}}
 	if left.Ended {
 		return l
 	}
 	up := newConn(upstream[0])
 	up.input, up.left = left.Input, left.Allowed
 	l.from = up
-	l.body = &answerBody{conn: up, reader: up.reader, length: left.Length, longest: s.loop.longest, read: left.Read,
+	l.body = &answerBody{conn: up, reader: up.reader, length: left.Length, longest: maxLong, read: left.Read,
 		toClose: left.ToClose}
 	if left.Chunks != nil {
 		l.body.chunks = left.Chunks
@@ -309,19 +310,19 @@
 }
 
 // serveAdopted serves a caller's connection that was another process's.
-func (s *server) serveAdopted(c *caller) {
+func (s *Server) serveAdopted(c *caller) {
 	defer c.end()
 	s.serveFrom(c, c.began.Add(idleTimeout), nil)
 }
 
 // serveRelay goes on with a long answer, and then with its caller's connection.
-func (s *server) serveRelay(c *caller, l *relay, upstream []net.Conn) {
+func (s *Server) serveRelay(c *caller, l *relay, upstream []net.Conn) {
 	defer c.end()
 	w := &reply{caller: c}
 	lasts := w.relay(l)
 	for _, up := range upstream {
 		up.Close()
-		s.loop.unreserve()
+		s.loop.Unreserve()
 	}
 	switch {
 	case w.passed:
@@ -333,7 +334,7 @@
 }
 
 // serveUpload goes on with a long body, passes its answer back, and then serves its caller's connection.
-func (s *server) serveUpload(c *caller, left *uploadLeft, upstream net.Conn) {
+func (s *Server) serveUpload(c *caller, left *uploadLeft, upstream net.Conn) {
 	defer c.end()
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(c)
@@ -342,33 +343,29 @@
 	if body.chunks != nil {
 		body.chunks.r = r
 	}
-	req := &request{answer: make(chan answer, 1)}
+	req := newRequest()
 	req.ID, req.Left, req.Long = decision.RequestID(left.ID), left.Wait, true
 	req.more = newUpload(c, body, s.tooLate)
 	req.more.total, req.more.pending, req.more.resumed = left.Total, left.Pending, true
 	req.more.gift = s.giftOfUpload(r, w, req)
 	c.served()
 	c.pace()
-	e := &endpoint{address: upstream.RemoteAddr().String()}
-	e.open.Store(true)
-	host := &heirHost{server: s, answer: req.answer}
-	a := newAttempt(req, e, 0, host)
-	s.loop.post(func() { s.loop.adopted[a] = true })
+	host := &heirHost{server: s, answer: req.Final}
+	e := core.NewEndpoint(0, upstream.RemoteAddr().String())
+	a := core.NewAttempt(req.Call, e, 0, host)
+	s.loop.Adopt(a)
 	go func() {
-		defer a.close()
-		res := a.over(newConn(upstream), s.loop.memory)
+		defer a.Close()
+		res := newAttempt(a).over(newConn(upstream), s.memory)
 		if res.conn != nil {
 			res.conn.Close()
 		}
-		s.loop.post(func() {
-			delete(s.loop.adopted, a)
-			s.loop.pool.open--
-		})
+		s.loop.Disown(a)
 		host.outcome(res)
 	}()
 	lapse := func() {
 		host.lapse()
-		a.cancel()
+		a.Cancel()
 	}
 	switch lasts := s.await(c, r, w, req, lapse); {
 	case w.passed:
@@ -381,30 +378,30 @@
 
 // heirHost is what an attempt needs whose decisions were made in the process before.
 type heirHost struct {
-	server *server
-	answer chan answer // holds one
+	server *Server
+	answer chan core.Answer // holds one
 
 	mu    sync.Mutex
 	given bool // the answer, or nobody waits for it
 }
 
-func (h *heirHost) written(a *attempt) {
-	end := time.Now().Add(a.request.Left - h.server.config.Settings.GraceToAnswer)
-	if ends := h.server.life.ends(); !ends.IsZero() && ends.Before(end) {
+// Written has the attempt end when its answer is no longer waited for, or the process ends.
+func (h *heirHost) Written(a *core.Attempt) {
+	end := time.Now().Add(a.Call.Left - h.server.config.Settings.GraceToAnswer)
+	if ends := h.server.life.Ends(); !ends.IsZero() && ends.Before(end) {
 		end = ends
 	}
-	a.endAt(end)
+	a.EndAt(end)
 }
 
-func (h *heirHost) begin(a *attempt, r *response) {
-	h.give(answer{response: r})
-}
+// Begin gives a long answer.
+func (h *heirHost) Begin(a *core.Attempt, r core.Response) { h.give(core.Answer{Response: r}) }
 
-func (h *heirHost) give(a answer) {
+func (h *heirHost) give(a core.Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.given {
-		h.server.loop.discard(a.response)
+		a.Discard()
 		return
 	}
 	h.given = true
@@ -418,7 +415,7 @@
 	h.given = true
 	select {
 	case a := <-h.answer:
-		h.server.loop.discard(a.response)
+		a.Discard()
 	default:
 	}
 }
@@ -428,19 +425,10 @@
 func (h *heirHost) outcome(res result) {
 	switch {
 	case res.status == decision.OK && res.response != nil && res.response.more == nil:
-		h.give(answer{response: res.response})
+		h.give(core.Answer{Response: res.response})
 	case res.status.NeverRan():
-		h.give(h.server.config.turnedAway())
+		h.give(core.TurnedAway(&h.server.config.Settings))
 	default:
-		h.give(answer{})
+		h.give(core.Answer{})
 	}
 }
-
-// reserve takes a place for a connection to an endpoint that the process before has made.
-func (l *loop) reserve() bool {
-	ok := make(chan bool, 1)
-	l.post(func() { ok <- l.pool.room() })
-	return <-ok
-}
-
-func (l *loop) unreserve() { l.post(func() { l.pool.open-- }) }
--- a/internal/sidecar/relay.go
+++ b/internal/http1/relay.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"errors"
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"dykering/internal/core"
 )
 
 // relay is a long answer on its way from an endpoint to a caller. Between two of its steps all that it has is in
@@ -16,7 +18,7 @@
 type relay struct {
 	caller  *caller
 	body    *answerBody
-	buffers *buffers
+	buffers *core.Buffers
 	done    chan error // see download; nil once it has been told
 	pending []byte     // framed, for the caller
 	framed  bool       // the caller gets chunks
@@ -132,8 +134,8 @@
 // run goes on from where the relay stands until its end. The error is nil at that, errPassedOn, errCallerGone or
 // what the endpoint's side broke with.
 func (l *relay) run() error {
-	buffer := l.buffers.get()
-	defer l.buffers.put(buffer)
+	buffer := l.buffers.Get()
+	defer l.buffers.Put(buffer)
 	for {
 		switch {
 		case l.isAsked() && l.passOn():
--- /dev/null
+++ b/internal/http1/reload_test.go
@@ -0,0 +1,90 @@
+package http1
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func ready(uid string, bootMS int64) target {
+	return target{UID: uid, Address: "127.0.0.1:9", Zone: "z", Model: "m", State: "Ready", Weight: 1, BootMS: bootMS}
+}
+
+// On SIGHUP the discovery that the file names is followed from its whole list on, whatever its versions;
+// nothing of the old one counts any more, and what was taken goes on. A file that cannot be used changes
+// nothing.
+func TestReloadFollowsAnotherDiscovery(t *testing.T) {
+	came, serve := make(chan bool, 1), make(chan bool)
+	a := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-serve
+		fmt.Fprint(w, "a")
+	})
+	b := peer(t, "s-2", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "b") })
+	rg := start(t, 1024, a)
+	answered := make(chan string)
+	go func() {
+		_, body := rg.ask(rg.request("once", 9*time.Second))
+		answered <- body
+	}()
+	<-came
+
+	asked := make(chan string, 8)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		if r.URL.Query().Get("since") == "" {
+			json.NewEncoder(w).Encode(endpointList{Rev: 0, All: true, Targets: []target{b}})
+		}
+		if r.URL.Query().Get("follow") == "1" {
+			http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	defer other.Close()
+	defer other.CloseClientConnections()
+	good, err := os.ReadFile(rg.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line7, _ := json.Marshal(endpointList{Rev: 7, All: true, Targets: []target{a}})
+	rg.lists <- string(line7)
+	rg.until("its list is taken in", func() bool { return rg.stats().Rev == 7 })
+	was := rg.stats().Discovery
+	os.WriteFile(rg.file, good[:len(good)/2], 0o600)
+	rg.reloads <- syscall.SIGHUP
+	if s := rg.stats(); s.Discovery != was || s.Moved {
+		t.Error("a broken file had an effect")
+	}
+	os.WriteFile(rg.file, []byte(strings.Replace(string(good), was, other.Listener.Addr().String(), 1)), 0o600)
+	rg.reloads <- syscall.SIGHUP
+	rg.until("the new list is taken in", func() bool {
+		s := rg.stats()
+		return s.Rev == 0 && !s.Moved && s.Discovery != was
+	})
+	for range 2 {
+		if query := <-asked; strings.Contains(query, "since=7") {
+			t.Errorf("asked the new discovery for changes to the old one's list: %q", query)
+		}
+	}
+	if rg.open(1) {
+		t.Error("an endpoint that the new list lacks is open")
+	}
+	line, _ := json.Marshal(endpointList{Rev: 9, All: true, Targets: []target{a}})
+	rg.lists <- string(line)
+	if _, body := rg.ask(rg.request("once", 9*time.Second)); body != "b" {
+		t.Errorf("served %q", body)
+	}
+	close(serve)
+	if got := <-answered; got != "a" {
+		t.Errorf("the request that was taken before got %q", got)
+	}
+	if rg.stats().Rev != 0 {
+		t.Error("the old discovery was heard")
+	}
+}
--- a/internal/sidecar/reply.go
+++ b/internal/http1/reply.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bytes"
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"dykering/internal/core"
 )
 
 // reply writes one answer to a caller.
@@ -19,16 +21,17 @@
 }
 
 // answer gives the final answer. Like the other methods it tells whether the connection may go on.
-func (w *reply) answer(a answer) (lasts bool) {
+func (w *reply) answer(a core.Answer) (lasts bool) {
+	response, _ := a.Response.(*response)
 	switch {
-	case a.response != nil && a.response.more != nil:
-		return w.relay(newRelay(w, a.response))
-	case a.response != nil:
-		return w.whole(http.StatusOK, a.response.header, a.response.body)
-	case a.refused:
+	case response != nil && response.more != nil:
+		return w.relay(newRelay(w, response))
+	case response != nil:
+		return w.whole(http.StatusOK, response.header, response.body)
+	case a.Refused:
 		header := http.Header{}
-		if a.retryAfter > 0 {
-			header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		if a.RetryAfter > 0 {
+			header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 		}
 		return w.text(http.StatusServiceUnavailable, header, "refused: trying again is harmless")
 	default:
--- /dev/null
+++ b/internal/http1/run.go
@@ -0,0 +1,53 @@
+package http1
+
+import (
+	"log"
+	"net"
+	"os"
+
+	"dykering/internal/core"
+)
+
+// Run serves callers that come to a listener until a signal arrives on stop, and then ends what was taken. A signal on
+// reload makes it read its configuration file again.
+func (s *Server) Run(listener net.Listener, stop, reload <-chan os.Signal) error {
+	s.callers.Listener = listener
+	go s.loop.Run()
+	defer s.loop.Unwatch()
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.sendAway(ended)
+	if close := s.receive(); close != nil {
+		defer close()
+	}
+	go func() {
+		for range reload {
+			s.reload()
+		}
+	}()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		log.Printf("%v: stopping", <-stop)
+		s.stop()
+	}()
+	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
+	err := s.accept()
+	if phase, _, _ := s.life.Now(); phase != core.Stopping {
+		return err
+	}
+	<-stopped
+	return nil
+}
+
+// reload takes up the discovery that the configuration file names now. All else is as it was at the start.
+// A file that cannot be used changes nothing.
+func (s *Server) reload() {
+	c, err := s.config.Reload()
+	if err != nil {
+		log.Printf("reload: %v; the old configuration stays", err)
+		return
+	}
+	log.Printf("reload: discovery is %s", c.Discovery)
+	s.loop.Follow(c.Discovery)
+}
--- a/internal/sidecar/server.go
+++ b/internal/http1/server.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"net/http"
@@ -8,16 +8,14 @@
 	"sync/atomic"
 	"time"
 
+	"dykering/internal/config"
+	"dykering/internal/core"
 	"dykering/internal/decision"
+	"dykering/internal/discovery"
 	"dykering/internal/handover"
 )
 
 const (
-	// reservedSockets are for the listeners, discovery, probes, standard streams and the runtime, for
-	// control.MaxConnections, and for excessSockets: callers that come when all connections are busy, and are
-	// turned away.
-	reservedSockets = 40
-	excessSockets   = 12
 	// readTimeout is for a head, from its first byte on, and for that to come on a new connection: who takes
 	// longer is in the way of others. From the connection on the first head may take firstTimeout.
 	readTimeout  = 2500 * time.Millisecond
@@ -52,10 +50,23 @@
 	more   *upload
 }
 
-// server takes callers' requests to the loop, and its answers back.
-type server struct {
-	loop     *loop
-	config   *Config
+// request is a call with what goes on of it.
+type request struct {
+	*core.Call
+	inbound
+}
+
+func newRequest() *request {
+	r := &request{}
+	r.Call = core.NewCall(decision.Request{}, &r.inbound)
+	return r
+}
+
+// Server takes callers' requests to the loop, and its answers back.
+type Server struct {
+	loop     *core.Loop
+	memory   *core.Memory
+	config   *config.Config
 	classes  map[string]int
 	tenants  map[string]int
 	longest  time.Duration // deadline of a class
@@ -64,17 +75,27 @@
 	handOver time.Duration // see handOver
 	heardFor time.Duration // see awayAfter
 	handsFor time.Duration // see handedOverAfter
-	life     *lifecycle
+	life     *core.Lifecycle
 	receiver *handover.Receiver              // of the process before; nil where there is no way
 	heir     atomic.Pointer[handover.Sender] // to whom connections are passed on; nil for nobody
 
 	callers callers
 }
 
-func newServer(c *Config, l *loop) *server {
-	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
-		handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, life: l.life}
-	s.callers.most = int((1 - outboundShare) * float64(c.plan().Sockets-reservedSockets))
+// New makes a server, and the core that it serves with.
+func New(c *config.Config) (*Server, error) {
+	memory := core.NewMemory(c.Plan())
+	loop, err := core.New(c.Core(), &upstream{memory, c.Settings.ConnectTimeout},
+		func(address string, to core.Sink) core.Discovery {
+			return discovery.New(address, to, discovery.Options{ConnectTimeout: c.Settings.ConnectTimeout,
+				MustAsk: c.Settings.MustAsk})
+		})
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{loop: loop, memory: memory, config: c, classes: map[string]int{}, tenants: map[string]int{},
+		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, life: loop.Lifecycle()}
+	s.callers.most = c.Plan().Inbound()
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -83,14 +104,14 @@
 	for i, tenant := range c.Settings.Tenants {
 		s.tenants[tenant.Name] = i
 	}
-	return s
+	return s, nil
 }
 
 // single are the headers that must not be repeated: of two, an endpoint may read the other one.
 var single = []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"}
 
 // parse reads what the Balancer is told of a request, or names what is wrong with it.
-func (s *server) parse(r *http.Request) (req *request, status int, fault string) {
+func (s *Server) parse(r *http.Request) (req *request, status int, fault string) {
 	switch {
 	case r.ContentLength > maxLong:
 		return nil, http.StatusRequestEntityTooLarge, "request body too large"
@@ -103,7 +124,7 @@
 	return req, 0, ""
 }
 
-func (s *server) read(r *http.Request) (req *request, fault string) {
+func (s *Server) read(r *http.Request) (req *request, fault string) {
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, "not a path: this is no proxy for other hosts"
 	}
@@ -112,7 +133,7 @@
 			return nil, name + ": repeated"
 		}
 	}
-	req = &request{answer: make(chan answer, 1)}
+	req = newRequest()
 	req.ID = decision.RequestID(r.Header.Get("X-Txn"))
 	if req.ID == "" || len(req.ID) > maxName {
 		return nil, "X-Txn: missing or too long"
@@ -197,7 +218,7 @@
 // Where there are others it closes what is idle handOver before the end, so that its last callers move there.
 // Where a successor accepts on the same socket, it accepts no more and sends its callers there as in a drain.
 // It ends early when nobody is connected any more. It does harm where the platform kills sooner than it says.
-func (s *server) stop() {
+func (s *Server) stop() {
 	told := time.Now()
 	end := told.Add(s.linger)
 	if s.handsOver() {
@@ -218,11 +239,11 @@
 	if s.config.Settings.Instances > 1 && !s.handsOver() {
 		last = end.Add(-min(s.handOver, s.linger-s.quiet))
 	}
-	s.life.stop(last, end)
+	s.life.Stop(last, end)
 	if s.handsOver() {
 		s.callers.Listener.Close() // its own copy: the successor has the socket
 	}
-	s.loop.post(func() { s.loop.leave(end, s.handsOver()) })
+	s.loop.Leave(end, s.handsOver())
 	for time.Now().Before(last) && !s.quits(time.Since(told)) {
 		time.Sleep(stopPoll)
 	}
@@ -238,10 +259,10 @@
 }
 
 // handsOver tells whether a successor accepts in this process's place when it stops.
-func (s *server) handsOver() bool { return s.config.Accept != nil }
+func (s *Server) handsOver() bool { return s.config.Accept != nil }
 
 // quits tells whether a sidecar that was told to stop some time ago has nobody left to serve.
-func (s *server) quits(ago time.Duration) bool {
+func (s *Server) quits(ago time.Duration) bool {
 	if s.handsOver() {
 		return s.callers.quietFor(0)
 	}
--- /dev/null
+++ b/internal/http1/succession.go
@@ -0,0 +1,37 @@
+package http1
+
+import (
+	"errors"
+	"log"
+	"time"
+
+	"dykering/internal/core"
+	"dykering/internal/handover"
+)
+
+// tell tells the successor what this process has learnt, and, until done, what it has in flight. A successor that
+// knows no such word declines it, and is told no more.
+func (s *Server) tell(done <-chan struct{}) {
+	tick := time.NewTicker(core.TellEvery)
+	defer tick.Stop()
+	for first, last := true, false; ; first = false {
+		w := core.Word{}
+		if !last {
+			w = s.loop.Word(first)
+		}
+		if err := s.hand(passage{Word: &w}); err != nil {
+			if errors.Is(err, handover.ErrDeclined) {
+				log.Printf("handover: the successor takes no figures: %v", err)
+			}
+			return
+		}
+		if last {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-done:
+			last = true // nothing is in flight here any more
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/http1/upstream.go
@@ -1,9 +1,8 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
 	"bytes"
-	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -12,13 +11,12 @@
 	"net/http"
 	"net/textproto"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
+	"dykering/internal/core"
 	"dykering/internal/decision"
 	"dykering/internal/settings"
 )
@@ -34,14 +32,8 @@
 	// skipPatience is how long a body that nobody wants may take.
 	skipPatience = 20 * time.Millisecond
 	// relayStall is how long an endpoint may take no more of a body, or give no more of an answer.
-	relayStall = 10 * time.Second
-	// outboundShare is the part of the sockets that connections to endpoints may use.
-	outboundShare = 0.4
-	// idleShare is the part of connIdle after which an idle connection is retired: a request that is written
-	// while the endpoint closes it would be lost as a reset.
-	idleShare      = 0.5
-	idleDefault    = 10 * time.Second // where connIdle is not told
-	maxInformation = 16               // 1xx responses before the final one
+	relayStall     = 10 * time.Second
+	maxInformation = 16 // 1xx responses before the final one
 	// settle is how long a connection rests after an answer. Nothing ties an answer to its request, so what an
 	// endpoint sends beyond an answer must be seen before the next request is written.
 	settle = time.Millisecond
@@ -52,12 +44,10 @@
 // conn is a connection to an endpoint; it carries one attempt at a time.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader // of what Read gives
-	input     []byte        // what another process has read of it
-	left      int           // bytes that may still be read
-	idleSince time.Time
-	endpoint  *endpoint // while it is idle:
-	idle      *list.Element
+	core.Idle
+	reader *bufio.Reader // of what Read gives
+	input  []byte        // what another process has read of it
+	left   int           // bytes that may still be read
 }
 
 func newConn(raw net.Conn) *conn {
@@ -81,9 +71,9 @@
 	return n, err
 }
 
-// alive tells whether an idle connection can carry a request: its peer has neither closed it nor sent what
+// Alive tells whether an idle connection can carry a request: its peer has neither closed it nor sent what
 // nobody asked for.
-func (c *conn) alive() bool {
+func (c *conn) Alive() bool {
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -113,126 +103,37 @@
 	return n, err
 }
 
-// pool holds the idle connections to all endpoints, and bounds all connections to them. The loop owns it.
-type pool struct {
-	idle    map[*endpoint][]*conn // the most recently used last
-	order   list.List             // of all idle ones, the longest idle first
-	open    int                   // connections in use, idle or being made
-	most    int
-	maxIdle time.Duration
+// upstream carries attempts out over HTTP/1.1.
+type upstream struct {
+	memory         *core.Memory
+	connectTimeout time.Duration
 }
 
-func newPool(c *Config) pool {
-	p := pool{idle: map[*endpoint][]*conn{}, maxIdle: idleDefault,
-		most: int(outboundShare * float64(c.plan().Sockets-reservedSockets))}
-	if idle := c.Settings.ConnIdle; idle > 0 {
-		p.maxIdle = time.Duration(idleShare * float64(idle))
+// Send makes an attempt.
+func (u *upstream) Send(a *core.Attempt, over core.Conn) core.Result {
+	c, _ := over.(*conn)
+	res := newAttempt(a).run(c, u.connectTimeout, u.memory)
+	told := core.Result{Status: res.status, Took: res.took, Load: res.load, Spent: res.spent}
+	if res.conn != nil {
+		told.Conn = res.conn
 	}
-	return p
-}
-
-// acquire takes the most recently used connection; nil asks for a new one. It is false when there may be no
-// further connection. Whether the connection is alive shows when it is used.
-func (p *pool) acquire(e *endpoint, now time.Time) (c *conn, ok bool) {
-	if conns := p.idle[e]; len(conns) > 0 {
-		if last := conns[len(conns)-1]; now.Sub(last.idleSince) < p.maxIdle {
-			p.take(last)
-			return last, true
-		}
-		p.closeIdle(e) // the others are older
-	}
-	return nil, p.room()
-}
-
-// room takes a place for a connection.
-func (p *pool) room() bool {
-	if p.open >= p.most {
-		oldest := p.order.Front()
-		if oldest == nil {
-			return false
-		}
-		p.close(oldest.Value.(*conn))
-	}
-	p.open++
-	return true
-}
-
-// release takes a connection back after an attempt; nil if it is closed.
-func (p *pool) release(e *endpoint, c *conn) {
-	switch {
-	case c == nil:
-		p.open--
-	case !e.open.Load():
-		c.Close()
-		p.open--
-	default:
-		c.idleSince = time.Now()
-		c.endpoint = e
-		c.idle = p.order.PushBack(c)
-		p.idle[e] = append(p.idle[e], c)
-	}
-}
-
-// take takes a connection out of the idle ones.
-func (p *pool) take(c *conn) {
-	p.order.Remove(c.idle)
-	conns := p.idle[c.endpoint]
-	i := slices.Index(conns, c)
-	if conns = slices.Delete(conns, i, i+1); len(conns) == 0 {
-		delete(p.idle, c.endpoint)
-	} else {
-		p.idle[c.endpoint] = conns
-	}
-}
-
-// close closes an idle connection.
-func (p *pool) close(c *conn) {
-	p.take(c)
-	c.Close()
-	p.open--
-}
-
-func (p *pool) closeIdle(e *endpoint) {
-	for _, c := range slices.Clone(p.idle[e]) {
-		p.close(c)
-	}
-}
-
-// sweep closes connections that have been idle for too long or whose peer has closed them.
-func (p *pool) sweep(now time.Time) {
-	for at := p.order.Front(); at != nil; {
-		c := at.Value.(*conn)
-		at = at.Next()
-		if now.Sub(c.idleSince) >= p.maxIdle || !c.alive() {
-			p.close(c)
-		}
+	if res.response != nil && res.response.more == nil {
+		told.Response = res.response
 	}
+	return told
 }
 
 // attempt is one sending of a request to an endpoint.
 type attempt struct {
-	request  *request
-	endpoint *endpoint
-	number   int
-	ctx      context.Context // ends with the time-out, or when the attempt is cancelled
-	end      context.CancelCauseFunc
-	host     relayHost
-	left     time.Duration // what an endpoint is told that its answer is waited for
-	out      chan struct{} // closed when the last byte of a long body is out
-	ear      *ear          // see ear
-
-	mu    sync.Mutex
-	sent  time.Time   // since when its time counts
-	timer *time.Timer // ends it with its time-out; nil while a long body is being sent
-	begun bool        // a long answer is on its way to the caller: it is no longer timed
-}
-
-// relayHost is what an attempt needs of the sidecar round it.
-type relayHost interface {
-	// written tells that the last byte of a long body is out.
-	written(*attempt)
-	// begin passes a long answer on, and tells at its done how that ended.
-	begin(*attempt, *response)
+	*core.Attempt
+	in      *inbound
+	longest int64         // that an answer may be
+	out     chan struct{} // closed when the last byte of a long body is out
+	ear     *ear          // see ear
+}
+
+func newAttempt(a *core.Attempt) *attempt {
+	return &attempt{Attempt: a, in: a.Call.Message.(*inbound), longest: maxLong, out: make(chan struct{}), ear: newEar()}
 }
 
 // result is how an attempt ended. Its connection is nil unless it can carry another attempt.
@@ -250,100 +151,40 @@
 	header http.Header
 	body   []byte
 	more   *download
+	memory *core.Memory // that it takes of
+}
+
+// Discard lets go of it.
+func (r *response) Discard() {
+	r.memory.Bodies.Give(len(r.body))
+	if r.more != nil {
+		select {
+		case r.more.done <- errCallerGone: // nobody has passed it on
+		default:
+		}
+	}
 }
 
 // download is the part of a long answer that is still to come. Who passes it on reads it, and tells at done how
 // that ended: nil, what the endpoint's side broke with, or errCallerGone.
 type download struct {
 	body    *answerBody
-	buffers *buffers
+	buffers *core.Buffers
 	done    chan error
 }
 
-func newAttempt(r *request, e *endpoint, timeout time.Duration, host relayHost) *attempt {
-	a := &attempt{request: r, endpoint: e, number: r.attempts, sent: time.Now(), host: host,
-		out: make(chan struct{}), ear: newEar()}
-	a.ctx, a.end = context.WithCancelCause(context.Background())
-	deadline := r.deadline
-	if end := a.sent.Add(timeout); timeout != 0 && end.Before(deadline) {
-		deadline = end
-	}
-	if r.more != nil {
-		a.left = r.Left // its time has not begun
-		return a
-	}
-	a.left = time.Until(deadline)
-	a.endAt(deadline)
-	return a
-}
-
-// cancel gives the attempt up.
-func (a *attempt) cancel() { a.end(context.Canceled) }
-
-// close lets go of what an attempt that is over holds.
-func (a *attempt) close() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-	a.end(context.Canceled)
-}
-
-// endAt has the attempt time out.
-func (a *attempt) endAt(deadline time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.begun {
-		return
-	}
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-	a.timer = time.AfterFunc(time.Until(deadline), func() { a.end(context.DeadlineExceeded) })
-}
-
-// untime frees the attempt of its time-out, unless that has passed, and tells how long its answer took to begin.
-func (a *attempt) untime() (took time.Duration, ok bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.begun = a.timer == nil || a.timer.Stop()
-	return time.Since(a.sent), a.begun
-}
-
-// isBegun tells whether a long answer is on its way to the caller.
-func (a *attempt) isBegun() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.begun
-}
-
-// restart has the time count from now on.
-func (a *attempt) restart() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sent = time.Now()
-}
-
-// elapsed is the time that counts.
-func (a *attempt) elapsed() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return time.Since(a.sent)
-}
-
 // run makes the attempt: one write on one connection, and the answer to it. net/http's Transport would send
 // a request again by itself and does not tell whether its last byte was written, so it is not used here.
 // When run returns, the connection is either closed or free, so the Balancer may send again.
-func (a *attempt) run(c *conn, connectTimeout time.Duration, room *memory) (res result) {
+func (a *attempt) run(c *conn, connectTimeout time.Duration, room *core.Memory) (res result) {
 	defer func() {
 		if res.took == 0 {
-			res.took = a.elapsed()
+			res.took = a.Elapsed()
 		}
 	}()
 	if c != nil {
-		time.Sleep(time.Until(c.idleSince.Add(settle)))
-		if !c.alive() {
+		time.Sleep(time.Until(c.Since.Add(settle)))
+		if !c.Alive() {
 			c.Close()
 			c = nil
 		}
@@ -365,9 +206,9 @@
 // then, and a dead one does it twice.
 func (a *attempt) dial(timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout}
-	raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+	raw, err := dialer.DialContext(a.Ctx, "tcp", a.Endpoint.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		raw, err = dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+		raw, err = dialer.DialContext(a.Ctx, "tcp", a.Endpoint.Address)
 	}
 	if err != nil {
 		return nil, err
@@ -380,7 +221,7 @@
 // place, and then a slow start. The new connection takes the broken one's place.
 func (a *attempt) whatBroke(res *result, connectTimeout time.Duration) {
 	time.Sleep(resetsSpread)
-	if a.endpoint.waiting.Load() > 0 {
+	if a.Endpoint.Waiting.Load() > 0 {
 		res.status = decision.Spoilt
 		return
 	}
@@ -390,11 +231,11 @@
 }
 
 // over makes the attempt over a connection.
-func (a *attempt) over(c *conn, room *memory) result {
-	release := context.AfterFunc(a.ctx, func() {
+func (a *attempt) over(c *conn, room *core.Memory) result {
+	release := context.AfterFunc(a.Ctx, func() {
 		c.Close()
-		if a.request.more != nil {
-			a.request.more.caller.stop()
+		if a.in.more != nil {
+			a.in.more.caller.stop()
 		}
 	})
 	res := a.exchange(c, room)
@@ -407,36 +248,36 @@
 
 // unsent is the status of an attempt whose last byte was certainly not written.
 func (a *attempt) unsent() decision.Status {
-	if a.ctx.Err() != nil {
+	if a.Ctx.Err() != nil {
 		return decision.Moot
 	}
 	return decision.ConnectFailed
 }
 
-func (a *attempt) exchange(c *conn, room *memory) result {
+func (a *attempt) exchange(c *conn, room *core.Memory) result {
 	// The dial may have outlasted the endpoint's welcome.
-	if !a.endpoint.open.Load() || a.ctx.Err() != nil {
+	if !a.Endpoint.Open() || a.Ctx.Err() != nil {
 		return result{status: decision.Moot}
 	}
-	if a.request.more != nil {
+	if a.in.more != nil {
 		return a.exchangeLong(c, room)
 	}
-	text := a.request.encode(a.left - a.elapsed())
+	text := a.in.encode(a.Left - a.Elapsed())
 	pieces := net.Buffers{text}
-	if len(a.request.body) > 0 {
-		pieces = append(pieces, a.request.body)
+	if len(a.in.body) > 0 {
+		pieces = append(pieces, a.in.body)
 	}
-	if n, err := pieces.WriteTo(c.Conn); err != nil && n < int64(len(text)+len(a.request.body)) {
+	if n, err := pieces.WriteTo(c.Conn); err != nil && n < int64(len(text)+len(a.in.body)) {
 		return result{status: a.unsent()}
 	}
 	return a.hear(c, room)
 }
 
 // hear takes the answer to a request that is written.
-func (a *attempt) hear(c *conn, room *memory) result {
-	a.endpoint.waiting.Add(1)
+func (a *attempt) hear(c *conn, room *core.Memory) result {
+	a.Endpoint.Waiting.Add(1)
 	res, err := a.read(c, room)
-	a.endpoint.waiting.Add(-1)
+	a.Endpoint.Waiting.Add(-1)
 	if err != nil {
 		res.status = a.broken(err)
 	}
@@ -445,7 +286,7 @@
 
 // broken is the status of an attempt that was written and whose answer did not come whole.
 func (a *attempt) broken(err error) decision.Status {
-	switch cause := context.Cause(a.ctx); {
+	switch cause := context.Cause(a.Ctx); {
 	case errors.Is(err, errCallerGone):
 		return decision.Cancelled
 	case errors.Is(err, errPassedOn):
@@ -464,7 +305,7 @@
 
 // exchangeLong sends a long body as it comes, and listens at the same time: an endpoint may turn it away before
 // its end. Until the last byte is out the request has not run.
-func (a *attempt) exchangeLong(c *conn, room *memory) (res result) {
+func (a *attempt) exchangeLong(c *conn, room *core.Memory) (res result) {
 	type ending struct{ caller, write error }
 	sent := make(chan ending, 1)
 	go func() {
@@ -472,7 +313,7 @@
 		e.caller, e.write = a.sendLong(c, room)
 		switch {
 		case e.caller != nil, e.write == errLate:
-			a.cancel()
+			a.Cancel()
 		case errors.Is(e.write, errPassedOn):
 		case e.write != nil:
 			c.SetReadDeadline(time.Now().Add(lastWord)) // what it said before it broke off
@@ -498,7 +339,7 @@
 		case e = <-sent:
 		default:
 			e.write = errEarly
-			a.cancel() // ends the sending
+			a.Cancel() // ends the sending
 			<-sent
 		}
 	}
@@ -508,7 +349,7 @@
 	}
 	// Its last byte is not out: whatever was answered, it has not run.
 	early := res.status
-	res = result{status: decision.Moot, spent: a.request.more.spent}
+	res = result{status: decision.Moot, spent: a.in.more.spent}
 	switch {
 	case early == decision.Full:
 		res.status = decision.Full
@@ -523,7 +364,7 @@
 
 // isOut tells whether the last byte of the request is out. Its answer may be here before its sender knows.
 func (a *attempt) isOut() bool {
-	if a.request.more == nil {
+	if a.in.more == nil {
 		return true
 	}
 	select {
@@ -538,22 +379,21 @@
 const lastWord = 200 * time.Millisecond
 
 // sendLong writes a request with a long body.
-func (a *attempt) sendLong(c *conn, room *memory) (callerErr, writeErr error) {
-	u := a.request.more
+func (a *attempt) sendLong(c *conn, room *core.Memory) (callerErr, writeErr error) {
+	u := a.in.more
 	if !u.resumed {
 		c.SetWriteDeadline(time.Now().Add(relayStall))
-		pieces := append(net.Buffers{a.request.encode(a.left)}, framed(a.request.body, u.body.chunks != nil)...)
+		pieces := append(net.Buffers{a.in.encode(a.Left)}, framed(a.in.body, u.body.chunks != nil)...)
 		if _, err := pieces.WriteTo(c.Conn); err != nil {
 			return nil, err
 		}
 	}
-	buffer := room.buffers.get()
-	defer room.buffers.put(buffer)
+	buffer := room.Buffers.Get()
+	defer room.Buffers.Put(buffer)
 	callerErr, writeErr = u.pass(a, c, buffer)
 	if callerErr == nil && writeErr == nil {
-		a.restart()
+		a.Written()
 		close(a.out)
-		a.host.written(a)
 	}
 	return callerErr, writeErr
 }
@@ -576,7 +416,7 @@
 
 // read takes the response to the request that was written. An error that is not the connection's means that
 // the response cannot be used; its connection is of no more use then.
-func (a *attempt) read(c *conn, room *memory) (res result, err error) {
+func (a *attempt) read(c *conn, room *core.Memory) (res result, err error) {
 	c.left = maxAnswerHead
 	var code int
 	var header textproto.MIMEHeader
@@ -592,7 +432,7 @@
 	if code < http.StatusOK {
 		return res, errSpoilt // its real answer is still to come
 	}
-	body, err := newAnswerBody(c, code, header, room.longest)
+	body, err := newAnswerBody(c, code, header, a.longest)
 	if err != nil {
 		return res, err
 	}
@@ -635,19 +475,19 @@
 }
 
 // take reads a good answer: the whole of it if it is short enough and comes in one go, else its beginning.
-func (a *attempt) take(c *conn, body *answerBody, header textproto.MIMEHeader, room *memory) (*response, error) {
-	r := &response{header: http.Header(header)}
+func (a *attempt) take(c *conn, body *answerBody, header textproto.MIMEHeader, room *core.Memory) (*response, error) {
+	r := &response{header: http.Header(header), memory: room}
 	most := maxBody
 	if body.length >= 0 {
 		most = int(min(body.length, maxBody))
 	}
-	long := body.length > maxBody || !room.bodies.take(most)
+	long := body.length > maxBody || !room.Bodies.Take(most)
 	if long {
 		most = answerStart
-		room.bodies.force(most)
+		room.Bodies.Force(most)
 	}
 	kept := 0
-	defer func() { room.bodies.give(most - kept) }()
+	defer func() { room.Bodies.Give(most - kept) }()
 	patience := time.Now().Add(answerPatience)
 	for !body.ended && (!long || len(r.body) == 0) {
 		if body.length < 0 && len(r.body) > 0 && !c.awaits(patience) {
@@ -666,18 +506,17 @@
 	}
 	kept = len(r.body)
 	if !body.ended {
-		r.more = &download{body: body, buffers: room.buffers, done: make(chan error, 1)}
+		r.more = &download{body: body, buffers: room.Buffers, done: make(chan error, 1)}
 	}
 	return r, nil
 }
 
 // pass has a long answer passed on, and returns when it has been.
 func (a *attempt) pass(r *response) (took time.Duration, err error) {
-	took, ok := a.untime()
+	took, ok := a.Begin(r)
 	if !ok {
 		return took, context.DeadlineExceeded
 	}
-	a.host.begin(a, r)
 	return took, <-r.more.done
 }
 
@@ -832,12 +671,12 @@
 	return b.Bytes()
 }
 
-// probe asks an endpoint for its health on a connection of its own.
-func probe(e *endpoint, timeout time.Duration) decision.Status {
+// Probe asks an endpoint for its health on a connection of its own.
+func (u *upstream) Probe(e *core.Endpoint, timeout time.Duration) decision.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	transport := &http.Transport{DisableKeepAlives: true}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+"/health", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/health", nil)
 	if err != nil {
 		return decision.Moot
 	}
--- a/internal/sidecar/inherit.go
+++ b/internal/listen/listen.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package listen makes the socket that callers connect to, or takes over one that the platform holds.
+package listen
 
 import (
 	"errors"
@@ -10,6 +11,22 @@
 
 var errNotListening = errors.New("not a listening TCP socket")
 
+// Open makes the socket at an address, or takes the one that the platform holds as a descriptor.
+func Open(address string, accept *int) (net.Listener, error) {
+	if accept != nil {
+		l, err := inherit(*accept)
+		if err != nil {
+			return nil, fmt.Errorf("BALANCER_ACCEPT_FD: descriptor %d: %w", *accept, err)
+		}
+		return l, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
 // inherit takes over a listening socket that other processes share. What it returns is a copy: to close it ends
 // this process's accepting, and leaves the socket and what waits in its backlog to the others.
 func inherit(fd int) (net.Listener, error) {
