Add the command line, the operator's file and a structured log

Need: the program took no arguments, read only the platform's JSON, and logged plain lines with nothing to bound them; later subsystems need a place for their settings.

Change: `dykering run|check|config|version|completion` on cobra, with exit codes 0, 1 and 2; an operator's TOML file on go-toml/v2, in sections that packages register, each fault with file, line, key and what would be right, values from the environment by reference, taken whole or not at all on SIGHUP and numbered; a log on zap whose events have stable names, that never waits for its sink and tells what it left out. The platform's JSON is checked for all its faults, with lines.

`make test`'s tests pass under -race.

--- a/cmd/dykering/main_test.go
+++ b/cmd/dykering/main_test.go
@@ -29,7 +29,7 @@
 // A configuration that cannot be used is named in one line, and the exit status says that nothing runs.
 func TestBadConfigurationEndsTheProgram(t *testing.T) {
 	for _, config := range []string{"", "/nowhere/config.json"} {
-		cmd := exec.Command(os.Args[0])
+		cmd := exec.Command(os.Args[0], "run")
 		cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+config)
 		var stderr bytes.Buffer
 		cmd.Stderr = &stderr
@@ -57,7 +57,7 @@
 		"control: ": "BALANCER_CONTROL=" + taken.Addr().String(), "listen: ": "BALANCER_LISTEN=" + taken.Addr().String(),
 		"BALANCER_ACCEPT_FD: ": "BALANCER_ACCEPT_FD=99",
 	} {
-		cmd := exec.Command(os.Args[0])
+		cmd := exec.Command(os.Args[0], "run")
 		cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+file, variable)
 		var stderr bytes.Buffer
 		cmd.Stderr = &stderr
@@ -96,7 +96,7 @@
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
 	file := configure(t, discovery.Listener.Addr().String())
-	cmd := exec.Command(os.Args[0])
+	cmd := exec.Command(os.Args[0], "run")
 	cmd.Env = append(os.Environ(), "BE_DYKERING=1", "BALANCER_CONFIG="+file)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -111,7 +111,7 @@
 		word string // of the log, that shows that the step before is done
 		next os.Signal
 	}{
-		{"serving on", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGTERM},
+		{"process.serving", syscall.SIGHUP}, {"reload.taken", syscall.SIGHUP}, {"reload.taken", syscall.SIGTERM},
 	} {
 		for {
 			if !lines.Scan() {
--- /dev/null
+++ b/cmd/dykering/operate_test.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dykering/internal/operator"
+)
+
+const patience = 20 * time.Second
+
+// command runs a command line in this process.
+func command(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = execute(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// The file under deploy/ names every key with its default.
+func TestExampleIsCurrent(t *testing.T) {
+	const path = "../../deploy/dykering.toml"
+	text, err := os.ReadFile(path)
+	if _, example, _ := command("config", "default"); err != nil || string(text) != example {
+		t.Errorf("%s is not what `dykering config default` prints, %v", path, err)
+	}
+	if code, _, errOut := command("check", path); code != exitOK {
+		t.Errorf("it has faults: %s", errOut)
+	}
+}
+
+// Each key that is registered, misspelt, of a wrong type or out of its bounds, is named with its line.
+func TestEveryKeysFaults(t *testing.T) {
+	text := strings.Split(operator.Example(), "\n")
+	keyLine := regexp.MustCompile(`^([a-z_.]+) = (.*)$`)
+	limits := regexp.MustCompile(` \((\S+) to (\S+)\)$`)
+	section, tried := "", 0
+	for i, line := range text {
+		if strings.HasPrefix(line, "[") {
+			section = strings.Trim(line, "[]") + "."
+		}
+		m := keyLine.FindStringSubmatch(line)
+		if m == nil || section == "" {
+			continue
+		}
+		changes := map[string]string{"misspelt": m[1] + "x = " + m[2], "type": m[1] + " = 1979-05-27"}
+		if b := limits.FindStringSubmatch(text[i-1]); b != nil {
+			quoted := strings.Contains(m[2], `"`)
+			value := func(s string) string {
+				if quoted {
+					return `"` + s + `"`
+				}
+				return s
+			}
+			changes["too much"] = m[1] + " = " + value("9"+b[2])
+			changes["too little"] = m[1] + " = " + value(regexp.MustCompile(`^[0-9]+`).ReplaceAllString(b[1], "0"))
+		}
+		for name, change := range changes {
+			faulty := append([]string(nil), text...)
+			faulty[i] = change
+			path := write(t, "faulty.toml", strings.Join(faulty, "\n"))
+			code, _, errOut := command("check", path)
+			want := fmt.Sprintf("%s:%d: %s%s", path, i+1, section, m[1])
+			if code != exitFault || !strings.Contains(errOut, want) || strings.Count(errOut, "\n") != 1 ||
+				name == "misspelt" && !strings.Contains(errOut, "is "+section+m[1]+" meant?") {
+				t.Errorf("%s: exit %d, %q", change, code, errOut)
+			}
+			tried++
+		}
+	}
+	if tried < 2*len(operator.Defaults().Values()) {
+		t.Errorf("only %d changes for %d keys", tried, len(operator.Defaults().Values()))
+	}
+}
+
+// What the command line does, and its exit codes.
+func TestCommands(t *testing.T) {
+	t.Setenv("BALANCER_CONFIG", "")
+	platform := configure(t, "127.0.0.1:9")
+	broken := write(t, "broken.json", "{\n\"name\":\"n\",\n\"limits\":{\"cores\":0,\n\"sockets\":9}}")
+	half := write(t, "half.json", "{\n\"name\":")
+	for _, tc := range []struct {
+		args string
+		code int
+		want []string // in what it prints
+	}{
+		{"", exitUsage, []string{"a command is missing", "check", "run", "completion"}},
+		{"rnu", exitUsage, []string{"rnu"}},
+		{"run --confg x", exitUsage, []string{"--confg"}},
+		{"check", exitUsage, []string{"at least 1 arg"}},
+		{"config", exitUsage, []string{"show or default"}},
+		{"version extra", exitUsage, []string{"extra"}},
+		{"run", exitFault, []string{"BALANCER_CONFIG"}},
+		{"version", exitOK, []string{"dykering ", "file version 1"}},
+		{"completion bash", exitOK, []string{"__start_dykering"}},
+		{"check " + platform, exitOK, nil},
+		{"check " + platform + " " + broken + " " + half, exitFault, []string{broken + ":3: limits.cores", broken + ":4: limits.sockets",
+			broken + ": seed", broken + ": settings: missing", half + ":2: unexpected end"}},
+		{"config show --config " + platform, exitOK, []string{"limits.memory_mb  = 64", platform + ":2", "log.level", "# default"}},
+		{"config show --config " + broken, exitFault, []string{"limits.cores"}},
+		{"run --config " + platform + " --operator " + broken, exitFault, []string{broken + ":1: "}},
+	} {
+		code, out, errOut := command(strings.Fields(tc.args)...)
+		if code != tc.code {
+			t.Errorf("%q: exit %d, want %d: %s", tc.args, code, tc.code, errOut)
+		}
+		for _, want := range tc.want {
+			if !strings.Contains(out+errOut, want) {
+				t.Errorf("%q: %q is not in %q", tc.args, want, out+errOut)
+			}
+		}
+	}
+}
+
+// program is a running program with an operator's file and one endpoint.
+type program struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	file string
+	pipe *os.File
+	log  *bufio.Reader
+	url  string
+}
+
+func start(t *testing.T, text string) *program {
+	t.Helper()
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }))
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"z","model":"m","state":"Ready","capacity_hint":1}]}`, endpoint.Listener.Addr())
+		fmt.Fprintln(w)
+		http.NewResponseController(w).Flush()
+		if r.URL.Query().Has("follow") {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+		endpoint.Close()
+	})
+	p := &program{t: t, file: write(t, "dykering.toml", text)}
+	config := configure(t, discovery.Listener.Addr().String())
+	p.cmd = exec.Command(os.Args[0], "run", "--config", config, "--operator", p.file)
+	p.cmd.Env = append(os.Environ(), "BE_DYKERING=1")
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	p.pipe, p.log = r, bufio.NewReader(r)
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+		r.Close()
+	})
+	line := p.until("process.serving")
+	p.url = "http://" + regexp.MustCompile(`127\.0\.0\.1:\d+`).FindString(line)
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if res, err := http.Get(p.url + "/ready"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return p
+			}
+		}
+	}
+	t.Fatal("never ready")
+	return nil
+}
+
+// until reads the log up to a line with a text.
+func (p *program) until(text string) string {
+	p.t.Helper()
+	p.pipe.SetReadDeadline(time.Now().Add(patience))
+	for {
+		line, err := p.log.ReadString('\n')
+		if err != nil {
+			p.t.Fatalf("the log ended before %q: %v", text, err)
+		}
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+}
+
+func (p *program) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ask sends a request, and tells how long its answer took.
+func (p *program) ask(id string) (status int, took time.Duration) {
+	r, _ := http.NewRequest("GET", p.url+"/x", nil)
+	r.Header = http.Header{"X-Txn": {id}, "X-Lane": {"read"}, "X-Remaining": {"900m"}}
+	began := time.Now()
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, time.Since(began)
+	}
+	io.Copy(io.Discard, res.Body)
+	res.Body.Close()
+	return res.StatusCode, time.Since(began)
+}
+
+// A file that is taken is a generation, with what has changed in the log; one that cannot be leaves the generation
+// before it whole, and one line says why and where.
+func TestGenerations(t *testing.T) {
+	p := start(t, "version = 1\n")
+	for i, step := range []struct{ text, want string }{
+		{"version = 1\n[log]\nburst = 30\n", `operator.taken	{"changes": ["log.burst: 20 -> 30"], "generation": 2}`},
+		{"version = 1\n[log]\nburst = \"ma", "operator.refused"},
+		{"version = 1\n[log]\nburst = 0\nmost = 0\n", `:3: log.burst: has to be at least 1", "faults": 2, "generation": 2}`},
+		{"version = 2\n", `:1: version: has to be 1", "faults": 1, "generation": 2}`},
+		{"", `version: missing; version = 1 goes first", "faults": 1, "generation": 2}`},
+		{"gone", `no such file or directory", "faults": 1, "generation": 2}`},
+		{"version = 1\n[log]\nformat = \"json\"\n", `"event":"operator.taken","changes":["log.format: \"console\" -> \"json\"","log.burst: 30 -> 20"],"generation":3}`},
+	} {
+		if step.text == "gone" {
+			os.Remove(p.file)
+		} else if err := os.WriteFile(p.file, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(syscall.SIGHUP)
+		if line := p.until("operator."); !strings.Contains(line, step.want) {
+			t.Errorf("step %d: %q, want %q", i, line, step.want)
+		}
+		p.until("reload.taken") // the platform's file, as before
+		if status, _ := p.ask(fmt.Sprint("g", i)); status != 200 {
+			t.Errorf("step %d: status %d", i, status)
+		}
+	}
+	for range 20 {
+		p.signal(syscall.SIGHUP)
+	}
+	p.until("reload.taken")
+	if status, _ := p.ask("after"); status != 200 {
+		t.Errorf("after twenty signals: status %d", status)
+	}
+	p.signal(syscall.SIGHUP)
+	p.signal(syscall.SIGTERM)
+	p.pipe.SetReadDeadline(time.Time{})
+	go io.Copy(io.Discard, p.log)
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("after both signals: %v", err)
+	}
+}
+
+// Where nobody reads the log, under load, no request is late for it, and what was lost is told afterwards.
+func TestLogThatNobodyReads(t *testing.T) {
+	p := start(t, "version = 1\n[log]\nlevel = \"debug\"\nburst = 1000\nmost = 10000\nbuffer = \"16KiB\"\n")
+	var all sync.WaitGroup
+	for i := range 8 {
+		all.Go(func() {
+			for k := range 250 {
+				if status, took := p.ask(fmt.Sprintf("r%d-%d", i, k)); status != 200 || took > patience/10 {
+					t.Errorf("status %d after %v", status, took)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	p.until("log.dropped")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,13 +2,17 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"dykering/internal/core"
+	"dykering/internal/faults"
 	"dykering/internal/settings"
 )
 
@@ -30,7 +34,10 @@
 	// ends passes its connections on to its successor there.
 	Handover string
 
-	getenv func(string) string // where it was loaded from
+	getenv  func(string) string // where it was loaded from
+	sources map[string]string   // of the values that the file does not give
+	lines   places
+	path    string
 }
 
 // Load reads the configuration file that BALANCER_CONFIG names.
@@ -64,11 +71,12 @@
 		Known     *core.List      `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
+	at := lines(text)
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, at.fault(path, err)
 	}
 	c := &Config{Name: file.Name, Listen: file.Listen, Control: file.Control, Discovery: file.Discovery,
-		Limits: file.Limits, getenv: getenv}
+		Limits: file.Limits, getenv: getenv, path: path, lines: at, sources: map[string]string{}}
 	fromEnv := map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen, "BALANCER_CONTROL": &c.Control}
 	if envDiscovery {
 		fromEnv["BALANCER_DISCOVERY"] = &c.Discovery
@@ -76,6 +84,7 @@
 	for variable, value := range fromEnv {
 		if v := getenv(variable); v != "" {
 			*value = v
+			c.sources[strings.ToLower(strings.TrimPrefix(variable, "BALANCER_"))] = "environment " + variable
 		}
 	}
 	if text := getenv("BALANCER_ACCEPT_FD"); text != "" {
@@ -90,17 +99,27 @@
 	if file.Known != nil {
 		c.Known = *file.Known
 	}
+	var wrong []faults.Fault
+	fault := func(key, text string) {
+		wrong = append(wrong, faults.Fault{File: path, Line: at.of[key], Key: key, Text: text})
+	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("%s: seed: %q is not a hexadecimal number of 64 bits", path, file.Seed)
+		fault("seed", fmt.Sprintf("%q is not a hexadecimal number of 64 bits", file.Seed))
 	}
 	if len(file.Settings) == 0 {
-		return nil, fmt.Errorf("%s: settings: missing", path)
-	}
-	if c.Settings, _, err = settings.Parse(file.Settings); err != nil {
-		return nil, fmt.Errorf("%s: settings: %w", path, err)
+		fault("settings", "missing")
+	} else if c.Settings, _, err = settings.Parse(file.Settings); err != nil {
+		key := "settings"
+		if mistyped := new(json.UnmarshalTypeError); errors.As(err, &mistyped) {
+			key += "." + mistyped.Field
+		}
+		fault(key, err.Error())
+	} else if err := c.Settings.Check(); err != nil {
+		fault("settings", err.Error())
 	}
-	if err := c.check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	c.check(fault)
+	if len(wrong) > 0 {
+		return nil, faults.Join(wrong)
 	}
 	return c, nil
 }
@@ -121,33 +140,127 @@
 	return core.Config{Settings: c.Settings, Seed: c.Seed, Limits: c.Plan(), Known: c.Known, Discovery: c.Discovery}
 }
 
+// Value is one value, and where it comes from.
+type Value struct{ Key, Text, Source string }
+
+// Values are what the platform says, but for the settings of the decisions and the list, of which it is told where
+// they stand.
+func (c *Config) Values() (all []Value) {
+	add := func(key, text string) {
+		source, ok := c.sources[key]
+		if line := c.lines.of[key]; !ok && line > 0 {
+			source = fmt.Sprintf("%s:%d", c.path, line)
+		} else if !ok {
+			source = "not set"
+		}
+		all = append(all, Value{key, text, source})
+	}
+	add("name", strconv.Quote(c.Name))
+	add("listen", strconv.Quote(c.Listen))
+	if c.Accept != nil {
+		all = append(all, Value{"accept_fd", strconv.Itoa(*c.Accept), "environment BALANCER_ACCEPT_FD"})
+	}
+	add("control", strconv.Quote(c.Control))
+	add("discovery", strconv.Quote(c.Discovery))
+	add("limits.cores", fmt.Sprint(c.Limits.Cores))
+	add("limits.memory_mb", fmt.Sprint(c.Limits.MemoryMB))
+	add("limits.sockets", fmt.Sprint(c.Limits.Sockets))
+	add("known", fmt.Sprintf("%d endpoints of version %d", len(c.Known.Targets), c.Known.Rev))
+	add("settings", fmt.Sprintf("%d classes, %d tenants, %d instances", len(c.Settings.Classes), len(c.Settings.Tenants),
+		c.Settings.Instances))
+	return all
+}
+
 // sharers is how many processes may accept on an inherited socket at a time.
 const sharers = 2
 
 // LeastSockets leaves room for some connections beside those that are reserved.
 const LeastSockets = 64
 
-// check names the first value that a sidecar cannot run with.
-func (c *Config) check() error {
-	for name, address := range map[string]string{"listen": c.Listen, "control": c.Control, "discovery": c.Discovery} {
-		if name == "control" && address == "" {
+// check names the values that a process cannot run with.
+func (c *Config) check(fault func(key, text string)) {
+	for _, place := range []struct{ key, address string }{{"listen", c.Listen}, {"control", c.Control},
+		{"discovery", c.Discovery}} {
+		if place.key == "control" && place.address == "" {
 			continue
 		}
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return fmt.Errorf("%s: %q is not host:port", name, address)
+		if _, _, err := net.SplitHostPort(place.address); err != nil {
+			fault(place.key, fmt.Sprintf("%q is not host:port", place.address))
 		}
 	}
-	switch {
-	case c.Name == "":
-		return fmt.Errorf("name: missing")
-	case c.Limits.Cores <= 0:
-		return fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
-	case c.Plan().MemoryMB <= 0:
-		return fmt.Errorf("limits.memory_mb: %v leaves a process nothing", c.Limits.MemoryMB)
-	case c.Plan().Sockets < LeastSockets:
-		return fmt.Errorf("limits.sockets: %v leaves a process less than %d", c.Limits.Sockets, LeastSockets)
-	case c.Settings.ConnectTimeout <= 0:
-		return fmt.Errorf("settings: allowed.connectTimeout: not above 0")
-	}
-	return nil
+	if c.Name == "" {
+		fault("name", "missing")
+	}
+	if c.Limits.Cores <= 0 {
+		fault("limits.cores", fmt.Sprintf("%v is not above 0", c.Limits.Cores))
+	}
+	if c.Plan().MemoryMB <= 0 {
+		fault("limits.memory_mb", fmt.Sprintf("%v leaves a process nothing", c.Limits.MemoryMB))
+	}
+	if c.Plan().Sockets < LeastSockets {
+		fault("limits.sockets", fmt.Sprintf("%v leaves a process less than %d", c.Limits.Sockets, LeastSockets))
+	}
+	if c.Settings.Classes != nil && c.Settings.ConnectTimeout <= 0 {
+		fault("settings.allowed.connectTimeout", "not above 0")
+	}
+}
+
+// places are the lines of a JSON text's keys.
+type places struct {
+	text []byte
+	of   map[string]int
+}
+
+// lines finds the line of each key of an object and of the objects in it, up to where it cannot be read.
+func lines(text []byte) places {
+	p := places{text, map[string]int{}}
+	d := json.NewDecoder(bytes.NewReader(text))
+	var value func(prefix string) bool
+	value = func(prefix string) bool {
+		token, err := d.Token()
+		if err != nil {
+			return false
+		}
+		switch token {
+		case json.Delim('{'):
+			for d.More() {
+				key, err := d.Token()
+				if err != nil {
+					return false
+				}
+				name := prefix + fmt.Sprint(key)
+				p.of[name] = p.line(d.InputOffset())
+				if !value(name + ".") {
+					return false
+				}
+			}
+			_, err = d.Token()
+		case json.Delim('['):
+			for d.More() {
+				if !value(prefix) {
+					return false
+				}
+			}
+			_, err = d.Token()
+		}
+		return err == nil
+	}
+	value("")
+	return p
+}
+
+func (p places) line(offset int64) int {
+	return 1 + bytes.Count(p.text[:min(max(offset, 0), int64(len(p.text)))], []byte("\n"))
+}
+
+// fault is what is wrong with a text that cannot be read.
+func (p places) fault(path string, err error) error {
+	f := faults.Fault{File: path, Text: err.Error()}
+	if broken := new(json.SyntaxError); errors.As(err, &broken) {
+		f.Line = p.line(broken.Offset)
+	}
+	if mistyped := new(json.UnmarshalTypeError); errors.As(err, &mistyped) {
+		f.Line, f.Key = p.line(mistyped.Offset), mistyped.Field
+	}
+	return f
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/decision"
 	"dykering/internal/settings"
 )
@@ -18,6 +20,7 @@
 	Limits    Limits // that this process may use
 	Known     List   // the endpoints as this instance last had them; may be old
 	Discovery string // the address at which the list is asked for
+	Log       *zap.Logger
 }
 
 // Upstream carries attempts out, in a protocol.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/decision"
 	"dykering/internal/settings"
 )
@@ -401,7 +403,7 @@
 
 // Stopping is for good, and a drain before it ends in it.
 func TestLifecycle(t *testing.T) {
-	f := newLifecycle()
+	f := newLifecycle(zap.NewNop())
 	check := func(step string, ready, canServe bool) {
 		t.Helper()
 		if f.Ready() != ready || f.CanServe() != canServe {
@@ -437,7 +439,7 @@
 
 // An endpoint's number is the same at every sidecar, in whatever order lists name it, and no two share one.
 func TestEndpointIDs(t *testing.T) {
-	a, b := newEndpoints(nil, nil, time.Now()), newEndpoints(nil, nil, time.Now())
+	a, b := newEndpoints(nil, nil, time.Now(), zap.NewNop()), newEndpoints(nil, nil, time.Now(), zap.NewNop())
 	put := func(t *endpoints, uid string) decision.EndpointID {
 		id := t.id(uid)
 		t.put(&Endpoint{ID: id, uid: uid})
@@ -458,7 +460,7 @@
 // Starts are put on the event clock, alike each time: a later one means a restart.
 func TestStarts(t *testing.T) {
 	now := time.Now()
-	e := newEndpoints(nil, nil, now.Add(-clockStart))
+	e := newEndpoints(nil, nil, now.Add(-clockStart), zap.NewNop())
 	boot := now.Add(-3 * time.Second).UnixMilli()
 	if got := e.started(boot); got < clockStart-4*time.Second || got > clockStart-2*time.Second || got != e.started(boot) {
 		t.Errorf("3 s ago is %v on a clock at %v", got, clockStart)
@@ -469,7 +471,7 @@
 }
 
 func TestChangedAddressOrBootTakesEffect(t *testing.T) {
-	e := newEndpoints([]string{"y", "z"}, []string{"m"}, time.Now().Add(-clockStart))
+	e := newEndpoints([]string{"y", "z"}, []string{"m"}, time.Now().Add(-clockStart), zap.NewNop())
 	x := ready("s-1", 0)
 	entries, _ := e.update(List{All: true, Targets: []Target{x, ready("s-2", 0)}})
 	if len(entries) != 2 || entries[0].Zone != 1 || entries[0].Kind != 0 {
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -3,13 +3,14 @@
 import (
 	"hash/fnv"
 	"io"
-	"log"
 	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/decision"
 )
 
@@ -72,6 +73,7 @@
 // endpoints is the table of the endpoints that are listed. One that has gone is forgotten at once: what is
 // still out to it holds on to its endpoint, that is open to nothing new. The loop owns the table.
 type endpoints struct {
+	log    *zap.Logger
 	origin time.Time // zero of the event clock
 	byID   map[decision.EndpointID]*Endpoint
 	ids    map[string]decision.EndpointID
@@ -97,8 +99,8 @@
 	return n[name], true
 }
 
-func newEndpoints(zones, models []string, origin time.Time) *endpoints {
-	t := &endpoints{origin: origin, byID: map[decision.EndpointID]*Endpoint{},
+func newEndpoints(zones, models []string, origin time.Time, log *zap.Logger) *endpoints {
+	t := &endpoints{log: log, origin: origin, byID: map[decision.EndpointID]*Endpoint{},
 		ids: map[string]decision.EndpointID{}, zones: names{}, models: names{}}
 	for _, z := range zones {
 		t.zones.index(z)
@@ -151,8 +153,8 @@
 		model, modelOK := t.models.index(x.Model)
 		_, _, err := net.SplitHostPort(x.Address)
 		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == decision.Ready {
-			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID, x.State,
-				x.Address, x.Zone, x.Model)
+			t.log.Warn("discovery.entry_refused", zap.String("uid", x.UID), zap.String("state", x.State),
+				zap.String("address", x.Address), zap.String("zone", x.Zone), zap.String("model", x.Model))
 			continue
 		}
 		id := t.id(x.UID)
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -1,9 +1,10 @@
 package core
 
 import (
-	"log"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Phase is how far a sidecar has come in its life.
@@ -21,6 +22,7 @@
 // Lifecycle is the one place that knows the phase. It is asked by handlers, the loop and the second address
 // alike, and never blocks.
 type Lifecycle struct {
+	log     *zap.Logger
 	mu      sync.Mutex
 	phase   Phase
 	listed  bool          // the Balancer has a list
@@ -30,8 +32,8 @@
 	changed chan struct{} // closed when the phase changes
 }
 
-func newLifecycle() *Lifecycle {
-	return &Lifecycle{since: time.Now(), changed: make(chan struct{})}
+func newLifecycle(log *zap.Logger) *Lifecycle {
+	return &Lifecycle{log: log, since: time.Now(), changed: make(chan struct{})}
 }
 
 // enter needs mu.
@@ -39,7 +41,7 @@
 	if f.phase == p {
 		return
 	}
-	log.Printf("lifecycle: %v, was %v", p, f.phase)
+	f.log.Info("lifecycle.phase", zap.Stringer("phase", p), zap.Stringer("was", f.phase))
 	f.phase, f.since = p, time.Now()
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -1,9 +1,10 @@
 package core
 
 import (
-	"log"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/decision"
 )
 
@@ -21,6 +22,7 @@
 	events   chan func()
 	origin   time.Time // zero of the event clock
 	config   Config
+	log      *zap.Logger
 	upstream Upstream
 	discover Discover
 	life     *Lifecycle
@@ -40,12 +42,15 @@
 
 // New makes a loop, or names the setting that cannot be acted on.
 func New(c Config, up Upstream, discover Discover) (*Loop, error) {
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
 	l := &Loop{
-		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, upstream: up,
-		discover: discover, life: newLifecycle(), calls: map[decision.RequestID]*Call{},
+		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, log: c.Log, upstream: up,
+		discover: discover, life: newLifecycle(c.Log), calls: map[decision.RequestID]*Call{},
 		adopted: map[*Attempt]bool{}, address: c.Discovery,
 	}
-	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
+	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin, c.Log)
 	l.pool = newPool(&c.Settings, c.Limits.Outbound())
 	l.discovery = discover(c.Discovery, l)
 	var err error
@@ -159,6 +164,10 @@
 	default:
 		res.Response.Discard()
 	}
+	if line := l.log.Check(zap.DebugLevel, "attempt.ended"); line != nil {
+		line.Write(append(l.fields(c), zap.Uint32("endpoint", uint32(a.Endpoint.ID)), zap.Int("attempt", a.number),
+			zap.Stringer("status", res.Status), zap.Duration("took", res.Took))...)
+	}
 	l.balancer.Outcome(l.now(), decision.Outcome{
 		ID: c.ID, Endpoint: a.Endpoint.ID, Attempt: a.number, Final: final,
 		Elapsed: res.Took, Status: res.Status, Load: res.Load, Spent: res.Spent,
@@ -199,9 +208,22 @@
 		return
 	}
 	c.answered = true
+	if line := l.log.Check(zap.DebugLevel, "call.answered"); line != nil {
+		line.Write(append(l.fields(c), zap.Bool("served", a.Response != nil), zap.Bool("refused", a.Refused),
+			zap.Duration("retry_after", a.RetryAfter))...)
+	}
 	c.Final <- a
 }
 
+// fields are what the log says of a call.
+func (l *Loop) fields(c *Call) []zap.Field {
+	f := []zap.Field{zap.String("request", string(c.ID)), zap.String("class", l.config.Settings.Classes[c.Class].Name)}
+	if c.Tenant < len(l.config.Settings.Tenants) {
+		f = append(f, zap.String("tenant", l.config.Settings.Tenants[c.Tenant].Name))
+	}
+	return f
+}
+
 // forget drops a call that nothing is owed to and nothing is out for.
 func (l *Loop) forget(c *Call) {
 	if c.answered && c.out == nil && l.calls[c.ID] == c {
@@ -310,7 +332,7 @@
 
 func (l *Loop) CloseIdle(to decision.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
 
-func (l *Loop) Log(text string) { log.Print(text) }
+func (l *Loop) Log(text string) { l.log.Info("decision.note", zap.String("text", text)) }
 
 // Follow turns to the discovery at another address. Its versions may count otherwise, so its whole list is
 // asked for, and nothing that the old one still says is heard. Until that comes, the list stays as it is.
@@ -352,7 +374,7 @@
 	if from != l.discovery {
 		return
 	}
-	log.Printf("discovery: %v", err)
+	l.log.Warn("discovery.failed", zap.Error(err))
 	l.balancer.Targets(l.now(), decision.List{Kind: decision.Failed})
 }
 
--- a/internal/core/succession.go
+++ b/internal/core/succession.go
@@ -1,9 +1,10 @@
 package core
 
 import (
-	"log"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/decision"
 )
 
@@ -40,7 +41,7 @@
 	l.Post(func() {
 		if w.Learnt != nil {
 			if err := l.balancer.Inherit(l.now(), *w.Learnt); err != nil {
-				log.Printf("handover: %v; this process learns by itself", err)
+				l.log.Warn("handover.figures_refused", zap.Error(err))
 			}
 		}
 		l.balancer.Beside(l.now(), w.Calls, l.now()+BelievedFor)
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -102,8 +102,8 @@
 	Fall        time.Duration
 }
 
-// check names the first setting that cannot be acted on.
-func (s *Settings) check() error {
+// Check names the first setting that cannot be acted on.
+func (s *Settings) Check() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("settings: classes: none given")
 	}
@@ -177,6 +177,15 @@
 	Spoilt               // what came is of no use, or its connection alone broke; may have run
 )
 
+// String is the status's name in a log.
+func (s Status) String() string {
+	names := [...]string{"ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "spoilt"}
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprint(int(s))
+	}
+	return names[s]
+}
+
 // NeverRan reports whether the outcome proves that the attempt did not run.
 func (s Status) NeverRan() bool { return s == Full || s == ConnectFailed || s == Moot }
 
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -167,7 +167,7 @@
 
 // New makes a Balancer, or names the setting that it cannot act on.
 func New(set Settings, seed uint64, host Host) (*Balancer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,13 +9,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/core"
 )
 
@@ -35,6 +36,7 @@
 type Options struct {
 	ConnectTimeout time.Duration
 	MustAsk        bool // a watch costs: it is not taken up again but when the sink says so
+	Log            *zap.Logger
 }
 
 // watcher talks to the discovery at one address. It belongs to the loop that it serves; what its goroutines bring is
@@ -42,6 +44,7 @@
 type watcher struct {
 	url      string
 	sink     core.Sink
+	log      *zap.Logger
 	client   *http.Client
 	again    bool // reconnect by itself: where lists are pushed, asking costs nothing
 	cancel   context.CancelFunc
@@ -52,7 +55,7 @@
 // New makes the discovery at an address.
 func New(address string, to core.Sink, o Options) core.Discovery {
 	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
-	return &watcher{url: "http://" + address + "/v1/endpoints", sink: to, again: !o.MustAsk,
+	return &watcher{url: "http://" + address + "/v1/endpoints", sink: to, log: o.Log, again: !o.MustAsk,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
 }
 
@@ -102,7 +105,7 @@
 			pause, told = backoffLeast, ""
 		}
 		if text := err.Error(); text != told {
-			log.Printf("discovery: %s", text)
+			w.log.Warn("discovery.watch_failed", zap.String("error", text))
 			told = text
 		}
 		select {
@@ -174,7 +177,7 @@
 			w.fetching = false
 			switch {
 			case err != nil && w.watching:
-				log.Printf("discovery: %v; the watch stands", err) // and brings what changes
+				w.log.Warn("discovery.fetch_failed", zap.Error(err)) // the watch stands, and brings what changes
 			case err != nil:
 				w.sink.ListFailed(w, err)
 			default:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/core"
 )
 
@@ -47,7 +49,7 @@
 	t.Helper()
 	place := httptest.NewServer(serve)
 	s := newSink(t)
-	w := New(place.Listener.Addr().String(), s, Options{ConnectTimeout: patience, MustAsk: mustAsk}).(*watcher)
+	w := New(place.Listener.Addr().String(), s, Options{ConnectTimeout: patience, MustAsk: mustAsk, Log: zap.NewNop()}).(*watcher)
 	t.Cleanup(func() {
 		s.Post(w.Stop)
 		place.CloseClientConnections()
--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -4,13 +4,15 @@
 	"bufio"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/core"
 )
 
@@ -28,7 +30,7 @@
 			return err
 		}
 		if err != nil {
-			log.Printf("accept: %v", err)
+			s.log.Warn("caller.accept_failed", zap.Error(err))
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -90,6 +92,7 @@
 	var f *fault
 	switch {
 	case errors.As(err, &f):
+		s.noteFault(f.status, f.text)
 		return w.error(f.status, f.text)
 	case errors.Is(err, os.ErrDeadlineExceeded) && r.Buffered() > 0:
 		return w.error(http.StatusRequestTimeout, "the head did not come in time")
@@ -118,6 +121,7 @@
 	}
 	req, status, text := s.parse(in)
 	if text != "" {
+		s.noteFault(status, text)
 		return w.error(status, text) // what follows on the connection may be no request
 	}
 	if unread && expectsContinue(in) && !w.old {
@@ -152,6 +156,13 @@
 	return s.decide(c, r, w, req)
 }
 
+// noteFault notes what is wrong with a request. What stands behind a colon may be the caller's own words, which may
+// be anything.
+func (s *Server) noteFault(status int, text string) {
+	text, _, _ = strings.Cut(text, ":")
+	s.log.Info("caller.fault", zap.Int("status", status), zap.String("fault", text))
+}
+
 // take reads a request's body, or as much of it as is held of a long one, and tells how many bytes of the bodies'
 // memory that has taken.
 func (s *Server) take(c *caller, in *http.Request, req *request, from *requestBody) (held int, err error) {
--- a/internal/http1/passage.go
+++ b/internal/http1/passage.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/core"
 	"dykering/internal/decision"
 	"dykering/internal/handover"
@@ -69,7 +70,7 @@
 	}
 	heir, err := handover.Dial(s.config.Handover, s.heirName(), s.receiver)
 	if err != nil {
-		log.Printf("%v; callers are sent to the successor instead", err)
+		s.log.Warn("handover.no_successor", zap.Error(err)) // callers are sent away instead
 		return
 	}
 	s.heir.Store(heir)
@@ -117,7 +118,7 @@
 	}
 	err = s.heir.Load().Pass(state, conns...)
 	if err != nil && !errors.Is(err, handover.ErrDeclined) {
-		log.Print(err)
+		s.log.Warn("handover.broke_off", zap.Error(err))
 	}
 	return err
 }
@@ -207,13 +208,13 @@
 	}
 	receiver, err := handover.Listen(s.config.Handover, s.heirName())
 	if err != nil {
-		log.Printf("%v; connections cannot be taken over", err)
+		s.log.Warn("handover.cannot_receive", zap.Error(err))
 		return nil
 	}
 	s.receiver = receiver
 	go func() {
 		if err := receiver.Serve(s.adopt); err != nil {
-			log.Print(err)
+			s.log.Warn("handover.cannot_receive", zap.Error(err))
 		}
 	}()
 	return func() { receiver.Close() }
@@ -223,7 +224,7 @@
 func (s *Server) adopt(state []byte, conns []net.Conn) (start, drop func(), ok bool) {
 	var p passage
 	if err := json.Unmarshal(state, &p); err != nil || p.Version != passageVersion || !p.fits(conns) {
-		log.Printf("handover: version %d with %d connections cannot be taken over: %v", p.Version, len(conns), err)
+		s.log.Warn("handover.declined", zap.Int("version", p.Version), zap.Int("connections", len(conns)), zap.Error(err))
 		return nil, nil, false
 	}
 	if p.Word != nil {
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -1,10 +1,11 @@
 package http1
 
 import (
-	"log"
 	"net"
 	"os"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/core"
 )
 
@@ -28,10 +29,12 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		log.Printf("%v: stopping", <-stop)
+		sig := <-stop
+		held := s.loop.Stats()
+		s.log.Info("process.stopping", zap.Stringer("signal", sig), zap.Int("calls", held.Calls), zap.Int("out", held.Out))
 		s.stop()
 	}()
-	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
+	s.log.Info("process.serving", zap.String("name", s.config.Name), zap.Stringer("address", listener.Addr()))
 	err := s.accept()
 	if phase, _, _ := s.life.Now(); phase != core.Stopping {
 		return err
@@ -45,9 +48,9 @@
 func (s *Server) reload() {
 	c, err := s.config.Reload()
 	if err != nil {
-		log.Printf("reload: %v; the old configuration stays", err)
+		s.log.Warn("reload.refused", zap.Error(err)) // the old configuration stays
 		return
 	}
-	log.Printf("reload: discovery is %s", c.Discovery)
+	s.log.Info("reload.taken", zap.String("discovery", c.Discovery))
 	s.loop.Follow(c.Discovery)
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/config"
 	"dykering/internal/core"
 	"dykering/internal/decision"
@@ -66,6 +68,7 @@
 type Server struct {
 	loop     *core.Loop
 	memory   *core.Memory
+	log      *zap.Logger
 	config   *config.Config
 	classes  map[string]int
 	tenants  map[string]int
@@ -83,17 +86,19 @@
 }
 
 // New makes a server, and the core that it serves with.
-func New(c *config.Config) (*Server, error) {
+func New(c *config.Config, log *zap.Logger) (*Server, error) {
 	memory := core.NewMemory(c.Plan())
-	loop, err := core.New(c.Core(), &upstream{memory, c.Settings.ConnectTimeout},
+	told := c.Core()
+	told.Log = log
+	loop, err := core.New(told, &upstream{memory, c.Settings.ConnectTimeout},
 		func(address string, to core.Sink) core.Discovery {
 			return discovery.New(address, to, discovery.Options{ConnectTimeout: c.Settings.ConnectTimeout,
-				MustAsk: c.Settings.MustAsk})
+				MustAsk: c.Settings.MustAsk, Log: log})
 		})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{loop: loop, memory: memory, config: c, classes: map[string]int{}, tenants: map[string]int{},
+	s := &Server{loop: loop, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
 		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, life: loop.Lifecycle()}
 	s.callers.most = c.Plan().Inbound()
 	for i, class := range c.Settings.Classes {
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/config"
 	"dykering/internal/core"
 	"dykering/internal/decision"
@@ -101,7 +103,7 @@
 		t.Fatal(err)
 	}
 	change(c)
-	if rg.server, err = New(c); err != nil {
+	if rg.server, err = New(c, zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
 	listener, err := listen.Open(c.Listen, c.Accept)
--- a/internal/http1/succession.go
+++ b/internal/http1/succession.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"log"
 	"time"
 
 	"dykering/internal/core"
@@ -21,7 +20,7 @@
 		}
 		if err := s.hand(passage{Word: &w}); err != nil {
 			if errors.Is(err, handover.ErrDeclined) {
-				log.Printf("handover: the successor takes no figures: %v", err)
+				s.log.Info("handover.figures_declined")
 			}
 			return
 		}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,192 @@
+package logs
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// clock stands still until it is moved.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func (c *clock) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+// lines are those of a text.
+func lines(t *testing.T, text string) (all []map[string]any) {
+	t.Helper()
+	for line := range strings.SplitSeq(strings.TrimSpace(text), "\n") {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(line), &m); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+func settingsFor(format string) *Section {
+	s := Default()
+	s.Format = format
+	return s
+}
+
+// Where nobody reads, nothing that logs waits, what is held is bounded, and what was lost is told afterwards.
+func TestSinkThatTakesNothing(t *testing.T) {
+	r, w := io.Pipe()
+	s := settingsFor(FormatJSON)
+	s.Burst, s.Most, s.Buffer = 1<<30, 1<<30, 64<<10
+	l := New(w, s)
+	const each, loggers = 2000, 8
+	var done sync.WaitGroup
+	for range loggers {
+		done.Go(func() {
+			for i := range each {
+				l.Info("event", zap.Int("i", i), zap.String("pad", strings.Repeat("x", 5000)))
+			}
+		})
+	}
+	done.Wait() // for ever, if one waited
+	if held := len(l.sink.lines); held > 64<<10/maxLine {
+		t.Errorf("%d lines are held", held)
+	}
+	read, told := 0, 0.0
+	ended := make(chan bool)
+	go func() {
+		defer close(ended)
+		for in := bufio.NewScanner(r); in.Scan(); {
+			if len(in.Bytes()) > maxLine {
+				t.Errorf("a line of %d bytes", len(in.Bytes()))
+			}
+			if !strings.Contains(in.Text(), EventDropped) {
+				read++
+				continue
+			}
+			var m map[string]any
+			json.Unmarshal(in.Bytes(), &m)
+			told += m["lines"].(float64)
+		}
+	}()
+	l.Close()
+	w.Close()
+	<-ended
+	if read == 0 || read+int(told) != each*loggers {
+		t.Errorf("%d lines came and %v are told to be lost, of %d", read, told, each*loggers)
+	}
+}
+
+// Ten thousand bad callers a second leave less than a hundred lines a second, and the number that was left out.
+func TestFloodsAreSampled(t *testing.T) {
+	var out bytes.Buffer
+	s := settingsFor(FormatJSON)
+	s.Buffer = 8 << 20
+	l := New(&out, s)
+	c := &clock{now: time.Now().Add(time.Hour)}
+	log := l.WithOptions(zap.WithClock(c))
+	const each, periods = 10000, 3
+	for range periods {
+		for i := range each {
+			log.Info("caller.fault", zap.Int("status", 400+i%9))
+			for j := range 3 {
+				if i < 100 {
+					log.Info(fmt.Sprint("other.", j))
+				}
+			}
+		}
+		c.pass(period)
+	}
+	l.tell(c.Now())
+	l.Close()
+	left, seen := map[string]int{}, map[string]int{}
+	all := lines(t, out.String())
+	for _, m := range all {
+		if m["event"] == EventSampled {
+			left[m["of"].(string)] += int(m["left_out"].(float64))
+		} else if m["event"] == EventLimited {
+			left["all"] += int(m["left_out"].(float64))
+		} else {
+			seen[m["event"].(string)]++
+		}
+	}
+	if len(all) > 100*periods {
+		t.Errorf("%d lines in %d s", len(all), periods)
+	}
+	total := 0
+	for _, n := range seen {
+		total += n
+	}
+	for _, n := range left {
+		total += n
+	}
+	if total != periods*(each+3*100) || seen["caller.fault"] == 0 || left["caller.fault"] < periods*(each-s.Burst) {
+		t.Errorf("seen %v, left out %v", seen, left)
+	}
+}
+
+// All events together have a bound as well.
+func TestAllEventsHaveABound(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, settingsFor(FormatJSON))
+	c := &clock{now: time.Now().Add(time.Hour)}
+	log := l.WithOptions(zap.WithClock(c))
+	for i := range 50 {
+		for range 10 {
+			log.Info(fmt.Sprint("event.", i))
+		}
+	}
+	c.pass(period)
+	l.tell(c.Now())
+	l.Close()
+	all := lines(t, out.String())
+	last := all[len(all)-1]
+	if len(all) != 81 || last["event"] != EventLimited || last["left_out"] != 420.0 {
+		t.Errorf("%d lines, the last %v", len(all), last)
+	}
+}
+
+// Level and format change while the log is used; fields and the generation are in each line.
+func TestSet(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out, settingsFor(FormatConsole))
+	log := l.With(zap.String("name", "n0"))
+	log.Debug("unseen")
+	log.Info("first", zap.Duration("took", 250*time.Millisecond))
+	next := settingsFor(FormatJSON)
+	next.Level = Level{zapcore.DebugLevel}
+	l.Set(next)
+	l.Generation(7)
+	log.Debug("second", zap.Uint32("endpoint", 3))
+	l.Close()
+	first, rest, _ := strings.Cut(out.String(), "\n")
+	if !strings.Contains(first, "first") || !strings.Contains(first, "n0") || !strings.Contains(first, "250ms") {
+		t.Errorf("first line %q", first)
+	}
+	m := lines(t, rest)
+	if len(m) != 1 || m[0]["event"] != "second" || m[0]["level"] != "debug" || m[0]["generation"] != 7.0 ||
+		m[0]["name"] != "n0" || m[0]["endpoint"] != 3.0 {
+		t.Errorf("second line %v", m)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,11 +104,11 @@
 func Parse(text []byte) (s Settings, unknown []string, err error) {
 	var c config
 	if err := json.Unmarshal(text, &c); err != nil {
-		return s, nil, fmt.Errorf("not a settings object: %v", err)
+		return s, nil, fmt.Errorf("not a settings object: %w", err)
 	}
 	var keys map[string]json.RawMessage
 	if err := json.Unmarshal(text, &keys); err != nil {
-		return s, nil, fmt.Errorf("not a settings object: %v", err)
+		return s, nil, fmt.Errorf("not a settings object: %w", err)
 	}
 	for k := range keys {
 		if !knownKeys[k] {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,16 +1,17 @@
-// Package sidecar puts a process together: its limits, its sockets, the front that serves on them, and the address
-// of those who operate it.
+// Package sidecar puts a process together: its limits, its sockets, the front that serves on them, the address of
+// those who operate it, and the generations of the operator's file.
 package sidecar
 
 import (
 	"fmt"
-	"log"
 	"math"
 	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
 
+	"go.uber.org/zap"
+
 	"dykering/internal/config"
 	"dykering/internal/control"
 	"dykering/internal/http1"
@@ -22,11 +23,11 @@
 const memoryShare = 0.75
 
 // Run serves until a signal arrives on stop, and then ends what was taken. A signal on reload makes it read
-// its configuration file again.
-func Run(c *config.Config, stop, reload <-chan os.Signal) error {
+// its configuration file and the operator's file again.
+func Run(c *config.Config, g *Generations, stop, reload <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(int64(memoryShare * float64(c.Plan().MemoryMB<<20)))
-	s, err := http1.New(c)
+	s, err := http1.New(c, g.log.Logger)
 	if err != nil {
 		return err
 	}
@@ -44,9 +45,26 @@
 		defer operators.Close()
 		go func() {
 			if err := operators.Run(); err != nil {
-				log.Print(err)
+				g.log.Error("control.failed", zap.Error(err))
 			}
 		}()
 	}
-	return s.Run(listener, stop, reload)
+	platform := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case sig := <-reload:
+				g.Reload()
+				select {
+				case platform <- sig:
+				default: // one is to come that reads what is there now
+				}
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return s.Run(listener, stop, platform)
 }
