Be ready to take over before being ready to serve; strict TOML in a package of its own

Need: a process could say that it serves before it listened for what its predecessor passes on; a predecessor told to end in that moment found nobody (seen once: a test of an answer that outlasts its process, on a starved machine).

Change: the way to take connections over is opened before the loop runs, and the tests wait for that process, not for whoever answers on the shared socket. internal/strict reads TOML with all its faults found; internal/operator rests on it. Reloads in a drain and in a handover are tests.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Development only: the library itself needs nothing but the Go tool chain.
+# Development only: the build line stands in deploy/balancer.toml.
 GO_FILES := $(shell find . -name '*.go' -not -path './journal/*')
 
 POLICY := internal/decision/balancer.go
--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +14,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,7 +145,10 @@
 	url  string
 }
 
-func start(t *testing.T, text string) *program {
+func start(t *testing.T, text string) *program { return startWith(t, text, nil) }
+
+// startWith starts it with a change to how.
+func startWith(t *testing.T, text string, change func(*exec.Cmd)) *program {
 	t.Helper()
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }))
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -163,6 +168,9 @@
 	config := configure(t, discovery.Listener.Addr().String())
 	p.cmd = exec.Command(os.Args[0], "run", "--config", config, "--operator", p.file)
 	p.cmd.Env = append(os.Environ(), "BE_DYKERING=1")
+	if change != nil {
+		change(p.cmd)
+	}
 	r, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -236,8 +244,8 @@
 		{"version = 1\n[log]\nburst = 30\n", `operator.taken	{"changes": ["log.burst: 20 -> 30"], "generation": 2}`},
 		{"version = 1\n[log]\nburst = \"ma", "operator.refused"},
 		{"version = 1\n[log]\nburst = 0\nmost = 0\n", `:3: log.burst: has to be at least 1", "faults": 2, "generation": 2}`},
-		{"version = 2\n", `:1: version: has to be 1", "faults": 1, "generation": 2}`},
-		{"", `version: missing; version = 1 goes first", "faults": 1, "generation": 2}`},
+		{"version = 2\n", `:1: version: has to be at most 1", "faults": 1, "generation": 2}`},
+		{"", `version: missing: has to be at least 1", "faults": 1, "generation": 2}`},
 		{"gone", `no such file or directory", "faults": 1, "generation": 2}`},
 		{"version = 1\n[log]\nformat = \"json\"\n", `"event":"operator.taken","changes":["log.format: \"console\" -> \"json\"","log.burst: 30 -> 20"],"generation":3}`},
 	} {
@@ -288,3 +296,96 @@
 	all.Wait()
 	p.until("log.dropped")
 }
+
+// A reload in a drain leaves the drain, and what comes is still served.
+func TestReloadInADrain(t *testing.T) {
+	place, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	place.Close()
+	p := startWith(t, "version = 1\n", func(c *exec.Cmd) { c.Env = append(c.Env, "BALANCER_CONTROL="+place.Addr().String()) })
+	call := func(name string) {
+		res, err := http.Post("http://"+place.Addr().String()+"/-/"+name, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+	}
+	ready := func() int {
+		res, err := http.Get(p.url + "/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	call("drain")
+	p.signal(syscall.SIGHUP)
+	p.until("operator.taken")
+	p.until("reload.taken")
+	if got := ready(); got != http.StatusServiceUnavailable {
+		t.Errorf("the reload ended the drain: /ready says %d", got)
+	}
+	if status, _ := p.ask("drained"); status != 200 {
+		t.Errorf("status %d in a drain", status)
+	}
+	call("resume")
+	if got := ready(); got != http.StatusOK {
+		t.Errorf("after resume /ready says %d", got)
+	}
+}
+
+// Two processes on one socket reload while one takes over from the other: nobody is turned away, and the old one ends.
+func TestReloadInAHandover(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	defer socket.Close()
+	shared := t.TempDir()
+	one := func() *program {
+		return startWith(t, "version = 1\n", func(c *exec.Cmd) {
+			c.ExtraFiles = []*os.File{socket} // descriptor 3
+			c.Env = append(c.Env, "BALANCER_ACCEPT_FD=3", "TMPDIR="+shared)
+		})
+	}
+	old := one()
+	heir := one()
+	var asking sync.WaitGroup
+	var done atomic.Bool
+	var asked atomic.Int64
+	for i := range 4 {
+		asking.Go(func() {
+			for k := 0; !done.Load(); k++ {
+				if status, _ := old.ask(fmt.Sprintf("h%d-%d", i, k)); status != 200 {
+					t.Errorf("status %d", status)
+				}
+				asked.Add(1)
+			}
+		})
+	}
+	wait := func(n int64) {
+		for end := time.Now().Add(patience); asked.Load() < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+	}
+	wait(50)
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		old.signal(s)
+		heir.signal(syscall.SIGHUP)
+	}
+	heir.until("operator.taken")
+	old.pipe.SetReadDeadline(time.Time{})
+	go io.Copy(io.Discard, old.log)
+	if err := old.cmd.Wait(); err != nil {
+		t.Errorf("the old one: %v", err)
+	}
+	wait(asked.Load() + 50)
+	done.Store(true)
+	asking.Wait()
+}
--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -61,6 +61,7 @@
 	rg := startWith(t, 1, 1024, func(c *config.Config) { c.Accept, c.Handover = h.descriptor(), h.dir }, h.target)
 	rg.server.linger = time.Minute // nothing here ends by its time
 	rg.server.handsFor = 0
+	rg.until("it can serve", rg.server.CanServe) // its /ready is asked of whoever accepts on the socket
 	return rg
 }
 
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -13,14 +13,15 @@
 // reload makes it read its configuration file again.
 func (s *Server) Run(listener net.Listener, stop, reload <-chan os.Signal) error {
 	s.callers.Listener = listener
+	// First of all: as soon as this process can serve, the one before may be told to end, and looks for it.
+	if close := s.receive(); close != nil {
+		defer close()
+	}
 	go s.loop.Run()
 	defer s.loop.Unwatch()
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sendAway(ended)
-	if close := s.receive(); close != nil {
-		defer close()
-	}
 	go func() {
 		for range reload {
 			s.reload()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dykering/internal/faults"
+	"dykering/internal/strict"
 )
 
 type team struct {
@@ -17,16 +18,16 @@
 }
 
 type sample struct {
-	Word   string   `toml:"word" doc:"a word" oneof:"one two"`
-	Count  int      `toml:"count" doc:"a number" min:"1" max:"9"`
-	Part   float64  `toml:"part" doc:"a part" min:"0" max:"1"`
-	On     bool     `toml:"on" doc:"whether"`
-	Wait   Duration `toml:"wait" doc:"a time" min:"1ms" max:"1s"`
-	Size   Bytes    `toml:"size" doc:"a size" max:"1MiB"`
-	Key    string   `toml:"key" doc:"a secret" secret:"yes"`
-	Names  []string `toml:"names" doc:"names"`
-	Inner  inner    `toml:"inner"`
-	Teams  []team   `toml:"team"`
+	Word   string          `toml:"word" doc:"a word" oneof:"one two"`
+	Count  int             `toml:"count" doc:"a number" min:"1" max:"9"`
+	Part   float64         `toml:"part" doc:"a part" min:"0" max:"1"`
+	On     bool            `toml:"on" doc:"whether"`
+	Wait   strict.Duration `toml:"wait" doc:"a time" min:"1ms" max:"1s"`
+	Size   strict.Bytes    `toml:"size" doc:"a size" max:"1MiB"`
+	Key    string          `toml:"key" doc:"a secret" secret:"yes"`
+	Names  []string        `toml:"names" doc:"names"`
+	Inner  inner           `toml:"inner"`
+	Teams  []team          `toml:"team"`
 	hidden int
 }
 
@@ -37,7 +38,7 @@
 func (s *sample) Check() (wrong []faults.Fault) {
 	for i, t := range s.Teams {
 		if t.Name == "" {
-			wrong = append(wrong, faults.Fault{Key: fmt.Sprintf("team[%d].name", i), Text: "missing"})
+			wrong = append(wrong, faults.Fault{Key: fmt.Sprintf("team[%d].name", i), Text: "has no name"})
 		}
 	}
 	return wrong
@@ -45,7 +46,7 @@
 
 func init() {
 	Register("sample", "What tests need.", func() any {
-		return &sample{Word: "one", Count: 3, Wait: Duration(20 * time.Millisecond), Size: 4 << 10, Names: []string{"a"}}
+		return &sample{Word: "one", Count: 3, Wait: strict.Duration(20 * time.Millisecond), Size: 4 << 10, Names: []string{"a"}}
 	})
 }
 
@@ -66,9 +67,9 @@
 		text string
 		want []string
 	}{
-		"empty":          {"", []string{"f.toml: version: missing; version = 1 goes first"}},
-		"later version":  {"version = 2\n", []string{"f.toml:1: version: has to be 1"}},
-		"version a text": {"version = \"1\"\n", []string{"f.toml:1: version: has to be 1"}},
+		"empty":          {"", []string{"f.toml: version: missing: has to be at least 1"}},
+		"later version":  {"version = 2\n", []string{"f.toml:1: version: has to be at most 1"}},
+		"version a text": {"version = \"1\"\n", []string{"f.toml:1: version: has to be a whole number"}},
 		"half written":   {"version = 1\n[sample]\nword = \"on", []string{"f.toml:3: "}},
 		"twice":          {"version = 1\n[sample]\ncount = 1\ncount = 2\n", []string{"f.toml:4: "}},
 		"misspelt":       {"version = 1\n[sample]\ncuont = 1\n", []string{"f.toml:3: sample.cuont: not a key of this version; is sample.count meant?"}},
@@ -82,7 +83,7 @@
 			[]string{"f.toml:3: sample.count: has to be at least 1", "f.toml:4: sample.part: has to be at most 1",
 				"f.toml:5: sample.wait: has to be at most 1s", "f.toml:6: sample.size: has to be at most 1MiB"}},
 		"in arrays": {"version = 1\n[[sample.team]]\nname = \"a\"\ncalls = 1\n[[sample.team]]\ncalls = 0\nclals = 3\n",
-			[]string{"f.toml: sample.team[1].name: missing", "f.toml:6: sample.team[1].calls: has to be at least 1",
+			[]string{"f.toml: sample.team[1].name: missing: has no name", "f.toml:6: sample.team[1].calls: has to be at least 1",
 				"f.toml:7: sample.team[1].clals: not a key of this version; is sample.team[].calls meant?"}},
 		"no such variable": {"version = 1\n[sample]\ncount = \"${NOWHERE}\"\n", []string{"f.toml:3: sample.count: NOWHERE is not in the environment"}},
 		"variable's type":  {"version = 1\n[sample]\ncount = \"${BAD}\"\non = true\n", []string{"f.toml:3: sample.count: has to be a whole number"}},
@@ -119,7 +120,7 @@
 	if wrong != nil {
 		t.Fatal(wrong)
 	}
-	if s.Count != 7 || s.Word != "two" || s.Wait != Duration(9*time.Millisecond) || s.Key != "s\"e\nc" || s.Size != 1<<10 ||
+	if s.Count != 7 || s.Word != "two" || s.Wait != strict.Duration(9*time.Millisecond) || s.Key != "s\"e\nc" || s.Size != 1<<10 ||
 		len(s.Teams) != 1 || s.Teams[0] != (team{"a", 2}) || len(s.Names) != 1 {
 		t.Errorf("got %+v", s)
 	}
@@ -146,7 +147,7 @@
 // A file that is gone, or too long to be one, is a fault of the file's.
 func TestFilesThatCannotBeRead(t *testing.T) {
 	long := filepath.Join(t.TempDir(), "long.toml")
-	if err := os.WriteFile(long, make([]byte, maxFile+1), 0o600); err != nil {
+	if err := os.WriteFile(long, make([]byte, 2<<20), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	for _, path := range []string{filepath.Join(t.TempDir(), "none.toml"), t.TempDir(), long} {
