Add the laboratory's first part: scenarios in virtual time, a rule checker, comparisons

Need: the project could not try anything by itself, and nothing larger than three sidecars; later subsystems need a place to be proved in.

Change: dykering-lab, a binary of its own. Real sockets, load, experiments and the demo are still to come (ROADMAP).

--- /dev/null
+++ b/cmd/dykering-lab/main.go
@@ -0,0 +1,191 @@
+// Command dykering-lab is the laboratory: it plays scenarios against the broker's decisions.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dykering/internal/faults"
+	"dykering/internal/lab/scenario"
+	"dykering/internal/lab/sim"
+)
+
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// faulty marks an error as one of the work, not of the command line.
+type faulty struct{ error }
+
+// execute runs a command line, and returns the exit code: 0 well, 1 a fault or a broken rule, 2 a wrong command line.
+func execute(args []string, out, errOut io.Writer) int {
+	root := &cobra.Command{Use: "dykering-lab", Short: "The laboratory of the broker", Args: cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true,
+		RunE: func(c *cobra.Command, _ []string) error { return errors.New("a command is missing") }}
+	root.AddCommand(newCheck(), newSim())
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errOut, "dykering-lab: "+err.Error())
+	if errors.As(err, new(faulty)) {
+		return 1
+	}
+	fmt.Fprintln(errOut, "dykering-lab: see dykering-lab --help")
+	return 2
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Check scenarios", Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var all []faults.Fault
+			for _, path := range args {
+				_, wrong := scenario.Load(path)
+				all = append(all, wrong...)
+			}
+			if err := faults.Join(all); err != nil {
+				return faulty{err}
+			}
+			return nil
+		}}
+}
+
+// job is one run of many.
+type job struct {
+	Policy string `json:"policy"`
+	*sim.Result
+	Took time.Duration `json:"-"`
+	err  error
+}
+
+func newSim() *cobra.Command {
+	var seed uint64
+	var seeds, instances, servers int
+	var policies []string
+	var asJSON bool
+	var scale float64
+	c := &cobra.Command{Use: "sim [FILE]", Short: "Play a scenario in virtual time; without a file, the built-in one",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			load := func() (*scenario.Scenario, error) {
+				if len(args) == 0 {
+					return scenario.Default(), nil
+				}
+				s, wrong := scenario.Load(args[0])
+				return s, faults.Join(wrong)
+			}
+			s, err := load()
+			if err != nil {
+				return faulty{err}
+			}
+			for _, p := range policies {
+				if sim.Policies[p] == nil {
+					return fmt.Errorf("--policy %s: there is %s", p, strings.Join(slices.Sorted(maps.Keys(sim.Policies)), ", "))
+				}
+			}
+			if instances > 0 {
+				s.Broker.Instances = instances
+			}
+			if servers > 0 {
+				s.Servers.Count = servers
+			}
+			s.Callers.Rate.From *= scale
+			s.Callers.Rate.To *= scale
+			for i := range s.Teams {
+				s.Teams[i].Quota *= scale
+			}
+			var jobs []*job
+			for i := range max(seeds, 1) {
+				for _, p := range policies {
+					jobs = append(jobs, &job{Policy: p, Result: &sim.Result{Seed: seed + uint64(i)}})
+				}
+			}
+			began := time.Now()
+			playAll(s, jobs)
+			return report(c.OutOrStdout(), jobs, asJSON, time.Since(began))
+		}}
+	c.Flags().Uint64Var(&seed, "seed", 1, "the first seed")
+	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, one after another")
+	c.Flags().StringSliceVar(&policies, "policy", []string{"dykering"}, "what decides; several for a comparison")
+	c.Flags().IntVar(&instances, "instances", 0, "instances, in place of the scenario's")
+	c.Flags().IntVar(&servers, "servers", 0, "servers, in place of the scenario's")
+	c.Flags().Float64Var(&scale, "scale", 1, "times the scenario's rate and quotas")
+	c.Flags().BoolVar(&asJSON, "json", false, "one line of JSON for each run")
+	return c
+}
+
+// playAll plays jobs, as many at a time as there are cores. Each is the same whatever plays beside it.
+func playAll(s *scenario.Scenario, jobs []*job) {
+	next := make(chan *job)
+	var all sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), len(jobs)) {
+		all.Go(func() {
+			for j := range next {
+				began := time.Now()
+				if r, err := sim.Run(s, j.Seed, sim.Policies[j.Policy]); err != nil {
+					j.err = err
+				} else {
+					j.Result = r
+				}
+				j.Took = time.Since(began)
+			}
+		})
+	}
+	for _, j := range jobs {
+		next <- j
+	}
+	close(next)
+	all.Wait()
+}
+
+// report prints what came of jobs.
+func report(out io.Writer, jobs []*job, asJSON bool, took time.Duration) error {
+	broken := 0
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if !asJSON {
+		fmt.Fprintln(t, "policy\tseed\tasked\tservice\tworst s\tback s\tp50 ms\tp99 ms\tattempts\trefused\tfailed\tbroken\t")
+	}
+	asked := 0
+	for _, j := range jobs {
+		if j.err != nil {
+			return faulty{j.err}
+		}
+		asked += j.Asked
+		if j.Policy == "dykering" {
+			for _, n := range j.Broken {
+				broken += n
+			}
+		}
+		if asJSON {
+			line, err := json.Marshal(j)
+			if err != nil {
+				return faulty{err}
+			}
+			fmt.Fprintf(out, "%s\n", line)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.2f\t%.0f\t%.0f\t%.0f\t%.2f\t%d\t%d\t%v\t\n", j.Policy, j.Seed, j.Asked, j.Service,
+			j.Worst, j.Back, 1000*j.P50, 1000*j.P99, float64(j.Attempts)/float64(max(j.Asked, 1)), j.Refused, j.Failed, j.Broken)
+	}
+	t.Flush()
+	if !asJSON {
+		fmt.Fprintf(out, "%d requests in %.1f s: %.0f a second\n", asked, took.Seconds(), float64(asked)/took.Seconds())
+	}
+	if broken > 0 {
+		return faulty{fmt.Errorf("%d times a rule was broken; --json has the histories", broken)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,261 @@
+// Package scenario is what the laboratory plays: a day of callers, instances of the broker, servers, discovery and
+// troubles, as a TOML file says. Values that are ranges are drawn from a seed, so that one file is many days.
+package scenario
+
+import (
+	_ "embed"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"dykering/internal/faults"
+	"dykering/internal/strict"
+)
+
+// Version is that of the format.
+const Version = 1
+
+// Scenario is a file.
+type Scenario struct {
+	Version   int             `toml:"version" doc:"of the format" min:"1" max:"1"`
+	Name      string          `toml:"name" doc:"of the scenario"`
+	Lasts     strict.Duration `toml:"lasts" doc:"how long callers ask" min:"1s" max:"1h"`
+	Broker    Broker          `toml:"broker"`
+	Servers   Servers         `toml:"servers"`
+	Callers   Callers         `toml:"callers"`
+	Network   Network         `toml:"network"`
+	Discovery Discovery       `toml:"discovery"`
+	Kinds     []Kind          `toml:"kind"`
+	Classes   []Class         `toml:"class"`
+	Teams     []Team          `toml:"team"`
+	Troubles  []Trouble       `toml:"trouble"`
+}
+
+// Broker is the tier of instances.
+type Broker struct {
+	Instances   int             `toml:"instances" doc:"how many" min:"1" max:"10000"`
+	Quantum     strict.Duration `toml:"quantum" doc:"least time between two rounds of events" min:"1ms" max:"1s"`
+	MaxAttempts int             `toml:"max_attempts" doc:"sends of a request; 0 for no bound" min:"0" max:"100"`
+	MayCancel   bool            `toml:"may_cancel" doc:"whether an attempt may be called off"`
+	Connect     strict.Duration `toml:"connect_timeout" doc:"for a connection" min:"1ms" max:"1m"`
+	RetryAfter  strict.Duration `toml:"max_retry_after" doc:"the longest wait that callers follow" min:"0s" max:"1m"`
+}
+
+// Servers are those of the next tier.
+type Servers struct {
+	Count int             `toml:"count" doc:"how many" min:"1" max:"100000"`
+	Zones int             `toml:"zones" doc:"among which they are spread" min:"1" max:"64"`
+	Cold  strict.Duration `toml:"cold" doc:"from a start until a server is warm" min:"0s" max:"10m"`
+	From  float64         `toml:"cold_from" doc:"share of its capacity that it starts with" min:"0" max:"1"`
+	Tip   float64         `toml:"tip" doc:"load over present capacity under which a cold one falls over; 0 for never" min:"0" max:"100"`
+	Fall  strict.Duration `toml:"fall" doc:"for which the load has to last" min:"1ms" max:"1m"`
+	Grace strict.Duration `toml:"drain_grace" doc:"in which new calls have to stop once a drain is told" min:"0s" max:"1m"`
+}
+
+// Kind is a kind of server.
+type Kind struct {
+	Name   string  `toml:"name" doc:"of the kind"`
+	Share  float64 `toml:"share" doc:"of all servers" min:"0" max:"1"`
+	Cores  int     `toml:"cores" doc:"calls that it works on at a time" min:"1" max:"1000"`
+	Speed  Span    `toml:"speed" doc:"work done in a second, for each core"`
+	Queue  int     `toml:"queue" doc:"calls that wait before more are turned away" min:"0" max:"100000"`
+	Crowd  int     `toml:"crowd" doc:"calls from which on it thrashes; 0 for never" min:"0" max:"100000"`
+	Thrash float64 `toml:"thrash" doc:"how much slower a core is with twice as many" min:"0" max:"100"`
+	Errors float64 `toml:"errors" doc:"share of answers that are errors" min:"0" max:"1"`
+}
+
+// Class is a class of request.
+type Class struct {
+	Name     string          `toml:"name" doc:"of the class"`
+	Share    float64         `toml:"share" doc:"of all requests" min:"0" max:"1"`
+	Work     Span            `toml:"work" doc:"seconds of a core of speed 1, evenly drawn"`
+	Tail     float64         `toml:"tail" doc:"share of requests with ten times the work" min:"0" max:"1"`
+	Aim      strict.Duration `toml:"aim" doc:"an answer within this is served" min:"1ms" max:"10m"`
+	Deadline strict.Duration `toml:"deadline" doc:"a client's whole wait" min:"1ms" max:"10m"`
+	Effect   string          `toml:"effect" doc:"safe, keyed or unsafe" oneof:"safe keyed unsafe"`
+	Scope    string          `toml:"scope" doc:"of a key: all, zone or cell" oneof:"all zone cell"`
+	Window   strict.Duration `toml:"window" doc:"how long repeats of a key are dropped" min:"0s" max:"1h"`
+}
+
+// Team is one of those who share the service.
+type Team struct {
+	Name  string  `toml:"name" doc:"of the team"`
+	Share float64 `toml:"share" doc:"of all requests" min:"0" max:"1"`
+	Quota float64 `toml:"quota" doc:"requests a second within its share" min:"0" max:"10000000"`
+}
+
+// Callers ask, whatever becomes of what they asked before.
+type Callers struct {
+	Rate     Span            `toml:"rate" doc:"requests a second, of all"`
+	Wave     float64         `toml:"wave" doc:"share by which the rate goes up and down once a minute" min:"0" max:"1"`
+	Tries    int             `toml:"tries" doc:"of a request" min:"1" max:"100"`
+	Backoff  strict.Duration `toml:"backoff" doc:"before a second try; it doubles, half of it drawn" min:"0s" max:"1m"`
+	Patience strict.Duration `toml:"try_for" doc:"how long a try is waited for; 0 for the whole deadline" min:"0s" max:"10m"`
+	Honours  bool            `toml:"honours_retry_after" doc:"whether word when to come back is followed"`
+	Marks    bool            `toml:"marks_retries" doc:"whether repeats are marked"`
+	Most     int             `toml:"most" doc:"requests that may be open; more are counted and not made" min:"1" max:"10000000"`
+}
+
+// Network is between callers, instances and servers.
+type Network struct {
+	Latency Times `toml:"latency" doc:"one way, drawn for each message"`
+}
+
+// Discovery tells instances of the servers.
+type Discovery struct {
+	Delay Times `toml:"delay" doc:"from a change until an instance hears of it"`
+}
+
+// Trouble is what befalls servers at a time.
+type Trouble struct {
+	What   string          `toml:"what" doc:"what happens" oneof:"crash slow errors pause burst drain discovery"`
+	At     Times           `toml:"at" doc:"when it begins"`
+	Lasts  Times           `toml:"lasts" doc:"how long; of a drain, until the server is back"`
+	Share  float64         `toml:"share" doc:"of the servers" min:"0" max:"1"`
+	Factor Span            `toml:"factor" doc:"how much slower; share of errors; rate of a burst over the usual"`
+	Every  strict.Duration `toml:"every" doc:"one server after another, so far apart; 0 for all at once" min:"0s" max:"10m"`
+}
+
+// Span is a number or a range of numbers, as 3 or "2..4".
+type Span struct{ From, To float64 }
+
+// UnmarshalText reads it.
+func (s *Span) UnmarshalText(text []byte) error {
+	from, to, ranged := strings.Cut(string(text), "..")
+	if !ranged {
+		to = from
+	}
+	a, err := strconv.ParseFloat(from, 64)
+	b, fault := strconv.ParseFloat(to, 64)
+	if err != nil || fault != nil || !(a >= 0 && a <= b && b <= 1e12) {
+		return fmt.Errorf("%q is not a number or a range, as \"2..4\"", text)
+	}
+	s.From, s.To = a, b
+	return nil
+}
+
+// MarshalText writes it.
+func (s Span) MarshalText() ([]byte, error) {
+	if s.From == s.To {
+		return fmt.Append(nil, s.From), nil
+	}
+	return fmt.Appendf(nil, "%v..%v", s.From, s.To), nil
+}
+
+// Draw takes a value of it.
+func (s Span) Draw(r *rand.Rand) float64 { return s.From + (s.To-s.From)*r.Float64() }
+
+// Times is a time or a range of times, as "2s" or "1ms..5ms".
+type Times struct{ From, To time.Duration }
+
+// UnmarshalText reads it.
+func (t *Times) UnmarshalText(text []byte) error {
+	from, to, ranged := strings.Cut(string(text), "..")
+	if !ranged {
+		to = from
+	}
+	a, err := time.ParseDuration(from)
+	b, fault := time.ParseDuration(to)
+	if err != nil || fault != nil || !(a >= 0 && a <= b) {
+		return fmt.Errorf("%q is not a time or a range, as \"1ms..5ms\"", text)
+	}
+	t.From, t.To = a, b
+	return nil
+}
+
+// MarshalText writes it.
+func (t Times) MarshalText() ([]byte, error) {
+	if t.From == t.To {
+		return []byte(t.From.String()), nil
+	}
+	return fmt.Appendf(nil, "%v..%v", t.From, t.To), nil
+}
+
+// Draw takes a time of it.
+func (t Times) Draw(r *rand.Rand) time.Duration {
+	return t.From + time.Duration(float64(t.To-t.From)*r.Float64())
+}
+
+//go:embed default.toml
+var standard []byte
+
+// Default is the scenario that is built in.
+func Default() *Scenario {
+	s, wrong := Parse("default.toml", standard)
+	if len(wrong) > 0 {
+		panic(faults.Join(wrong)) // a test reads it
+	}
+	return s
+}
+
+// base is what holds where a file says nothing.
+func base() *Scenario {
+	return &Scenario{
+		Name:      "unnamed",
+		Lasts:     strict.Duration(30 * time.Second),
+		Broker:    Broker{Instances: 1, Quantum: strict.Duration(2 * time.Millisecond), MaxAttempts: 4, MayCancel: true, Connect: strict.Duration(time.Second), RetryAfter: strict.Duration(2 * time.Second)},
+		Servers:   Servers{Count: 2, Zones: 1, Cold: strict.Duration(5 * time.Second), From: 0.3, Fall: strict.Duration(time.Second), Grace: strict.Duration(time.Second)},
+		Callers:   Callers{Rate: Span{100, 100}, Tries: 3, Backoff: strict.Duration(100 * time.Millisecond), Honours: true, Most: 1000000},
+		Network:   Network{Times{200 * time.Microsecond, 500 * time.Microsecond}},
+		Discovery: Discovery{Times{200 * time.Millisecond, time.Second}},
+	}
+}
+
+// Load reads a file.
+func Load(path string) (*Scenario, []faults.Fault) {
+	data, wrong := strict.Read(path)
+	if len(wrong) > 0 {
+		return nil, wrong
+	}
+	return Parse(path, data)
+}
+
+// Parse reads a file's text, and finds all its faults.
+func Parse(path string, data []byte) (*Scenario, []faults.Fault) {
+	s, _, wrong := strict.Decode(path, data, base, func(string) (string, bool) { return "", false })
+	return s, wrong
+}
+
+// Check names what the keys alone do not tell. It also fills in what a part of an array leaves out.
+func (s *Scenario) Check() (wrong []faults.Fault) {
+	fault := func(key, text string, args ...any) {
+		wrong = append(wrong, faults.Fault{Key: key, Text: fmt.Sprintf(text, args...)})
+	}
+	if len(s.Kinds) == 0 {
+		fault("kind", "at least one kind of server is needed")
+	}
+	if len(s.Classes) == 0 {
+		fault("class", "at least one class is needed")
+	}
+	shares := func(key string, n int, share func(int) float64) {
+		sum := 0.0
+		for i := range n {
+			sum += share(i)
+		}
+		if n > 0 && (sum < 0.999 || sum > 1.001) {
+			fault(key+"[0].share", "the shares sum to %v, not 1", sum)
+		}
+	}
+	shares("kind", len(s.Kinds), func(i int) float64 { return s.Kinds[i].Share })
+	shares("class", len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
+	shares("team", len(s.Teams), func(i int) float64 { return s.Teams[i].Share })
+	for i, k := range s.Kinds {
+		if k.Speed.From <= 0 {
+			fault(fmt.Sprintf("kind[%d].speed", i), "has to be above 0")
+		}
+	}
+	for i, c := range s.Classes {
+		if c.Work.From <= 0 {
+			fault(fmt.Sprintf("class[%d].work", i), "has to be above 0")
+		}
+		if c.Aim > c.Deadline {
+			fault(fmt.Sprintf("class[%d].aim", i), "is later than the deadline")
+		}
+	}
+	if s.Callers.Rate.From <= 0 {
+		fault("callers.rate", "has to be above 0")
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/lab/sim/result.go
@@ -0,0 +1,130 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dykering/internal/lab/rules"
+	"dykering/internal/lab/scenario"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Scenario   string            `json:"scenario"`
+	Seed       uint64            `json:"seed"`
+	Instances  int               `json:"instances"`
+	Servers    int               `json:"servers"`
+	Asked      int               `json:"asked"`  // requests that clients wanted
+	Unmade     int               `json:"unmade"` // of them, beyond what may be open: callers ask for more than is ever answered
+	Tries      int               `json:"tries"`
+	Attempts   int               `json:"attempts"`
+	Served     int               `json:"served"` // in time
+	Late       int               `json:"late"`
+	Refused    int               `json:"refused"`
+	Failed     int               `json:"failed"`
+	TimedOut   int               `json:"timedOut"`
+	Open       int               `json:"open"` // at the end
+	Service    float64           `json:"service"`
+	Worst      float64           `json:"worst"` // of a second in which enough was asked
+	Back       float64           `json:"back"`  // seconds from the end of the last trouble until service is back, -1 for never
+	P50        float64           `json:"p50"`   // seconds from what a client wanted to its answer
+	P99        float64           `json:"p99"`
+	Classes    []ClassResult     `json:"classes"`
+	Seconds    []Second          `json:"seconds"`
+	Broken     map[string]int    `json:"broken"` // rules, and how often
+	Violations []rules.Violation `json:"violations,omitempty"`
+
+	latency     *hdrhistogram.Histogram
+	troubleEnds time.Duration
+}
+
+// ClassResult is what came of a class.
+type ClassResult struct {
+	Name   string `json:"name"`
+	Asked  int    `json:"asked"`
+	Served int    `json:"served"`
+}
+
+// Second is what came of what was asked in a second.
+type Second struct {
+	Asked  int `json:"asked"`
+	Served int `json:"served"`
+}
+
+const (
+	// enough is how many requests a second must have to count by itself.
+	enough = 20
+	// well is the service from which on it counts as back, for backFor seconds.
+	well    = 0.95
+	backFor = 3
+)
+
+func newResult(s *scenario.Scenario, seed uint64) *Result {
+	r := &Result{Scenario: s.Name, Seed: seed, Instances: s.Broker.Instances, Servers: s.Servers.Count, Back: -1,
+		Classes: make([]ClassResult, len(s.Classes)), Seconds: make([]Second, 1+int(time.Duration(s.Lasts).Seconds())),
+		latency: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+	for i, c := range s.Classes {
+		r.Classes[i].Name = c.Name
+	}
+	for _, t := range s.Troubles {
+		r.troubleEnds = max(r.troubleEnds, t.At.To+t.Lasts.To)
+	}
+	return r
+}
+
+func (r *Result) second(a *ask) *Second { return &r.Seconds[int((a.born - origin).Seconds())] }
+
+func (r *Result) ask(w *world, a *ask) {
+	r.Asked++
+	r.Classes[a.class].Asked++
+	r.second(a).Asked++
+}
+
+func (r *Result) done(w *world, a *ask, how string) {
+	w.checker.Forget(originOf(a))
+	switch took := w.now - a.born; {
+	case how == served && took <= time.Duration(w.s.Classes[a.class].Aim):
+		r.Served++
+		r.Classes[a.class].Served++
+		r.second(a).Served++
+		r.latency.RecordValue(took.Microseconds())
+	case how == served:
+		r.Late++
+		r.latency.RecordValue(took.Microseconds())
+	case how == refused:
+		r.Refused++
+	case how == failed:
+		r.Failed++
+	default:
+		r.TimedOut++
+	}
+}
+
+func (r *Result) finish(w *world) {
+	r.Open = w.open
+	r.Broken, r.Violations = w.checker.Counts(), w.checker.Violations()
+	if all := r.Asked + r.Unmade; all > 0 {
+		r.Service = float64(r.Served) / float64(all)
+	}
+	r.Worst = 1
+	in := 0
+	for i, s := range r.Seconds {
+		share := 1.0
+		if s.Asked > 0 {
+			share = float64(s.Served) / float64(s.Asked)
+		}
+		if s.Asked >= enough {
+			r.Worst = min(r.Worst, share)
+		}
+		if after := float64(i) - r.troubleEnds.Seconds(); after >= 0 && r.Back < 0 {
+			if in++; share < well {
+				in = 0
+			}
+			if in == backFor {
+				r.Back = max(after-backFor+1, 0)
+			}
+		}
+	}
+	r.P50, r.P99 = float64(r.latency.ValueAtQuantile(50))/1e6, float64(r.latency.ValueAtQuantile(99))/1e6
+}
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,203 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"dykering/internal/decision"
+	"dykering/internal/lab/rules"
+	"dykering/internal/lab/scenario"
+	"dykering/internal/strict"
+)
+
+// play runs a scenario, and is its result as text.
+func play(t *testing.T, s *scenario.Scenario, seed uint64, p NewPolicy) (*Result, string) {
+	t.Helper()
+	r, err := Run(s, seed, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(text)
+}
+
+func short() *scenario.Scenario {
+	s := scenario.Default()
+	s.Lasts = strict.Duration(12 * time.Second)
+	return s
+}
+
+// A seed is a run, to the byte, on one core and on four; another seed is another.
+func TestSameSeedSameRun(t *testing.T) {
+	for name, p := range Policies {
+		_, first := play(t, short(), 5, p)
+		for _, cores := range []int{1, 4} {
+			before := runtime.GOMAXPROCS(cores)
+			if _, again := play(t, short(), 5, p); again != first {
+				t.Errorf("%s: another result on %d cores", name, cores)
+			}
+			runtime.GOMAXPROCS(before)
+		}
+		if _, other := play(t, short(), 6, p); other == first {
+			t.Errorf("%s: two seeds, one result", name)
+		}
+	}
+}
+
+// The broker's decisions break no rule of the built-in day, and serve it better than a draw.
+func TestBrokerKeepsTheRules(t *testing.T) {
+	for seed := range uint64(4) {
+		r, _ := play(t, scenario.Default(), seed, Broker)
+		if len(r.Broken) > 0 || r.Open > 0 || r.Asked != r.Served+r.Late+r.Refused+r.Failed+r.TimedOut+r.Unmade {
+			t.Errorf("seed %d: %v, %+v", seed, r.Broken, r.Violations)
+		}
+		if plain, _ := play(t, scenario.Default(), seed, Policies["random"]); plain.Service >= r.Service {
+			t.Errorf("seed %d: service %.3f, of a draw %.3f", seed, r.Service, plain.Service)
+		}
+	}
+}
+
+// One more instance, or server, changes nothing that another draws.
+func TestDrawsAreApart(t *testing.T) {
+	draws := func(change func(*scenario.Scenario)) (all string) {
+		s := short()
+		change(s)
+		w := &world{s: s, seed: 9}
+		w.makeServers()
+		for _, x := range w.servers[:8] {
+			all += fmt.Sprint(x.speed, x.kind.Name, x.rng.Uint64(), " ")
+		}
+		for i := range 4 {
+			all += fmt.Sprint(stream(w.seed, "instance", i).Uint64(), " ")
+		}
+		return all
+	}
+	if draws(func(*scenario.Scenario) {}) != draws(func(s *scenario.Scenario) { s.Servers.Count++; s.Broker.Instances++ }) {
+		t.Error("one more changes the others' draws")
+	}
+}
+
+// For ever more than the servers can do: what is held stays bounded, and the result says so.
+func TestEndlessOverload(t *testing.T) {
+	s := short()
+	s.Callers.Rate, s.Callers.Most, s.Callers.Patience = scenario.Span{From: 5000, To: 5000}, 300, 0
+	s.Lasts = strict.Duration(4 * time.Second)
+	for name, p := range Policies {
+		r, _ := play(t, s, 1, p)
+		if r.Unmade == 0 || r.Asked+0 < r.Served || r.Open != 0 {
+			t.Errorf("%s: asked %d, not made %d, open %d", name, r.Asked, r.Unmade, r.Open)
+		}
+	}
+}
+
+// wrong is a policy that does something that it must not, behind one that does not.
+type wrong struct {
+	Policy
+	decision.Host
+	set    decision.Settings
+	host   decision.Host
+	sent   map[decision.RequestID]int
+	does   string
+	gone   map[decision.EndpointID]bool
+	cold   decision.EndpointID
+	delay  map[uint64]decision.RequestID
+	tokens uint64
+}
+
+func wrongly(does string) NewPolicy {
+	return func(set decision.Settings, seed uint64, host decision.Host, truth Truth) (Policy, error) {
+		w := &wrong{set: set, host: host, Host: host, does: does, sent: map[decision.RequestID]int{},
+			gone: map[decision.EndpointID]bool{}, delay: map[uint64]decision.RequestID{}, tokens: 1 << 40}
+		inner, err := Policies["random"](set, seed, w, truth)
+		w.Policy = inner
+		return w, err
+	}
+}
+
+func (w *wrong) Targets(now time.Duration, l decision.List) {
+	for i, e := range l.Entries {
+		if w.does == rules.Drain {
+			l.Entries[i].State = decision.Ready // it does not care
+		}
+		if e.State == decision.Ready && e.Started > 0 {
+			w.cold = e.Endpoint
+		}
+	}
+	w.Policy.Targets(now, l)
+}
+
+func (w *wrong) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+	switch {
+	case w.does == rules.Cold && w.cold != 0:
+		to = w.cold
+	case w.does == rules.Unknown:
+		to = 10000
+	}
+	w.sent[id]++
+	w.host.Send(id, to, timeout)
+	if w.does == rules.Single && w.sent[id] == 1 {
+		w.host.Send(id, to, timeout)
+	}
+}
+
+func (w *wrong) Outcome(now time.Duration, o decision.Outcome) {
+	if w.does == rules.Effect && !o.Final && o.Status != decision.OK && w.sent[o.ID] < 3 {
+		w.sent[o.ID]++
+		w.host.Send(o.ID, o.Endpoint, 0) // whatever its class
+		return
+	}
+	if w.does == rules.Answer && o.Final {
+		w.host.Refuse(o.ID, 0)
+	}
+	w.Policy.Outcome(now, o)
+}
+
+func (w *wrong) Refuse(id decision.RequestID, after time.Duration) { w.late(id) }
+func (w *wrong) Fail(id decision.RequestID)                        { w.late(id) }
+
+// late refuses, or, where that is what it does wrong, long after the time.
+func (w *wrong) late(id decision.RequestID) {
+	if w.does != rules.Time {
+		w.host.Refuse(id, 0)
+		return
+	}
+	w.tokens++
+	w.delay[w.tokens] = id
+	w.host.SetTimer(w.tokens, 9*time.Second)
+}
+
+func (w *wrong) Timer(now time.Duration, token uint64) {
+	if id, ok := w.delay[token]; ok {
+		w.host.Refuse(id, 0)
+		return
+	}
+	w.Policy.Timer(now, token)
+}
+
+// The checker catches a policy that is wrong on purpose, and names the right rule.
+func TestWrongPoliciesAreCaught(t *testing.T) {
+	for _, rule := range []string{rules.Answer, rules.Time, rules.Effect, rules.Single, rules.Drain, rules.Cold, rules.Unknown} {
+		s := short()
+		s.Broker.MaxAttempts = 0
+		s.Callers.Patience = strict.Duration(500 * time.Millisecond)
+		s.Callers.Tries = 1
+		for i := range s.Kinds {
+			s.Kinds[i].Errors = 0.2
+		}
+		r, _ := play(t, s, 3, wrongly(rule))
+		if r.Broken[rule] == 0 {
+			t.Errorf("%s: not caught; broken %v", rule, r.Broken)
+		}
+		for _, v := range r.Violations {
+			if v.Rule == rule && v.Request != "" && len(v.History) == 0 {
+				t.Errorf("%s: without a history", rule)
+			}
+		}
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -18,17 +18,16 @@
 }
 
 type sample struct {
-	Word   string          `toml:"word" doc:"a word" oneof:"one two"`
-	Count  int             `toml:"count" doc:"a number" min:"1" max:"9"`
-	Part   float64         `toml:"part" doc:"a part" min:"0" max:"1"`
-	On     bool            `toml:"on" doc:"whether"`
-	Wait   strict.Duration `toml:"wait" doc:"a time" min:"1ms" max:"1s"`
-	Size   strict.Bytes    `toml:"size" doc:"a size" max:"1MiB"`
-	Key    string          `toml:"key" doc:"a secret" secret:"yes"`
-	Names  []string        `toml:"names" doc:"names"`
-	Inner  inner           `toml:"inner"`
-	Teams  []team          `toml:"team"`
-	hidden int
+	Word  string          `toml:"word" doc:"a word" oneof:"one two"`
+	Count int             `toml:"count" doc:"a number" min:"1" max:"9"`
+	Part  float64         `toml:"part" doc:"a part" min:"0" max:"1"`
+	On    bool            `toml:"on" doc:"whether"`
+	Wait  strict.Duration `toml:"wait" doc:"a time" min:"1ms" max:"1s"`
+	Size  strict.Bytes    `toml:"size" doc:"a size" max:"1MiB"`
+	Key   string          `toml:"key" doc:"a secret" secret:"yes"`
+	Names []string        `toml:"names" doc:"names"`
+	Inner inner           `toml:"inner"`
+	Teams []team          `toml:"team"`
 }
 
 type inner struct {
