Add a demo: the broker on real sockets while servers drain, die and come back

Need: a newcomer had nothing to run that shows the broker at work; the README's first command should need no file.

Change: `make demo` (`dykering-lab demo`) starts stand-in servers, a stand-in discovery and the broker on loopback with open-loop callers, drains one server, kills another, brings both back cold and puts a new version in, with a live table and a chart. The broker is a process of its own and ends with the demo in all cases.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 POLICY := internal/decision/balancer.go
 
-.PHONY: test
+.PHONY: test demo
 test:
 	@unformatted=$$(gofmt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	@lines=$$(grep -c . $(POLICY)); if [ "$$lines" -lt 300 ] || [ "$$lines" -gt 1200 ]; then \
@@ -12,3 +12,6 @@
 	go vet ./...
 	go build -buildvcs=false -o bin/ ./cmd/...
 	go test -race -count=1 ./...
+
+demo:
+	go run ./cmd/dykering-lab demo
--- /dev/null
+++ b/cmd/dykering-lab/demo_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program, that the demo starts again as the broker.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == "broker" {
+		os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// The demo loses nothing through a drain, a crash and a change of version, and leaves nothing behind.
+func TestDemo(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	code, out, errOut := command("demo --lasts 6s")
+	if code != 0 || !strings.Contains(out, " 0 lost") || !strings.Contains(out, "a new version takes over") {
+		t.Errorf("exit %d\n%s%s", code, out, errOut)
+	}
+	if left, err := os.ReadDir(os.Getenv("TMPDIR")); err != nil || len(left) > 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// A demo that is called off ends soon, and a broker that does not start is told with its log.
+func TestDemoEndsInAllCases(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	ctx, cancel := context.WithCancel(context.Background())
+	began := time.Now()
+	time.AfterFunc(time.Second, cancel)
+	var out strings.Builder
+	if err := demo(ctx, &out, time.Minute); err != nil || time.Since(began) > 20*time.Second {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	st, err := setUp()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.tearDown()
+	if err := os.WriteFile(st.file, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := st.startBroker(context.Background()); err == nil || !strings.Contains(err.Error(), "unexpected end of JSON") {
+		t.Errorf("a broker that cannot start: %v", err)
+	}
+}
--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -32,7 +32,7 @@
 	root := &cobra.Command{Use: "dykering-lab", Short: "The laboratory of the broker", Args: cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(c *cobra.Command, _ []string) error { return errors.New("a command is missing") }}
-	root.AddCommand(newCheck(), newSim())
+	root.AddCommand(newCheck(), newSim(), newDemo(), newBroker())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- /dev/null
+++ b/internal/lab/real/standin.go
@@ -0,0 +1,248 @@
+// Package real plays the laboratory's world on real sockets: stand-in servers and a stand-in discovery on loopback,
+// that speak the platform's protocol, round a broker that is a process of its own.
+package real
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dykering/internal/core"
+)
+
+// heartbeat is how often a watch that has nothing to tell says so.
+const heartbeat = time.Second
+
+// Server is a stand-in server: so many cores that work on one call each for a time, and the rest wait.
+type Server struct {
+	UID   string
+	took  time.Duration
+	cores chan struct{}
+	Ran   atomic.Int64 // calls that it has worked on
+
+	mu      sync.Mutex
+	address string
+	http    *http.Server
+}
+
+// StartServer starts one on loopback.
+func StartServer(uid string, cores int, took time.Duration) (*Server, error) {
+	s := &Server{UID: uid, took: took, cores: make(chan struct{}, cores), address: "127.0.0.1:0"}
+	return s, s.Start()
+}
+
+// Address is where it listens, or did.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Start has it listen, at the address that it had.
+func (s *Server) Start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return fmt.Errorf("server %s: %w", s.UID, err)
+	}
+	s.address = l.Addr().String()
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	go s.http.Serve(l) // ends with Kill
+	return nil
+}
+
+// Kill ends it as a crash does: what it works on is reset.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.http.Close()
+}
+
+// ServeHTTP works on a call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	select {
+	case s.cores <- struct{}{}:
+		defer func() { <-s.cores }()
+	case <-r.Context().Done():
+		return // nobody waits for it
+	}
+	s.Ran.Add(1)
+	select {
+	case <-time.After(s.took):
+	case <-r.Context().Done():
+		return
+	}
+	io.WriteString(w, "done by "+s.UID+"\n")
+}
+
+// Discovery is a stand-in discovery.
+type Discovery struct {
+	Address string
+	http    *http.Server
+
+	mu      sync.Mutex
+	rev     uint64
+	targets map[string]core.Target
+	changed chan struct{} // closed when there is a further version
+	log     []core.Target // what changed with each version from 1 on
+}
+
+// StartDiscovery starts one that knows servers.
+func StartDiscovery(servers []*Server) (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	d := &Discovery{Address: l.Addr().String(), targets: map[string]core.Target{}, changed: make(chan struct{})}
+	for _, s := range servers {
+		d.Tell(s, "Ready", 0)
+	}
+	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
+	go d.http.Serve(l) // ends with Close
+	return d, nil
+}
+
+// Close ends it.
+func (d *Discovery) Close() { d.http.Close() }
+
+// Tell tells all that a server is Ready, Terminating or Gone; booted is its start in Unix milliseconds, 0 for long past.
+func (d *Discovery) Tell(s *Server, state string, booted int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := core.Target{UID: s.UID, Address: s.Address(), Zone: "hall", Model: "stand-in", State: state, Weight: 1, BootMS: booted}
+	if d.targets[s.UID] = t; state == "Gone" {
+		delete(d.targets, s.UID)
+	}
+	d.rev++
+	d.log = append(d.log, t)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// list is the whole list, or what has changed since a version.
+func (d *Discovery) list(since *uint64) (l core.List, changed <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l = core.List{Rev: d.rev, All: since == nil || *since > d.rev}
+	if !l.All {
+		l.Targets = append(l.Targets, d.log[*since:]...)
+		return l, d.changed
+	}
+	for _, t := range d.targets {
+		l.Targets = append(l.Targets, t)
+	}
+	return l, d.changed
+}
+
+// ServeHTTP answers GET /v1/endpoints, once or as a watch.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var since *uint64
+	if text := r.URL.Query().Get("since"); text != "" {
+		var n uint64
+		if _, err := fmt.Sscan(text, &n); err != nil {
+			http.Error(w, "since: not a version", http.StatusBadRequest)
+			return
+		}
+		since = &n
+	}
+	out := json.NewEncoder(w)
+	l, changed := d.list(since)
+	if r.URL.Query().Get("follow") != "1" {
+		out.Encode(l) // who has gone does not miss it
+		return
+	}
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		if first && since == nil || len(l.Targets) > 0 {
+			if out.Encode(l) != nil {
+				return
+			}
+		} else if _, err := io.WriteString(w, "\n"); err != nil {
+			return
+		}
+		http.NewResponseController(w).Flush()
+		rev := l.Rev
+		select {
+		case <-changed:
+			l, changed = d.list(&rev)
+		case <-beat.C:
+			l.Targets = nil
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Load asks a broker, whatever becomes of what it asked before.
+type Load struct {
+	URL     string
+	Rate    float64       // requests a second, evenly spread
+	Left    time.Duration // how long one is waited for
+	Classes []string      // taken in turn; one that is "read" is a GET
+	client  http.Client
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	At     time.Duration // when it was meant to be sent, from the start on
+	Took   time.Duration // from then on
+	Status int           // 0 where no answer came
+}
+
+// Run asks until the context ends, and waits for the last answer. Outcomes go to told, one at a time.
+func (l *Load) Run(ctx context.Context, told func(Outcome)) {
+	l.client.Transport = &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 1024}
+	l.client.Timeout = l.Left + time.Second
+	defer l.client.CloseIdleConnections()
+	var asking sync.WaitGroup
+	var mu sync.Mutex
+	began := time.Now()
+	for n := 0; ctx.Err() == nil; n++ {
+		at := time.Duration(float64(n) / l.Rate * float64(time.Second))
+		select {
+		case <-time.After(time.Until(began.Add(at))):
+		case <-ctx.Done():
+			continue
+		}
+		asking.Go(func() {
+			status := l.ask(n)
+			mu.Lock()
+			defer mu.Unlock()
+			told(Outcome{at, time.Since(began) - at, status})
+		})
+	}
+	asking.Wait()
+}
+
+func (l *Load) ask(n int) (status int) {
+	class := l.Classes[n%len(l.Classes)]
+	method := http.MethodPost
+	if class == "read" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequest(method, l.URL+"/demo", nil)
+	if err != nil {
+		return 0
+	}
+	r.Header.Set("X-Txn", fmt.Sprintf("demo-%d", n))
+	r.Header.Set("X-Lane", class)
+	r.Header.Set("X-Remaining", fmt.Sprintf("%dm", l.Left.Milliseconds()))
+	res, err := l.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
