--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -80,8 +80,9 @@
 func (f *files) flags(c *cobra.Command) {
 	c.Flags().StringVar(&f.platform, "config", "", "the platform's JSON file, in place of BALANCER_CONFIG")
 	c.Flags().StringVar(&f.operator, "operator", "", "the operator's TOML file; without it the defaults hold")
-	c.MarkFlagFilename("config", "json")
-	c.MarkFlagFilename("operator", "toml")
+	if err := errors.Join(c.MarkFlagFilename("config", "json"), c.MarkFlagFilename("operator", "toml")); err != nil {
+		panic(err) // a flag that is not there: a fault of this program's, that any test of it finds
+	}
 }
 
 // getenv is the environment, with what the flags say of it.
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -16,8 +16,12 @@
 	"dykering/internal/core"
 )
 
-// heartbeat is how often a watch that has nothing to tell says so.
-const heartbeat = time.Second
+const (
+	// heartbeat is how often a watch that has nothing to tell says so.
+	heartbeat = time.Second
+	// mostChanges is how many changes are kept; who has missed more gets the whole list.
+	mostChanges = 1024
+)
 
 // Server is a stand-in server: so many cores that work on one call each for a time, and the rest wait.
 type Server struct {
@@ -92,7 +96,7 @@
 	rev     uint64
 	targets map[string]core.Target
 	changed chan struct{} // closed when there is a further version
-	log     []core.Target // what changed with each version from 1 on
+	log     []core.Target // what changed with the last versions
 }
 
 // StartDiscovery starts one that knows servers.
@@ -122,6 +126,9 @@
 		delete(d.targets, s.UID)
 	}
 	d.rev++
+	if len(d.log) == mostChanges {
+		d.log = d.log[:copy(d.log, d.log[1:])]
+	}
 	d.log = append(d.log, t)
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -131,9 +138,10 @@
 func (d *Discovery) list(since *uint64) (l core.List, changed <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l = core.List{Rev: d.rev, All: since == nil || *since > d.rev}
+	kept := d.rev - uint64(len(d.log)) // the version that the changes that are kept follow on
+	l = core.List{Rev: d.rev, All: since == nil || *since > d.rev || *since < kept}
 	if !l.All {
-		l.Targets = append(l.Targets, d.log[*since:]...)
+		l.Targets = append(l.Targets, d.log[*since-kept:]...)
 		return l, d.changed
 	}
 	for _, t := range d.targets {
