A process accepts on a shared socket only once it can serve

The slow reader's test took for granted that the kernel holds under 8 MB; where a receive buffer may grow to 32 MB the answer was through before the hand-over.

Change: on an inherited socket accepting begins with the first list, or after 2 s, for there may be nobody else; the caller of the slow reader's test has a buffer of its own.

--- a/internal/http1/inherit_test.go
+++ b/internal/http1/inherit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -86,6 +87,34 @@
 	c.Close()
 }
 
+// A process that has no list yet leaves new connections to its predecessor; when there is no other any more it answers
+// for itself, if only that it cannot serve.
+func TestNoListNoAccept(t *testing.T) {
+	endpoint := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
+	_, descriptor := shared(t)
+	accept := func(c *config.Config) { c.Accept = descriptor() }
+	old := startWith(t, 1, 1024, accept, endpoint)
+	heir := startWith(t, 1, 1024, accept) // its /ready is its predecessor's
+	for range 50 {
+		if res := old.once("once"); res.StatusCode != 200 {
+			t.Fatalf("with a successor that has no list: %+v", res)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	old.stop()
+	old.over()
+	heir.txn.Store(1000)
+	if res := heir.once("once"); res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("alone and without a list: %+v", res)
+	}
+	line, _ := json.Marshal(endpointList{Rev: 2, All: true, Targets: []target{endpoint}})
+	heir.lists <- string(line)
+	heir.until("it can serve", heir.server.CanServe)
+	if res := heir.once("once"); res.StatusCode != 200 {
+		t.Errorf("with a list: %+v", res)
+	}
+}
+
 // A long request whose last byte comes when callers have been sent away is read to its end and refused: nothing of
 // it has run, and its connection ends.
 func TestLongRequestThatComesTooLate(t *testing.T) {
--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -191,13 +191,16 @@
 // A caller that reads slowly gets all of its answer, through any number of successors, and whether or not its
 // endpoint has given the whole of it.
 func TestSlowReaderOutlastsProcesses(t *testing.T) {
-	const n = 8 << 20 // more than the kernel holds
+	const n = 24 << 20 // more than the kernel holds of what the caller has not read: its own buffer is set below
 	body := noise(n)
 	h := startHanded(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(n))
 		w.Write(body)
 	})
 	c := h.dial()
+	if err := c.SetReadBuffer(64 << 10); err != nil { // left alone, the kernel lets it grow to any size
+		t.Fatal(err)
+	}
 	r := h.request("read", 9*time.Second)
 	r.Write(c)
 	res, err := http.ReadResponse(bufio.NewReader(c), r)
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -36,6 +37,9 @@
 		s.stop()
 	}()
 	s.log.Info("process.serving", zap.String("name", s.config.Name), zap.Stringer("address", listener.Addr()))
+	if s.handsOver() {
+		s.untilItCanServe()
+	}
 	err := s.accept()
 	if phase, _, _ := s.life.Now(); phase != core.Stopping {
 		return err
@@ -44,6 +48,26 @@
 	return nil
 }
 
+// untilItCanServe waits, where others may accept on the same socket, for this process's first list of endpoints: what it
+// took before that it could only refuse, and its predecessor serves it. After acceptBy it answers all the same, for
+// there may be nobody else.
+func (s *Server) untilItCanServe() {
+	enough := time.NewTimer(s.acceptBy)
+	defer enough.Stop()
+	for {
+		phase, _, changed := s.life.Now()
+		if phase == core.Stopping || s.life.CanServe() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-enough.C:
+			s.log.Warn("process.accepts_without_list", zap.Duration("after", s.acceptBy))
+			return
+		}
+	}
+}
+
 // reload takes up the discovery that the configuration file names now. All else is as it was at the start.
 // A file that cannot be used changes nothing.
 func (s *Server) reload() {
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -40,6 +40,8 @@
 	// handOver is how long before its end a sidecar that was told to stop sends its callers to the other ones.
 	handOver = 700 * time.Millisecond
 	stopPoll = 20 * time.Millisecond
+	// acceptBy is how long a process that shares its listening socket waits for its first list before it accepts.
+	acceptBy = 2 * time.Second
 )
 
 // inbound is what goes on to an endpoint unchanged.
@@ -78,6 +80,7 @@
 	handOver time.Duration // see handOver
 	heardFor time.Duration // see awayAfter
 	handsFor time.Duration // see handedOverAfter
+	acceptBy time.Duration // see there
 	life     *core.Lifecycle
 	receiver *handover.Receiver              // of the process before; nil where there is no way
 	heir     atomic.Pointer[handover.Sender] // to whom connections are passed on; nil for nobody
@@ -99,7 +102,7 @@
 		return nil, err
 	}
 	s := &Server{loop: loop, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
-		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, life: loop.Lifecycle()}
+		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, acceptBy: acceptBy, life: loop.Lifecycle()}
 	s.callers.most = c.Plan().Inbound()
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
