An answer that comes at once no longer ends its caller's connection by chance

Need: TestAnswersArriveWhole failed on a crowded machine. Where an answer was there before its caller's goroutine waited, the end of the request's body and the answer were ready together, and half of the time the answer was taken first and said to be the last.

Change: with the answer it is looked up whether the body has ended.

--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -266,6 +266,11 @@
 			if gone != nil {
 				c.unwatch(gone)
 			}
+			select {
+			case <-ended: // both at once: either may be chosen first
+				ended = nil
+			default:
+			}
 			w.lasts = w.lasts && ended == nil && !s.closes(c, r.Buffered()+len(c.input))
 			lasts := w.answer(a)
 			a.Discard()
