Lab: one world model for both engines, with tiers, connections, reports and 18 troubles

Need: the scenario language could not say what later subsystems must be proved against (tiers that call tiers, partitions, bytes that go wrong, a discovery with a capacity), and the model was bound to virtual time.

Change: internal/lab/model holds callers, servers, tiers, network, discovery and troubles and knows neither broker nor socket; internal/lab/sim hosts policies in it. A kind of server has slots, choke and rest, pauses, connection cost, late and noisy reports; a call that is called off stops nothing, what waits or all of it. Instances can be killed or hand over. A run ends with its context.

--- /dev/null
+++ b/internal/lab/model/trouble.go
@@ -0,0 +1,233 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"dykering/internal/decision"
+	"dykering/internal/lab/scenario"
+)
+
+// neighbourTurn is the longest turn of a server that is slow by turns.
+const neighbourTurn = time.Second
+
+// tell has discovery tell all instances of the server's tier, each in its time.
+func (s *Server) tell(state decision.State) {
+	w := s.w
+	s.state = state
+	w.rev++
+	e := s.Entry()
+	l := decision.List{Kind: decision.Delta, Version: w.rev, Entries: []decision.Entry{e}}
+	for _, in := range s.Tier.Instances {
+		w.news(in, 1, func() {
+			w.Checker.Listed(w.Now(), in.N, s.N, e.State == decision.Ready)
+			w.brokers.Hear(in, l)
+		})
+	}
+}
+
+// news has an instance hear something, after all that it was told before, if its watch does not break off.
+func (w *World) news(in *Instance, lines int, hear func()) {
+	at := max(w.Now()+w.S.Discovery.Delay.Draw(w.hears), w.deaf, in.newsAt)
+	if rate := w.S.Discovery.Rate; rate > 0 {
+		w.sendFree = max(w.sendFree, w.Now()) + time.Duration(float64(lines)/float64(rate)*float64(time.Second))
+		at = max(at, w.sendFree)
+	}
+	in.newsAt = at
+	epoch := in.epoch
+	w.After(at-w.Now(), func() {
+		if epoch == in.epoch {
+			hear()
+		}
+	})
+}
+
+// breakOff ends an instance's watch. It asks for the whole list.
+func (w *World) breakOff(in *Instance) {
+	in.epoch++
+	in.newsAt = 0
+	w.brokers.Hear(in, decision.List{Kind: decision.Failed})
+	w.news(in, len(in.Tier.Servers), func() {
+		l := w.List(in)
+		for _, s := range in.Tier.Servers {
+			w.Checker.Listed(w.Now(), in.N, s.N, s.state == decision.Ready)
+		}
+		w.brokers.Hear(in, l)
+	})
+}
+
+// List is the whole list as discovery has it now.
+func (w *World) List(in *Instance) decision.List {
+	l := decision.List{Kind: decision.Whole, Version: w.rev}
+	for _, s := range in.Tier.Servers {
+		if s.state != decision.Gone {
+			l.Entries = append(l.Entries, s.Entry())
+		}
+	}
+	return l
+}
+
+// some are a share of so many, drawn.
+func some(r *rand.Rand, n int, share float64) []int {
+	return r.Perm(n)[:min(n, int(math.Ceil(share*float64(n)-1e-9)))]
+}
+
+// plan has a trouble come.
+func (w *World) plan(t scenario.Trouble, number int, r *rand.Rand) {
+	at, lasts, factor := t.At.Draw(r), t.Lasts.Draw(r), t.Factor.Draw(r)
+	tier := w.Tiers[t.Tier]
+	order := some(r, len(tier.Servers), t.Share)
+	touched := some(r, len(tier.Instances), t.Of)
+	w.After(at, func() {
+		over := func(do func()) { w.After(lasts, do) }
+		switch t.What {
+		case "burst":
+			w.burst = factor
+			over(func() { w.burst = 1 })
+			return
+		case "discovery":
+			w.deaf = w.Now() + lasts
+			return
+		case "break":
+			for _, in := range tier.Instances {
+				w.breakOff(in)
+			}
+			return
+		case "kill", "handover":
+			for i, x := range touched {
+				w.After(time.Duration(i)*time.Duration(t.Every), func() {
+					if in := tier.Instances[x]; t.What == "kill" {
+						w.brokers.Kill(in, lasts)
+					} else {
+						w.brokers.Handover(in)
+					}
+				})
+			}
+			return
+		case "zone":
+			zone := r.IntN(w.S.Servers.Zones)
+			for _, s := range tier.Servers {
+				if s.place().Zone == zone {
+					s.vanish(lasts)
+				}
+			}
+			return
+		case "partition":
+			bit := uint64(1) << (number % 64)
+			for _, x := range touched {
+				tier.Instances[x].cut |= bit
+			}
+			for _, x := range order {
+				tier.Servers[x].cut |= bit
+			}
+			over(func() {
+				for _, in := range tier.Instances {
+					in.cut &^= bit
+				}
+				for _, s := range tier.Servers {
+					s.cut &^= bit
+				}
+			})
+			return
+		}
+		for i, x := range order {
+			apart := time.Duration(i) * time.Duration(t.Every)
+			if t.What == "flap" {
+				apart = 0
+			}
+			w.After(apart, func() { tier.Servers[x].befall(t, lasts, factor) })
+		}
+	})
+}
+
+// befall is what a trouble does to one server.
+func (s *Server) befall(t scenario.Trouble, lasts time.Duration, factor float64) {
+	w := s.w
+	switch t.What {
+	case "crash":
+		s.crash(lasts)
+	case "drain":
+		s.drain(lasts)
+	case "replace":
+		s.replace(lasts)
+	case "vanish":
+		s.vanish(lasts)
+	case "slow":
+		s.slow = max(factor, 1)
+		w.After(lasts, func() { s.slow = 1 })
+	case "neighbour":
+		s.neighbour(max(factor, 1), w.Now()+lasts)
+	case "errors":
+		s.errors = min(factor, 1)
+		w.After(lasts, func() { s.errors = 0 })
+	case "pause":
+		s.pause(lasts)
+	case "reset":
+		for _, a := range append(append([]*Attempt(nil), s.works...), s.queue...) {
+			a.To.Reply(a, decision.Reset, nil)
+		}
+		if w.sockets != nil {
+			w.sockets.Reset(s)
+		}
+	case "bytes":
+		s.wrongBytes(t.How, t.Bytes)
+		w.After(lasts, func() { s.wrongBytes("none", 0) })
+	case "flap":
+		s.flap(w.Now()+lasts, time.Duration(t.Every))
+	}
+}
+
+func (s *Server) wrongBytes(how string, n int) {
+	s.bytes, s.bytesN = how, n
+	if s.w.sockets != nil {
+		s.w.sockets.Bytes(s, how, n)
+	}
+}
+
+// vanish has nothing come from a server for a time. Discovery notices, in its time.
+func (s *Server) vanish(lasts time.Duration) {
+	s.dark++
+	s.tell(decision.Gone)
+	if s.w.sockets != nil {
+		s.w.sockets.Bytes(s, "vanish", 0)
+	}
+	s.w.After(lasts, func() {
+		if s.dark--; s.dark == 0 {
+			if s.w.sockets != nil {
+				s.w.sockets.Bytes(s, "none", 0)
+			}
+			s.tell(decision.Ready)
+		}
+	})
+}
+
+// neighbour makes a server slow by turns until a time.
+func (s *Server) neighbour(factor float64, until time.Duration) {
+	if s.w.Now() >= until {
+		s.slow = 1
+		return
+	}
+	if s.slow > 1 {
+		s.slow = 1
+	} else {
+		s.slow = factor
+	}
+	s.w.After(time.Duration((0.2+0.8*s.rng.Float64())*float64(neighbourTurn)), func() { s.neighbour(factor, until) })
+}
+
+// flap has discovery say that a server is gone and back by turns until a time.
+func (s *Server) flap(until, every time.Duration) {
+	if s.w.Now() >= until || !s.up || s.draining {
+		if s.up && !s.draining && s.state == decision.Gone {
+			s.tell(decision.Ready)
+		}
+		return
+	}
+	if s.state == decision.Ready {
+		s.tell(decision.Gone)
+	} else {
+		s.tell(decision.Ready)
+	}
+	s.w.After(every, func() { s.flap(until, every) })
+}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -223,6 +223,15 @@
 	}
 }
 
+// Excused tells that whoever owed a request its answer was killed: nothing is owed.
+func (c *Checker) Excused(at time.Duration, id string) {
+	if o := c.open[id]; o != nil {
+		o.note(at, "the process was killed")
+		o.answered, o.out = true, -1
+		c.close(o)
+	}
+}
+
 // close forgets what nothing is owed to, and nothing is out for.
 func (c *Checker) close(o *open) {
 	if o.answered && o.out < 0 {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -379,8 +379,12 @@
 	}
 }
 
-// outOf tells how a value is out of its bounds.
+// outOf tells how a value is out of its bounds. A text that is left out is what its tag omitted says: in a part of an
+// array no defaults stand.
 func outOf(f reflect.StructField, v reflect.Value) string {
+	if omitted := f.Tag.Get("omitted"); omitted != "" && v.Kind() == reflect.String && v.String() == "" {
+		v.SetString(omitted)
+	}
 	if words := strings.Fields(f.Tag.Get("oneof")); len(words) > 0 && !slices.Contains(words, v.String()) {
 		return fmt.Sprintf("%q is not one of %s", v.String(), strings.Join(words, ", "))
 	}
