Lab: the same scenario on real sockets, with processes of the broker and bytes that go wrong

Change: dykering-lab real plays a scenario against dykering run processes: the world's model keeps its clock, servers and troubles, and sockets carry what it says. Stand-in servers reset or end an answer after N bytes, stall, close one side, read or write slowly, send noise, never come up (a full backlog) or vanish; instances are killed and hand over.

--- /dev/null
+++ b/cmd/dykering-lab/real.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dykering/internal/faults"
+	"dykering/internal/lab/model"
+	"dykering/internal/lab/real"
+	"dykering/internal/lab/scenario"
+)
+
+// brokerCommand is how the broker is started: a program, or, without one, the one that is built in here.
+func brokerCommand(program string) ([]string, error) {
+	if program != "" {
+		return []string{program, "run"}, nil
+	}
+	self, err := os.Executable()
+	return []string{self, "broker"}, err
+}
+
+// loadScenario reads a scenario, or takes the built-in one.
+func loadScenario(args []string) (*scenario.Scenario, error) {
+	if len(args) == 0 {
+		return scenario.Default(), nil
+	}
+	s, wrong := scenario.Load(args[0])
+	if err := faults.Join(wrong); err != nil {
+		return nil, faulty{err}
+	}
+	return s, nil
+}
+
+func newReal() *cobra.Command {
+	var seed uint64
+	var program, dir string
+	var asJSON bool
+	c := &cobra.Command{Use: "real [FILE]", Short: "Play a scenario with processes of the broker on loopback sockets",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := loadScenario(args)
+			if err != nil {
+				return err
+			}
+			command, err := brokerCommand(program)
+			if err != nil {
+				return err
+			}
+			logs := dir
+			if logs == "" {
+				if logs, err = os.MkdirTemp("", "dykering-lab-"); err != nil {
+					return err
+				}
+			}
+			began := time.Now()
+			r, err := real.Play(c.Context(), s, seed, real.Options{Command: command, Dir: logs})
+			if err != nil {
+				return faulty{fmt.Errorf("%w\nlogs are under %s", err, logs)}
+			}
+			j := &job{Policy: "processes", Result: r, Took: time.Since(began)}
+			err = report(c.OutOrStdout(), []*job{j}, asJSON, j.Took)
+			if len(r.Broken) > 0 {
+				return faulty{fmt.Errorf("%s\nlogs are under %s", violations(r), logs)}
+			}
+			if dir == "" {
+				err = errors.Join(err, os.RemoveAll(logs))
+			}
+			return err
+		}}
+	c.Flags().Uint64Var(&seed, "seed", 1, "the seed")
+	c.Flags().StringVar(&program, "broker", "", "the broker's program; without it, the one that is built in")
+	c.Flags().StringVar(&dir, "logs", "", "a folder for logs and configurations; without it they are kept only when something went wrong")
+	c.Flags().BoolVar(&asJSON, "json", false, "one line of JSON")
+	return c
+}
+
+// violations are the first of a run's, each with its history.
+func violations(r *model.Result) (text string) {
+	text = fmt.Sprintf("rules were broken: %v", r.Broken)
+	for _, v := range r.Violations[:min(len(r.Violations), 5)] {
+		text += fmt.Sprintf("\n%s, request %s, at %.3f s: %s", v.Rule, v.Request, (v.At - model.Origin).Seconds(), v.Text)
+		for _, line := range v.History {
+			text += "\n    " + line
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/real/http.go
@@ -0,0 +1,255 @@
+package real
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"dykering/internal/decision"
+	"dykering/internal/lab/model"
+)
+
+const (
+	// serverIdle is how long a stand-in server keeps a connection that says nothing.
+	serverIdle = 30 * time.Second
+	// mostBody is more than a request of the laboratory's has.
+	mostBody = 64 << 10
+)
+
+// quiet is the log of stand-in servers, whose connections are meant to break.
+var quiet = log.New(io.Discard, "", 0)
+
+// reuse tells of a request whether it went out on a connection that had been used, and whether anything came back.
+type reuse struct{ reused, heard atomic.Bool }
+
+func watchReuse(ctx context.Context) (context.Context, *reuse) {
+	u := &reuse{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(i httptrace.GotConnInfo) { u.reused.Store(i.Reused) },
+		GotFirstResponseByte: func() { u.heard.Store(true) },
+	}), u
+}
+
+// crossed tells whether a request that failed may have crossed the end of a connection between two requests, and so
+// is sent once more on a new one: one of those can end each time, so that this ends.
+func (u *reuse) crossed() bool { return u.reused.Load() && !u.heard.Load() }
+
+func drain(res *http.Response) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, mostBody))
+	return err
+}
+
+// server is a model's server on a socket.
+type server struct {
+	st      *stage
+	s       *model.Server
+	address string
+	conns   *conns
+	http    *http.Server // nil while it does not listen
+	open    net.Listener
+	hole    *hole
+}
+
+// attempt is one that has come to a server.
+type attempt struct {
+	model.Attempt
+	ended bool
+	told  bool // the checker knows of it
+}
+
+// listen has a server listen, at the address that it had.
+func (st *stage) listen(s *model.Server) error {
+	sv := st.servers[s.N]
+	if sv == nil {
+		sv = &server{st: st, s: s, address: "127.0.0.1:0", conns: newConns()}
+		st.servers[s.N] = sv
+	}
+	l, err := net.Listen("tcp", sv.address)
+	if err != nil {
+		return fmt.Errorf("server %d: %w", s.N, err)
+	}
+	sv.address = l.Addr().String()
+	sv.http = &http.Server{Handler: sv, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: serverIdle, ErrorLog: quiet}
+	sv.open = l
+	web := sv.http
+	st.work.Go(func() {
+		if err := web.Serve(listener{l, sv.conns}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			st.fail(err)
+		}
+	})
+	return nil
+}
+
+// Up is the Sockets', as are the methods below.
+func (st *stage) Up(s *model.Server) {
+	if sv := st.servers[s.N]; sv != nil && sv.hole != nil {
+		return // it listens when that is over
+	}
+	if err := st.listen(s); err != nil {
+		st.fail(err)
+	}
+}
+
+func (st *stage) Down(s *model.Server) { st.servers[s.N].stop() }
+
+// Reset breaks its connections.
+func (st *stage) Reset(s *model.Server) { st.servers[s.N].conns.reset() }
+
+// Bytes has what a server sends and reads go wrong.
+func (st *stage) Bytes(s *model.Server, how string, n int) {
+	sv := st.servers[s.N]
+	sv.conns.set(how, n)
+	silent := how == neverUp || how == vanish
+	switch {
+	case silent && sv.hole == nil && sv.http != nil:
+		sv.open.Close() // its connections stay
+		sv.http = nil
+		h, err := dig(sv.address)
+		if err != nil {
+			st.fail(fmt.Errorf("server %d: %w", s.N, err))
+			return
+		}
+		sv.hole = h
+	case !silent && sv.hole != nil:
+		sv.hole.close()
+		sv.hole = nil
+		if err := st.listen(s); err != nil {
+			st.fail(err)
+		}
+	}
+}
+
+func (sv *server) stop() {
+	sv.conns.reset()
+	if sv.http != nil {
+		sv.http.Close()
+		sv.http = nil
+	}
+}
+
+func (sv *server) close() {
+	sv.stop()
+	if sv.hole != nil {
+		sv.hole.close()
+		sv.hole = nil
+	}
+	sv.conns.set("none", 0)
+	sv.conns.reset()
+}
+
+// reply is what a handler is to answer.
+type reply struct {
+	how  decision.Status
+	load *decision.Load
+}
+
+// replier gives it to the handler.
+type replier chan reply
+
+func (r replier) Reply(a *model.Attempt, how decision.Status, l *decision.Load) {
+	a.Over = true
+	select {
+	case r <- reply{how, l}:
+	default: // it has one
+	}
+}
+
+// ServeHTTP works on an attempt.
+func (sv *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, mostBody)); err != nil {
+		return
+	}
+	st := sv.st
+	told := make(replier, 1)
+	a := &attempt{Attempt: model.Attempt{Server: sv.s, To: told}}
+	id := decision.RequestID(r.Header.Get("X-Txn"))
+	st.post(func() { st.came(id, a) })
+	select {
+	case got := <-told:
+		st.post(func() { st.ended(a, got.how.String()) })
+		write(w, got)
+	case <-r.Context().Done():
+		st.post(func() {
+			st.ended(a, "its connection was closed")
+			a.Over = true
+			if a.Try != nil {
+				sv.s.Cancel(&a.Attempt)
+			}
+		})
+	}
+}
+
+// write answers as PROTOCOL's table says.
+func write(w http.ResponseWriter, got reply) {
+	if l := got.load; l != nil {
+		w.Header().Set("X-Pressure", fmt.Sprintf("inflight=%.2f,queue=%.2f,util=%.3f", l.InFlight, l.Queue, l.Util))
+	}
+	switch got.how {
+	case decision.OK:
+		io.WriteString(w, "done\n")
+	case decision.Error:
+		w.WriteHeader(http.StatusInternalServerError)
+	case decision.Full:
+		w.Header().Set("X-Turned-Away", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return // it has ended
+		}
+		if broken, ok := c.(*conn); ok {
+			broken.reset()
+		}
+		c.Close()
+	}
+}
+
+// came takes an attempt that has come to a server, after the network's latency. The checker hears of it when the one
+// before it is seen to be over: that may be seen a moment later, though it was before.
+func (st *stage) came(id decision.RequestID, a *attempt) {
+	t := st.tries[id]
+	if t == nil {
+		st.w.Checker.Sent(st.Now(), string(id), 0, a.Server.N)
+		a.To.Reply(&a.Attempt, decision.Error, nil)
+		return
+	}
+	a.Try, a.Number, a.Sent = t.Try, t.number, st.Now()
+	t.number++
+	st.w.Result.Attempts++
+	before := t.out
+	t.out = a
+	tell := func() {
+		if t.answered { // it was on its way when its caller went
+			return
+		}
+		st.w.Checker.Sent(st.Now(), string(id), a.Number, a.Server.N)
+		if a.told = true; a.ended {
+			st.w.Checker.Ended(st.Now(), string(id), a.Number, "it was over when its predecessor was")
+		}
+	}
+	if before == nil || before.ended {
+		tell()
+	} else {
+		st.After(slack, tell)
+	}
+	st.After(st.w.Latency(), func() {
+		if !a.Over {
+			a.Server.Arrive(&a.Attempt)
+		}
+	})
+}
+
+// ended is the end of an attempt.
+func (st *stage) ended(a *attempt, how string) {
+	a.ended = true
+	if a.told {
+		st.w.Checker.Ended(st.Now(), string(a.Try.ID), a.Number, how)
+	}
+}
--- /dev/null
+++ b/internal/lab/real/play.go
@@ -0,0 +1,484 @@
+package real
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"dykering/internal/core"
+	"dykering/internal/decision"
+	"dykering/internal/lab/model"
+	"dykering/internal/lab/rules"
+	"dykering/internal/lab/scenario"
+)
+
+const (
+	// slack is by how much time limits are longer than in virtual time: what happens between two processes is seen
+	// late, and one machine plays all of them.
+	slack = 100 * time.Millisecond
+	// mostInstances is how many processes one machine plays.
+	mostInstances = 64
+	// A process is told that it has these, and half of them for itself, as its socket is held for a successor.
+	memoryMB, sockets = 256, 8192
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Command []string // of the broker
+	Dir     string   // for logs and configurations; it stays
+}
+
+// stage plays a scenario on real sockets. What is not said otherwise belongs to the clock's goroutine.
+type stage struct {
+	*wall
+	w         *model.World
+	o         Options
+	instances []*instance
+	servers   map[int]*server
+	tries     map[decision.RequestID]*try
+	failed    chan error // the first ends the run
+	ctx       context.Context
+	work      sync.WaitGroup // all goroutines but the clock's
+}
+
+// instance is an instance of the broker: a socket that is held for it, its discovery, and its process.
+type instance struct {
+	in      *model.Instance
+	socket  *os.File
+	url     string
+	places  *Discovery
+	launch  Launch
+	client  *http.Client
+	process *Process // nil while there is none
+	all     []*Process
+}
+
+// Play plays a scenario with a seed on real sockets. It ends by itself within the scenario's time and some seconds for
+// the start and the end of processes, and leaves none behind.
+func Play(ctx context.Context, s *scenario.Scenario, seed uint64, o Options) (_ *model.Result, err error) {
+	if err := playable(s); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	st := &stage{wall: newWall(), o: o, servers: map[int]*server{}, tries: map[decision.RequestID]*try{},
+		failed: make(chan error, 1), ctx: ctx}
+	defer func() {
+		stop()
+		st.tearDown()
+	}()
+	st.w = model.New(s, seed, st, st, st, slack)
+	for _, sv := range st.w.Servers {
+		if err := st.listen(sv); err != nil {
+			return nil, err
+		}
+	}
+	for i := range st.w.Instances {
+		// The lowest tier first: a server is used once its own instance can serve.
+		if err := st.begin(st.w.Instances[len(st.w.Instances)-1-i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, in := range st.instances {
+		if err := in.process.Ready(ctx); err != nil {
+			return nil, err
+		}
+	}
+	st.began = time.Now()
+	end := st.w.Start()
+	if err := st.run(ctx, end, st.w.Over, st.failed); err != nil {
+		return nil, err
+	}
+	r := st.w.End()
+	r.Engine = "real"
+	return r, nil
+}
+
+// playable names what only virtual time can play.
+func playable(s *scenario.Scenario) error {
+	n := s.Broker.Instances
+	for _, b := range s.Below {
+		n += b.Instances
+	}
+	if n > mostInstances {
+		return fmt.Errorf("%d instances are more than the %d that one machine plays on real sockets", n, mostInstances)
+	}
+	for i, t := range s.Troubles {
+		if t.What == "partition" {
+			return fmt.Errorf("trouble[%d]: a partition between some and others is played in virtual time only; vanish and zone are played here", i)
+		}
+	}
+	return nil
+}
+
+// fail ends the run.
+func (st *stage) fail(err error) {
+	select {
+	case st.failed <- err:
+	default: // it ends already
+	}
+}
+
+// begin makes an instance and starts its process.
+func (st *stage) begin(in *model.Instance) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer l.Close() // the descriptor below stays
+	i := &instance{in: in, url: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1024, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
+	st.instances = append(st.instances, i)
+	if i.socket, err = l.(*net.TCPListener).File(); err != nil {
+		return err
+	}
+	if i.places, err = StartDiscovery(nil); err != nil {
+		return err
+	}
+	for _, e := range st.w.List(in).Entries {
+		i.places.TellTarget(st.target(e))
+	}
+	name := fmt.Sprintf("broker-%d-%d", in.Tier.N, in.Ordinal)
+	dir := filepath.Join(st.o.Dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(map[string]any{"name": name, "listen": l.Addr().String(), "discovery": i.places.Address,
+		"seed": fmt.Sprintf("%x", st.w.Seed(in)), "limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
+		"settings": told(st.w, in)}, "", " ")
+	if err != nil {
+		return err
+	}
+	i.launch = Launch{Command: st.o.Command, File: filepath.Join(dir, "config.json"), Socket: i.socket, Dir: dir,
+		Log: filepath.Join(dir, "log")}
+	if err := os.WriteFile(i.launch.File, text, 0o600); err != nil {
+		return err
+	}
+	i.process, err = st.start(i)
+	return err
+}
+
+// start starts a process of an instance, and watches it.
+func (st *stage) start(i *instance) (*Process, error) {
+	p, err := i.launch.Start()
+	if err != nil {
+		return nil, err
+	}
+	i.all = append(i.all, p)
+	st.work.Go(func() {
+		select {
+		case <-p.ended:
+		case <-st.ctx.Done():
+			return
+		}
+		st.post(func() {
+			if i.process == p {
+				st.fail(p.fault("ended by itself"))
+			}
+		})
+	})
+	return p, nil
+}
+
+// tearDown ends all that was started: processes first, all beside each other.
+func (st *stage) tearDown() {
+	var all sync.WaitGroup
+	for _, i := range st.instances {
+		i.client.CloseIdleConnections()
+		for _, p := range i.all {
+			all.Go(p.End)
+		}
+	}
+	all.Wait()
+	for _, s := range st.servers {
+		s.close()
+	}
+	for _, i := range st.instances {
+		if i.places != nil {
+			i.places.Close()
+		}
+		if i.socket != nil {
+			i.socket.Close()
+		}
+	}
+	select {
+	case <-st.done:
+	default:
+		close(st.done) // it never ran
+	}
+	st.work.Wait()
+}
+
+// told are the settings that the platform would give an instance.
+func told(w *model.World, in *model.Instance) map[string]any {
+	set := w.Settings(in)
+	micros := func(d time.Duration) int64 { return d.Microseconds() }
+	effects := map[decision.Effect]string{decision.Safe: "read_like", decision.Keyed: "idempotency_key", decision.Unsafe: "non_idempotent"}
+	var classes, tenants []map[string]any
+	for _, c := range set.Classes {
+		class := map[string]any{"name": c.Name, "aim": micros(c.Aim), "deadline": micros(c.Deadline), "gain": c.Worth,
+			"effect": effects[c.Effect], "window": micros(c.Window)}
+		if c.Effect == decision.Keyed {
+			class["keyScope"] = c.Scope
+		}
+		classes = append(classes, class)
+	}
+	for _, t := range set.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "quotaPerS": t.QuotaPerS})
+	}
+	var tiers, zones, models []string
+	for i := range w.Tiers {
+		tiers = append(tiers, fmt.Sprint("tier", i))
+	}
+	for i := range w.S.Servers.Zones {
+		zones = append(zones, zoneName(i))
+	}
+	for _, k := range w.S.Kinds {
+		models = append(models, k.Name)
+	}
+	return map[string]any{
+		"allowed": map[string]any{"cancel": set.MayCancel, "connIdle": micros(serverIdle), "connectTimeout": micros(set.ConnectTimeout),
+			"maxRetryAfter": micros(set.MaxRetryAfter), "retryAfter": set.MaxRetryAfter > 0, "sendCap": set.MaxAttempts},
+		"clientHabits": map[string]any{"marksRetry": set.MarksRetry}, "discovery": "push", "models": models, "zones": zones,
+		"goal": map[string]any{"whole": set.GoalWhole, "worstClass": set.GoalWorstClass}, "instances": set.Instances,
+		"ordinal": set.Ordinal, "stage": set.Stage, "tiers": tiers, "quantum": micros(set.Quantum),
+		"overShareWorth": set.OverShareWorth, "services": classes, "tenants": tenants,
+		"rules": map[string]any{"cold": micros(set.Cold), "coldFrom": set.ColdFrom, "fall": micros(set.Fall),
+			"graceToAnswer": micros(model.Grace), "tipMultiple": set.TipMultiple},
+	}
+}
+
+func zoneName(i int) string { return fmt.Sprint("zone-", i) }
+
+// target is how discovery says an entry.
+func (st *stage) target(e decision.Entry) core.Target {
+	t := core.Target{UID: fmt.Sprintf("server-%08x", uint32(e.Endpoint)), Address: st.servers[int(e.Endpoint)-1].address,
+		Zone: zoneName(e.Zone), Model: st.w.S.Kinds[e.Kind].Name, Cell: e.Cell, Weight: e.Weight,
+		State: [...]string{"Ready", "Terminating", "Gone"}[e.State]}
+	if e.Started > 0 {
+		t.BootMS = st.at(e.Started).UnixMilli()
+	}
+	return t
+}
+
+// Hear is the Brokers', as are the methods below.
+func (st *stage) Hear(in *model.Instance, l decision.List) {
+	i := st.of(in)
+	if l.Kind == decision.Failed {
+		i.places.BreakOff()
+		return
+	}
+	for _, e := range l.Entries {
+		i.places.TellTarget(st.target(e))
+	}
+	if l.Kind == decision.Whole {
+		for _, s := range in.Tier.Servers {
+			if e := s.Entry(); e.State == decision.Gone {
+				i.places.TellTarget(st.target(e))
+			}
+		}
+		i.places.Resume()
+	}
+}
+
+func (st *stage) of(in *model.Instance) *instance { return st.instances[len(st.instances)-1-in.N] }
+
+// Kill kills a process. What it had taken is lost; nobody is to blame but us.
+func (st *stage) Kill(in *model.Instance, lasts time.Duration) {
+	i := st.of(in)
+	if i.process == nil {
+		return
+	}
+	p := i.process
+	i.process = nil
+	for _, t := range st.tries {
+		if t.Instance == in {
+			t.excused = true
+		}
+	}
+	st.work.Go(p.Kill)
+	st.After(lasts, func() { st.succeed(i, nil) })
+}
+
+// Handover starts a successor, and ends its predecessor when that can serve.
+func (st *stage) Handover(in *model.Instance) {
+	if i := st.of(in); i.process != nil {
+		st.succeed(i, i.process)
+	}
+}
+
+// succeed starts a process that takes over from another, or from none.
+func (st *stage) succeed(i *instance, old *Process) {
+	if st.ctx.Err() != nil {
+		return
+	}
+	p, err := st.start(i)
+	if err != nil {
+		st.fail(err)
+		return
+	}
+	st.work.Go(func() {
+		if err := p.Ready(st.ctx); err != nil {
+			if st.ctx.Err() == nil {
+				st.fail(err)
+			}
+			return
+		}
+		st.post(func() {
+			i.process = p
+			if old != nil {
+				st.work.Go(old.End)
+			}
+		})
+	})
+}
+
+// try is one request on its way through an instance.
+type try struct {
+	*model.Try
+	answered bool
+	excused  bool // its instance was killed
+	number   int  // of attempts that have come to servers
+	out      *attempt
+	cancel   context.CancelFunc
+}
+
+// forgetAfter is how long a try is known after its answer: an attempt may still be on its way to a server.
+const forgetAfter = 2 * time.Second
+
+// Take sends a try to its instance.
+func (st *stage) Take(m *model.Try) {
+	i := st.of(m.Instance)
+	if m.Until <= st.Now() {
+		return // nobody waits for it
+	}
+	if i.process == nil {
+		m.Asker.Hear(m, model.Unheard, 0)
+		return
+	}
+	c := st.w.S.Classes[m.Class]
+	st.w.Checker.Taken(st.Now(), rules.Request{ID: string(m.ID), Origin: m.Origin, Instance: m.Instance.N, Deadline: m.Until,
+		Effect: c.Effect, Scope: c.Scope, Window: time.Duration(c.Window)})
+	ctx, cancel := context.WithDeadline(st.ctx, st.at(m.Until+model.Grace+slack))
+	t := &try{Try: m, cancel: cancel}
+	st.tries[m.ID] = t
+	team := ""
+	if len(st.w.S.Teams) > 0 {
+		team = st.w.S.Teams[m.Team].Name
+	}
+	q := question{url: i.url, id: string(m.ID), class: c.Name, effect: c.Effect, team: team, key: m.Origin, repeat: m.Repeat,
+		left: st.at(m.Until)}
+	st.work.Go(func() {
+		defer cancel()
+		a := q.ask(ctx, i.client)
+		st.post(func() { st.answered(t, a) })
+	})
+}
+
+// answered is what became of a try.
+func (st *stage) answered(t *try, a answer) {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	now, id := st.Now(), string(t.ID)
+	switch {
+	case a.err == nil:
+		st.w.Checker.Answered(now, id, a.how)
+	case t.excused:
+		st.w.Checker.Excused(now, id)
+	case errors.Is(a.err, context.DeadlineExceeded):
+		st.w.Checker.Lapsed(now, id)
+	default:
+		st.w.Checker.Lost(now, id, a.err)
+	}
+	t.Asker.Hear(t.Try, a.how, a.retryAfter)
+	st.After(forgetAfter, func() { delete(st.tries, t.ID) })
+}
+
+// Lapse is for a try that nobody waits for. At its deadline the answer may still come in time.
+func (st *stage) Lapse(m *model.Try) {
+	t := st.tries[m.ID]
+	if t == nil || t.Try != m || t.answered || st.Now() >= m.Until {
+		return
+	}
+	t.answered = true
+	st.w.Checker.Lapsed(st.Now(), string(m.ID))
+	t.cancel()
+	st.After(forgetAfter, func() { delete(st.tries, m.ID) })
+}
+
+// question is a request as it goes out.
+type question struct {
+	url, id, class, effect, team, key string
+	repeat                            bool
+	left                              time.Time
+}
+
+// answer is what came of it.
+type answer struct {
+	how        string
+	retryAfter time.Duration
+	err        error // no answer came
+}
+
+// ask sends it, and once more where the connection that it went out on was ended between two requests.
+func (q question) ask(ctx context.Context, client *http.Client) answer {
+	for {
+		a, again := q.once(ctx, client)
+		if !again {
+			return a
+		}
+	}
+}
+
+func (q question) once(ctx context.Context, client *http.Client) (_ answer, again bool) {
+	method := http.MethodPost
+	if q.effect == string(decision.Safe) {
+		method = http.MethodGet
+	}
+	trace, used := watchReuse(ctx)
+	r, err := http.NewRequestWithContext(trace, method, q.url+"/lab", nil)
+	if err != nil {
+		return answer{how: model.Failed, err: err}, false
+	}
+	r.Header.Set("X-Txn", q.id)
+	r.Header.Set("X-Lane", q.class)
+	r.Header.Set("X-Remaining", fmt.Sprintf("%du", max(time.Until(q.left).Microseconds(), 0)))
+	if q.team != "" {
+		r.Header.Set("X-Org", q.team)
+	}
+	if q.repeat {
+		r.Header.Set("X-Resent", "1")
+	}
+	if q.effect == string(decision.Keyed) {
+		r.Header["Idempotency-Key"] = []string{q.key}
+	}
+	res, err := client.Do(r)
+	if err != nil {
+		if ctx.Err() != nil {
+			return answer{how: model.Failed, err: ctx.Err()}, false
+		}
+		return answer{how: model.Failed, err: err}, used.crossed()
+	}
+	defer res.Body.Close()
+	if err := drain(res); err != nil {
+		return answer{how: model.Failed, err: err}, false
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return answer{how: model.Served}, false
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		after, _ := time.ParseDuration(strings.TrimSpace(res.Header.Get("Retry-After")) + "s") // none is 0
+		return answer{how: model.Refused, retryAfter: after}, false
+	}
+	return answer{how: model.Failed}, false
+}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -223,6 +223,15 @@
 	}
 }
 
+// Lost tells that whoever owed a request its answer ended the connection without one.
+func (c *Checker) Lost(at time.Duration, id string, how error) {
+	if o := c.open[id]; o != nil && !o.answered {
+		c.broken(Answer, at, o, "no answer: %v", how)
+		o.answered = true
+		c.close(o)
+	}
+}
+
 // Excused tells that whoever owed a request its answer was killed: nothing is owed.
 func (c *Checker) Excused(at time.Duration, id string) {
 	if o := c.open[id]; o != nil {
