Lab: tests of the engine on real sockets: sixteen faults, four wrong brokers, five bad ones

Need: a checker that cannot fail proves nothing, and an experiment must end whatever the broker does.

Change: tests that play each fault of bytes and processes, brokers that hang, forget, send twice or heed no drain, and brokers that exit, crash, are never ready, or are called off. A caller's repeat over a connection that crossed its end is not made when its process was killed. The broker's process is one function for the program, the lab and tests.

--- a/cmd/dykering-lab/demo.go
+++ b/cmd/dykering-lab/demo.go
@@ -18,7 +18,6 @@
 
 	"github.com/spf13/cobra"
 
-	"dykering/internal/config"
 	"dykering/internal/lab/real"
 	"dykering/internal/sidecar"
 )
@@ -63,19 +62,7 @@
 // newBroker is the broker itself, as the demo starts it: the same as `dykering run`.
 func newBroker() *cobra.Command {
 	return &cobra.Command{Use: "broker", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-		signal.Notify(stop, syscall.SIGTERM)
-		signal.Notify(reload, syscall.SIGHUP)
-		c, err := config.Load(os.Getenv)
-		if err != nil {
-			return faulty{err}
-		}
-		g, err := sidecar.Start("", os.LookupEnv, os.Stderr)
-		if err != nil {
-			return faulty{err}
-		}
-		defer g.Close()
-		if err := sidecar.Run(c, g, stop, reload); err != nil {
+		if err := sidecar.Main(os.Getenv, ""); err != nil {
 			return faulty{err}
 		}
 		return nil
--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -106,21 +104,7 @@
 	return c
 }
 
-func (f *files) run() error {
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP) // first of all: uncaught, it ends the process
-	c, err := config.Load(f.getenv)
-	if err != nil {
-		return err
-	}
-	g, err := sidecar.Start(f.operator, os.LookupEnv, os.Stderr)
-	if err != nil {
-		return err
-	}
-	defer g.Close()
-	return sidecar.Run(c, g, stop, reload)
-}
+func (f *files) run() error { return sidecar.Main(f.getenv, f.operator) }
 
 func newCheck() *cobra.Command {
 	return &cobra.Command{Use: "check FILE...", Short: "Check platform's JSON and operator's TOML files, and start nothing",
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dykering/internal/core"
@@ -301,7 +303,7 @@
 	i.process = nil
 	for _, t := range st.tries {
 		if t.Instance == in {
-			t.excused = true
+			t.excused.Store(true)
 		}
 	}
 	st.work.Go(p.Kill)
@@ -345,7 +347,7 @@
 type try struct {
 	*model.Try
 	answered bool
-	excused  bool // its instance was killed
+	excused  atomic.Bool // its instance was killed
 	number   int  // of attempts that have come to servers
 	out      *attempt
 	cancel   context.CancelFunc
@@ -378,7 +380,7 @@
 		left: st.at(m.Until)}
 	st.work.Go(func() {
 		defer cancel()
-		a := q.ask(ctx, i.client)
+		a := q.ask(ctx, i.client, &t.excused)
 		st.post(func() { st.answered(t, a) })
 	})
 }
@@ -393,7 +395,7 @@
 	switch {
 	case a.err == nil:
 		st.w.Checker.Answered(now, id, a.how)
-	case t.excused:
+	case t.excused.Load():
 		st.w.Checker.Excused(now, id)
 	case errors.Is(a.err, context.DeadlineExceeded):
 		st.w.Checker.Lapsed(now, id)
@@ -430,11 +432,12 @@
 	err        error // no answer came
 }
 
-// ask sends it, and once more where the connection that it went out on was ended between two requests.
-func (q question) ask(ctx context.Context, client *http.Client) answer {
+// ask sends it, and once more where the connection that it went out on was ended between two requests, and not because
+// its process was killed.
+func (q question) ask(ctx context.Context, client *http.Client, killed *atomic.Bool) answer {
 	for {
 		a, again := q.once(ctx, client)
-		if !again {
+		if !again || killed.Load() {
 			return a
 		}
 	}
@@ -446,10 +449,18 @@
 		method = http.MethodGet
 	}
 	trace, used := watchReuse(ctx)
-	r, err := http.NewRequestWithContext(trace, method, q.url+"/lab", nil)
+	var body io.Reader
+	if method == http.MethodPost {
+		// One that net/http cannot send again by itself, as it would what carries a key.
+		body = io.MultiReader(strings.NewReader("lab"))
+	}
+	r, err := http.NewRequestWithContext(trace, method, q.url+"/lab", body)
 	if err != nil {
 		return answer{how: model.Failed, err: err}, false
 	}
+	if body != nil {
+		r.ContentLength = int64(len("lab"))
+	}
 	r.Header.Set("X-Txn", q.id)
 	r.Header.Set("X-Lane", q.class)
 	r.Header.Set("X-Remaining", fmt.Sprintf("%du", max(time.Until(q.left).Microseconds(), 0)))
--- /dev/null
+++ b/internal/lab/real/play_test.go
@@ -0,0 +1,245 @@
+package real
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dykering/internal/core"
+	"dykering/internal/lab/rules"
+	"dykering/internal/lab/scenario"
+	"dykering/internal/sidecar"
+	"dykering/internal/strict"
+)
+
+// TestMain lets the test binary stand in for brokers, right and wrong ones.
+func TestMain(m *testing.M) {
+	if len(os.Args) != 3 || os.Args[1] != "broker" {
+		os.Exit(m.Run())
+	}
+	fmt.Fprintln(os.Stderr, "pid", os.Getpid())
+	var err error
+	switch how := os.Args[2]; how {
+	case "right":
+		err = sidecar.Main(os.Getenv, "")
+	case "exits":
+		os.Exit(3)
+	case "never ready":
+		select {}
+	default:
+		err = wrongly(how)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// wrongly is a broker that says that it can serve, and does what its name says.
+func wrongly(how string) error {
+	go http.ListenAndServe(os.Getenv("BALANCER_CONTROL"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	if how == "crashes" {
+		time.Sleep(time.Second)
+		panic("as it is meant to")
+	}
+	var c struct{ Discovery string }
+	text, err := os.ReadFile(os.Getenv("BALANCER_CONFIG"))
+	if err == nil {
+		err = json.Unmarshal(text, &c)
+	}
+	if err != nil {
+		return err
+	}
+	var l core.List
+	res, err := http.Get("http://" + c.Discovery + "/v1/endpoints")
+	if err != nil {
+		return err
+	}
+	if err := json.NewDecoder(res.Body).Decode(&l); err != nil {
+		return err
+	}
+	if how == "hangs" {
+		select {}
+	}
+	socket, err := net.FileListener(os.NewFile(3, "socket"))
+	if err != nil {
+		return err
+	}
+	var turn atomic.Int64
+	return http.Serve(socket, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		sends := 1
+		if how == "sends all twice" {
+			sends = 2
+		}
+		if how == "forgets" && turn.Load()%5 == 0 {
+			turn.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		status := http.StatusBadGateway
+		for range sends {
+			to := l.Targets[int(turn.Add(1))%len(l.Targets)]
+			q, _ := http.NewRequest(r.Method, "http://"+to.Address+"/", bytes.NewReader(body))
+			q.Header = r.Header
+			if res, err := http.DefaultClient.Do(q); err == nil {
+				res.Body.Close()
+				status = res.StatusCode
+			}
+		}
+		w.WriteHeader(status)
+	}))
+}
+
+func brief(t *testing.T, troubles ...scenario.Trouble) *scenario.Scenario {
+	t.Helper()
+	s := scenario.Default()
+	s.Lasts = strict.Duration(3 * time.Second)
+	s.Broker.Instances, s.Servers.Count = 1, 4
+	s.Callers.Rate = scenario.Span{From: 60, To: 60}
+	s.Teams = nil
+	s.Troubles = troubles
+	return s
+}
+
+func options(t *testing.T, how string) Options {
+	return Options{Command: []string{os.Args[0], "broker", how}, Dir: t.TempDir()}
+}
+
+// Whatever goes wrong with a server's bytes, or befalls processes: the program keeps the rules, and what can be served
+// is. Where nothing may have run, or the class allows it, it is sent again.
+func TestBrokenBytes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		scenario.Trouble
+		again bool // attempts beyond the first come to servers
+	}{
+		"reset in the head":   {scenario.Trouble{What: "bytes", How: "reset", Bytes: 9}, true},
+		"reset before":        {scenario.Trouble{What: "bytes", How: "reset"}, true},
+		"cut in the head":     {scenario.Trouble{What: "bytes", How: "cut", Bytes: 9}, true},
+		"cut in the body":     {scenario.Trouble{What: "bytes", How: "cut", Bytes: 120}, true},
+		"half closed":         {scenario.Trouble{What: "bytes", How: "half_close", Bytes: 9}, true},
+		"stall":               {scenario.Trouble{What: "bytes", How: "stall", Bytes: 9}, false},
+		"slow read":           {scenario.Trouble{What: "bytes", How: "slow_read", Bytes: 40}, false},
+		"slow write":          {scenario.Trouble{What: "bytes", How: "slow_write", Bytes: 40}, false},
+		"garbage":             {scenario.Trouble{What: "bytes", How: "garbage"}, true},
+		"never up":            {scenario.Trouble{What: "bytes", How: "syn"}, false},
+		"vanish":              {scenario.Trouble{What: "vanish"}, false},
+		"connections reset":   {scenario.Trouble{What: "reset"}, false},
+		"discovery broke off": {scenario.Trouble{What: "break"}, false},
+		"replaced":            {scenario.Trouble{What: "replace"}, false},
+		"handover":            {scenario.Trouble{What: "handover", Of: 1}, false},
+		"killed":              {scenario.Trouble{What: "kill", Of: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := tc.Trouble
+			x.At, x.Lasts, x.Share = scenario.Times{From: time.Second, To: time.Second}, scenario.Times{From: time.Second, To: time.Second}, 0.25
+			floor := 0.85
+			if x.What == "kill" {
+				x.Lasts, floor = scenario.Times{From: 200 * time.Millisecond, To: 200 * time.Millisecond}, 0.5
+			}
+			s := brief(t, x)
+			s.Below = []scenario.Below{{Name: "below", Instances: 1, Servers: 2, Calls: scenario.Span{From: 1, To: 1},
+				Work: scenario.Span{From: 0.002, To: 0.004}, Keeps: 0.1}}
+			r, err := Play(t.Context(), s, 3, options(t, "right"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.Broken) > 0 || r.Service < floor || r.Asked < 100 {
+				t.Errorf("service %.3f of %d, broken %v, %+v", r.Service, r.Asked, r.Broken, r.Violations)
+			}
+			if tc.again && r.Attempts <= 2*r.Tries { // each try makes a call below
+				t.Errorf("%d attempts for %d tries", r.Attempts, r.Tries)
+			}
+		})
+	}
+}
+
+// Brokers that do what they must not are caught, and named for the right rule.
+func TestWrongBrokersAreCaught(t *testing.T) {
+	drain := scenario.Trouble{What: "drain", Share: 0.5, At: scenario.Times{From: 200 * time.Millisecond, To: 200 * time.Millisecond},
+		Lasts: scenario.Times{From: 4 * time.Second, To: 4 * time.Second}}
+	for how, rule := range map[string]string{"hangs": rules.Time, "forgets": rules.Answer, "sends all twice": rules.Effect,
+		"heeds no drain": rules.Drain} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			s := brief(t, drain)
+			s.Servers.Grace, s.Discovery.Delay = strict.Duration(100*time.Millisecond), scenario.Times{}
+			s.Callers.Patience = strict.Duration(time.Second)
+			r, err := Play(t.Context(), s, 3, options(t, how))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Broken[rule] == 0 {
+				t.Errorf("not caught: %v", r.Broken)
+			}
+			for _, v := range r.Violations {
+				if v.Rule == rule && len(v.History) == 0 {
+					t.Errorf("without a history: %+v", v)
+				}
+			}
+		})
+	}
+}
+
+// A broker that ends, hangs or never can serve, and a run that is called off: it ends soon, says what happened with the
+// log, and leaves no process behind.
+func TestBadBrokersEndTheRun(t *testing.T) {
+	for how, want := range map[string]string{"exits": "exit status 3", "never ready": "could not serve within", "crashes": "as it is meant to",
+		"hangs": "canceled", "right": "canceled"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			o := options(t, how)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if want == "canceled" {
+				time.AfterFunc(2*time.Second, cancel)
+			}
+			s := brief(t)
+			s.Lasts = strict.Duration(time.Minute)
+			began := time.Now()
+			_, err := Play(ctx, s, 3, o)
+			if err == nil || !strings.Contains(err.Error(), want) || time.Since(began) > readyFor+endFor+10*time.Second {
+				t.Errorf("after %v: %v", time.Since(began), err)
+			}
+			logs, _ := filepath.Glob(filepath.Join(o.Dir, "*", "log"))
+			if len(logs) != 1 {
+				t.Fatalf("logs: %v", logs)
+			}
+			text, _ := os.ReadFile(logs[0])
+			m := regexp.MustCompile(`pid (\d+)`).FindSubmatch(text)
+			if m == nil {
+				t.Fatalf("its log: %q", text)
+			}
+			pid, _ := strconv.Atoi(string(m[1]))
+			if err := syscall.Kill(pid, 0); err != syscall.ESRCH {
+				t.Errorf("process %d is still there: %v", pid, err)
+			}
+		})
+	}
+}
+
+// What only virtual time can play is refused at once.
+func TestPlayable(t *testing.T) {
+	s := brief(t, scenario.Trouble{What: "partition"})
+	if _, err := Play(t.Context(), s, 1, options(t, "right")); err == nil || !strings.Contains(err.Error(), "trouble[0]") {
+		t.Error(err)
+	}
+	s = brief(t)
+	s.Broker.Instances = mostInstances + 1
+	if _, err := Play(t.Context(), s, 1, options(t, "right")); err == nil || !strings.Contains(err.Error(), "instances") {
+		t.Error(err)
+	}
+}
--- a/internal/lab/real/standin_test.go
+++ b/internal/lab/real/standin_test.go
@@ -8,7 +8,7 @@
 
 // What changed is told from a version on; who has missed more than is kept gets the whole list.
 func TestDiscoveryKeepsABound(t *testing.T) {
-	d := &Discovery{targets: map[string]core.Target{}, changed: make(chan struct{})}
+	d := &Discovery{targets: map[string]core.Target{}, changed: make(chan struct{}), broken: make(chan struct{})}
 	s := &Server{UID: "s-1", address: "127.0.0.1:9"}
 	for range mostChanges + 5 {
 		d.Tell(s, "Ready", 0)
