--- a/cmd/dykering-lab/demo.go
+++ b/cmd/dykering-lab/demo.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +16,7 @@
 
 	"github.com/spf13/cobra"
 
+	"dykering/internal/lab/load"
 	"dykering/internal/lab/real"
 	"dykering/internal/sidecar"
 )
@@ -27,9 +26,6 @@
 	demoCores   = 4
 	demoTook    = 40 * time.Millisecond
 	demoRate    = 150.0
-	// readyFor is how long a process of the broker may take until it can serve, and endFor until it has ended.
-	readyFor = 5 * time.Second
-	endFor   = 6 * time.Second
 )
 
 // demoSettings are what the platform would say.
@@ -69,87 +65,27 @@
 	}}
 }
 
-// stage is where a demo plays.
-type stage struct {
-	dir     string
-	file    string   // the platform's
-	socket  *os.File // that callers connect to
-	url     string
-	servers []*real.Server
-	places  *real.Discovery
-	brokers []*real.Process
-}
-
-// setUp starts servers and discovery, and makes the callers' socket.
-func setUp() (_ *stage, err error) {
-	st := &stage{}
-	defer func() {
-		if err != nil {
-			st.tearDown()
-		}
-	}()
-	if st.dir, err = os.MkdirTemp("", "dykering-demo-"); err != nil {
-		return nil, err
-	}
+// setUp starts the demo's servers and discovery.
+func setUp() (*real.Site, error) {
+	var servers []*real.Server
 	for i := range demoServers {
 		s, err := real.StartServer(fmt.Sprintf("server-%08x", i+1), demoCores, demoTook)
 		if err != nil {
 			return nil, err
 		}
-		st.servers = append(st.servers, s)
-	}
-	if st.places, err = real.StartDiscovery(st.servers); err != nil {
-		return nil, err
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	defer l.Close() // the descriptor below stays
-	st.url = "http://" + l.Addr().String()
-	if st.socket, err = l.(*net.TCPListener).File(); err != nil {
-		return nil, err
-	}
-	text, err := json.Marshal(map[string]any{"name": "demo", "listen": l.Addr().String(), "discovery": st.places.Address,
-		"seed": "a1", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 1024},
-		"settings": json.RawMessage(demoSettings)})
-	if err != nil {
-		return nil, err
+		servers = append(servers, s)
 	}
-	st.file = filepath.Join(st.dir, "config.json")
-	return st, os.WriteFile(st.file, text, 0o600)
+	return real.SetUp(servers, demoSettings, real.Limits{Cores: 1, MemoryMB: 64, Sockets: 1024})
 }
 
-// tearDown ends all that was started.
-func (st *stage) tearDown() {
-	for _, b := range st.brokers {
-		b.End()
-	}
-	if st.places != nil {
-		st.places.Close()
-	}
-	for _, s := range st.servers {
-		s.Kill()
-	}
-	if st.socket != nil {
-		st.socket.Close()
-	}
-	os.RemoveAll(st.dir)
-}
-
-// startBroker starts a process of the broker on the callers' socket, and waits until it can serve.
-func (st *stage) startBroker(ctx context.Context) error {
+// startBroker starts a process of the broker, the one that is built in here.
+func startBroker(ctx context.Context, st *real.Site) error {
 	command, err := brokerCommand("")
 	if err != nil {
 		return err
 	}
-	p, err := real.Launch{Command: command, File: st.file, Socket: st.socket, Dir: st.dir,
-		Log: filepath.Join(st.dir, fmt.Sprintf("broker-%d.log", len(st.brokers)))}.Start()
-	if err != nil {
-		return err
-	}
-	st.brokers = append(st.brokers, p)
-	return p.Ready(ctx)
+	_, err = st.StartBroker(ctx, command)
+	return err
 }
 
 // act is what happens at a part of the demo's time.
@@ -159,29 +95,29 @@
 	do   func() error
 }
 
-func (st *stage) acts(ctx context.Context) []act {
+func acts(ctx context.Context, st *real.Site) []act {
 	now := func() int64 { return time.Now().UnixMilli() }
-	drained, crashed := st.servers[0], st.servers[1]
+	drained, crashed := st.Servers[0], st.Servers[1]
 	return []act{
-		{0.15, "server 1 drains", func() error { st.places.Tell(drained, "Terminating", 0); return nil }},
-		{0.25, "server 1 ends", func() error { drained.Kill(); st.places.Tell(drained, "Gone", 0); return nil }},
+		{0.15, "server 1 drains", func() error { st.Places.Tell(drained, "Terminating", 0); return nil }},
+		{0.25, "server 1 ends", func() error { drained.Kill(); st.Places.Tell(drained, "Gone", 0); return nil }},
 		{0.40, "server 1 is back, cold", func() error {
 			err := drained.Start()
-			st.places.Tell(drained, "Ready", now())
+			st.Places.Tell(drained, "Ready", now())
 			return err
 		}},
 		{0.50, "server 2 is killed, and nobody says so", func() error { crashed.Kill(); return nil }},
-		{0.60, "discovery has seen it", func() error { st.places.Tell(crashed, "Gone", 0); return nil }},
+		{0.60, "discovery has seen it", func() error { st.Places.Tell(crashed, "Gone", 0); return nil }},
 		{0.70, "server 2 is back, cold", func() error {
 			err := crashed.Start()
-			st.places.Tell(crashed, "Ready", now())
+			st.Places.Tell(crashed, "Ready", now())
 			return err
 		}},
 		{0.80, "a new version takes over", func() error {
-			if err := st.startBroker(ctx); err != nil {
+			if err := startBroker(ctx, st); err != nil {
 				return err
 			}
-			go st.brokers[0].End()
+			go st.Brokers[0].End()
 			return nil
 		}},
 	}
@@ -195,13 +131,13 @@
 }
 
 // demo plays it. What is lost is a fault.
-func demo(ctx context.Context, out io.Writer, lasts time.Duration) error {
+func demo(ctx context.Context, out io.Writer, lasts time.Duration) (err error) {
 	st, err := setUp()
 	if err != nil {
 		return err
 	}
-	defer st.tearDown()
-	if err := st.startBroker(ctx); err != nil {
+	defer func() { err = errors.Join(err, st.TearDown()) }()
+	if err := startBroker(ctx, st); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "%d stand-in servers, %d calls of %v at a time each; %.0f requests a second for %v\n\n", demoServers,
@@ -212,18 +148,21 @@
 	asking, stop := context.WithTimeout(ctx, lasts)
 	defer stop()
 	loaded := make(chan struct{})
+	var failed error
 	go func() {
 		defer close(loaded)
-		l := real.Load{URL: st.url, Rate: demoRate, Left: 2 * time.Second, Classes: []string{"read", "read", "pay"}}
-		l.Run(asking, func(o real.Outcome) {
-			mu.Lock()
-			defer mu.Unlock()
-			t := &seconds[min(int(o.At.Seconds()), len(seconds)-1)]
-			t.count(o)
-		})
+		l := load.Load{URL: st.URL + "/demo", Profile: load.Profile{Kind: load.Steady, Rate: demoRate, Lasts: lasts}, Most: 1000, Run: "demo",
+			Classes: []load.Class{{Name: "read", Share: 0.67, Method: "GET", Left: 2 * time.Second},
+				{Name: "pay", Share: 0.33, Method: "POST", Left: 2 * time.Second}},
+			Told: func(o load.Outcome) {
+				mu.Lock()
+				defer mu.Unlock()
+				seconds[min(int(o.At.Seconds()), len(seconds)-1)].count(o)
+			}}
+		_, failed = l.Play(asking)
 	}()
 	began := time.Now()
-	acts := st.acts(ctx)
+	coming := acts(ctx, st)
 	shown := 0
 	for ended := false; !ended; {
 		select {
@@ -232,15 +171,15 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 		past := time.Since(began)
-		for len(acts) > 0 && past.Seconds() >= acts[0].at*lasts.Seconds() && asking.Err() == nil {
-			if err := acts[0].do(); err != nil {
-				return fmt.Errorf("%s: %w", acts[0].what, err)
+		for len(coming) > 0 && past.Seconds() >= coming[0].at*lasts.Seconds() && asking.Err() == nil {
+			if err := coming[0].do(); err != nil {
+				return fmt.Errorf("%s: %w", coming[0].what, err)
 			}
 			mu.Lock()
 			t := &seconds[min(int(past.Seconds()), len(seconds)-1)]
-			t.notes = append(t.notes, acts[0].what)
+			t.notes = append(t.notes, coming[0].what)
 			mu.Unlock()
-			acts = acts[1:]
+			coming = coming[1:]
 		}
 		mu.Lock()
 		// A second is shown when what was asked in it has its answer.
@@ -250,10 +189,13 @@
 		}
 		mu.Unlock()
 	}
+	if failed != nil {
+		return failed
+	}
 	return sumUp(out, seconds)
 }
 
-func (t *tally) count(o real.Outcome) {
+func (t *tally) count(o load.Outcome) {
 	t.asked++
 	t.took = append(t.took, o.Took)
 	switch o.Status {
--- a/cmd/dykering-lab/demo_test.go
+++ b/cmd/dykering-lab/demo_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dykering/internal/lab/real"
 )
 
 // TestMain lets the test binary stand in for the program, that the demo starts again as the broker.
@@ -38,15 +40,12 @@
 	if err := demo(ctx, &out, time.Minute); err != nil || time.Since(began) > 20*time.Second {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
-	st, err := setUp()
+	bad, err := real.SetUp(nil, "{}", real.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer st.tearDown()
-	if err := os.WriteFile(st.file, []byte("{"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if err := st.startBroker(context.Background()); err == nil || !strings.Contains(err.Error(), "unexpected end of JSON") {
+	defer bad.TearDown()
+	if err := startBroker(context.Background(), bad); err == nil || !strings.Contains(err.Error(), "limits.cores") {
 		t.Errorf("a broker that cannot start: %v", err)
 	}
 }
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -348,7 +348,7 @@
 	*model.Try
 	answered bool
 	excused  atomic.Bool // its instance was killed
-	number   int  // of attempts that have come to servers
+	number   int         // of attempts that have come to servers
 	out      *attempt
 	cancel   context.CancelFunc
 }
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -37,6 +37,7 @@
 	Socket  *os.File // that callers connect to, held for all processes that share it
 	Dir     string   // that those share
 	Log     string
+	Env     []string // beside
 }
 
 // Start starts a process, and does not wait until it can serve.
@@ -55,6 +56,7 @@
 		ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+l.File, "BALANCER_ACCEPT_FD=3", "BALANCER_CONTROL="+p.control,
 		"TMPDIR="+l.Dir)
+	p.cmd.Env = append(p.cmd.Env, l.Env...)
 	p.cmd.ExtraFiles = []*os.File{l.Socket}
 	p.cmd.Stderr = log
 	// Nothing is left behind, whatever ends this process.
--- /dev/null
+++ b/internal/lab/real/site.go
@@ -0,0 +1,94 @@
+package real
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+)
+
+// Site is a small installation on loopback: stand-in servers, discovery, a socket that callers connect to, and
+// processes of the broker that share it.
+type Site struct {
+	URL     string
+	Servers []*Server
+	Places  *Discovery
+	Brokers []*Process
+	dir     string
+	file    string // the platform's
+	socket  *os.File
+}
+
+// Limits are what a process of the broker is told that it has; half of it is kept for a successor.
+type Limits struct {
+	Cores    int `json:"cores"`
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int `json:"sockets"`
+}
+
+// SetUp starts discovery for servers that there are, and makes the callers' socket. The site owns the servers.
+func SetUp(servers []*Server, settings string, limits Limits) (_ *Site, err error) {
+	st := &Site{Servers: servers}
+	defer func() {
+		if err != nil {
+			st.TearDown()
+		}
+	}()
+	if st.dir, err = os.MkdirTemp("", "dykering-lab-"); err != nil {
+		return nil, err
+	}
+	if st.Places, err = StartDiscovery(st.Servers); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close() // the descriptor below stays
+	st.URL = "http://" + l.Addr().String()
+	if st.socket, err = l.(*net.TCPListener).File(); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": "lab", "listen": l.Addr().String(), "discovery": st.Places.Address,
+		"seed": "a1", "limits": limits, "settings": json.RawMessage(settings)})
+	if err != nil {
+		return nil, err
+	}
+	st.file = filepath.Join(st.dir, "config.json")
+	return st, os.WriteFile(st.file, text, 0o600)
+}
+
+// StartBroker starts a process on the callers' socket, and waits until it can serve.
+func (st *Site) StartBroker(ctx context.Context, command []string, env ...string) (*Process, error) {
+	p, err := Launch{Command: command, File: st.file, Socket: st.socket, Dir: st.dir, Env: env,
+		Log: filepath.Join(st.dir, fmt.Sprintf("broker-%d.log", len(st.Brokers)))}.Start()
+	if err != nil {
+		return nil, err
+	}
+	st.Brokers = append(st.Brokers, p)
+	return p, p.Ready(ctx)
+}
+
+// TearDown ends all that was started.
+func (st *Site) TearDown() error {
+	for _, b := range st.Brokers {
+		b.End()
+	}
+	if st.Places != nil {
+		st.Places.Close()
+	}
+	for _, s := range st.Servers {
+		s.Kill()
+	}
+	var err error
+	if st.socket != nil {
+		err = st.socket.Close()
+	}
+	if st.dir != "" {
+		err = errors.Join(err, os.RemoveAll(st.dir))
+	}
+	return err
+}
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -3,7 +3,6 @@
 package real
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -235,68 +234,3 @@
 		}
 	}
 }
-
-// Load asks a broker, whatever becomes of what it asked before.
-type Load struct {
-	URL     string
-	Rate    float64       // requests a second, evenly spread
-	Left    time.Duration // how long one is waited for
-	Classes []string      // taken in turn; one that is "read" is a GET
-	client  http.Client
-}
-
-// Outcome is what became of a request.
-type Outcome struct {
-	At     time.Duration // when it was meant to be sent, from the start on
-	Took   time.Duration // from then on
-	Status int           // 0 where no answer came
-}
-
-// Run asks until the context ends, and waits for the last answer. Outcomes go to told, one at a time.
-func (l *Load) Run(ctx context.Context, told func(Outcome)) {
-	l.client.Transport = &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 1024}
-	l.client.Timeout = l.Left + time.Second
-	defer l.client.CloseIdleConnections()
-	var asking sync.WaitGroup
-	var mu sync.Mutex
-	began := time.Now()
-	for n := 0; ctx.Err() == nil; n++ {
-		at := time.Duration(float64(n) / l.Rate * float64(time.Second))
-		select {
-		case <-time.After(time.Until(began.Add(at))):
-		case <-ctx.Done():
-			continue
-		}
-		asking.Go(func() {
-			status := l.ask(n)
-			mu.Lock()
-			defer mu.Unlock()
-			told(Outcome{at, time.Since(began) - at, status})
-		})
-	}
-	asking.Wait()
-}
-
-func (l *Load) ask(n int) (status int) {
-	class := l.Classes[n%len(l.Classes)]
-	method := http.MethodPost
-	if class == "read" {
-		method = http.MethodGet
-	}
-	r, err := http.NewRequest(method, l.URL+"/demo", nil)
-	if err != nil {
-		return 0
-	}
-	r.Header.Set("X-Txn", fmt.Sprintf("demo-%d", n))
-	r.Header.Set("X-Lane", class)
-	r.Header.Set("X-Remaining", fmt.Sprintf("%dm", l.Left.Milliseconds()))
-	res, err := l.client.Do(r)
-	if err != nil {
-		return 0
-	}
-	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return 0
-	}
-	return res.StatusCode
-}
