Lab: dykering-lab load, and bench proxy beside direct calls and net/http's reverse proxy

Need: to measure any address from the intended start, and the broker's own cost against what a team would write in ten lines.

Change: load with profiles, classes and teams, a live line, a table and JSON; bench proxy measures, in one run on the same eight servers, throughput, requests for each second of processor time, added quantiles, allocations, and memory of idle and busy connections.

--- /dev/null
+++ b/cmd/dykering-lab/bench.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dykering/internal/lab/load"
+	"dykering/internal/lab/real"
+)
+
+const (
+	benchServers = 8
+	// benchCores is more than is ever asked of a stand-in server at a time: it bears any number of calls.
+	benchCores = 100000
+	// warmFor is how long each is asked before it counts.
+	warmFor = 2 * time.Second
+	// statsFor is how long a process may take to write down what it has allocated.
+	statsFor = 2 * time.Second
+	// ticks is how many clock ticks of /proc a second has: USER_HZ, 100 on Linux whatever the kernel's own (proc(5)).
+	ticks = 100
+)
+
+// statsFile names, in the environment, the file that a process writes what it has allocated to, on SIGUSR2.
+const statsFile = "DYKERING_LAB_STATS"
+
+// writeStats writes it at each signal.
+func writeStats() {
+	path := os.Getenv(statsFile)
+	if path == "" {
+		return
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR2)
+	go func() { // as long as the process
+		for n := 1; ; n++ {
+			<-signals
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			text, err := json.Marshal(stats{n, m.Mallocs, m.TotalAlloc, m.HeapInuse + m.StackInuse})
+			if err == nil {
+				err = errors.Join(os.WriteFile(path+".new", text, 0o600), os.Rename(path+".new", path))
+			}
+			if err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}
+	}()
+}
+
+// stats are what a process has allocated, and has in use after a collection.
+type stats struct {
+	N       int
+	Mallocs uint64
+	Bytes   uint64
+	InUse   uint64
+}
+
+// newReverseProxy is what the broker is measured against: the standard library's proxy with random choice.
+func newReverseProxy() *cobra.Command {
+	return &cobra.Command{Use: "reverse-proxy TARGETS", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+		writeStats()
+		runtime.GOMAXPROCS(1) // as the broker with one core
+		targets := strings.Split(args[0], ",")
+		l, err := net.FileListener(os.NewFile(3, "socket"))
+		if err != nil {
+			return err
+		}
+		go func() {
+			ready := &http.Server{Addr: os.Getenv("BALANCER_CONTROL"), Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+				ReadHeaderTimeout: time.Second}
+			if err := ready.ListenAndServe(); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}()
+		proxy := &httputil.ReverseProxy{Transport: &http.Transport{MaxIdleConnsPerHost: 1024},
+			Rewrite: func(r *httputil.ProxyRequest) {
+				r.SetURL(&url.URL{Scheme: "http", Host: targets[rand.IntN(len(targets))]})
+			}}
+		web := &http.Server{Handler: proxy, ReadHeaderTimeout: 5 * time.Second}
+		return web.Serve(l) // until it is killed
+	}}
+}
+
+// measured is what came of one way to the servers.
+type measured struct {
+	Way         string  `json:"way"`
+	P50         float64 `json:"p50"` // milliseconds, at a steady rate
+	P99         float64 `json:"p99"`
+	P999        float64 `json:"p999"`
+	Unserved    int     `json:"unserved"`  // at that rate
+	PerSecond   float64 `json:"perSecond"` // with all callers busy
+	Refused     int     `json:"refused"`   // of them, or failed
+	PerCore     float64 `json:"perCore"`   // requests for each second of the process's processor time
+	Allocs      float64 `json:"allocs"`    // for each request
+	AllocBytes  float64 `json:"allocBytes"`
+	IdleBytes   float64 `json:"idleBytes"`   // in use for each idle connection
+	BusyBytes   float64 `json:"busyBytes"`   // for each connection with a request under way
+	IdleResided float64 `json:"idleResided"` // the same of resident memory
+	BusyResided float64 `json:"busyResided"`
+}
+
+// bench is what is measured, and how much of it.
+type bench struct {
+	Callers int
+	Took    time.Duration // of a server for an answer
+	Rate    float64
+	Lasts   time.Duration
+	Conns   int
+}
+
+func newBench() *cobra.Command {
+	b := &bench{}
+	var asJSON bool
+	var program string
+	all := &cobra.Command{Use: "bench", Short: "Measure the broker beside others"}
+	c := &cobra.Command{Use: "proxy", Args: cobra.NoArgs,
+		Short: "Direct calls, the standard library's reverse proxy with random choice, and the broker, on the same servers",
+		RunE: func(c *cobra.Command, _ []string) error {
+			got, err := b.run(c.Context(), program, c.ErrOrStderr())
+			if err != nil {
+				return faulty{err}
+			}
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(got)
+			}
+			b.tell(c.OutOrStdout(), got)
+			return nil
+		}}
+	c.Flags().IntVar(&b.Callers, "callers", 64, "that ask without rest, for the throughput")
+	c.Flags().DurationVar(&b.Took, "server-time", 20*time.Millisecond, "how long a server takes for an answer")
+	c.Flags().Float64Var(&b.Rate, "rate", 500, "requests a second, for the times")
+	c.Flags().DurationVar(&b.Lasts, "lasts", 8*time.Second, "how long each is measured")
+	c.Flags().IntVar(&b.Conns, "connections", 400, "for the memory of each")
+	c.Flags().StringVar(&program, "broker", "", "the broker's program; without it, the one that is built in")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	all.AddCommand(c)
+	return all
+}
+
+// run measures all ways one after another, so that none is beside another.
+func (b *bench) run(ctx context.Context, program string, progress io.Writer) (all []measured, err error) {
+	if b.Callers < 1 || b.Conns < 1 || b.Lasts < 100*time.Millisecond || b.Rate <= 0 {
+		return nil, errors.New("callers, connections, rate and time have to be above 0")
+	}
+	for _, way := range []string{"direct", "reverse proxy", "dykering"} {
+		fmt.Fprintf(progress, "%s: about %v\n", way, (2*(b.Lasts+warmFor) + 5*time.Second).Round(time.Second))
+		m, err := b.way(ctx, way, program)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", way, err)
+		}
+		all = append(all, *m)
+	}
+	return all, nil
+}
+
+// way measures one.
+func (b *bench) way(ctx context.Context, way, program string) (m *measured, err error) {
+	var servers []*real.Server
+	var targets []string
+	for i := range benchServers {
+		s, err := real.StartServer(fmt.Sprintf("server-%08x", i+1), benchCores, b.Took)
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+		targets = append(targets, s.Address())
+	}
+	site, err := real.SetUp(servers, demoSettings, real.Limits{Cores: 1, MemoryMB: 256, Sockets: 8192})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, site.TearDown()) }()
+	file := filepath.Join(site.Dir(), "stats")
+	address := func() string { return site.URL }
+	var process *real.Process
+	switch command := []string(nil); way {
+	case "direct":
+		var turn atomic.Int64
+		address = func() string { return "http://" + targets[int(turn.Add(1))%len(targets)] }
+	case "reverse proxy":
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		command = []string{self, "reverse-proxy", strings.Join(targets, ",")}
+		if process, err = site.StartBroker(ctx, command, statsFile+"="+file); err != nil {
+			return nil, err
+		}
+	default:
+		if command, err = brokerCommand(program); err != nil {
+			return nil, err
+		}
+		if process, err = site.StartBroker(ctx, command, statsFile+"="+file); err != nil {
+			return nil, err
+		}
+	}
+	m = &measured{Way: way}
+	c := &callers{address: address, way: way}
+	if _, _, err := c.busy(ctx, b.Callers, warmFor); err != nil {
+		return nil, err
+	}
+	before, err := look(process, file)
+	if err != nil {
+		return nil, err
+	}
+	served, refused, err := c.busy(ctx, b.Callers, b.Lasts)
+	if err != nil {
+		return nil, err
+	}
+	after, err := look(process, file)
+	if err != nil {
+		return nil, err
+	}
+	m.PerSecond, m.Refused = float64(served)/b.Lasts.Seconds(), refused
+	if process != nil {
+		n := float64(served + refused)
+		m.PerCore = n / (after.cpu - before.cpu).Seconds()
+		m.Allocs, m.AllocBytes = float64(after.Mallocs-before.Mallocs)/n, float64(after.Bytes-before.Bytes)/n
+	}
+	if err := b.times(ctx, m, address); err != nil {
+		return nil, err
+	}
+	if process != nil {
+		if err := b.memory(ctx, m, c, site, process, file); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// times measures how long answers take at a steady rate.
+func (b *bench) times(ctx context.Context, m *measured, address func() string) error {
+	l := &load.Load{URL: address() + "/bench", Profile: load.Profile{Kind: load.Steady, Rate: b.Rate, Lasts: b.Lasts}, Most: 10000,
+		Run: "times-" + m.Way, Classes: []load.Class{{Name: "read", Share: 1, Method: "GET", Left: 2 * time.Second}}}
+	r, err := l.Play(ctx)
+	if err != nil {
+		return err
+	}
+	m.P50, m.P99, m.P999, m.Unserved = r.All.P50, r.All.P99, r.All.P999, r.All.Asked-r.All.Served
+	return nil
+}
+
+// memory measures what a connection costs that rests, and one that waits for its answer.
+func (b *bench) memory(ctx context.Context, m *measured, c *callers, site *real.Site, p *real.Process, file string) error {
+	time.Sleep(500 * time.Millisecond) // connections of what was before close
+	none, err := look(p, file)
+	if err != nil {
+		return err
+	}
+	conns, err := c.open(ctx, b.Conns)
+	defer func() {
+		for _, x := range conns {
+			x.Close()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	idle, err := look(p, file)
+	if err != nil {
+		return err
+	}
+	for _, s := range site.Servers {
+		s.Hold(true)
+	}
+	for i, x := range conns {
+		if err := c.write(x, fmt.Sprintf("busy-%d", i)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	busy, err := look(p, file)
+	for _, s := range site.Servers {
+		s.Hold(false)
+	}
+	if err != nil {
+		return err
+	}
+	each := func(a, b uint64) float64 { return (float64(b) - float64(a)) / float64(len(conns)) }
+	m.IdleBytes, m.BusyBytes = each(none.InUse, idle.InUse), each(none.InUse, busy.InUse)
+	m.IdleResided, m.BusyResided = each(none.resident, idle.resident), each(none.resident, busy.resident)
+	return nil
+}
+
+// seen is what a process has used.
+type seen struct {
+	stats
+	cpu      time.Duration
+	resident uint64
+}
+
+// look asks a process what it has allocated, and the kernel what it has used.
+func look(p *real.Process, file string) (s seen, err error) {
+	if p == nil {
+		return s, nil
+	}
+	before, _ := os.Stat(file) // none at first
+	if err := p.Signal(syscall.SIGUSR2); err != nil {
+		return s, err
+	}
+	for end := time.Now().Add(statsFor); ; time.Sleep(5 * time.Millisecond) {
+		now, err := os.Stat(file)
+		if err == nil && (before == nil || !os.SameFile(before, now)) {
+			break
+		}
+		if time.Now().After(end) {
+			return s, errors.New("the process does not tell what it has allocated")
+		}
+	}
+	text, err := os.ReadFile(file)
+	if err == nil {
+		err = json.Unmarshal(text, &s.stats)
+	}
+	if err != nil {
+		return s, err
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return s, err
+	}
+	// The second field, a name in parentheses, may hold anything (proc(5)); utime, stime and rss are 14, 15 and 24.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	var n [3]uint64
+	for i, at := range []int{14, 15, 24} {
+		if n[i], err = strconv.ParseUint(fields[at-3], 10, 64); err != nil {
+			return s, err
+		}
+	}
+	s.cpu = time.Duration(n[0]+n[1]) * time.Second / ticks
+	s.resident = n[2] * uint64(os.Getpagesize())
+	return s, nil
+}
+
+// callers ask, each on a connection of its own.
+type callers struct {
+	address func() string
+	way     string
+	n       atomic.Int64
+}
+
+// busy has so many ask without rest for a time.
+func (c *callers) busy(ctx context.Context, n int, lasts time.Duration) (served, refused int, err error) {
+	ctx, stop := context.WithTimeout(ctx, lasts)
+	defer stop()
+	var all sync.WaitGroup
+	var good, bad atomic.Int64
+	transport := &http.Transport{MaxIdleConnsPerHost: n}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+	for range n {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				r, err := http.NewRequest("GET", c.address()+"/bench", nil)
+				if err != nil {
+					bad.Add(1)
+					return
+				}
+				r.Header = http.Header{"X-Txn": {fmt.Sprintf("%s-%d", c.way, c.n.Add(1))}, "X-Lane": {"read"}, "X-Remaining": {"2000m"}}
+				res, err := client.Do(r)
+				if err != nil {
+					bad.Add(1)
+					continue
+				}
+				if _, err = io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+					bad.Add(1)
+				} else {
+					good.Add(1)
+				}
+				res.Body.Close()
+			}
+		})
+	}
+	all.Wait()
+	if good.Load() == 0 {
+		return 0, 0, fmt.Errorf("none of %d requests was served", bad.Load())
+	}
+	return int(good.Load()), int(bad.Load()), nil
+}
+
+// open makes connections that have had an answer and rest, a few at a time.
+func (c *callers) open(ctx context.Context, n int) (conns []net.Conn, err error) {
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		x, err := net.DialTimeout("tcp", strings.TrimPrefix(c.address(), "http://"), time.Second)
+		if err != nil {
+			return conns, err
+		}
+		conns = append(conns, x)
+		if err := errors.Join(x.SetDeadline(time.Now().Add(30*time.Second)), c.write(x, fmt.Sprintf("idle-%d", i))); err != nil {
+			return conns, err
+		}
+		if _, err := x.Read(make([]byte, 4096)); err != nil { // all of it comes at once: it is short
+			return conns, err
+		}
+	}
+	return conns, ctx.Err()
+}
+
+func (c *callers) write(x net.Conn, id string) error {
+	_, err := fmt.Fprintf(x, "GET /bench HTTP/1.1\r\nHost: lab\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: 2000m\r\n\r\n", id)
+	return err
+}
+
+func (b *bench) tell(out io.Writer, all []measured) {
+	fmt.Fprintf(out, "%d servers that take %v and bear any number of calls; %d callers that never rest, then %.0f requests a second; %v each\n\n",
+		benchServers, b.Took, b.Callers, b.Rate, b.Lasts)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	direct := all[slices.IndexFunc(all, func(m measured) bool { return m.Way == "direct" })]
+	fmt.Fprintln(t, "way\tserved/s\trefused\tper core s\tadded p50 ms\tp99\tp99.9\tunserved\tallocs\tbytes\tidle conn B\tresident\tbusy conn B\tresident\t")
+	for _, m := range all {
+		fmt.Fprintf(t, "%s\t%.0f\t%d\t%.0f\t%.2f\t%.2f\t%.2f\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n", m.Way, m.PerSecond, m.Refused, m.PerCore,
+			m.P50-direct.P50, m.P99-direct.P99, m.P999-direct.P999, m.Unserved, m.Allocs, m.AllocBytes, m.IdleBytes, m.IdleResided,
+			m.BusyBytes, m.BusyResided)
+	}
+	t.Flush()
+	fmt.Fprintf(out, "\ndirect: p50 %.2f, p99 %.2f, p99.9 %.2f ms\n", direct.P50, direct.P99, direct.P999)
+}
--- a/cmd/dykering-lab/demo.go
+++ b/cmd/dykering-lab/demo.go
@@ -58,6 +58,7 @@
 // newBroker is the broker itself, as the demo starts it: the same as `dykering run`.
 func newBroker() *cobra.Command {
 	return &cobra.Command{Use: "broker", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		writeStats()
 		if err := sidecar.Main(os.Getenv, ""); err != nil {
 			return faulty{err}
 		}
--- /dev/null
+++ b/cmd/dykering-lab/load.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"dykering/internal/lab/load"
+)
+
+// showEvery is how often a progress bar is drawn.
+const showEvery = 200 * time.Millisecond
+
+func newLoad() *cobra.Command {
+	l := &load.Load{}
+	var classes, teams []string
+	var asJSON bool
+	c := &cobra.Command{Use: "load URL", Short: "Ask an HTTP/1.1 address for so much, whatever it answers (open loop)", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			u, err := url.Parse(args[0])
+			if err != nil || u.Scheme != "http" || u.Host == "" {
+				return fmt.Errorf("%q is not an http:// address", args[0])
+			}
+			l.URL = args[0]
+			if l.Classes, err = parseClasses(classes); err != nil {
+				return err
+			}
+			if l.Teams, err = parseTeams(teams); err != nil {
+				return err
+			}
+			l.Run = fmt.Sprintf("load-%x", time.Now().UnixNano()) // ids must be new to whoever is asked
+			p := newProgress(c.ErrOrStderr(), l.Profile.Lasts)
+			l.Told = p.told
+			stop := p.show()
+			r, err := l.Play(c.Context())
+			stop()
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(r)
+			}
+			tellLoad(c.OutOrStdout(), r)
+			if r.All.Asked > 0 && r.All.Lost == r.All.Asked {
+				return faulty{errors.New("not one request was answered")}
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVar(&l.Profile.Kind, "profile", load.Steady, "how the rate goes: steady, ramp, step, spike")
+	f.Float64Var(&l.Profile.Rate, "rate", 100, "requests a second, at the beginning or outside of the spike")
+	f.Float64Var(&l.Profile.To, "to", 0, "requests a second at the end, of the last step, or in the spike")
+	f.IntVar(&l.Profile.Steps, "steps", 5, "of a step profile")
+	f.DurationVar(&l.Profile.Lasts, "lasts", 10*time.Second, "how long")
+	f.StringArrayVar(&classes, "class", []string{"read"}, "NAME[,method=GET][,share=0.5][,left=2s][,keyed][,body=100]; several for a mix")
+	f.StringArrayVar(&teams, "team", nil, "NAME[,share=0.5]; several for a mix")
+	f.BoolVar(&l.Poisson, "poisson", false, "requests come by chance, not evenly")
+	f.Uint64Var(&l.Seed, "seed", 1, "for what is drawn")
+	f.IntVar(&l.Most, "most", 10000, "requests under way at a time; more are counted and not sent")
+	f.IntVar(&l.Conns, "connections", 0, "at a time; 0 for as many as it takes")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// parts cuts NAME,key=value,… into its name and what each key says.
+func parts(text string, each func(key, value string) error) (name string, err error) {
+	for i, part := range strings.Split(text, ",") {
+		if i == 0 {
+			name = part
+			continue
+		}
+		key, value, _ := strings.Cut(part, "=")
+		if err := each(key, value); err != nil {
+			return "", fmt.Errorf("%q: %s: %w", text, key, err)
+		}
+	}
+	if name == "" {
+		return "", fmt.Errorf("%q: without a name", text)
+	}
+	return name, nil
+}
+
+var errNoKey = errors.New("not known here")
+
+func parseClasses(texts []string) (classes []load.Class, err error) {
+	for _, text := range texts {
+		c := load.Class{Method: "GET", Share: 1 / float64(len(texts)), Left: 2 * time.Second}
+		if c.Name, err = parts(text, func(key, value string) (err error) {
+			switch key {
+			case "method":
+				c.Method = value
+			case "share":
+				c.Share, err = strconv.ParseFloat(value, 64)
+			case "left":
+				c.Left, err = time.ParseDuration(value)
+			case "keyed":
+				c.Keyed = true
+			case "body":
+				c.Body, err = strconv.Atoi(value)
+			default:
+				err = errNoKey
+			}
+			return err
+		}); err != nil {
+			return nil, err
+		}
+		classes = append(classes, c)
+	}
+	return classes, nil
+}
+
+func parseTeams(texts []string) (teams []load.Team, err error) {
+	for _, text := range texts {
+		t := load.Team{Share: 1 / float64(len(texts))}
+		if t.Name, err = parts(text, func(key, value string) (err error) {
+			if key != "share" {
+				return errNoKey
+			}
+			t.Share, err = strconv.ParseFloat(value, 64)
+			return err
+		}); err != nil {
+			return nil, err
+		}
+		teams = append(teams, t)
+	}
+	return teams, nil
+}
+
+// progress shows how far a load is.
+type progress struct {
+	bar   *progressbar.ProgressBar
+	lasts time.Duration
+	mu    sync.Mutex
+	tally tally
+}
+
+func newProgress(out io.Writer, lasts time.Duration) *progress {
+	return &progress{lasts: lasts, bar: progressbar.NewOptions64(lasts.Milliseconds(), progressbar.OptionSetWriter(out),
+		progressbar.OptionSetWidth(30), progressbar.OptionSetPredictTime(false), progressbar.OptionClearOnFinish())}
+}
+
+func (p *progress) told(o load.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tally.count(o)
+	if len(p.tally.took) >= 10000 {
+		p.tally.took = p.tally.took[:0]
+	}
+}
+
+// show draws until the function that it returns is called.
+func (p *progress) show() (stop func()) {
+	ended, drawn := make(chan struct{}), make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(drawn)
+		tick := time.NewTicker(showEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ended:
+				p.bar.Finish() // what cannot be drawn is not worth an end
+				return
+			case <-tick.C:
+				p.mu.Lock()
+				t := &p.tally
+				text := fmt.Sprintf("%d asked, %d served, %d refused, %d failed, %d lost, p50 %.0f p99 %.0f ms", t.asked, t.served,
+					t.refused, t.failed, t.lost, t.quantile(0.5), t.quantile(0.99))
+				t.took = t.took[:0]
+				p.mu.Unlock()
+				p.bar.Describe(text)
+				p.bar.Set64(min(time.Since(began), p.lasts).Milliseconds())
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		<-drawn
+	}
+}
+
+// mostRows is how many lines the table of a load has; longer ones show each second of a few.
+const mostRows = 60
+
+func tellLoad(out io.Writer, r *load.Report) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "s\tasked\tserved\trefused\tfailed\tlost\tp50 ms\tp99 ms\t")
+	for i := 0; i < len(r.Seconds); i += 1 + len(r.Seconds)/mostRows {
+		if s := r.Seconds[i]; s.Asked > 0 {
+			fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", i, s.Asked, s.Served, s.Refused, s.Failed, s.Lost, s.P50, s.P99)
+		}
+	}
+	t.Flush()
+	fmt.Fprintln(out)
+	fmt.Fprintln(t, "class\tasked\tserved\trefused\tfailed\tlost\tmean ms\tp50\tp90\tp99\tp99.9\tmax\t")
+	for _, f := range append(r.Classes, r.All) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", f.Name, f.Asked, f.Served, f.Refused, f.Failed,
+			f.Lost, f.Mean, f.P50, f.P90, f.P99, f.P999, f.Max)
+	}
+	t.Flush()
+	fmt.Fprintf(out, "\n%.1f a second over %.1f s; %d not sent for want of room; the latest was sent %.1f ms late\n",
+		float64(r.All.Asked)/r.Took, r.Took, r.Unsent, r.Late)
+	for text, n := range r.All.Errors {
+		fmt.Fprintf(out, "%d lost: %s\n", n, text)
+	}
+}
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// Signal sends the process a signal.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	p.cmd.Process.Kill() // it may have ended already
--- a/internal/lab/real/site.go
+++ b/internal/lab/real/site.go
@@ -61,6 +61,9 @@
 	return st, os.WriteFile(st.file, text, 0o600)
 }
 
+// Dir is a folder that ends with the site.
+func (st *Site) Dir() string { return st.dir }
+
 // StartBroker starts a process on the callers' socket, and waits until it can serve.
 func (st *Site) StartBroker(ctx context.Context, command []string, env ...string) (*Process, error) {
 	p, err := Launch{Command: command, File: st.file, Socket: st.socket, Dir: st.dir, Env: env,
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	address string
 	http    *http.Server
+	held    chan struct{} // nil, or closed when it answers again
 }
 
 // StartServer starts one on loopback.
@@ -68,6 +69,19 @@
 	s.http.Close()
 }
 
+// Hold has it answer nothing, until it is told to go on.
+func (s *Server) Hold(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held != nil {
+		close(s.held)
+		s.held = nil
+	}
+	if on {
+		s.held = make(chan struct{})
+	}
+}
+
 // ServeHTTP works on a call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	io.Copy(io.Discard, r.Body)
@@ -83,6 +97,16 @@
 	case <-r.Context().Done():
 		return
 	}
+	s.mu.Lock()
+	held := s.held
+	s.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	io.WriteString(w, "done by "+s.UID+"\n")
 }
 
