--- /dev/null
+++ b/internal/lab/experiment/chart.go
@@ -0,0 +1,198 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	wide, high = 18 * vg.Centimeter, 9 * vg.Centimeter
+	// mostCharts bounds the charts over time: one for each point.
+	mostCharts = 24
+)
+
+// chart is a picture with its name.
+type chart struct {
+	Name string
+	SVG  []byte
+}
+
+func draw(name string, p *plot.Plot) (c chart, err error) {
+	w, err := p.WriterTo(wide, high, "svg")
+	if err != nil {
+		return c, err
+	}
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return c, err
+	}
+	return chart{name, b.Bytes()}, nil
+}
+
+// spread are means with their intervals, at places on the x axis.
+type spread struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+// overPoints is a metric over the points, a line for each side.
+func overPoints(e *Experiment, metric string, rows []Row) (chart, error) {
+	p := plot.New()
+	p.Title.Text = e.Name + ": " + metric
+	p.Y.Min = 0
+	p.Legend.Top = true
+	var names []string
+	for _, x := range e.points() {
+		names = append(names, strings.TrimSpace(x.name))
+	}
+	for i, s := range e.Sides {
+		var d spread
+		for _, r := range rows {
+			if r.Side != s.Name || r.Metric != metric || math.IsNaN(r.Is.Mean) {
+				continue
+			}
+			x := float64(slices.Index(names, r.Point)) + 0.06*(float64(i)-float64(len(e.Sides)-1)/2)
+			d.XYs = append(d.XYs, plotter.XY{X: x, Y: r.Is.Mean})
+			half := r.Is.Half
+			if math.IsNaN(half) {
+				half = 0
+			}
+			d.YErrors = append(d.YErrors, struct{ Low, High float64 }{half, half})
+		}
+		if len(d.XYs) == 0 {
+			continue
+		}
+		line, dots, err := plotter.NewLinePoints(d.XYs)
+		if err != nil {
+			return chart{}, err
+		}
+		bars, err := plotter.NewYErrorBars(d)
+		if err != nil {
+			return chart{}, err
+		}
+		line.Color, dots.Color, bars.Color = plotutil.Color(i), plotutil.Color(i), plotutil.Color(i)
+		dots.Shape = plotutil.Shape(i)
+		p.Add(line, dots, bars)
+		p.Legend.Add(s.Name, line, dots)
+	}
+	p.NominalX(names...)
+	return draw(strings.ReplaceAll(metric, " ", "-"), p)
+}
+
+// overTime is the service in each second, the mean over seeds, a line for each side.
+func overTime(e *Experiment, n int, at point, runs []Run) (chart, error) {
+	p := plot.New()
+	p.Title.Text = strings.TrimSpace(e.Name + " " + at.name + ": service over time")
+	p.X.Label.Text, p.Y.Label.Text = "s", "served of what was asked"
+	p.Y.Min, p.Y.Max = 0, 1.02
+	for i, s := range e.Sides {
+		var sums, counts []float64
+		for _, r := range runs {
+			if r.Side != s.Name || r.Point != at.name {
+				continue
+			}
+			for k, second := range r.Result.Seconds {
+				if k >= len(sums) {
+					sums, counts = append(sums, 0), append(counts, 0)
+				}
+				if second.Asked > 0 {
+					sums[k] += float64(second.Served) / float64(second.Asked)
+					counts[k]++
+				}
+			}
+		}
+		var xy plotter.XYs
+		for k := range sums {
+			if counts[k] > 0 {
+				xy = append(xy, plotter.XY{X: float64(k), Y: sums[k] / counts[k]})
+			}
+		}
+		if len(xy) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return chart{}, err
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(s.Name, line)
+	}
+	return draw(fmt.Sprintf("time-%d", n), p)
+}
+
+// page is a page that needs nothing beside it.
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<meta charset="utf-8"><title>{{.Name}}</title>
+<style>body{font-family:sans-serif;margin:2em;max-width:80em}table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:.2em .5em;text-align:right}td:first-child,td:nth-child(2){text-align:left}.better{color:#064}.worse{color:#a00}svg{max-width:100%;height:auto}</style>
+<h1>{{.Name}}</h1>
+<p>{{.About}}</p>
+<table><tr><th>point<th>side<th>metric<th>seeds<th>mean<th>against<th>difference<th></tr>
+{{range .Rows}}<tr><td>{{.Point}}<td>{{.Side}}<td>{{.Metric}}<td>{{.Is.N}}<td>{{.Is}}<td>{{.Against}}<td>{{if .Against}}{{.Differs}}{{end}}<td class="{{.Verdict}}">{{.Verdict}}</tr>
+{{end}}</table>
+{{range .Pictures}}<p>{{.}}</p>
+{{end}}`))
+
+// Write writes what came of an experiment into a folder: table.md, table.csv, index.html and its charts as SVG.
+func (e *Experiment) Write(dir string, runs []Run) ([]Row, error) {
+	rows := e.Summary(runs)
+	var charts []chart
+	for _, m := range []string{"service", "back s", "p99 ms"} {
+		c, err := overPoints(e, m, rows)
+		if err != nil {
+			return nil, err
+		}
+		charts = append(charts, c)
+	}
+	for i, p := range e.points() {
+		if i >= mostCharts {
+			break
+		}
+		c, err := overTime(e, i, p, runs)
+		if err != nil {
+			return nil, err
+		}
+		charts = append(charts, c)
+	}
+	about := fmt.Sprintf("Scenario %s, engine %s, %d seeds from %d. Means with intervals of 95%% confidence (Student's t); differences seed by seed.",
+		filepath.Base(e.Scenario), e.Engine, e.Seeds, e.First)
+	var pictures []template.HTML
+	for _, c := range charts {
+		svg := string(c.SVG)
+		pictures = append(pictures, template.HTML(svg[max(strings.Index(svg, "<svg"), 0):])) // our own, without its XML head
+		if err := os.WriteFile(filepath.Join(dir, c.Name+".svg"), c.SVG, 0o644); err != nil {
+			return nil, err
+		}
+	}
+	write := func(name string, do func(io.Writer) error) error {
+		var b bytes.Buffer
+		if err := do(&b); err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(dir, name), b.Bytes(), 0o644)
+	}
+	if err := write("table.md", func(w io.Writer) error {
+		fmt.Fprintf(w, "# %s\n\n%s\n\n", e.Name, about)
+		return Markdown(w, rows)
+	}); err != nil {
+		return nil, err
+	}
+	if err := write("table.csv", func(w io.Writer) error { return CSV(w, rows) }); err != nil {
+		return nil, err
+	}
+	return rows, write("index.html", func(w io.Writer) error {
+		return page.Execute(w, map[string]any{"Name": e.Name, "About": about, "Rows": rows, "Pictures": pictures})
+	})
+}
