Serve the newest first, and hold less, where repeats hide what they have spent

The tier worked all the time, but 65 to 75% of what it served were repeats whose caller was past its aim: repeats that are not marked, or carry a time of their own, look new, and the order by aim takes those at the edge of it first. Up to as many requests as the list has endpoints were held by each instance, whatever its share of them.

Change: where repeats do not show what they have spent, the newest held request is placed first, and half a second of calls is held in place of two, and at least the instance's share of the list. Elsewhere nothing changes.

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -96,7 +96,8 @@
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
-	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
+	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held,
+	holdHidden    = 0.5  // and where repeats do not show what they have spent
 	repeatWeight  = 0.05 // of one repeat in the mean time that repeats have spent
 	firstTryShare = 0.97 // of the longest time left seen: less tells of a repeat
 	classMemory   = 100  // requests of a class that its part served in time is remembered over
@@ -151,6 +152,7 @@
 	strays   float64 // and of overdue calls that stay away for longer
 	budget   float64 // further attempts that may be made
 
+	hidden      bool    // clients' repeats do not show what they have spent: see spent
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
 
 	endsAt     time.Duration // when this instance ends, where that is known,
@@ -211,9 +213,8 @@
 	b.arm()
 }
 
-// Leave tells when this instance ends, and whether another serves in its place already. All that it has taken
-// is answered by then: what can hardly be served in time is refused at once. Calls that are out then are the
-// host's to end.
+// Leave tells when this instance ends, and whether another serves in its place already. What can hardly be
+// served by then is refused at once; calls that are out then are the host's to end.
 func (b *Balancer) Leave(now, at time.Duration, succeeded bool) {
 	b.endsAt, b.succeeded = at, succeeded
 	for _, r := range b.requests {
@@ -239,12 +240,14 @@
 // tries begin with the same time left; a shorter one tells of a repeat, or of work in the tiers above.
 func (b *Balancer) spent(c *class, q Request) time.Duration {
 	c.maxLeft = max(c.maxLeft, q.Left)
+	whole := float64(c.maxLeft) >= firstTryShare*float64(c.Deadline)
+	b.hidden = b.set.Stage == 0 && !(b.set.MarksRetry && whole)
 	switch {
 	case b.set.Stage > 0:
 		return c.maxLeft - q.Left
 	case float64(q.Left) < firstTryShare*float64(c.maxLeft):
 		spent := c.Deadline - q.Left
-		if q.Repeat && float64(c.maxLeft) >= firstTryShare*float64(c.Deadline) {
+		if q.Repeat && whole {
 			b.repeatSpent += repeatWeight * (spent.Seconds() - b.repeatSpent)
 		}
 		return spent
@@ -302,8 +305,7 @@
 	b.shed(now)
 }
 
-// placeOther places another request when the first in line, on a further attempt and so bound to a group
-// or barred from an endpoint, has nowhere to go.
+// placeOther places another request when the first in line, bound or barred by its last attempt, cannot go.
 func (b *Balancer) placeOther(now time.Duration, not int) bool {
 	if b.held[not].attempts == 0 {
 		return false
@@ -328,7 +330,8 @@
 
 // next is the held request to place first: one that can still meet its aim before one that cannot, one
 // within its tenant's share before one beyond, one of a class that adds more to what the site counts, then
-// the one that must be sent first to meet its aim.
+// the one that must be sent first to meet its aim. Where repeats hide what they have spent it is the newest:
+// the one at the edge of its aim, as far as can be seen, may long be past it.
 func (b *Balancer) next(now time.Duration) int {
 	best := 0
 	for i := 1; i < len(b.held); i++ {
@@ -347,6 +350,9 @@
 	if x.class.value != y.class.value {
 		return x.class.value > y.class.value
 	}
+	if b.hidden {
+		return x.at > y.at
+	}
 	return x.sendBy() < y.sendBy()
 }
 
@@ -404,6 +410,9 @@
 // could not even be answered at little load, and the least worth when more is held than the rate works off.
 func (b *Balancer) shed(now time.Duration) {
 	room := max(int(holdPerSecond*b.served.value(now, b.window)), len(b.listed))
+	if b.hidden {
+		room = max(int(holdHidden*b.served.value(now, b.window)), 1+len(b.listed)/b.set.Instances)
+	}
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
 		late := now >= r.sendBy() && r.class.LateWorth == 0
@@ -585,8 +594,7 @@
 	}
 }
 
-// weight is an endpoint's listed weight, where the list's weights tell endpoints apart, else the speed that
-// its kind reports.
+// weight is an endpoint's listed weight where those tell endpoints apart, else the speed its kind reports.
 func (b *Balancer) weight(e *endpoint) float64 {
 	if b.weighted {
 		return e.weight
@@ -639,8 +647,7 @@
 	return best
 }
 
-// dueTrial is an isolated endpoint whose turn for a trial call has come. Only a first attempt with time
-// for another is risked.
+// dueTrial is an isolated endpoint that is due a trial; only a first attempt with time for another is risked.
 func (b *Balancer) dueTrial(now time.Duration, r *request) *endpoint {
 	if r.attempts > 0 || r.class.Effect == Unsafe {
 		return nil
@@ -724,8 +731,7 @@
 	return sum
 }
 
-// Begun tells that a long answer has started: the request is the client's from here on. Its endpoint has done
-// its work; how long the client takes to read says nothing of it.
+// Begun tells that a long answer has started: its endpoint has done its work, whatever the client's pace.
 func (b *Balancer) Begun(now time.Duration, id RequestID, attempt int, from EndpointID) {
 	r := b.requests[id]
 	if r == nil || r.to == nil || r.stream {
@@ -953,8 +959,7 @@
 	return e.weight * kind / b.slow(e)
 }
 
-// mayEject keeps errors and silence from isolating too much of the list: that many failing at once have
-// a cause they share.
+// mayEject keeps errors and silence from isolating too much of the list: so many at once share a cause.
 func (b *Balancer) mayEject() bool {
 	n := 1
 	for _, e := range b.listed {
@@ -1017,8 +1022,7 @@
 	b.host.Fetch()
 }
 
-// again decides what follows an attempt that was not served: another one where the rules, the budget and
-// the time allow it, else the final answer.
+// again decides what follows an attempt that failed: another where rules, budget and time allow, or the end.
 func (b *Balancer) again(now time.Duration, r *request, e *endpoint, o Outcome) {
 	r.from = e
 	if !o.Status.NeverRan() {
@@ -1182,8 +1186,7 @@
 	}
 }
 
-// retriable tells whether a call that is out could be sent again, in time, after it is withdrawn: what a long
-// one has sent is not kept.
+// retriable tells whether a call that is out can be withdrawn and sent again in time; a long one is not kept.
 func (b *Balancer) retriable(now time.Duration, r *request) bool {
 	return !r.done && !r.long && r.class.Effect != Unsafe && b.budget >= 1 &&
 		now+seconds(r.class.base) < r.aimBy && (b.set.MaxAttempts == 0 || r.attempts < b.set.MaxAttempts)
@@ -1228,8 +1231,7 @@
 	b.arm()
 }
 
-// rewatch subscribes after a pause that doubles with each failure; its spread keeps many instances from
-// asking at once.
+// rewatch subscribes after a pause that doubles with each failure, spread: many must not ask at once.
 func (b *Balancer) rewatch() {
 	if !b.set.MustAsk {
 		return
