--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -41,6 +41,27 @@
 	return h
 }
 
+// next is what the endpoint has got next, and feed gives it a piece: neither waits for ever where a request that was to
+// come was refused.
+func (h *handed) next() (got string) {
+	h.t.Helper()
+	select {
+	case got = <-h.got:
+	case <-time.After(patience):
+		h.t.Fatal("nothing came to the endpoint")
+	}
+	return got
+}
+
+func (h *handed) feed(piece string) {
+	h.t.Helper()
+	select {
+	case h.give <- piece:
+	case <-time.After(patience):
+		h.t.Fatal("the endpoint takes no piece")
+	}
+}
+
 func (h *handed) bySteps(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	c, _, fault := http.NewResponseController(w).Hijack()
@@ -142,9 +163,9 @@
 		c := h.dial()
 		r := h.request("once", 9*time.Second)
 		r.Write(c)
-		<-h.got
+		h.next()
 		for _, piece := range pieces[:after] {
-			h.give <- piece
+			h.feed(piece)
 		}
 		begun := after >= 4 && after < len(pieces) // more than what is held of an answer before it begins
 		if begun {
@@ -160,9 +181,9 @@
 			heir.atStage(relaying)
 		}
 		for _, piece := range pieces[after:] {
-			h.give <- piece
+			h.feed(piece)
 		}
-		h.give <- "" // the end of its connection
+		h.feed("") // the end of its connection
 		answers := bufio.NewReader(c)
 		res, err := http.ReadResponse(answers, r)
 		if err != nil {
@@ -178,8 +199,8 @@
 		} else if !res.Close { // its connection serves on
 			r := h.request("once", 9*time.Second)
 			r.Write(c)
-			<-h.got
-			h.give <- ok + "Content-Length: 1\r\n\r\n!"
+			h.next()
+			h.feed(ok + "Content-Length: 1\r\n\r\n!")
 			if res, err := http.ReadResponse(answers, r); err != nil || res.StatusCode != http.StatusOK {
 				t.Errorf("afterwards: %+v, %v", res, err)
 			}
@@ -256,16 +277,16 @@
 		if name == "short" {
 			length = 1000
 		}
-		if want, got := fmt.Sprintf("t-1 %d %x <nil>", length, body[:8]), <-h.got; got != want {
+		if want, got := fmt.Sprintf("t-1 %d %x <nil>", length, body[:8]), h.next(); got != want {
 			t.Errorf("the endpoint got %q, want %q", got, want)
 		}
-		h.give <- "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		h.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		res, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || res.StatusCode != http.StatusOK {
 			t.Fatalf("%+v, %v", res, err)
 		}
 		if h.over(); len(h.got) > 0 {
-			t.Errorf("the endpoint got more: %s", <-h.got)
+			t.Errorf("the endpoint got more: %s", h.next())
 		}
 	})
 }
@@ -295,8 +316,8 @@
 			h.stop()
 			h.over()
 			c.Write(body[200000:])
-			<-h.got
-			h.give <- test.answer
+			h.next()
+			h.feed(test.answer)
 			res, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err != nil || res.StatusCode != test.status || test.status == 503 && res.Header.Get("Retry-After") == "" {
 				t.Fatalf("%+v, %v", res, err)
@@ -313,13 +334,13 @@
 	c := h.dial()
 	r := h.request("once", 9*time.Second)
 	r.Write(c)
-	<-h.got
+	h.next()
 	heir := h.succeed(t)
 	heir.server.callers.mu.Lock()
 	heir.server.callers.most = 0
 	heir.server.callers.mu.Unlock()
 	pieces := cut("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+string(noise(300000)), 100000)
-	h.give <- pieces[0]
+	h.feed(pieces[0])
 	h.atStage(relaying)
 	h.stop()
 	tried := h.server.callers.stages[relaying].Front().Value.(*caller).passing.(*relay)
@@ -328,7 +349,7 @@
 		defer tried.mu.Unlock()
 		return !tried.notBefore.IsZero()
 	})
-	h.give <- pieces[1]
+	h.feed(pieces[1])
 	if res, err := http.ReadResponse(bufio.NewReader(c), r); err != nil {
 		t.Error(err)
 	} else if text, err := io.ReadAll(res.Body); err != nil || !bytes.Equal(text, noise(300000)) {
