--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dykering/internal/lab/scenario"
 )
 
 const (
@@ -272,8 +274,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		class, team, meant := pick(rng, len(l.Classes), func(i int) float64 { return l.Classes[i].Share }),
-			pick(rng, len(l.Teams), func(i int) float64 { return l.Teams[i].Share }), at
+		class, team, meant := scenario.Pick(rng, len(l.Classes), func(i int) float64 { return l.Classes[i].Share }),
+			scenario.Pick(rng, len(l.Teams), func(i int) float64 { return l.Teams[i].Share }), at
 		mu.Lock()
 		full := under >= l.Most
 		if full {
@@ -346,16 +348,6 @@
 		shares("teams", len(l.Teams), func(i int) float64 { return l.Teams[i].Share }))
 }
 
-func pick(r *rand.Rand, n int, share func(int) float64) int {
-	x := r.Float64()
-	for i := range n {
-		if x -= share(i); x < 0 {
-			return i
-		}
-	}
-	return max(n-1, 0)
-}
-
 // ask asks once.
 func (l *Load) ask(ctx context.Context, client *http.Client, n, class, team int) (status int, err error) {
 	c := l.Classes[class]
--- a/internal/lab/model/caller.go
+++ b/internal/lab/model/caller.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"dykering/internal/decision"
+	"dykering/internal/lab/scenario"
 )
 
 // ask is what a client wants once, over all its tries.
@@ -47,22 +47,12 @@
 	})
 }
 
-func pick(r *rand.Rand, n int, share func(int) float64) int {
-	x := r.Float64()
-	for i := range n {
-		if x -= share(i); x < 0 {
-			return i
-		}
-	}
-	return max(n-1, 0)
-}
-
 // want makes a request.
 func (w *World) want() {
 	s := w.S
-	class := pick(w.asks, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
+	class := scenario.Pick(w.asks, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
 	front := w.Tiers[0].Instances
-	a := &ask{n: w.asked, class: class, team: pick(w.asks, len(s.Teams), func(i int) float64 { return s.Teams[i].Share }),
+	a := &ask{n: w.asked, class: class, team: scenario.Pick(w.asks, len(s.Teams), func(i int) float64 { return s.Teams[i].Share }),
 		work: s.Classes[class].Draw(w.asks), born: w.Now(), instance: front[w.asks.IntN(len(front))],
 		deadline: w.Now() + time.Duration(s.Classes[class].Deadline)}
 	w.asked++
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -68,7 +68,7 @@
 func (w *World) makeServer(t *Tier, kind int) *Server {
 	ordinal := len(t.Servers)
 	rng := Stream(w.seed, fmt.Sprint("server", t.N), ordinal)
-	if drawn := pick(rng, len(w.S.Kinds), func(j int) float64 { return w.S.Kinds[j].Share }); kind < 0 {
+	if drawn := scenario.Pick(rng, len(w.S.Kinds), func(j int) float64 { return w.S.Kinds[j].Share }); kind < 0 {
 		kind = drawn
 	}
 	k := &w.S.Kinds[kind]
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -364,3 +364,14 @@
 	}
 	return max(work, 1e-6)
 }
+
+// Pick takes one of n by their shares, which sum to 1; 0 of none.
+func Pick(r *rand.Rand, n int, share func(int) float64) int {
+	x := r.Float64()
+	for i := range n {
+		if x -= share(i); x < 0 {
+			return i
+		}
+	}
+	return max(n-1, 0)
+}
