The front's tests mark repeats, as the platform's callers do

Need: they rest on the order of what is held that marked repeats have; without marks the newest goes first, and a test may wait for a request that was refused.

--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -36,7 +36,7 @@
 
 const settingsText = `{"allowed":{"cancel":true,"connIdle":30000000,"connectTimeout":2000000,"maxRetryAfter":2000000,
 	"mayProbe":true,"openCap":1000,"peers":false,"retryAfter":true,"secondCopies":false,"sendCap":5},
-	"clientHabits":{"marksRetry":false},"discovery":"push","instances":1,"ordinal":0,"quantum":5000,"stage":0,
+	"clientHabits":{"marksRetry":true},"discovery":"push","instances":1,"ordinal":0,"quantum":5000,"stage":0,
 	"rules":{"cold":1000000,"coldFrom":0.3,"drainGrace":250000,"fall":1000000,"graceToAnswer":20000,"tipMultiple":3},
 	"services":[
 	{"name":"read","aim":9000000,"deadline":10000000,"effect":"read_like","gain":1,"window":0},
