Lab: a vanished server that ended or drains is not said to be ready again

Need: read once more: at the end of vanish discovery said Ready of a server that a drain or a crash had taken meanwhile, and the checker would have blamed the broker for the rest.

Change: only a server that is up and does not drain is told.

--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -197,7 +197,9 @@
 			if s.w.sockets != nil {
 				s.w.sockets.Bytes(s, "none", 0)
 			}
-			s.tell(decision.Ready)
+			if s.up && !s.draining { // it may have ended, or begun to, in the dark
+				s.tell(decision.Ready)
+			}
 		}
 	})
 }
