--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -23,13 +23,7 @@
 	// Limits: in flight there may be what is answered at base latency, and a queue: so many calls for each
 	// endpoint and tier from here on, no more than a share of the first, and none that would use up the time to
 	// the aim. More only waits there instead of here, is answered late, and may choke endpoints.
-	queueHolds    = 0.75  // calls for each endpoint and tier at first, and within these bounds:
-	queueLeast    = 0.6   // so little never choked one
-	queueMost     = 1.6   // more only delays
-	queueGrows    = 0.012 // part it grows by in a rate window in which calls were held
-	queueShrinks  = 0.6   // part that is left when an endpoint chokes
-	chokedAt      = 1.7   // times its kind's pace: an endpoint has choked,
-	unchokedAt    = 1.3   // and has recovered
+	queueHolds    = 0.75 // calls for each endpoint and tier
 	queueShare    = 0.8
 	aimShare      = 0.5  // of the time from base latency to the aim; the rest is for slow calls
 	startHolds    = 5.0  // the limit at first, for each endpoint that is this instance's share of the tier
@@ -88,7 +82,6 @@
 	ejectAt       = 0.45 // error share that ejects
 	ejectRatio    = 3.0  // and at least so many times the fleet's
 	maxEjected    = 0.5  // share of the list that errors and silence may isolate
-	errorDebt     = 5.0  // base latencies that a failed call still counts as in flight
 	trialFirst    = 4.0  // connect time-outs from isolation to the first trial call
 	refreshShare  = 0.5  // of AskEvery (or Cold): the pace of fetching lists after broken connections
 	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
@@ -134,8 +127,6 @@
 	answered int     // answers of any kind
 	rate     flow    // base latencies answered a second: the calls in flight at little load
 	limit    float64 // on calls in flight
-	queue    float64 // calls that may queue for each endpoint and tier
-	queueAt  time.Duration
 	countAt  time.Duration
 	subset   float64 // endpoints in this instance's subset
 	spare    flow    // the same for the time from base latency to the aim
@@ -174,7 +165,7 @@
 	}
 	b := &Balancer{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
 		byID: map[EndpointID]*endpoint{}, requests: map[RequestID]*request{}, budget: retryReserve,
-		queue: queueHolds, strays: 0.5, endsAt: math.MaxInt64}
+		strays: 0.5, endsAt: math.MaxInt64}
 	b.window = cmp.Or(set.Fall, time.Second)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
@@ -445,7 +436,7 @@
 		calls = startHolds
 	}
 	base := able * b.rate.peak(now, b.window)
-	queue := b.queue * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
+	queue := queueHolds * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, able*b.spare.peak(now, b.window))
 	b.limit = limitSlack + max(base+queue, calls*able/float64(b.set.Instances))
 }
@@ -476,11 +467,9 @@
 	return float64(b.load(now, e)-e.lost) < max(most, limitSlack)
 }
 
-// load is the number of own calls in flight, the process before's too, and of those that failed a short while
-// ago: few in flight must not draw calls to an endpoint that fails fast, and timed-out work may run on.
+// load is the number of own calls in flight, the process before's too.
 func (b *Balancer) load(now time.Duration, e *endpoint) int {
-	e.debts = slices.DeleteFunc(e.debts, func(t time.Duration) bool { return t <= now })
-	return len(e.calls) + e.coming + len(e.debts) + b.elder.at(now, e)
+	return len(e.calls) + e.coming + b.elder.at(now, e)
 }
 
 // share is the part of its capacity that a ramping endpoint is taken to have.
@@ -799,7 +788,6 @@
 		return // it tells nothing of the endpoint but that it answers: every one sends some
 	case Error:
 		b.noteError(e, 1)
-		b.debt(now, e, r.class, errorDebt)
 		if e.errors >= ejectAt && e.errors >= ejectRatio*b.errors && b.mayEject() {
 			b.isolate(now, e, "errors")
 		}
@@ -825,7 +813,6 @@
 		fallthrough
 	case Cancelled:
 		b.press(now, r.class, o.Elapsed)
-		b.debt(now, e, r.class, 1)
 	}
 	if r.trial && e.mark == isolated {
 		b.postpone(now, e)
@@ -877,7 +864,6 @@
 	b.rate.add(now, b.window, c.base/able)
 	b.spare.add(now, b.window, aimShare*max(c.Aim.Seconds()-c.base, 0)/able)
 	b.notePace(e, s/c.mean)
-	b.fit(now, e)
 	b.served.add(now, b.window, 1)
 }
 
@@ -917,22 +903,6 @@
 	return n / sum / b.services[e.kind].mean
 }
 
-// fit moves the queue that endpoints may hold. What one bears before it chokes is told nowhere: the queue
-// grows while calls are held here, and shrinks when an endpoint turns far slower than its kind.
-func (b *Balancer) fit(now time.Duration, e *endpoint) {
-	kind := b.kinds[e.kind].mean
-	choked := e.pace.n*paceWeight > 0.99 && e.pace.mean > chokedAt*kind
-	if choked && !e.choked {
-		b.queue = max(b.queue*queueShrinks, queueLeast)
-	}
-	if choked || e.pace.mean < unchokedAt*kind {
-		e.choked = choked
-	}
-	if len(b.held) > 0 && now-b.queueAt > b.window {
-		b.queue, b.queueAt = min(b.queue*(1+queueGrows), queueMost), now
-	}
-}
-
 // odds is an endpoint's chance in a draw: by the part of its weight in the subset, or by its whole size for
 // a further attempt that has left the subset. At full size an instance has so few calls in flight that the
 // draw, not the comparison, keeps small machines from getting what large ones get.
@@ -1257,7 +1227,7 @@
 	case x.State != Ready:
 		b.leave(e)
 	case restarted && now-x.Started < b.set.Cold:
-		e.errors, e.debts = 0, nil
+		e.errors = 0
 		b.ramp(now, e, x.Started)
 	case restarted, e.mark == leaving:
 		b.reopen(e)
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -34,10 +34,8 @@
 
 	calls      []*request // own calls in flight, oldest first
 	coming     int        // and those whose request is still being sent
-	debts      []time.Duration
-	choked     bool    // far slower than its kind, and not yet recovered
-	broke      bool    // a connection broke: it may have restarted, and be cold
-	part       float64 // of its weight that is in this instance's subset; 0 outside of it
+	broke      bool       // a connection broke: it may have restarted, and be cold
+	part       float64    // of its weight that is in this instance's subset; 0 outside of it
 	lastAnswer time.Duration
 	fullUntil  time.Duration // turned a call away: passed over until then
 	errors     float64       // smoothed share of answers that are errors
@@ -220,11 +218,6 @@
 	b.errors += fleetWeight * (x - b.errors)
 }
 
-// debt counts a failed call as in flight for a number of base latencies more.
-func (b *Balancer) debt(now time.Duration, e *endpoint, c *class, times float64) {
-	e.debts = append(e.debts, now+seconds(times*c.base))
-}
-
 // weigh notes whether the listed weights are all above 0 and tell endpoints apart.
 func (b *Balancer) weigh() {
 	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
--- a/internal/decision/succession.go
+++ b/internal/decision/succession.go
@@ -21,7 +21,6 @@
 	Served      LearntRate       `json:"served"`             // answers a second
 	Asked       LearntRate       `json:"asked"`              // requests a second
 	Warm        LearntRate       `json:"warm"`               // sends a second to warm endpoints, for their odds
-	Queue       float64          `json:"queue"`              // calls that may queue for each endpoint and tier
 	Errors      float64          `json:"errors"`             // share of answers that are errors
 	Strays      float64          `json:"strays"`             // share of overdue calls that stay away
 	Budget      float64          `json:"budget"`             // further attempts
@@ -48,7 +47,6 @@
 	ID      EndpointID `json:"id"`
 	Pace    LearntPace `json:"pace"`
 	Service LearntPace `json:"service"`
-	Choked  bool       `json:"choked,omitempty"`
 	Errors  float64    `json:"errors,omitempty"`
 	Losses  float64    `json:"losses,omitempty"`
 	// Isolated says that it gets trial calls only; Ramping that it starts or is back, since Ramped.
@@ -83,7 +81,7 @@
 func (b *Balancer) Learnt(now time.Duration) Learnt {
 	rate := func(f *flow) LearntRate { return LearntRate{f.value(now, b.window), f.peak(now, b.window)} }
 	l := Learnt{Rate: rate(&b.rate), Spare: rate(&b.spare), Served: rate(&b.served), Asked: rate(&b.asked),
-		Warm: rate(&b.warm), Queue: b.queue, Errors: b.errors, Strays: b.strays, Budget: b.budget,
+		Warm: rate(&b.warm), Errors: b.errors, Strays: b.strays, Budget: b.budget,
 		RepeatSpent: b.repeatSpent, All: b.all.level, Kinds: told(b.kinds), Services: told(b.services)}
 	for _, c := range b.classes {
 		l.Classes = append(l.Classes, LearntClass{Name: c.Name, Windows: c.windows, Mean: c.mean, Base: c.base,
@@ -91,7 +89,7 @@
 	}
 	for _, e := range b.listed {
 		x := LearntEndpoint{ID: e.id, Pace: LearntPace{e.pace.mean, e.pace.n},
-			Service: LearntPace{e.service.mean, e.service.n}, Choked: e.choked, Errors: e.errors, Losses: e.losses,
+			Service: LearntPace{e.service.mean, e.service.n}, Errors: e.errors, Losses: e.losses,
 			Isolated: e.mark == isolated, Ramping: e.mark == ramping}
 		if x.Ramping {
 			x.Ramped = now - e.coldFrom
@@ -141,7 +139,7 @@
 			continue // the lists differ
 		}
 		e.pace, e.service = pace{x.Pace.Mean, x.Pace.N}, pace{x.Service.Mean, x.Service.N}
-		e.choked, e.errors, e.losses = x.Choked, x.Errors, x.Losses
+		e.errors, e.losses = x.Errors, x.Losses
 		switch {
 		case x.Isolated && b.mayEject():
 			b.isolate(now, e, "by the process before")
@@ -153,7 +151,6 @@
 		&b.asked: l.Asked, &b.warm: l.Warm} {
 		*f = flow{sum: x.Now, top: x.Peak, at: now}
 	}
-	b.queue, b.queueAt = min(max(l.Queue, queueLeast), queueMost), now
 	b.errors, b.strays, b.repeatSpent = l.Errors, l.Strays, l.RepeatSpent
 	b.budget = min(l.Budget, retryReserve)
 	for i := range min(len(b.tenants), len(l.Shares)) {
@@ -189,7 +186,7 @@
 		most  float64
 	}
 	const huge = math.MaxFloat32
-	figures := []figure{{"queue", l.Queue, huge}, {"errors", l.Errors, 1}, {"strays", l.Strays, 1},
+	figures := []figure{{"errors", l.Errors, 1}, {"strays", l.Strays, 1},
 		{"budget", l.Budget, huge}, {"repeatSpent", l.RepeatSpent, huge}, {"all", math.Abs(l.All), huge}}
 	for i, c := range l.Classes {
 		if c.Name != classes[i].Name {
