Remove calls of the Host and settings that no decision uses

Seen: nothing in the decision module calls Host.Probe, Tell or CloseIdle, so that Probed and Told are empty, core.Loop.Probe, http1's prober and the laboratory's connections closed on request are never reached; and no decision reads a request's key, hint or write, nor mayProbe, peers, secondCopies, overShareWorth or passesDeadline. Found by looking for readers of each name.

Lines at fault: api.go (Host, Settings, Request, Probed), loop.go Probe and Tell, upstream.go Probe with TestProbe, wire.go Probe, Tell and CloseIdle, lab model CloseIdle.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,8 +29,6 @@
 	// one. When Send returns, the connection is closed or in the result, so that the call may be sent again. It may
 	// block until the attempt's context ends, and little longer.
 	Send(a *Attempt, over Conn) Result
-	// Probe asks an endpoint for its health.
-	Probe(e *Endpoint, timeout time.Duration) decision.Status
 }
 
 // Result is how an attempt ended.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -57,8 +57,6 @@
 	return res
 }
 
-func (b *bench) Probe(*Endpoint, time.Duration) decision.Status { return decision.OK }
-
 // lister is a Discovery that notes what it is asked for.
 type lister struct {
 	b       *bench
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -304,23 +304,6 @@
 	})
 }
 
-func (l *Loop) Probe(to decision.EndpointID) {
-	e := l.endpoints.byID[to]
-	if e == nil {
-		return
-	}
-	sent := time.Now()
-	go func() {
-		status := l.upstream.Probe(e, l.config.Settings.ConnectTimeout)
-		l.Post(func() {
-			l.balancer.Probed(l.now(), decision.Probed{Endpoint: to, Status: status, Elapsed: time.Since(sent)})
-		})
-	}()
-}
-
-// Tell has nowhere to send: the Balancer sends its peers nothing, and no peer sockets are opened for it.
-func (l *Loop) Tell(peer int, data []byte) {}
-
 func (l *Loop) Watch(on bool) {
 	l.discovery.Stop()
 	if on {
@@ -330,8 +313,6 @@
 
 func (l *Loop) Fetch() { l.discovery.Fetch() }
 
-func (l *Loop) CloseIdle(to decision.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
-
 func (l *Loop) Log(text string) { l.log.Info("decision.note", zap.String("text", text)) }
 
 // Follow turns to the discovery at another address. Its versions may count otherwise, so its whole list is
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -73,14 +73,10 @@
 	WorthByWork    bool    // worth counts for each unit of work, not for each request
 	GoalWhole      float64 // weight of all worth served in what the site counts,
 	GoalWorstClass float64 // and of the part of the worst-served class that is
-	OverShareWorth float64 // worth of a request beyond its tenant's share, as a share of its class's
 
 	// What the site permits.
 	MayCancel      bool
-	MayProbe       bool
-	MayTell        bool
-	SecondCopies   bool // two attempts of a request may be out at once
-	MaxAttempts    int  // sends for each request; 0 for no limit
+	MaxAttempts    int // sends for each request; 0 for no limit
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
 
@@ -88,10 +84,7 @@
 	MustAsk  bool          // changes come only after Watch or Fetch
 	AskEvery time.Duration // without asking for this long an instance counts as told
 
-	// PassesDeadline says that a call to the next tier carries the time its
-	// caller has left; false that it carries its class's whole deadline.
-	PassesDeadline bool
-	MarksRetry     bool // clients flag their repeats
+	MarksRetry bool // clients flag their repeats
 
 	// Cold endpoints: the share of capacity they start with, the time until
 	// they are warm, and the load (a multiple of present capacity, held for
@@ -150,18 +143,15 @@
 	ID     RequestID
 	Class  int
 	Tenant int
-	Key    string        // what the request concerns; may be empty
 	Left   time.Duration // time until the client gives this try up
-	Hint   time.Duration // expected work, where given
 	Repeat bool          // the client marks it as a repeat
-	Write  bool
-	Idle   int // callers' connections to this instance that stand idle beside its own
+	Idle   int           // callers' connections to this instance that stand idle beside its own
 	// Long says that most of it is still to come, and goes out as it does: Written tells of its end, and Left
 	// counts from there.
 	Long bool
 }
 
-// Status is how an attempt or a probe ended.
+// Status is how an attempt ended.
 type Status int
 
 // The outcomes of an attempt.
@@ -210,14 +200,6 @@
 	Spent    bool  // the request cannot be sent again: what went out of it is not kept
 }
 
-// Probed is the result of a probe.
-type Probed struct {
-	Endpoint EndpointID
-	Status   Status
-	Elapsed  time.Duration
-	Load     *Load // nil without a report
-}
-
 // State is an endpoint's state in the list.
 type State int
 
@@ -265,10 +247,7 @@
 	Fail(id RequestID)                                       // final answer: failed, promising nothing
 	Cancel(id RequestID, attempt int)
 	SetTimer(token uint64, after time.Duration)
-	Probe(to EndpointID)
-	Tell(peer int, data []byte) // peer -1: every peer
 	Watch(on bool)
 	Fetch()
-	CloseIdle(to EndpointID)
 	Log(text string)
 }
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -1248,10 +1248,4 @@
 	}
 }
 
-// Probed takes the result of a probe; this Balancer sends none, and passes it over.
-func (b *Balancer) Probed(now time.Duration, p Probed) {}
-
-// Told takes a peer's message; this Balancer sends none, and passes it over.
-func (b *Balancer) Told(now time.Duration, from int, data []byte) {}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -46,12 +46,9 @@
 func (h *recorder) SetTimer(token uint64, after time.Duration) {
 	h.timers[token] = h.now + after
 }
-func (h *recorder) Probe(EndpointID)        {}
-func (h *recorder) Tell(int, []byte)        {}
-func (h *recorder) Watch(bool)              { h.watches++ }
-func (h *recorder) Fetch()                  { h.fetches++ }
-func (h *recorder) CloseIdle(to EndpointID) {}
-func (h *recorder) Log(text string)         { h.logs = append(h.logs, text) }
+func (h *recorder) Watch(bool)      { h.watches++ }
+func (h *recorder) Fetch()          { h.fetches++ }
+func (h *recorder) Log(text string) { h.logs = append(h.logs, text) }
 
 // last is the latest send.
 func (h *recorder) last() sent { return h.sent[len(h.sent)-1] }
@@ -253,7 +250,6 @@
 		if i%2 == 0 {
 			d.list(Entry{Endpoint: EndpointID(i - 1), State: Gone})
 		}
-		d.b.Probed(d.now, Probed{Endpoint: EndpointID(i - 1)})
 		d.end(late, []Status{OK, Reset, Error, ConnectFailed, Cancelled}[i%5], 5*ms)
 		for d.attempts[late.id] > 1 && d.last().id == late.id && d.b.requests[late.id] != nil {
 			d.end(d.last(), OK, 5*ms)
@@ -962,8 +958,6 @@
 	d.b.Lapsed(d.now, "unknown")
 	d.b.Begun(d.now, "unknown", 0, 1)
 	d.b.Timer(d.now, 99)
-	d.b.Probed(d.now, Probed{Endpoint: 9})
-	d.b.Told(d.now, 3, nil)
 	d.ask(read)
 	s := d.last()
 	d.list(Entry{Endpoint: s.to, State: Gone})
@@ -1006,7 +1000,7 @@
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		s := settings()
-		s.MayCancel, s.SecondCopies = seed%2 == 0, seed%3 == 0
+		s.MayCancel = seed%2 == 0
 		s.Classes[book].Scope = []Scope{ScopeCell, ScopeZone, ScopeAll}[seed%3]
 		d := start(t, s, 8)
 		type state struct {
--- a/internal/decision/example_test.go
+++ b/internal/decision/example_test.go
@@ -17,11 +17,8 @@
 func (printer) Fail(id decision.RequestID)                             { fmt.Println("fail", id) }
 func (printer) Cancel(id decision.RequestID, attempt int)              {}
 func (printer) SetTimer(token uint64, after time.Duration)             {}
-func (printer) Probe(to decision.EndpointID)                           {}
-func (printer) Tell(peer int, data []byte)                             {}
 func (printer) Watch(on bool)                                          {}
 func (printer) Fetch()                                                 { fmt.Println("fetch the list") }
-func (printer) CloseIdle(to decision.EndpointID)                       {}
 func (printer) Log(text string)                                        { fmt.Println("log:", text) }
 
 // A Balancer is fed events with their times, and acts through its Host.
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -169,14 +169,7 @@
 	if (class.Effect == decision.Safe) != (r.Method == http.MethodGet) || r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, r.Method + ": not the method of this class"
 	}
-	if cookie, err := r.Cookie("obj"); err == nil {
-		req.Key = cookie.Value
-	}
-	if n, err := strconv.ParseInt(r.Header.Get("X-Estimate"), 10, 64); err == nil {
-		req.Hint = time.Duration(n) * time.Microsecond
-	}
 	req.Repeat = r.Header.Get("X-Resent") == "1"
-	req.Write = r.Method != http.MethodGet && r.Method != http.MethodHead
 	return req, ""
 }
 
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -670,26 +670,3 @@
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
-
-// Probe asks an endpoint for its health on a connection of its own.
-func (u *upstream) Probe(e *core.Endpoint, timeout time.Duration) decision.Status {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	transport := &http.Transport{DisableKeepAlives: true}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/health", nil)
-	if err != nil {
-		return decision.Moot
-	}
-	res, err := transport.RoundTrip(r)
-	switch {
-	case ctx.Err() != nil:
-		return decision.Timeout
-	case err != nil:
-		return decision.ConnectFailed
-	}
-	res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return decision.Error
-	}
-	return decision.OK
-}
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -378,26 +378,3 @@
 		}
 	}
 }
-
-func TestProbe(t *testing.T) {
-	var health atomic.Int64
-	health.Store(http.StatusOK)
-	x := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodGet || r.URL.Path != "/health" {
-			t.Errorf("probed with %s %s", r.Method, r.URL.Path)
-		}
-		w.WriteHeader(int(health.Load()))
-	})
-	up, e := &upstream{}, core.NewEndpoint(1, x.Address)
-	if got := up.Probe(e, patience); got != decision.OK {
-		t.Errorf("healthy: %v", got)
-	}
-	health.Store(http.StatusServiceUnavailable)
-	if got := up.Probe(e, patience); got != decision.Error {
-		t.Errorf("unwell: %v", got)
-	}
-	mute := peer(t, "s-2", func(w http.ResponseWriter, r *http.Request) { gone(r) })
-	if got := up.Probe(core.NewEndpoint(2, mute.Address), 100*time.Millisecond); got != decision.Timeout {
-		t.Errorf("mute: %v", got)
-	}
-}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -147,15 +147,6 @@
 	}
 }
 
-// CloseIdle closes an instance's connections that are not in use.
-func (s *Server) CloseIdle(in *Instance) {
-	if c := s.conns[in.N]; c != nil {
-		c.open -= c.idle
-		s.open -= c.idle
-		c.idle = 0
-	}
-}
-
 // Arrive takes an attempt that comes.
 func (s *Server) Arrive(a *Attempt) {
 	if !s.up {
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -252,7 +252,7 @@
 		"clientHabits": map[string]any{"marksRetry": set.MarksRetry}, "discovery": "push", "models": models, "zones": zones,
 		"goal": map[string]any{"whole": set.GoalWhole, "worstClass": set.GoalWorstClass}, "instances": set.Instances,
 		"ordinal": set.Ordinal, "stage": set.Stage, "tiers": tiers, "quantum": micros(set.Quantum),
-		"overShareWorth": set.OverShareWorth, "services": classes, "tenants": tenants,
+		"services": classes, "tenants": tenants,
 		"rules": map[string]any{"cold": micros(set.Cold), "coldFrom": set.ColdFrom, "fall": micros(set.Fall),
 			"graceToAnswer": micros(model.Grace), "tipMultiple": set.TipMultiple},
 	}
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -96,7 +96,7 @@
 	w.Checker.Taken(now, rules.Request{ID: string(m.ID), Origin: m.Origin, Instance: i.in.N, Deadline: m.Until,
 		Effect: c.Effect, Scope: c.Scope, Window: time.Duration(c.Window)})
 	i.seat.policy.Request(now, decision.Request{ID: m.ID, Class: m.Class, Tenant: m.Team, Left: r.ends - now,
-		Repeat: m.Repeat, Write: c.Effect != string(decision.Safe), Idle: 1 << 10})
+		Repeat: m.Repeat, Idle: 1 << 10})
 }
 
 // Lapse tells that whoever asked has given a try up.
@@ -303,14 +303,6 @@
 	})
 }
 
-func (s *seat) Probe(decision.EndpointID) {}
-func (s *seat) Tell(int, []byte)          {}
-func (s *seat) Watch(bool)                {}
-func (s *seat) Fetch()                    {}
-func (s *seat) Log(string)                {}
-
-func (s *seat) CloseIdle(to decision.EndpointID) {
-	if n := int(to); n >= 1 && n <= len(s.t.w.Servers) {
-		s.t.w.Servers[n-1].CloseIdle(s.in)
-	}
-}
+func (s *seat) Watch(bool) {}
+func (s *seat) Fetch()     {}
+func (s *seat) Log(string) {}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,34 +19,27 @@
 		ConnIdle       int64 `json:"connIdle"`
 		ConnectTimeout int64 `json:"connectTimeout"`
 		MaxRetryAfter  int64 `json:"maxRetryAfter"`
-		MayProbe       bool  `json:"mayProbe"`
 		OpenCap        int   `json:"openCap"`
-		Peers          bool  `json:"peers"`
 		RetryAfter     bool  `json:"retryAfter"`
-		SecondCopies   bool  `json:"secondCopies"`
 		SendCap        int   `json:"sendCap"`
 	} `json:"allowed"`
 	ClientHabits struct {
 		MarksRetry bool `json:"marksRetry"`
 	} `json:"clientHabits"`
-	Discovery  string   `json:"discovery"`
-	Models     []string `json:"models"`
-	Zones      []string `json:"zones"`
-	FamilyInfo struct {
-		PassesDeadline *bool `json:"passesDeadline"`
-	} `json:"familyInfo"`
-	Goal struct {
+	Discovery string   `json:"discovery"`
+	Models    []string `json:"models"`
+	Zones     []string `json:"zones"`
+	Goal      struct {
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worstClass"`
 	} `json:"goal"`
-	WorthBy        string  `json:"worthBy"`
-	Instances      int     `json:"instances"`
-	Ordinal        int     `json:"ordinal"`
-	Stage          int     `json:"stage"`
-	Quantum        int64   `json:"quantum"`
-	Tiers          []any   `json:"tiers"`
-	OverShareWorth float64 `json:"overShareWorth"`
-	Rules          struct {
+	WorthBy   string `json:"worthBy"`
+	Instances int    `json:"instances"`
+	Ordinal   int    `json:"ordinal"`
+	Stage     int    `json:"stage"`
+	Quantum   int64  `json:"quantum"`
+	Tiers     []any  `json:"tiers"`
+	Rules     struct {
 		AskEvery    int64   `json:"askEvery"`
 		Cold        int64   `json:"cold"`
 		ColdFrom    float64 `json:"coldFrom"`
@@ -125,15 +118,13 @@
 		GraceToAnswer: Micros(c.Rules.Grace), OpenCap: c.Allowed.OpenCap}
 	s.Settings = decision.Settings{
 		Instances: c.Instances, Ordinal: c.Ordinal, Stage: c.Stage, Tiers: len(c.Tiers), Quantum: Micros(c.Quantum),
-		OverShareWorth: c.OverShareWorth, WorthByWork: c.WorthBy == "work",
-		GoalWhole: c.Goal.Whole, GoalWorstClass: c.Goal.WorstClass,
-		MayCancel: c.Allowed.Cancel, MayProbe: c.Allowed.MayProbe, MayTell: c.Allowed.Peers,
-		SecondCopies: c.Allowed.SecondCopies, MaxAttempts: c.Allowed.SendCap,
+		WorthByWork: c.WorthBy == "work",
+		GoalWhole:   c.Goal.Whole, GoalWorstClass: c.Goal.WorstClass,
+		MayCancel: c.Allowed.Cancel, MaxAttempts: c.Allowed.SendCap,
 		ConnectTimeout: Micros(c.Allowed.ConnectTimeout),
 		MustAsk:        c.Discovery == "ask", AskEvery: Micros(c.Rules.AskEvery),
-		PassesDeadline: c.FamilyInfo.PassesDeadline == nil || *c.FamilyInfo.PassesDeadline,
-		MarksRetry:     c.ClientHabits.MarksRetry,
-		ColdFrom:       c.Rules.ColdFrom, Cold: Micros(c.Rules.Cold),
+		MarksRetry: c.ClientHabits.MarksRetry,
+		ColdFrom:   c.Rules.ColdFrom, Cold: Micros(c.Rules.Cold),
 		TipMultiple: c.Rules.TipMultiple, Fall: Micros(c.Rules.Fall),
 	}
 	if c.Allowed.RetryAfter {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -177,17 +176,15 @@
 		l := s.list(f)
 		return func(b *balancer) { b.Targets(now, l) }
 	case "knock":
-		r := decision.Request{ID: f.id("corr"), Class: int(f.number("type")),
-			Tenant: int(f.optional("userGroup")), Key: f.optionalText(), Left: f.time("left"),
-			Hint: settings.Micros(f.optional("workHint"))}
+		r := decision.Request{ID: f.id("corr"), Class: int(f.number("type")), Tenant: int(f.optional("userGroup"))}
+		f.optionalText() // what it concerns
+		r.Left = f.time("left")
+		f.optional("workHint")
 		bits := f.optional("attrs")
 		if r.Class < 0 || r.Class >= in.classes {
 			f.fail("type", "no such class")
 		}
-		if bits&1 == 0 {
-			r.Hint = 0
-		}
-		r.Repeat, r.Write = bits&2 != 0, bits&4 != 0
+		r.Repeat = bits&2 != 0
 		return func(b *balancer) { b.Request(now, r) }
 	case "begun":
 		id, n := f.id("corr"), int(f.number("n"))
@@ -204,14 +201,16 @@
 	case "wake":
 		token := uint64(f.number("label"))
 		return func(b *balancer) { b.Timer(now, token) }
-	case "echo":
-		p := decision.Probed{Endpoint: f.endpoint(), Status: f.status(), Elapsed: f.time("elapsed"),
-			Load: f.load()}
-		return func(b *balancer) { b.Probed(now, p) }
-	default: // inbox
-		from, data := int(f.number("by")), f.bytes()
-		return func(b *balancer) { b.Told(now, from, data) }
+	case "echo": // of a probe: none is sent
+		f.endpoint()
+		f.status()
+		f.time("elapsed")
+		f.load()
+	default: // inbox: no peer sends anything
+		f.number("by")
+		f.bytes()
 	}
+	return func(*balancer) {}
 }
 
 // start handles new_instance.
@@ -355,16 +354,6 @@
 	in.action("remind", "", int64(token), after.Microseconds())
 }
 
-func (in *instance) Probe(to decision.EndpointID) { in.action("check", "", int64(to)) }
-
-func (in *instance) Tell(peer int, data []byte) {
-	text := "-"
-	if len(data) > 0 {
-		text = base64.StdEncoding.EncodeToString(data)
-	}
-	fmt.Fprintf(in.s.out, "tell %d %d %s\n", in.number, peer, text)
-}
-
 func (in *instance) Watch(on bool) {
 	v := int64(0)
 	if on {
@@ -375,8 +364,6 @@
 
 func (in *instance) Fetch() { in.action("query_all", "") }
 
-func (in *instance) CloseIdle(to decision.EndpointID) { in.action("release", "", int64(to)) }
-
 func (in *instance) Log(text string) {
 	fmt.Fprintf(in.s.out, "trace %d %s\n", in.number, text)
 }
