An outcome ends the attempt that it is of, and no other

Seen: TestOutcomesOfOtherAttempts failed in six of eight rows. An outcome told twice, of an earlier attempt, or of another endpoint ended the attempt that was out in the module's books, and the request was sent again while that attempt was still out: two at a time, against the rule.

Lines at fault: Outcome and Begun in balancer.go went by the request's id alone. They go by the attempt's number and endpoint now (request.isOut).

Before: 1 further send in six rows.

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -723,7 +723,7 @@
 // Begun tells that a long answer has started: its endpoint has done its work, whatever the client's pace.
 func (b *Balancer) Begun(now time.Duration, id RequestID, attempt int, from EndpointID) {
 	r := b.requests[id]
-	if r == nil || r.to == nil || r.stream {
+	if r == nil || r.stream || !r.isOut(attempt, from) {
 		return
 	}
 	b.depart(r.to, r)
@@ -735,8 +735,8 @@
 // Outcome takes the end of an attempt.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	r := b.requests[o.ID]
-	if r == nil || r.to == nil {
-		return
+	if r == nil || !r.isOut(o.Attempt, o.Endpoint) {
+		return // told twice, or late: another attempt may be out, and is still to end
 	}
 	e := r.to
 	if !r.stream {
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -28,6 +28,7 @@
 	cancels          []sent
 	timers           map[uint64]time.Duration // token to due time
 	watches, fetches int
+	doubled          int // timers that were set while one of their token was running
 	logs             []string
 }
 
@@ -44,6 +45,9 @@
 	h.cancels = append(h.cancels, sent{id: id, attempt: n})
 }
 func (h *recorder) SetTimer(token uint64, after time.Duration) {
+	if _, ok := h.timers[token]; ok {
+		h.doubled++
+	}
 	h.timers[token] = h.now + after
 }
 func (h *recorder) Watch(bool)      { h.watches++ }
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -77,6 +77,11 @@
 	stray     bool // and was not for longer still
 }
 
+// isOut tells whether an attempt is the one that is out.
+func (r *request) isOut(attempt int, at EndpointID) bool {
+	return r.to != nil && r.to.id == at && attempt == r.attempts-1
+}
+
 // class is a class of request with what was seen of its latency.
 type class struct {
 	Class
