News older than what is known changes nothing; one loop places; a kind's pace has one owner

Seen: TestLateLists failed in five rows. A Ready of an older version brought a server back that drains or is gone, an older whole list too, and an older Gone took one away that is ready: the module compared no version. In core an older whole list of a watch was taken as it came, though a fetch may have overtaken it (TestOlderListsAreDropped, new step, failed: rev 5 after rev 6).

Lines at fault: Targets in balancer.go, targets in core/loop.go. The module drops what is older, unless the list says that versions count anew (another discovery, or one that has begun again); core asks anew where a watch brings an older whole list, and believes what is asked for then.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -325,6 +325,11 @@
 	if !open("s-1") || open("s-2") {
 		t.Error("a newer list is not followed")
 	}
+	tell(first, List{Rev: 5, All: true, Targets: []Target{ready("s-2", 0)}}, FromWatch)
+	if s := b.loop.Stats(); s.Rev != 6 || !s.Moved || !open("s-1") || open("s-2") {
+		t.Errorf("an older whole list of a watch is taken without a look at what holds now: %+v", s)
+	}
+	tell(b.loop.discovery, List{Rev: 6, All: true, Targets: []Target{ready("s-1", 0)}}, FromFetch)
 	b.loop.Follow("second")
 	tell(first, List{Rev: 9, All: true}, FromFetch)
 	b.loop.Post(func() { b.loop.ListFailed(first, errors.New("old")) })
@@ -336,7 +341,8 @@
 	if s := b.loop.Stats(); s.Rev != 2 || s.Moved || open("s-3") || !open("s-4") {
 		t.Errorf("the new discovery is followed from changes on, or not at all: %+v", s)
 	}
-	want := "[first watch first stop second fetch second watch second stop second watch]"
+	want := "[first watch first stop first fetch first watch first stop first watch " +
+		"first stop second fetch second watch second stop second watch]"
 	if got := fmt.Sprint(b.asked); got != want {
 		t.Errorf("asked %s, want %s", got, want)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -362,6 +362,7 @@
 // targets takes a list in, first into the table of endpoints, so that what the Balancer then sends finds
 // its address.
 func (l *Loop) targets(got List, from Source) {
+	anew := l.moved
 	switch {
 	case l.moved && !got.All:
 		return // changes to a list that the Balancer has not got
@@ -374,6 +375,10 @@
 		}
 	case from == FromFetch && got.Rev < l.rev || from == FromWatch && !got.All && got.Rev <= l.rev:
 		return // older than what the Balancer has: an endpoint that left would come back
+	case from == FromWatch && got.Rev < l.rev:
+		// It was under way for longer than a fetch, or discovery has begun to count anew: what is asked for now tells.
+		l.follow(l.address)
+		return
 	}
 	l.rev = got.Rev
 	entries, retired := l.endpoints.update(got)
@@ -387,7 +392,7 @@
 	case got.All:
 		kind = decision.Whole
 	}
-	l.balancer.Targets(l.now(), decision.List{Kind: kind, Version: got.Rev, Entries: entries})
+	l.balancer.Targets(l.now(), decision.List{Kind: kind, Version: got.Rev, Anew: anew, Entries: entries})
 	if from != FromCache || len(entries) > 0 {
 		l.life.haveList()
 	}
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -236,6 +236,7 @@
 type List struct {
 	Kind    ListKind
 	Version uint64
+	Anew    bool // versions count from this one on: it is another discovery's, or one that has begun anew
 	Entries []Entry
 }
 
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -113,6 +113,7 @@
 	byID     map[EndpointID]*endpoint
 	listed   []*endpoint // in the order of their ids
 	weighted bool        // the listed weights tell endpoints apart
+	version  uint64      // of the last list
 	requests map[RequestID]*request
 	classes  []class
 	kinds    []pace // by machine kind
@@ -282,39 +283,24 @@
 		if float64(b.out-b.lost+b.elder.all(now)) >= b.limit || b.paced && b.credit < 1 {
 			break
 		}
-		i := b.next(now)
-		r := b.held[i]
-		e, trial := b.pick(now, r)
+		first := b.next(now)
+		at := first
+		e, trial := b.pick(now, b.held[at])
+		// The first in line may be bound or barred by its last attempt, and another one not.
+		for i := 0; e == nil && b.held[first].attempts > 0 && i < len(b.held); i++ {
+			at = i
+			e, trial = b.pick(now, b.held[i])
+		}
 		if e == nil {
-			if !b.placeOther(now, i) {
-				break
-			}
-			continue
+			break
 		}
-		b.unhold(i)
+		r := b.held[at]
+		b.unhold(at)
 		b.send(now, r, e, trial)
 	}
 	b.shed(now)
 }
 
-// placeOther places another request when the first in line, bound or barred by its last attempt, cannot go.
-func (b *Balancer) placeOther(now time.Duration, not int) bool {
-	if b.held[not].attempts == 0 {
-		return false
-	}
-	for i, r := range b.held {
-		if i == not {
-			continue
-		}
-		if e, trial := b.pick(now, r); e != nil {
-			b.unhold(i)
-			b.send(now, r, e, trial)
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Balancer) unhold(i int) {
 	b.held[i].held = false
 	b.held = slices.Delete(b.held, i, i+1)
@@ -923,11 +909,7 @@
 	if !b.weighted {
 		return 1 / b.slow(e)
 	}
-	kind := 1.0
-	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
-		kind = b.kinds[e.kind].mean
-	}
-	return e.weight * kind / b.slow(e)
+	return e.weight * b.kindPace(e) / b.slow(e)
 }
 
 // mayEject keeps errors and silence from isolating too much of the list: so many at once share a cause.
@@ -1175,6 +1157,10 @@
 		b.rewatch()
 		return
 	}
+	if l.Version < b.version && !l.Anew {
+		return // older than what is known: an endpoint that has left would come back
+	}
+	b.version = l.Version
 	if l.Kind != Delta {
 		for _, e := range b.listed {
 			e.listed = false
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -263,6 +263,12 @@
 	if len(d.b.byID) > goneMost+4 {
 		t.Errorf("%d endpoints are remembered", len(d.b.byID))
 	}
+	for len(d.b.requests) > 0 { // what a ramp let go out later
+		for _, s := range d.sent {
+			d.end(s, OK, 5*ms)
+		}
+		d.pass(20 * ms)
+	}
 	d.now += d.b.set.Cold
 	d.list(Entry{Endpoint: 99, Weight: 1})
 	if len(d.b.byID) != 1 || len(d.b.listed) != 1 || len(d.b.requests) != 0 || d.b.out != 0 {
--- a/internal/decision/odd_test.go
+++ b/internal/decision/odd_test.go
@@ -149,6 +149,34 @@
 	}
 }
 
+// News that is older than what is known changes nothing, unless it is another discovery's.
+func TestLateLists(t *testing.T) {
+	ready := Entry{Endpoint: 1, Weight: 1}
+	for name, c := range map[string]struct {
+		known State
+		late  List
+		want  bool // endpoint 1 may be called after it
+	}{
+		"ready after draining":        {Draining, List{Kind: Delta, Version: 6, Entries: []Entry{ready}}, false},
+		"ready after gone":            {Gone, List{Kind: Delta, Version: 6, Entries: []Entry{ready}}, false},
+		"whole after gone":            {Gone, List{Kind: Whole, Version: 6, Entries: []Entry{ready}}, false},
+		"gone after ready":            {Ready, List{Kind: Delta, Version: 6, Entries: []Entry{{Endpoint: 1, State: Gone}}}, true},
+		"whole without it":            {Ready, List{Kind: Whole, Version: 6}, true},
+		"newer":                       {Gone, List{Kind: Delta, Version: 8, Entries: []Entry{ready}}, true},
+		"the same again":              {Draining, List{Kind: Delta, Version: 7, Entries: []Entry{{Endpoint: 1, State: Draining}}}, false},
+		"another discovery's, ready":  {Gone, List{Kind: Whole, Version: 2, Anew: true, Entries: []Entry{ready}}, true},
+		"another discovery's, absent": {Ready, List{Kind: Whole, Version: 2, Anew: true}, false},
+	} {
+		d := start(t, settings(), 2)
+		d.tell(7, Entry{Endpoint: 1, Weight: 1, State: c.known})
+		d.b.Targets(d.now, c.late)
+		e := d.b.byID[1]
+		if got := e != nil && e.listed && e.mark <= ramping; got != c.want {
+			t.Errorf("%s: may be called %v", name, got)
+		}
+	}
+}
+
 // An outcome, or the beginning of an answer, that is of no attempt that is out is passed over: nothing is sent while
 // another attempt is out, and nothing is answered twice.
 func TestOutcomesOfOtherAttempts(t *testing.T) {
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -213,11 +213,15 @@
 
 // slow is an endpoint's latency over the fleet's, drawn towards its kind's while its own answers are few.
 func (b *Balancer) slow(e *endpoint) float64 {
-	kind := 1.0
+	return (paceTrust*b.kindPace(e) + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
+}
+
+// kindPace is the latency over the fleet's of an endpoint's kind; 1 while too few answers tell.
+func (b *Balancer) kindPace(e *endpoint) float64 {
 	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
-		kind = b.kinds[e.kind].mean
+		return b.kinds[e.kind].mean
 	}
-	return (paceTrust*kind + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
+	return 1
 }
 
 func (b *Balancer) noteError(e *endpoint, x float64) {
