A discovery that fails is asked by one watch after another, and one call is one request

Seen: TestFailedListsAskNoMoreOften: 24 timers of a watch set while one was running, in two minutes of failing. Each list that fails set a timer of its own, so that a fetch that fails beside a watch began one more chain of watches for good: the discovery that is down is asked ever more often. TestOneCallIsOneRequest: where discovery answers 302 or 307, one fetch was 10 requests, one watch 10.

Ruled out: core and the watcher: Stop and Watch replace a watch that is under way, a second fetch is not begun beside one. net/http repeats nothing on connections that are not kept.

Lines at fault: rewatch in balancer.go knew nothing of a timer that runs; the http.Client in discovery.go followed redirects, its default.

Before: 24 doubled timers, 10 requests a call; after: none, 1.

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -153,6 +153,7 @@
 	succeeded  bool          // and that another one serves in its place
 	fetchAt    time.Duration // no fetch before
 	watchPause time.Duration
+	watchDue   bool // after it
 }
 
 // Timer tokens.
@@ -1091,6 +1092,7 @@
 		b.place(now)
 		b.arm()
 	case tokenWatch:
+		b.watchDue = false
 		b.host.Watch(true)
 	}
 }
@@ -1210,9 +1212,10 @@
 
 // rewatch subscribes after a pause that doubles with each failure, spread: many must not ask at once.
 func (b *Balancer) rewatch() {
-	if !b.set.MustAsk {
+	if !b.set.MustAsk || b.watchDue {
 		return
 	}
+	b.watchDue = true
 	first := max(seconds(watchShare*b.set.AskEvery.Seconds()), b.tick)
 	b.watchPause = min(max(2*b.watchPause, first), max(b.set.AskEvery, first))
 	b.host.SetTimer(tokenWatch, seconds(b.watchPause.Seconds()*b.rng.Float64()))
--- a/internal/decision/odd_test.go
+++ b/internal/decision/odd_test.go
@@ -294,3 +294,35 @@
 		}
 	}
 }
+
+// While lists fail there is one watch after another, and no more with each failure: the discovery that is down must not
+// be asked ever more often by those that it fails.
+func TestFailedListsAskNoMoreOften(t *testing.T) {
+	s := settings()
+	s.MustAsk = true
+	d := start(t, s, 4)
+	d.serve(40, nil)
+	d.pass(2 * time.Second)
+	// Each watch fails, and each fetch, that connections which break ask for.
+	before, from := d.watches+d.fetches, d.now
+	told := before
+	d.b.Targets(d.now, List{Kind: Failed})
+	for d.now < from+120*time.Second {
+		d.ask(read)
+		d.end(d.last(), ConnectFailed, ms)
+		for len(d.sent) > 0 && d.b.requests[d.last().id] != nil {
+			d.end(d.last(), ConnectFailed, ms)
+		}
+		d.pass(100 * ms)
+		for ; told < d.watches+d.fetches; told++ {
+			d.b.Targets(d.now, List{Kind: Failed})
+		}
+	}
+	// A watch at most each AskEvery at random, half of that on average, and a fetch each 3.75 s at the least.
+	if got := d.watches + d.fetches - before; got > 24+8+32 {
+		t.Errorf("%d calls in two minutes (%d watches)", got, d.watches)
+	}
+	if d.doubled > 0 {
+		t.Errorf("%d timers set while one was running", d.doubled)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -56,7 +56,9 @@
 func New(address string, to core.Sink, o Options) core.Discovery {
 	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
 	return &watcher{url: "http://" + address + "/v1/endpoints", sink: to, log: o.Log, again: !o.MustAsk,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+			// One call is one request: where it points elsewhere it has failed.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
 // Watch begins to watch for what changes after a version; nil asks for the whole list first. Like Stop it
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,6 +147,26 @@
 	}
 }
 
+// A call of a discovery is one request: where it answers with another place, or fails, nothing else is asked.
+func TestOneCallIsOneRequest(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect, http.StatusServiceUnavailable} {
+		var asked atomic.Int64
+		s, w := play(t, true, func(w http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			w.Header().Set("Location", "/v1/endpoints?elsewhere=1")
+			w.WriteHeader(status)
+		})
+		s.Post(w.Fetch)
+		if got := next(t, s.told); got != "failed" || asked.Load() != 1 {
+			t.Errorf("status %d: a fetch is %q after %d requests", status, got, asked.Load())
+		}
+		watch(s, w, 1)
+		if got := next(t, s.told); got != "failed" || asked.Load() != 2 {
+			t.Errorf("status %d: a watch is %q after %d requests in all", status, got, asked.Load())
+		}
+	}
+}
+
 // A fetch brings the whole list; one that fails does not end a watch that stands, and is told of where there is none.
 func TestFetch(t *testing.T) {
 	watches, replies := make(chan bool, 8), make(chan string, 8)
