What a successor has servers open to is decided in the policy file; a longest wait is bounded

Seen: Inherit in succession.go chose which servers are isolated or ramp, a decision beside the policy file. And a predecessor's longest time left beyond a class's deadline was taken (TestWhatIsNotInherited, new row, failed): where work comes from a tier above, all that comes then looks long waited for, and is refused.

Ruled out: weigh, slow, look, follow, the buckets and predecessor in state.go and succession.go: they keep and smooth figures. That isolate and ramp are called is events, not choices.

Lines at fault: the switch in Inherit, now heed in balancer.go; Learnt.check, where maxLeft had the bound of a float. Room by an if in Targets for what rewatch looks at itself.

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -946,6 +946,15 @@
 	b.host.Log(fmt.Sprintf("endpoint %d isolated: %s (list version %d)", e.id, why, e.version))
 }
 
+// heed takes what the process before an instance's has an endpoint open to.
+func (b *Balancer) heed(now time.Duration, e *endpoint, x LearntEndpoint) {
+	if x.Isolated && b.mayEject() {
+		b.isolate(now, e, "by the process before")
+	} else if x.Ramping && e.mark == usable {
+		b.ramp(now, e, now-x.Ramped)
+	}
+}
+
 // postpone doubles the wait for the next trial call after one that failed.
 func (b *Balancer) postpone(now time.Duration, e *endpoint) {
 	e.trialPause = min(2*e.trialPause, max(b.set.Cold, b.window))
@@ -1200,10 +1209,9 @@
 	b.weigh()
 	slices.SortFunc(b.listed, func(x, y *endpoint) int { return int(int64(x.id) - int64(y.id)) })
 	b.count()
-	switch {
-	case l.Kind == Cached && b.set.MustAsk:
+	if l.Kind == Cached {
 		b.rewatch()
-	case l.Kind != Cached:
+	} else {
 		b.watchPause = 0
 	}
 	b.place(now)
--- a/internal/decision/succession.go
+++ b/internal/decision/succession.go
@@ -140,12 +140,7 @@
 		}
 		e.pace, e.service = pace{x.Pace.Mean, x.Pace.N}, pace{x.Service.Mean, x.Service.N}
 		e.errors, e.losses = x.Errors, x.Losses
-		switch {
-		case x.Isolated && b.mayEject():
-			b.isolate(now, e, "by the process before")
-		case x.Ramping && e.mark == usable:
-			b.ramp(now, e, now-x.Ramped)
-		}
+		b.heed(now, e, x)
 	}
 	for f, x := range map[*flow]LearntRate{&b.rate: l.Rate, &b.spare: l.Spare, &b.served: l.Served,
 		&b.asked: l.Asked, &b.warm: l.Warm} {
@@ -192,10 +187,13 @@
 		if c.Name != classes[i].Name {
 			return fmt.Errorf("learnt: classes[%d] is %q, here it is %q", i, c.Name, classes[i].Name)
 		}
-		key := fmt.Sprintf("classes[%d].", i)
+		key, longest := fmt.Sprintf("classes[%d].", i), huge
+		if d := classes[i].Deadline; d > 0 {
+			longest = d.Seconds() // more would make all that comes look long waited for
+		}
 		figures = append(figures, figure{key + "windows", float64(c.Windows), huge}, figure{key + "mean", c.Mean, huge},
 			figure{key + "base", c.Base, huge}, figure{key + "usual", c.Usual, huge}, figure{key + "tail", c.Tail, huge},
-			figure{key + "maxLeft", c.MaxLeft.Seconds(), huge}, figure{key + "asked", c.Asked, huge},
+			figure{key + "maxLeft", c.MaxLeft.Seconds(), longest}, figure{key + "asked", c.Asked, huge},
 			figure{key + "good", c.Good, huge})
 		if c.Windows > 0 && !(c.Mean > 0 && c.Base > 0 && c.Usual > 0 && c.Tail > 0) {
 			return fmt.Errorf("learnt: %s a latency is not above 0", key)
--- a/internal/decision/succession_test.go
+++ b/internal/decision/succession_test.go
@@ -155,6 +155,7 @@
 		"latency":      func(l *Learnt) { l.Classes[0].Mean = 0 },
 		"windows":      func(l *Learnt) { l.Classes[0].Windows = -1 },
 		"maxLeft":      func(l *Learnt) { l.Classes[0].MaxLeft = -1 },
+		"1].maxLeft":   func(l *Learnt) { l.Classes[1].MaxLeft = time.Hour }, // all would look long waited for
 		"rate.peak":    func(l *Learnt) { l.Rate.Peak = math.NaN() },
 		"served.now":   func(l *Learnt) { l.Served.Now = math.Inf(1) },
 		"errors":       func(l *Learnt) { l.Errors = 1.1 },
