Bad input on the wire is named and bounded; an answer's trailer brings no second length

Seen: a negative tenant on the wire was an index out of range in the module (a crash of the instance), a machine kind of 5,000,000,000 a table of that size; notes on unknown events were kept without end. A Content-Length in the trailer of an endpoint's answer was passed on (TestTrailers, once TestUploadTrailer, failed for answers); in an upload's it was not.

Ruled out: sockets: tenants and kinds are numbered by the program there, with 256 names at most. TestOddListsAndOutcomes, new, passes: lists and outcomes that come twice or late on the wire.

Lines at fault: decode and readList in wire.go, noteOnce, answerBody.Read in upstream.go.

--- a/internal/http1/chunked_test.go
+++ b/internal/http1/chunked_test.go
@@ -139,10 +139,15 @@
 	})
 }
 
-func TestUploadTrailer(t *testing.T) {
+func TestTrailers(t *testing.T) {
 	text := "0\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\nX-Sum: 1\r\n\r\n"
 	b := newRequestBody(&http.Request{ContentLength: -1}, bufio.NewReader(strings.NewReader(text)))
 	if _, err := io.ReadAll(b); err != nil || fmt.Sprint(b.trailer()) != "map[X-Sum:[1]]" {
 		t.Errorf("got %v, %v", b.trailer(), err)
 	}
+	c := newChunked(bufio.NewReader(strings.NewReader(text)))
+	answer := &answerBody{chunks: c, reader: c, length: -1, longest: maxLong}
+	if _, err := io.ReadAll(answer); err != nil || fmt.Sprint(answer.trailer) != "map[X-Sum:[1]]" {
+		t.Errorf("of an answer: got %v, %v", answer.trailer, err)
+	}
 }
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -609,6 +609,7 @@
 			return n, fault
 		}
 		removeHopByHop(trailer)
+		trailer.Del("Content-Length") // a second length, as in an upload's
 		b.trailer = trailer
 	}
 	b.ended = errors.Is(err, io.EOF)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,8 +16,11 @@
 	"dykering/internal/settings"
 )
 
-// maxLists is how many numbered lists the protocol has.
-const maxLists = 16
+const (
+	maxLists = 16      // numbered lists that the protocol has
+	maxNotes = 64      // notes on what is passed over
+	maxKinds = 1 << 16 // of machines: figures are kept of each
+)
 
 // server hosts the instances of one process.
 type server struct {
@@ -130,7 +133,7 @@
 
 // noteOnce prints a note the first time its text comes up.
 func (s *server) noteOnce(text string) {
-	if !s.noted[text] {
+	if !s.noted[text] && len(s.noted) < maxNotes {
 		s.noted[text] = true
 		fmt.Fprintln(s.notes, "dykering-sim: "+text)
 	}
@@ -184,6 +187,9 @@
 		if r.Class < 0 || r.Class >= in.classes {
 			f.fail("type", "no such class")
 		}
+		if r.Tenant < 0 {
+			f.fail("userGroup", "negative")
+		}
 		r.Repeat = bits&2 != 0
 		return func(b *balancer) { b.Request(now, r) }
 	case "begun":
@@ -308,6 +314,9 @@
 		entries = append(entries, decision.Entry{Endpoint: item.endpoint(), Zone: int(item.number("area")),
 			Kind: int(item.number("kind")), Cell: int(item.number("stripe")), State: item.state(),
 			Weight: item.float("units"), Started: settings.Micros(item.optional("cameUp"))})
+		if k := entries[i].Kind; item.err == nil && (k < 0 || k >= maxKinds) {
+			item.fail("kind", "out of range")
+		}
 		if item.err != nil {
 			return item.err
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -86,6 +87,13 @@
 	if out != "eor\n" || notes != want || fault != "" {
 		t.Errorf("out %q, notes %q, fault %q", out, notes, fault)
 	}
+	var many []string
+	for i := range 3 * maxNotes {
+		many = append(many, fmt.Sprint("surprise", i))
+	}
+	if _, notes, _ := run(t, batch("1000000", many...)); strings.Count(notes, "\n") != maxNotes {
+		t.Errorf("%d notes are kept", strings.Count(notes, "\n"))
+	}
 }
 
 func TestMalformedInputNamesLineAndField(t *testing.T) {
@@ -100,6 +108,8 @@
 		"bad number":      {batch("1", with("knock 3 t/a 0 - - x - 0")...), `field left: "x" is not a whole number`},
 		"absent required": {batch("1", with("knock 3 t/a - - - 5 - 0")...), "field type: missing"},
 		"unknown class":   {batch("1", with("knock 3 t/a 7 - - 5 - 0")...), "field type: no such class"},
+		"bad tenant":      {batch("1", with("knock 3 t/a 0 -1 - 5 - 0")...), "field userGroup: negative"},
+		"bad kind":        {batch("1", "ledger 0 1", "item 1 0 5000000000 0 2 1 -"), "field kind: out of range"},
 		"unknown ending":  {batch("1", with("closed_attempt 3 t/a 77 1 5 999 0 -")...), "field ending: unknown outcome 999"},
 		"bad flag":        {batch("1", with("closed_attempt 3 t/a 77 2 5 100 0 -")...), "field final"},
 		"bad load":        {batch("1", with("closed_attempt 3 t/a 77 1 5 100 0 queue")...), "field pressure"},
@@ -138,3 +148,43 @@
 		t.Errorf("got %q, want %q", o.String(), want)
 	}
 }
+
+// Lists and outcomes that come twice, late or of what has gone are taken in stride on the wire too: a server that has
+// left gets nothing, one that is back gets a call, and an outcome ends its own attempt only.
+func TestOddListsAndOutcomes(t *testing.T) {
+	two := []string{start("3"), "ledger 0 2", "item 77 0 0 0 2 1 -", "item 88 0 0 0 2 1 -", "targets 3 2 0 41"}
+	state := func(version, endpoint, mode string) []string {
+		return []string{"ledger 1 1", "item " + endpoint + " 0 0 0 " + mode + " 1 -", "targets 3 0 1 " + version}
+	}
+	const drains, gone, ready = "0", "1", "2"
+	for name, c := range map[string]struct {
+		lists [][]string
+		to    string // where a request goes then; none where it is refused
+	}{
+		"drains twice":      {[][]string{state("42", "77", drains), state("42", "77", drains)}, "88"},
+		"gone, then drains": {[][]string{state("42", "77", gone), state("43", "77", drains)}, "88"},
+		"gone, late ready":  {[][]string{state("43", "77", gone), state("42", "77", ready)}, "88"},
+		"drains, late":      {[][]string{state("43", "77", drains), state("42", "77", ready)}, "88"},
+		"gone and back":     {[][]string{state("42", "77", gone), state("43", "88", drains), state("44", "77", ready)}, "77"},
+		"both gone":         {[][]string{state("42", "77", gone), state("43", "88", gone)}, ""},
+	} {
+		events := two
+		for _, l := range c.lists {
+			events = append(events[:len(events):len(events)], l...)
+		}
+		out, _, fault := run(t, batch("1000000", append(events, "knock 3 t/a 0 - - 2000000 - 0")...))
+		want := "dispatch 3 t/a " + c.to + " 0\n"
+		if c.to == "" {
+			want = "overload_reply 3 t/a "
+		}
+		if !strings.Contains(out, want) || fault != "" {
+			t.Errorf("%s: got %q, fault %q", name, out, fault)
+		}
+	}
+	out, _, fault := run(t, batch("1000000", append(two, "knock 3 t/a 0 - - 2000000 - 0")...)+
+		batch("1010000", "closed_attempt 3 t/a 77 0 10000 302 0 -", "closed_attempt 3 t/a 88 0 10000 302 0 -",
+			"closed_attempt 3 t/a 77 0 10000 302 0 -", "closed_attempt 3 t/a 88 0 10000 302 0 -"))
+	if n := strings.Count(out, "dispatch 3 t/a"); n != 2 || fault != "" {
+		t.Errorf("%d attempts after outcomes of the first, told twice: %q, fault %q", n, out, fault)
+	}
+}
