--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -78,6 +78,7 @@
 
 	// Errors: an endpoint is judged against the fleet, for the tier below may be at fault.
 	errorWeight   = 0.3  // of one answer in an endpoint's error share: two in a row pass ejectAt
+	spoiltWeight  = 0.08 // of one that is of no use, as every endpoint sends some: eight in a row pass it
 	fleetWeight   = 0.02 // of one answer in the fleet's
 	ejectAt       = 0.45 // error share that ejects
 	ejectRatio    = 3.0  // and at least so many times the fleet's
@@ -775,16 +776,14 @@
 		if now <= r.aimBy {
 			r.class.good++
 		}
-		b.noteError(e, 0)
+		b.noteError(e, 0, errorWeight)
 		b.budget = min(b.budget+retryShare, retryReserve)
 		if r.trial && e.mark == isolated {
 			b.restore(now, e)
 		}
 		return
-	case Spoilt:
-		return // it tells nothing of the endpoint but that it answers: every one sends some
-	case Error:
-		b.noteError(e, 1)
+	case Error, Spoilt:
+		b.noteError(e, 1, map[Status]float64{Error: errorWeight, Spoilt: spoiltWeight}[o.Status])
 		if e.errors >= ejectAt && e.errors >= ejectRatio*b.errors && b.mayEject() {
 			b.isolate(now, e, "errors")
 		}
--- a/internal/decision/odd_test.go
+++ b/internal/decision/odd_test.go
@@ -326,3 +326,30 @@
 		t.Errorf("%d timers set while one was running", d.doubled)
 	}
 }
+
+// A server of which every answer is of no use, or that breaks off each connection it accepts, is isolated like one that
+// fails fast; where every server spoils some, or all do alike, none is.
+func TestServerThatSpoilsAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoils func(d *bed, to EndpointID) bool
+		most   int // calls of 400 to endpoint 1
+		least  int
+		marked bool
+	}{
+		"one spoils all":   {func(d *bed, to EndpointID) bool { return to == 1 }, 40, 1, true},
+		"each spoils some": {func(d *bed, to EndpointID) bool { return d.b.rng.Float64() < 0.1 }, 400, 70, false},
+		"all spoil all":    {func(d *bed, to EndpointID) bool { return true }, 800, 70, false},
+	} {
+		d := start(t, settings(), 4)
+		d.serve(60, nil)
+		got := d.serve(400, func(to EndpointID) Status {
+			if c.spoils(d, to) {
+				return Spoilt
+			}
+			return OK
+		})
+		if got[1] > c.most || got[1] < c.least || (len(d.logs) > 0) != c.marked {
+			t.Errorf("%s: %d calls to it, %v", name, got[1], d.logs)
+		}
+	}
+}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -224,8 +224,9 @@
 	return 1
 }
 
-func (b *Balancer) noteError(e *endpoint, x float64) {
-	e.errors += errorWeight * (x - e.errors)
+// noteError takes an answer into the error shares of its endpoint and the fleet.
+func (b *Balancer) noteError(e *endpoint, x, weight float64) {
+	e.errors += weight * (x - e.errors)
 	b.errors += fleetWeight * (x - b.errors)
 }
 
