Sockets at the cap, attempts without a bound, a weight that cannot be: each has its end

Seen: TestNoSocketsLeft: with no connection to be had, a call was served all the same: each failed acquire gave back a place that it never had, so that the pool's bound rose by one each time and Stats counted -1 connections. TestAttemptsAreBounded: where a site names no limit on sends, a request was sent 102 times in a second to servers that refuse, and on. TestOddWeights: one capacity_hint of 1e308 (or infinite, not a number) drew all 200 calls of four servers to one.

Lines at fault: closed in core/loop.go released without asking whether acquire had given; again and retriable took 0 for no bound, which is ten now; weigh in state.go took any weight above 0, and takes a list with one beyond a million for one without weights. A process without a list refuses at once with Retry-After (TestNoListNoAccept looks at both now).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -405,6 +405,34 @@
 	}
 }
 
+// Where no connection may be made and none is idle, a call is refused at once after its attempts, and told when to come
+// back; it is served again once there is room.
+func TestNoSocketsLeft(t *testing.T) {
+	b := newBench(t, nil, ready("s-1", 0), ready("s-2", 0))
+	b.send = func(a *Attempt, n int) Result { return b.served("ok") }
+	most := 0
+	b.loop.Post(func() { most, b.loop.pool.most = b.loop.pool.most, 0 })
+	for _, class := range []int{read, once} {
+		c := b.ask(fmt.Sprint("full", class), class)
+		select {
+		case a := <-c.Final:
+			if !a.Refused || a.RetryAfter <= 0 {
+				t.Errorf("class %d: %+v", class, a)
+			}
+		case <-time.After(patience / 10):
+			t.Errorf("class %d: it waits", class)
+		}
+	}
+	b.loop.Post(func() { b.loop.pool.most = most })
+	if got := b.final(b.ask("after", once)); got != "ok" {
+		t.Error(got)
+	}
+	b.until("nothing is left", func(s Stats) bool { return s.Calls+s.Out == 0 && s.Conns == s.Idle })
+	if n := len(b.sends["full0"]) + len(b.sends["full1"]); n > 0 {
+		t.Errorf("%d attempts went out", n)
+	}
+}
+
 // Stopping is for good, and a drain before it ends in it.
 func TestLifecycle(t *testing.T) {
 	f := newLifecycle(zap.NewNop())
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -150,10 +150,9 @@
 	l.forget(c)
 }
 
-// closed takes the end of an attempt; its connection is closed or fit for another one.
+// closed takes the end of an attempt, whose connection has been given back.
 func (l *Loop) closed(a *Attempt, res Result) {
 	c := a.Call
-	l.pool.release(a.Endpoint, res.Conn)
 	c.out = nil
 	final := c.answered
 	switch {
@@ -275,7 +274,12 @@
 		if ok {
 			res = l.upstream.Send(a, conn)
 		}
-		l.Post(func() { l.closed(a, res) })
+		l.Post(func() {
+			if ok { // else it never had a place
+				l.pool.release(a.Endpoint, res.Conn)
+			}
+			l.closed(a, res)
+		})
 	}()
 }
 
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -76,7 +76,7 @@
 
 	// What the site permits.
 	MayCancel      bool
-	MaxAttempts    int // sends for each request; 0 for no limit
+	MaxAttempts    int // sends for each request; 0 where the site names no limit
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
 
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -171,6 +171,7 @@
 	b := &Balancer{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
 		byID: map[EndpointID]*endpoint{}, requests: map[RequestID]*request{}, budget: retryReserve,
 		strays: 0.5, endsAt: math.MaxInt64}
+	b.set.MaxAttempts = cmp.Or(set.MaxAttempts, retryReserve) // without end is no bound for a fleet that refuses
 	b.window = cmp.Or(set.Fall, time.Second)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
@@ -387,9 +388,9 @@
 	return r.aimBy - seconds(slackMeans*r.class.mean)
 }
 
-// shed refuses what is held beyond what can be sent in time, as soon as that shows: what no endpoint may serve,
-// will miss its aim or could not even be answered at little load, and the least worth when more is held than the
-// rate works off.
+// shed refuses what is held beyond what can be sent in time, as soon as that shows: what no endpoint may
+// serve, will miss its aim or could not even be answered at little load, and the least worth when more is
+// held than the rate works off.
 func (b *Balancer) shed(now time.Duration) {
 	room := max(int(holdPerSecond*b.served.value(now, b.window)), len(b.listed))
 	if b.hidden {
@@ -1012,7 +1013,7 @@
 		}
 		b.budget--
 	}
-	if o.Spent || b.set.MaxAttempts > 0 && r.attempts >= b.set.MaxAttempts || now+b.tick >= r.deadline {
+	if o.Spent || r.attempts >= b.set.MaxAttempts || now+b.tick >= r.deadline {
 		b.finish(now, r)
 		return
 	}
@@ -1168,7 +1169,7 @@
 // retriable tells whether a call that is out can be withdrawn and sent again in time; a long one is not kept.
 func (b *Balancer) retriable(now time.Duration, r *request) bool {
 	return !r.done && !r.long && r.class.Effect != Unsafe && b.budget >= 1 &&
-		now+seconds(r.class.base) < r.aimBy && (b.set.MaxAttempts == 0 || r.attempts < b.set.MaxAttempts)
+		now+seconds(r.class.base) < r.aimBy && r.attempts < b.set.MaxAttempts
 }
 
 // Targets takes news of the endpoint list.
@@ -1266,8 +1267,8 @@
 	}
 }
 
-// since is from when on the ramp of an endpoint counts that is back, where nothing showed a restart: it need not
-// begin anew, but what was cold before is no warmer for having been away.
+// since is from when on the ramp of an endpoint counts that is back, where nothing showed a restart: it need
+// not begin anew, but what was cold before is no warmer for having been away.
 func (b *Balancer) since(now time.Duration, e *endpoint) time.Duration {
 	from := now - seconds(returnedWarm*b.set.Cold.Seconds())
 	if last := max(e.coldFrom, e.started); last > 0 {
--- a/internal/decision/odd_test.go
+++ b/internal/decision/odd_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -353,3 +354,37 @@
 		}
 	}
 }
+
+// However often what was sent never ran, a request has so many attempts, and then its answer: also where the platform
+// names no bound.
+func TestAttemptsAreBounded(t *testing.T) {
+	for _, status := range []Status{Full, ConnectFailed, Moot} {
+		for most, want := range map[int]int{4: 4, 0: retryReserve} {
+			s := settings()
+			s.MaxAttempts = most
+			d := start(t, s, 3)
+			id := d.ask(pay)
+			for at := 0; at < len(d.sent) && at <= 100; at++ {
+				d.end(d.sent[at], status, ms)
+				d.pass(10 * ms)
+			}
+			if got := d.attempts[id]; got > want || len(d.refusals) != 1 {
+				t.Errorf("%v with a bound of %d: %d attempts, refused %v", status, most, got, d.refusals)
+			}
+		}
+	}
+}
+
+// A list with a weight that cannot be is taken as one without weights: each server is called, as if all were alike.
+func TestOddWeights(t *testing.T) {
+	for _, odd := range []float64{1e308, math.Inf(1), math.NaN(), -1, 0} {
+		d := start(t, settings(), 4)
+		d.tell(3, Entry{Endpoint: 2, Weight: odd})
+		got := d.serve(200, nil)
+		for id := EndpointID(1); id <= 4; id++ {
+			if got[id] < 20 {
+				t.Errorf("weight %v: calls %v", odd, got)
+			}
+		}
+	}
+}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -230,9 +230,12 @@
 	b.errors += fleetWeight * (x - b.errors)
 }
 
-// weigh notes whether the listed weights are all above 0 and tell endpoints apart.
+// mostWeight is more than any weight can be: with one that cannot, a list tells nothing of sizes.
+const mostWeight = 1e6
+
+// weigh notes whether the listed weights are all such as can be, and tell endpoints apart.
 func (b *Balancer) weigh() {
 	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
-	none := func(e *endpoint) bool { return e.weight <= 0 }
+	none := func(e *endpoint) bool { return !(e.weight > 0 && e.weight <= mostWeight) }
 	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
 }
--- a/internal/http1/inherit_test.go
+++ b/internal/http1/inherit_test.go
@@ -104,8 +104,10 @@
 	old.stop()
 	old.over()
 	heir.txn.Store(1000)
-	if res := heir.once("once"); res.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("alone and without a list: %+v", res)
+	began := time.Now()
+	if res := heir.once("once"); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" ||
+		time.Since(began) > acceptBy+2*time.Second {
+		t.Errorf("alone and without a list, after %v: %+v", time.Since(began), res)
 	}
 	line, _ := json.Marshal(endpointList{Rev: 2, All: true, Targets: []target{endpoint}})
 	heir.lists <- string(line)
