Older whole lists of a watch have discovery asked anew once in 10 s, not each time

Seen: on reading the change once more. An older whole list of a watch has core ask discovery anew; a copy of discovery that lags brings one with each watch, so that each answer began the next call, at the pace of the network (TestOlderListsAreDropped, new step, failed: the list was left moved after three such lists).

Ruled out: that such a list must be heard each time. Passed over, the changes behind it follow, and those that are not newer are dropped; only a discovery that counts anew needs asking, and once does.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -330,6 +330,12 @@
 		t.Errorf("an older whole list of a watch is taken without a look at what holds now: %+v", s)
 	}
 	tell(b.loop.discovery, List{Rev: 6, All: true, Targets: []Target{ready("s-1", 0)}}, FromFetch)
+	for range 3 { // a copy of discovery that lags must not have it asked without end
+		tell(b.loop.discovery, List{Rev: 5, All: true, Targets: []Target{ready("s-2", 0)}}, FromWatch)
+	}
+	if s := b.loop.Stats(); s.Rev != 6 || s.Moved || !open("s-1") || open("s-2") {
+		t.Errorf("older whole lists, one after another: %+v", s)
+	}
 	b.loop.Follow("second")
 	tell(first, List{Rev: 9, All: true}, FromFetch)
 	b.loop.Post(func() { b.loop.ListFailed(first, errors.New("old")) })
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -14,6 +14,8 @@
 	clockStart = 24 * time.Hour
 	eventQueue = 1024
 	sweepEvery = time.Second
+	// anewEvery is how often discovery is asked anew at most, as a watch has brought an older whole list.
+	anewEvery = 10 * time.Second
 )
 
 // Loop owns the Balancer and all state that goes with it: one goroutine runs the functions in events, and
@@ -29,6 +31,7 @@
 
 	endsAt    time.Time // when all must be answered; zero unless this process was told to stop
 	rev       uint64    // version of the list that the Balancer has
+	anewAt    time.Time // when discovery was last asked anew, as a watch brought an older whole list
 	moved     bool      // that list is another discovery's than the one that is followed now
 	balancer  *decision.Balancer
 	calls     map[decision.RequestID]*Call
@@ -381,7 +384,11 @@
 		return // older than what the Balancer has: an endpoint that left would come back
 	case from == FromWatch && got.Rev < l.rev:
 		// It was under way for longer than a fetch, or discovery has begun to count anew: what is asked for now tells.
-		l.follow(l.address)
+		// Where a copy of discovery lags it comes each time; it is passed over then, as older changes are.
+		if now := time.Now(); now.Sub(l.anewAt) >= anewEvery {
+			l.anewAt = now
+			l.follow(l.address)
+		}
 		return
 	}
 	l.rev = got.Rev
