The laboratory knows uneven callers and a team that floods

Needed for what is harmless in one broker and costly in three hundred: callers.hot gives one instance in ten several times the mean, drawn or in a row as of one hall; the trouble flood has a team ask for many times its share; results tell service by team, and that of those that do not flood (others).

--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -29,6 +29,7 @@
 var Metrics = []Metric{
 	{"service", 1, func(r *model.Result) float64 { return r.Service }},
 	{"worst s", 1, func(r *model.Result) float64 { return r.Worst }},
+	{"others", 1, (*model.Result).Others},
 	{"back s", -1, func(r *model.Result) float64 {
 		if r.Back < 0 {
 			return float64(len(r.Seconds)) // never: longer than the run
--- a/internal/lab/model/caller.go
+++ b/internal/lab/model/caller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"dykering/internal/decision"
@@ -27,7 +28,7 @@
 // arrive has the next requests come, and so on until the callers' end.
 func (w *World) arrive(rate float64) {
 	c := w.S.Callers
-	now := max(rate*w.burst*(1+c.Wave*math.Sin(2*math.Pi*(w.Now()-Origin).Minutes())), 1e-9)
+	now := max(rate*(w.burst+w.flooding())*(1+c.Wave*math.Sin(2*math.Pi*(w.Now()-Origin).Minutes())), 1e-9)
 	n, wait := 1, 1/now
 	switch c.Arrivals {
 	case "poisson":
@@ -51,9 +52,10 @@
 func (w *World) want() {
 	s := w.S
 	class := scenario.Pick(w.asks, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
-	front := w.Tiers[0].Instances
-	a := &ask{n: w.asked, class: class, team: scenario.Pick(w.asks, len(s.Teams), func(i int) float64 { return s.Teams[i].Share }),
-		work: s.Classes[class].Draw(w.asks), born: w.Now(), instance: front[w.asks.IntN(len(front))],
+	all := w.burst + w.flooding()
+	a := &ask{n: w.asked, class: class, team: scenario.Pick(w.asks, len(s.Teams), func(i int) float64 {
+		return s.Teams[i].Share * (w.burst + w.flood[i]) / all
+	}), work: s.Classes[class].Draw(w.asks), born: w.Now(), instance: w.front(),
 		deadline: w.Now() + time.Duration(s.Classes[class].Deadline)}
 	w.asked++
 	if w.open >= s.Callers.Most {
@@ -65,6 +67,34 @@
 	w.try(a)
 }
 
+// flooding is what teams that flood ask for beyond their share, over what all ask for.
+func (w *World) flooding() (sum float64) {
+	for i, t := range w.S.Teams {
+		sum += t.Share * w.flood[i]
+	}
+	return sum
+}
+
+// front is the instance that a client comes to: one in ten may get several times the mean.
+func (w *World) front() *Instance {
+	all, hot := w.Tiers[0].Instances, w.S.Callers.Hot
+	few := (len(all) + 9) / 10
+	share := hot * float64(few) / float64(len(all))
+	if hot == 1 || few == len(all) || share >= 1 {
+		return all[w.asks.IntN(len(all))]
+	}
+	if w.hot == nil {
+		w.hot = Stream(w.seed, "hot", 0).Perm(len(all))
+		if w.S.Callers.Row {
+			slices.Sort(w.hot)
+		}
+	}
+	if w.asks.Float64() < share {
+		return all[w.hot[w.asks.IntN(few)]]
+	}
+	return all[w.hot[few+w.asks.IntN(len(all)-few)]]
+}
+
 // try sends a request to its instance.
 func (w *World) try(a *ask) {
 	left := a.deadline - w.Now()
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -33,6 +33,7 @@
 	P50        float64           `json:"p50"`   // seconds from what a client wanted to its answer
 	P99        float64           `json:"p99"`
 	Classes    []ClassResult     `json:"classes"`
+	Teams      []TeamResult      `json:"teams,omitempty"`
 	Seconds    []Second          `json:"seconds"`
 	Broken     map[string]int    `json:"broken"` // rules, and how often
 	Violations []rules.Violation `json:"violations,omitempty"`
@@ -48,6 +49,26 @@
 	Served int    `json:"served"`
 }
 
+// TeamResult is what came of a team.
+type TeamResult struct {
+	ClassResult
+	Floods bool `json:"floods,omitempty"` // for a time
+}
+
+// Others is the service of all teams that do not flood, 1 where there are none.
+func (r *Result) Others() float64 {
+	asked, served := 0, 0
+	for _, t := range r.Teams {
+		if !t.Floods {
+			asked, served = asked+t.Asked, served+t.Served
+		}
+	}
+	if asked == 0 {
+		return 1
+	}
+	return float64(served) / float64(asked)
+}
+
 // Second is what came of what was asked in a second.
 type Second struct {
 	Asked  int `json:"asked"`
@@ -69,7 +90,13 @@
 	for i, c := range s.Classes {
 		r.Classes[i].Name = c.Name
 	}
+	for _, t := range s.Teams {
+		r.Teams = append(r.Teams, TeamResult{ClassResult: ClassResult{Name: t.Name}})
+	}
 	for _, t := range s.Troubles {
+		if i := s.TeamOf(t.Team); t.What == "flood" && i >= 0 {
+			r.Teams[i].Floods = true
+		}
 		r.troubleEnds = max(r.troubleEnds, t.At.To+t.Lasts.To)
 	}
 	return r
@@ -80,6 +107,9 @@
 func (r *Result) ask(w *World, a *ask) {
 	r.Asked++
 	r.Classes[a.class].Asked++
+	if len(r.Teams) > 0 {
+		r.Teams[a.team].Asked++
+	}
 	r.second(a).Asked++
 }
 
@@ -89,6 +119,9 @@
 	case how == Served && took <= time.Duration(w.S.Classes[a.class].Aim):
 		r.Served++
 		r.Classes[a.class].Served++
+		if len(r.Teams) > 0 {
+			r.Teams[a.team].Served++
+		}
 		r.second(a).Served++
 		r.latency.RecordValue(took.Microseconds())
 	case how == Served:
--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -86,6 +86,11 @@
 			w.burst = factor
 			over(func() { w.burst = 1 })
 			return
+		case "flood":
+			team := w.S.TeamOf(t.Team)
+			w.flood[team] += max(factor-1, 0)
+			over(func() { w.flood[team] -= max(factor-1, 0) })
+			return
 		case "discovery":
 			w.deaf = w.Now() + lasts
 			return
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -114,7 +114,9 @@
 	asks     *rand.Rand
 	wires    *rand.Rand
 	hears    *rand.Rand
-	burst    float64 // of the rate
+	burst    float64   // of the rate
+	hot      []int     // the front's instances, those first that get most
+	flood    []float64 // what each team asks for beyond its share, in shares
 	deaf     time.Duration
 	sendFree time.Duration // when discovery has sent all that it is to send
 	rev      uint64
@@ -134,7 +136,7 @@
 // what is seen is not seen at once.
 func New(s *scenario.Scenario, seed uint64, c Clock, b Brokers, sockets Sockets, slack time.Duration) *World {
 	w := &World{Clock: c, S: s, seed: seed, brokers: b, sockets: sockets, asks: Stream(seed, "callers", 0),
-		wires: Stream(seed, "network", 0), hears: Stream(seed, "discovery", 0), burst: 1, rev: 1}
+		wires: Stream(seed, "network", 0), hears: Stream(seed, "discovery", 0), burst: 1, flood: make([]float64, len(s.Teams)), rev: 1}
 	w.Checker = rules.New(rules.Settings{Grace: Grace + slack, DrainGrace: time.Duration(s.Servers.Grace) + slack})
 	w.Result = newResult(s, seed)
 	w.makeTier(s.Broker.Instances, s.Servers.Count, -1, nil)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -120,6 +120,8 @@
 	Arrivals string          `toml:"arrivals" doc:"how requests come" oneof:"poisson even groups"`
 	Group    int             `toml:"group" doc:"requests at once, of groups" min:"1" max:"10000"`
 	Wave     float64         `toml:"wave" doc:"share by which the rate goes up and down once a minute" min:"0" max:"1"`
+	Hot      float64         `toml:"hot" doc:"times the mean that one in ten instances gets; the others share the rest" min:"0" max:"9.5"`
+	Row      bool            `toml:"hot_in_a_row" doc:"whether the numbers of those follow each other, as of one hall; else they are drawn"`
 	Tries    int             `toml:"tries" doc:"of a request" min:"1" max:"100"`
 	Backoff  strict.Duration `toml:"backoff" doc:"before a second try; it doubles, half of it drawn" min:"0s" max:"1m"`
 	Patience strict.Duration `toml:"try_for" doc:"how long a try is waited for; 0 for the whole deadline" min:"0s" max:"10m"`
@@ -151,10 +153,10 @@
 //   - slow, neighbour (slow by turns), errors, pause: what servers do; reset: their connections break;
 //     bytes: what they send and read goes wrong on the connection, see Bytes;
 //   - flap: discovery says that servers are gone and back by turns, and they are not;
-//   - burst: more is asked; discovery: no news comes; break: all watches of it break off;
+//   - burst: more is asked; flood: a team asks for so many times its share, beside what the others ask; discovery: no news comes; break: all watches of it break off;
 //   - kill: instances of the broker end at once and start again; handover: a new process takes over from an old one.
 type Trouble struct {
-	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst discovery break kill handover"`
+	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover"`
 	At     Times           `toml:"at" doc:"when it begins"`
 	Lasts  Times           `toml:"lasts" doc:"how long; of a drain, until the server is back"`
 	Tier   int             `toml:"tier" doc:"whose servers and instances; 0 for the first" min:"0" max:"8"`
@@ -162,6 +164,7 @@
 	Of     float64         `toml:"instances" doc:"share of the instances" min:"0" max:"1"`
 	Factor Span            `toml:"factor" doc:"how much slower; share of errors; rate of a burst over the usual"`
 	Every  strict.Duration `toml:"every" doc:"one after another, so far apart; 0 for all at once; of a flap, from turn to turn" min:"0s" max:"10m"`
+	Team   string          `toml:"team" doc:"that floods"`
 	How    string          `toml:"how" doc:"of bytes" oneof:"none reset stall half_close slow_read slow_write garbage cut syn" omitted:"none"`
 	Bytes  int             `toml:"bytes" doc:"after how many of an answer; of slow ones, in 20 ms" min:"0" max:"1000000000"`
 }
@@ -245,7 +248,7 @@
 		Lasts:     strict.Duration(30 * time.Second),
 		Broker:    Broker{Instances: 1, Quantum: strict.Duration(2 * time.Millisecond), MaxAttempts: 4, MayCancel: true, Connect: strict.Duration(time.Second), RetryAfter: strict.Duration(2 * time.Second)},
 		Servers:   Servers{Count: 2, Zones: 1, Cold: strict.Duration(5 * time.Second), From: 0.3, Fall: strict.Duration(time.Second), Grace: strict.Duration(time.Second)},
-		Callers:   Callers{Rate: Span{100, 100}, Arrivals: "poisson", Group: 10, Tries: 3, Backoff: strict.Duration(100 * time.Millisecond), Honours: true, Most: 1000000},
+		Callers:   Callers{Rate: Span{100, 100}, Hot: 1, Arrivals: "poisson", Group: 10, Tries: 3, Backoff: strict.Duration(100 * time.Millisecond), Honours: true, Most: 1000000},
 		Network:   Network{Latency: Times{200 * time.Microsecond, 500 * time.Microsecond}, Again: strict.Duration(200 * time.Millisecond)},
 		Discovery: Discovery{Delay: Times{200 * time.Millisecond, time.Second}},
 	}
@@ -331,6 +334,9 @@
 		if t.What == "flap" && t.Every == 0 {
 			fault(key+"every", "a flap needs it")
 		}
+		if t.What == "flood" && s.TeamOf(t.Team) < 0 {
+			fault(key+"team", "%q is no team here", t.Team)
+		}
 		if t.What == "zone" && s.Servers.Zones < 2 {
 			fault(key+"what", "of one zone none can be lost")
 		}
@@ -346,6 +352,11 @@
 	return slices.IndexFunc(s.Kinds, func(k Kind) bool { return k.Name == name })
 }
 
+// TeamOf is the place of a team by its name, -1 for none.
+func (s *Scenario) TeamOf(name string) int {
+	return slices.IndexFunc(s.Teams, func(t Team) bool { return t.Name == name })
+}
+
 // Draw takes the work of a request.
 func (c *Class) Draw(r *rand.Rand) (work float64) {
 	mean := (c.Work.From + c.Work.To) / 2
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -26,14 +26,15 @@
 // What is wrong is named with its line.
 func TestFaults(t *testing.T) {
 	for name, tc := range map[string]struct{ from, to, want string }{
-		"misspelt":       {"instances = 4", "instnaces = 4", ":6: broker.instnaces: not a key of this version; is broker.instances meant?"},
-		"no range":       {`rate = "180..220"`, `rate = "220..180"`, `callers.rate: "220..180" is not a number or a range`},
-		"shares":         {"share = 0.7", "share = 0.9", "class[0].share: the shares sum to"},
-		"unknown effect": {`effect = "unsafe"`, `effect = "risky"`, `class[2].effect: "risky" is not one of safe, keyed, unsafe`},
-		"late aim":       {`aim = "500ms"`, `aim = "5s"`, "class[0].aim: is later than the deadline"},
-		"no work":        {`work = "0.02..0.08"`, `work = "0..1"`, "class[0].work: has to be above 0"},
-		"unknown what":   {`what = "drain"`, `what = "flood"`, "trouble[0].what"},
-		"version":        {"version = 1", "version = 2", ":1: version: has to be at most 1"},
+		"misspelt":        {"instances = 4", "instnaces = 4", ":6: broker.instnaces: not a key of this version; is broker.instances meant?"},
+		"no range":        {`rate = "180..220"`, `rate = "220..180"`, `callers.rate: "220..180" is not a number or a range`},
+		"shares":          {"share = 0.7", "share = 0.9", "class[0].share: the shares sum to"},
+		"unknown effect":  {`effect = "unsafe"`, `effect = "risky"`, `class[2].effect: "risky" is not one of safe, keyed, unsafe`},
+		"late aim":        {`aim = "500ms"`, `aim = "5s"`, "class[0].aim: is later than the deadline"},
+		"no work":         {`work = "0.02..0.08"`, `work = "0..1"`, "class[0].work: has to be above 0"},
+		"unknown what":    {`what = "drain"`, `what = "deluge"`, "trouble[0].what"},
+		"flood of nobody": {`what = "drain"`, `what = "flood"`, `trouble[0].team: missing: "" is no team here`},
+		"version":         {"version = 1", "version = 2", ":1: version: has to be at most 1"},
 	} {
 		text := strings.Replace(string(standard), tc.from, tc.to, 1)
 		_, wrong := Parse("s.toml", []byte(text))
