--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -19,6 +19,9 @@
 	callers = 3
 	// subsetLeast is the fewest endpoints' worth of weight in a subset: with one, there is nothing to compare.
 	subsetLeast = 2.0
+	// ownCalls is how many endpoints a subset has at least for each call in flight. An instance to which more
+	// callers come than to others would else fill up its few, and with them the other instances' that call them.
+	ownCalls = 2.0
 
 	// Limits: in flight there may be what is answered at base latency, and a queue: so many calls for each
 	// endpoint and tier from here on, no more than a share of the first, and none that would use up the time to
@@ -45,8 +48,7 @@
 
 	bucketLeast = 8.0 // requests that chance may bring together, at any rate,
 	bucketStart = 2.0 // and at the start
-	tenantBurst = 4.0 // seconds of its share that a tenant may save up,
-	allBurst    = 1.0 // and all tenants together
+	tenantBurst = 4.0 // seconds of its share that a tenant may save up
 
 	// Strain: what calls take, over what they should at most take on average. Above 1 calls are paced, for where
 	// an instance has a call or two in flight a limit on their number holds nothing back.
@@ -121,7 +123,7 @@
 	kinds    []pace // by machine kind
 	services []pace // by machine kind: seconds of service that its endpoints report
 	tenants  []bucket
-	all      bucket // what all tenants may ask for within their shares
+	quota    float64 // requests a second within all shares, at this instance
 	held     []*request
 	scratch  []*endpoint
 
@@ -132,7 +134,9 @@
 	rate     flow    // base latencies answered a second: the calls in flight at little load
 	limit    float64 // on calls in flight
 	countAt  time.Duration
-	subset   float64 // endpoints in this instance's subset
+	seat     int     // this instance's place on the ring: not its number, see scatter
+	subset   float64 // endpoints in this instance's subset,
+	wide     float64 // and how many its own calls ask for
 	spare    flow    // the same for the time from base latency to the aim
 	served   flow    // answers a second
 	asked    flow    // requests a second
@@ -173,6 +177,7 @@
 		strays: 0.5, endsAt: math.MaxInt64}
 	b.set.MaxAttempts = cmp.Or(set.MaxAttempts, retryReserve) // without end is no bound for a fleet that refuses
 	b.window = cmp.Or(set.Fall, time.Second)
+	b.seat = scatter(set.Ordinal, set.Instances)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c, tail: tailStart})
@@ -182,24 +187,22 @@
 
 // meter starts the buckets of the tenants.
 func (b *Balancer) meter(now time.Duration) {
-	total := 0.0
 	for _, t := range b.set.Tenants {
 		rate := t.QuotaPerS / float64(b.set.Instances)
 		b.tenants = append(b.tenants, newBucket(now, rate, tenantBurst))
-		total += rate
+		b.quota += rate
 	}
-	b.all = newBucket(now, total, allBurst)
 }
 
 // Request takes a new request.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	c := &b.classes[q.Class]
-	low, spare := b.beyondShare(now, q)
+	low := b.beyondShare(now, q)
 	r := &request{id: q.ID, at: now, class: c, deadline: min(now+q.Left, b.endsAt), low: low}
 	r.aimBy = min(now+c.Aim-b.spent(c, q), b.endsAt)
 	r.long, r.coming = q.Long, q.Long
 	b.requests[q.ID] = r
-	if q.Left <= 0 || low && !spare || b.closing(now, c, q) {
+	if q.Left <= 0 || low && b.short(now) || b.closing(now, c, q) {
 		b.finish(now, r)
 		return
 	}
@@ -256,19 +259,21 @@
 	return 0
 }
 
-// beyondShare meters a tenant's requests against its share at this instance, and all of them against all
-// shares together: what goes beyond both is more than the fleet can do, and is worth little.
+// beyondShare meters a tenant's requests against its share at this instance. Callers come unevenly: where it
+// serves more than an even part of all shares, each tenant's grows alike, and who floods still stands out.
 // A repeat counts as beyond: most are of requests refused for that, and would use up the share of new ones.
-func (b *Balancer) beyondShare(now time.Duration, q Request) (low, spare bool) {
-	if b.set.Stage > 0 || q.Tenant >= len(b.tenants) {
-		return false, true
+func (b *Balancer) beyondShare(now time.Duration, q Request) bool {
+	if b.set.Stage > 0 || q.Tenant >= len(b.tenants) || q.Repeat {
+		return b.set.Stage == 0 && q.Tenant < len(b.tenants)
 	}
-	low = q.Repeat || !b.tenants[q.Tenant].take(now, 1)
-	if low {
-		return true, b.all.take(now, 1)
-	}
-	b.all.spend(now, 1)
-	return false, true
+	return !b.tenants[q.Tenant].take(now, 1/max(1, b.served.value(now, b.window)/b.quota))
+}
+
+// short tells whether capacity is short, by what this instance sees: requests wait, as many calls are out as
+// may be, or they take too long. While it is not, nobody is refused for what is beyond a share.
+func (b *Balancer) short(now time.Duration) bool {
+	b.refit(now)
+	return len(b.held) > 0 || b.strain > 1 || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit
 }
 
 // hold puts a request among those waiting for an endpoint.
@@ -435,27 +440,15 @@
 		calls = startHolds
 	}
 	base := able * b.rate.peak(now, b.window)
+	if now-b.countAt > b.window {
+		b.wide, b.countAt = ownCalls*base, now
+		b.count()
+	}
 	queue := queueHolds * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, able*b.spare.peak(now, b.window))
 	b.limit = limitSlack + max(base+queue, calls*able/float64(b.set.Instances))
 }
 
-// able is how many whole endpoints are in service. Rates are kept for each, so that the limit falls at once
-// when some leave: what all could bear would choke the few that are left.
-func (b *Balancer) able(now time.Duration) (n float64) {
-	for _, e := range b.listed {
-		if e.mark <= ramping {
-			n += b.share(now, e)
-		}
-	}
-	return max(n, 1)
-}
-
-// settled tells whether the base latencies rest on enough to set limits by.
-func (b *Balancer) settled() bool {
-	return slices.ContainsFunc(b.classes, func(c class) bool { return c.windows > baseSkip })
-}
-
 // room tells whether an endpoint may get one more call.
 func (b *Balancer) room(now time.Duration, e *endpoint) bool {
 	if e.fullUntil > now || e.mark == ramping && !b.rampRoom(now, e) {
@@ -555,9 +548,10 @@
 			n++
 		}
 	}
-	b.subset = min(max(callers*n/float64(b.set.Instances), subsetLeast), n)
+	even := min(max(callers*n/float64(b.set.Instances), subsetLeast), n)
+	b.subset = min(max(even, b.wide), n)
 	need := total * b.subset / n
-	_, at := math.Modf(float64(b.set.Ordinal) * b.subset / n)
+	_, at := math.Modf(float64(b.seat) * even / n)
 	at *= total
 	eps := total * 1e-9
 	for i := 0; need > eps && i < 2*len(b.listed); i++ {
@@ -582,14 +576,6 @@
 	}
 }
 
-// weight is an endpoint's listed weight where those tell endpoints apart, else the speed its kind reports.
-func (b *Balancer) weight(e *endpoint) float64 {
-	if b.weighted {
-		return e.weight
-	}
-	return b.speed(e)
-}
-
 // permitted tells whether the rules let a request go to an endpoint.
 func (b *Balancer) permitted(now time.Duration, r *request, e *endpoint) bool {
 	if r.mayRun == nil || r.class.Effect == Safe {
@@ -708,17 +694,6 @@
 	b.arm()
 }
 
-// warmOdds is the sum of the odds of the subset's warm endpoints.
-func (b *Balancer) warmOdds() float64 {
-	sum := 0.0
-	for _, e := range b.listed {
-		if e.mark == usable && e.part > 0 {
-			sum += b.odds(e)
-		}
-	}
-	return sum
-}
-
 // Begun tells that a long answer has started: its endpoint has done its work, whatever the client's pace.
 func (b *Balancer) Begun(now time.Duration, id RequestID, attempt int, from EndpointID) {
 	r := b.requests[id]
@@ -816,17 +791,21 @@
 	}
 }
 
-// press takes what a call took into the strain, and moves the pace of calls by it. It acts where instances
-// outnumber endpoints: there each has a call or two in flight, and no limit on their number keeps a tier
-// from filling up; and on clients' requests only: what the tiers above have worked on is not refused below.
+// press takes what a call took into the strain, and moves the pace of calls by it where instances outnumber
+// endpoints: there each has a call or two in flight, and no limit on their number keeps a tier from filling
+// up. It goes by clients' requests only: what the tiers above have worked on is not refused below.
 func (b *Balancer) press(now time.Duration, c *class, took time.Duration) {
 	due := min(strainBase*c.usual, strainAim*c.Aim.Seconds())
-	if due <= 0 || b.set.Stage > 0 || b.set.Instances <= len(b.listed) {
+	if due <= 0 || b.set.Stage > 0 {
 		return
 	}
 	dt := (now - b.strainAt).Seconds()
 	weight := min(strainWeight, dt/(strainAims*c.Aim.Seconds()))
 	b.strain += weight * (min(took.Seconds()/due, strainMost) - b.strain)
+	b.strainAt = now
+	if b.set.Instances <= len(b.listed) {
+		return
+	}
 	most := paceMost * b.asked.peak(now, b.window)
 	if !b.paced {
 		b.paced, b.pace, b.credit, b.creditAt = b.strain > 1, most, paceBurst, now
@@ -834,7 +813,6 @@
 		b.pace = max(b.pace*(1-strainGain*min(b.strain-1, 1)*min(dt, 1)), paceLeast*most)
 		b.paced = b.strain > 1
 	}
-	b.strainAt = now
 }
 
 // learn takes an answer's latency into the class's figures and the rates.
@@ -880,24 +858,6 @@
 		k.add(s, kindWeight/8)
 	}
 	e.service.add(l.Service.Seconds(), reportWeight)
-	if now-b.countAt > b.window {
-		b.count()
-		b.countAt = now
-	}
-}
-
-// speed is what the service times that endpoints of its kind report say of an endpoint, beside other kinds.
-func (b *Balancer) speed(e *endpoint) float64 {
-	sum, n := 0.0, 0.0
-	for _, k := range b.services {
-		if k.n > 0 {
-			sum, n = sum+1/k.mean, n+1
-		}
-	}
-	if e.kind >= len(b.services) || b.services[e.kind].n == 0 {
-		return 1
-	}
-	return n / sum / b.services[e.kind].mean
 }
 
 // odds is an endpoint's chance in a draw: by the part of its weight in the subset, or by its whole size for
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -239,3 +239,70 @@
 	none := func(e *endpoint) bool { return !(e.weight > 0 && e.weight <= mostWeight) }
 	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
 }
+
+// able is how many whole endpoints are in service. Rates are kept for each, so that the limit falls at once
+// when some leave: what all could bear would choke the few that are left.
+func (b *Balancer) able(now time.Duration) (n float64) {
+	for _, e := range b.listed {
+		if e.mark <= ramping {
+			n += b.share(now, e)
+		}
+	}
+	return max(n, 1)
+}
+
+// settled tells whether the base latencies rest on enough to set limits by.
+func (b *Balancer) settled() bool {
+	return slices.ContainsFunc(b.classes, func(c class) bool { return c.windows > baseSkip })
+}
+
+// warmOdds is the sum of the odds of the subset's warm endpoints.
+func (b *Balancer) warmOdds() float64 {
+	sum := 0.0
+	for _, e := range b.listed {
+		if e.mark == usable && e.part > 0 {
+			sum += b.odds(e)
+		}
+	}
+	return sum
+}
+
+// speed is what the service times that endpoints of its kind report say of an endpoint, beside other kinds.
+func (b *Balancer) speed(e *endpoint) float64 {
+	sum, n := 0.0, 0.0
+	for _, k := range b.services {
+		if k.n > 0 {
+			sum, n = sum+1/k.mean, n+1
+		}
+	}
+	if e.kind >= len(b.services) || b.services[e.kind].n == 0 {
+		return 1
+	}
+	return n / sum / b.services[e.kind].mean
+}
+
+// weight is an endpoint's listed weight where those tell endpoints apart, else the speed its kind reports.
+func (b *Balancer) weight(e *endpoint) float64 {
+	if b.weighted {
+		return e.weight
+	}
+	return b.speed(e)
+}
+
+// scatter is an instance's place among all: numbers that follow each other lie far apart, in steps of the golden
+// section. Instances of one hall are numbered in a row; when callers came to that hall, their subsets, side by
+// side on the ring, filled up one part of a tier.
+func scatter(ordinal, instances int) int {
+	step := max(int(0.618034*float64(instances)), 1)
+	for gcd(step, instances) != 1 {
+		step++
+	}
+	return ordinal % instances * step % instances
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- a/internal/decision/succession.go
+++ b/internal/decision/succession.go
@@ -25,8 +25,7 @@
 	Strays      float64          `json:"strays"`             // share of overdue calls that stay away
 	Budget      float64          `json:"budget"`             // further attempts
 	RepeatSpent float64          `json:"repeatSpent"`        // seconds
-	Shares      []float64        `json:"shares,omitempty"`   // requests that each tenant may have at once,
-	All         float64          `json:"all"`                // and all of them together
+	Shares      []float64        `json:"shares,omitempty"`   // requests that each tenant may have at once
 }
 
 // LearntClass are the figures of a class; latencies are in seconds.
@@ -82,7 +81,7 @@
 	rate := func(f *flow) LearntRate { return LearntRate{f.value(now, b.window), f.peak(now, b.window)} }
 	l := Learnt{Rate: rate(&b.rate), Spare: rate(&b.spare), Served: rate(&b.served), Asked: rate(&b.asked),
 		Warm: rate(&b.warm), Errors: b.errors, Strays: b.strays, Budget: b.budget,
-		RepeatSpent: b.repeatSpent, All: b.all.level, Kinds: told(b.kinds), Services: told(b.services)}
+		RepeatSpent: b.repeatSpent, Kinds: told(b.kinds), Services: told(b.services)}
 	for _, c := range b.classes {
 		l.Classes = append(l.Classes, LearntClass{Name: c.Name, Windows: c.windows, Mean: c.mean, Base: c.base,
 			Usual: c.usual, Tail: c.tail, MaxLeft: c.maxLeft, Asked: c.asked, Good: c.good})
@@ -151,7 +150,6 @@
 	for i := range min(len(b.tenants), len(l.Shares)) {
 		b.tenants[i].hold(now, l.Shares[i])
 	}
-	b.all.hold(now, l.All)
 	b.count()
 	b.place(now)
 	b.arm()
@@ -182,7 +180,7 @@
 	}
 	const huge = math.MaxFloat32
 	figures := []figure{{"errors", l.Errors, 1}, {"strays", l.Strays, 1},
-		{"budget", l.Budget, huge}, {"repeatSpent", l.RepeatSpent, huge}, {"all", math.Abs(l.All), huge}}
+		{"budget", l.Budget, huge}, {"repeatSpent", l.RepeatSpent, huge}}
 	for i, c := range l.Classes {
 		if c.Name != classes[i].Name {
 			return fmt.Errorf("learnt: classes[%d] is %q, here it is %q", i, c.Name, classes[i].Name)
