A tick, a pick and a list cost by what an instance calls, not by what is listed

Change: roster.go keeps sets of endpoints (busy, ramping, isolated, in the subset) in the order of their ids as marks and calls change; delta lists are taken in without a look at the others; subsets and weights are counted when a request next needs them.

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -114,10 +114,9 @@
 	tick    time.Duration
 	ticking bool
 
-	byID     map[EndpointID]*endpoint
-	listed   []*endpoint // in the order of their ids
-	weighted bool        // the listed weights tell endpoints apart
-	version  uint64      // of the last list
+	roster
+	weighted bool   // the listed weights tell endpoints apart
+	version  uint64 // of the last list
 	requests map[RequestID]*request
 	classes  []class
 	kinds    []pace // by machine kind
@@ -173,7 +172,7 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
-		byID: map[EndpointID]*endpoint{}, requests: map[RequestID]*request{}, budget: retryReserve,
+		roster: roster{byID: map[EndpointID]*endpoint{}}, requests: map[RequestID]*request{}, budget: retryReserve,
 		strays: 0.5, endsAt: math.MaxInt64}
 	b.set.MaxAttempts = cmp.Or(set.MaxAttempts, retryReserve) // without end is no bound for a fleet that refuses
 	b.window = cmp.Or(set.Fall, time.Second)
@@ -285,6 +284,9 @@
 // place sends held requests, the most worth first, while there is room.
 func (b *Balancer) place(now time.Duration) {
 	b.refit(now)
+	if b.moved && len(b.held) > 0 {
+		b.count()
+	}
 	if len(b.held) > 1 {
 		b.rateClasses()
 	}
@@ -441,8 +443,7 @@
 	}
 	base := able * b.rate.peak(now, b.window)
 	if now-b.countAt > b.window {
-		b.wide, b.countAt = ownCalls*base, now
-		b.count()
+		b.wide, b.countAt, b.moved = ownCalls*base, now, true
 	}
 	queue := queueHolds * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, able*b.spare.peak(now, b.window))
@@ -505,11 +506,14 @@
 		return e, true
 	}
 	healthy := 0
-	c := b.scratch[:0]
-	for _, e := range b.listed {
+	c, from := b.scratch[:0], b.mine
+	if r.attempts > 0 {
+		from = b.listed
+	}
+	for _, e := range from {
 		// Further attempts may leave the subset, but not for a ramping endpoint: all instances' together would
 		// push it over.
-		mine := e.part > 0 || r.attempts > 0 && e.mark == usable
+		mine := e.part > 0 || e.mark == usable
 		failed := e == r.from && len(b.listed) > 1 // there it goes again only where no other is in good health
 		if failed || e.mark > ramping || !mine || !b.permitted(now, r, e) || b.suspect(now, e, suspectAfter) {
 			continue
@@ -540,9 +544,14 @@
 // on along the ring. Endpoints that leave are no part of it: when many left at once, their shares fell to the
 // few that came after them.
 func (b *Balancer) count() {
+	b.weigh()
+	b.moved = false
+	for _, e := range b.mine {
+		e.part = 0
+	}
+	b.mine = b.mine[:0]
 	total, n := 0.0, 0.0
 	for _, e := range b.listed {
-		e.part = 0
 		if e.mark != leaving {
 			total += b.weight(e)
 			n++
@@ -569,11 +578,15 @@
 		if take < eps {
 			continue
 		}
+		if e.part == 0 {
+			b.mine = append(b.mine, e)
+		}
 		e.part += take
 		if e.mark <= ramping {
 			need -= take
 		}
 	}
+	sortByID(b.mine)
 }
 
 // permitted tells whether the rules let a request go to an endpoint.
@@ -626,8 +639,8 @@
 	if r.attempts > 0 || r.class.Effect == Unsafe {
 		return nil
 	}
-	for _, e := range b.listed {
-		if e.mark == isolated && e.part > 0 && e.trialAt <= now && len(e.calls) == 0 {
+	for _, e := range b.shunned {
+		if e.part > 0 && e.trialAt <= now && len(e.calls) == 0 {
 			return e
 		}
 	}
@@ -667,6 +680,7 @@
 		b.out++
 	}
 	e.calls = append(e.calls, r)
+	b.note(e)
 }
 
 // depart ends that.
@@ -679,6 +693,7 @@
 		b.out--
 	}
 	e.calls = slices.DeleteFunc(e.calls, func(x *request) bool { return x == r })
+	b.note(e)
 }
 
 // Written tells that the last byte of a long request is out: its time counts from here on.
@@ -884,13 +899,7 @@
 
 // mayEject keeps errors and silence from isolating too much of the list: so many at once share a cause.
 func (b *Balancer) mayEject() bool {
-	n := 1
-	for _, e := range b.listed {
-		if e.mark == isolated {
-			n++
-		}
-	}
-	return float64(n) <= maxEjected*float64(len(b.listed))
+	return float64(1+len(b.shunned)) <= maxEjected*float64(len(b.listed))
 }
 
 // isolate takes an endpoint out of the draw until a trial call is served or a newer list names a new start.
@@ -898,9 +907,8 @@
 	if e.mark > ramping {
 		return
 	}
-	e.mark = isolated
+	b.turn(e, isolated)
 	b.out -= len(e.calls) // stuck calls must not use up the limit
-	b.count()
 	e.trialPause = max(seconds(trialFirst*b.set.ConnectTimeout.Seconds()), b.tick)
 	e.trialAt = now + b.jitter(e.trialPause)
 	b.host.Log(fmt.Sprintf("endpoint %d isolated: %s (list version %d)", e.id, why, e.version))
@@ -935,8 +943,8 @@
 // ramp starts slow start, counted from the given time.
 func (b *Balancer) ramp(now time.Duration, e *endpoint, from time.Duration) {
 	b.reopen(e)
-	e.mark, e.coldFrom = ramping, from
-	b.count()
+	b.turn(e, ramping)
+	e.coldFrom = from
 	if now-e.tokensAt < b.window {
 		return // who leaves and returns by turns gets no more by that
 	}
@@ -1054,7 +1062,16 @@
 	case tokenTick:
 		b.ticking = false
 		b.lost = 0
-		for _, e := range b.listed {
+		for _, e := range b.overdue {
+			e.lost = 0
+		}
+		b.overdue = b.overdue[:0]
+		for _, e := range append(b.scratch[:0], b.ramps...) {
+			if b.share(now, e) >= 1 {
+				b.turn(e, usable)
+			}
+		}
+		for _, e := range append(b.scratch[:0], b.busy...) {
 			b.age(now, e)
 			b.miss(now, e)
 		}
@@ -1066,12 +1083,9 @@
 	}
 }
 
-// age moves an endpoint on with time: a ramp that is over, a silence that has lasted.
+// age isolates an endpoint whose silence has lasted.
 func (b *Balancer) age(now time.Duration, e *endpoint) {
-	if e.mark == ramping && b.share(now, e) >= 1 {
-		e.mark = usable
-	}
-	silent := len(e.calls) > 0 && b.suspect(now, e, silentTails*e.calls[0].class.tail) ||
+	silent := b.suspect(now, e, silentTails*e.calls[0].class.tail) ||
 		len(e.calls) >= silentCalls && b.suspect(now, e, suspectAfter) &&
 			now-e.calls[silentCalls-1].sentAt > seconds(suspectAfter*e.calls[silentCalls-1].class.mean)
 	if !silent || e.mark == isolated && !e.calls[0].trial || e.mark != isolated && !b.mayEject() {
@@ -1087,7 +1101,7 @@
 
 // overtake notes that a call was answered before others that were sent earlier.
 func (b *Balancer) overtake(by *request) {
-	for _, e := range b.listed {
+	for _, e := range b.busy {
 		for _, r := range e.calls {
 			if r.sentAt >= by.sentAt {
 				break
@@ -1102,7 +1116,6 @@
 // answers fail to come. That serves for lost answers, mute connections and stuck tiers below alike. Where all
 // turn slow at once, some slow calls run twice.
 func (b *Balancer) miss(now time.Duration, e *endpoint) {
-	e.lost = 0
 	for _, r := range e.calls {
 		age, long := now-r.sentAt, r.class.tail*r.class.mean
 		if r.overtaken < othersAnswers || age <= seconds(stuckTails*long) {
@@ -1121,6 +1134,9 @@
 			b.withdraw(r)
 		}
 	}
+	if e.lost > 0 {
+		b.overdue = append(b.overdue, e)
+	}
 	if e.mark != isolated {
 		b.lost += e.lost
 	}
@@ -1142,33 +1158,25 @@
 		return // older than what is known: an endpoint that has left would come back
 	}
 	b.version = l.Version
+	if b.tenants == nil {
+		b.meter(now)
+	}
 	if l.Kind != Delta {
 		for _, e := range b.listed {
 			e.listed = false
 		}
 	}
-	if b.tenants == nil {
-		b.meter(now)
-	}
 	for _, x := range l.Entries {
 		b.entry(now, l, x)
 	}
-	crowd := len(b.byID) > goneMost+2*len(b.listed)
-	b.listed = b.listed[:0]
-	for id, e := range b.byID {
-		if e.listed {
-			b.listed = append(b.listed, e)
-			continue
-		}
-		// Until it is warm, and its calls have ended, one that comes back is still the same.
+	for _, e := range b.relist(l) {
 		b.leave(now, e)
-		if len(e.calls)+e.coming == 0 && (crowd || now-e.left >= b.set.Cold) {
-			delete(b.byID, id)
-		}
 	}
-	b.weigh()
-	slices.SortFunc(b.listed, func(x, y *endpoint) int { return int(int64(x.id) - int64(y.id)) })
-	b.count()
+	// Until it is warm, and its calls have ended, one that comes back is still the same.
+	crowd := len(b.byID) > goneMost+2*len(b.listed)
+	b.forget(func(e *endpoint) bool {
+		return len(e.calls)+e.coming == 0 && (crowd || now-e.left >= b.set.Cold)
+	})
 	if l.Kind == Cached {
 		b.rewatch()
 	} else {
@@ -1197,6 +1205,7 @@
 		b.byID[x.Endpoint] = e
 	}
 	e.zone, e.cell, e.kind, e.version = x.Zone, x.Cell, max(x.Kind, 0), l.Version
+	b.odd = b.odd || e.weight != x.Weight
 	e.weight = x.Weight
 	e.listed = x.State != Gone
 	restarted := x.Started > e.started
@@ -1209,10 +1218,10 @@
 		b.ramp(now, e, x.Started)
 	case !restarted && e.mark != leaving:
 	case e.unproven && !restarted:
-		e.mark = usable
+		b.turn(e, usable)
 		b.isolate(now, e, "as before it left")
 	case len(b.listed) == 0 && (e.started == 0 || now-e.started >= b.set.Cold):
-		e.mark = usable // of the first list: were all to ramp, none would be there to measure them by
+		b.turn(e, usable) // of the first list: were all to ramp, none would be there to measure them by
 	default:
 		b.ramp(now, e, b.since(now, e))
 	}
@@ -1223,7 +1232,7 @@
 	if e.mark != leaving {
 		e.unproven, e.left = e.mark == isolated, now
 		b.reopen(e)
-		e.mark = leaving
+		b.turn(e, leaving)
 	}
 }
 
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -608,6 +608,7 @@
 			l.Entries = append(l.Entries, Entry{Endpoint: id, Weight: []float64{3, 0.5}[id%2]})
 		}
 		d.b.Targets(d.now, l)
+		d.b.count()
 		n := 0
 		for _, e := range d.b.listed {
 			parts[e.id] += e.part
@@ -650,6 +651,7 @@
 		for id := EndpointID(5); id <= 14; id++ {
 			d.list(Entry{Endpoint: id, State: Draining, Weight: 1})
 		}
+		d.b.count()
 		for _, e := range d.b.listed {
 			parts[e.id] += e.part
 		}
@@ -758,7 +760,8 @@
 		}
 	}
 	rate := func(part float64) float64 {
-		cold.part, cold.mark, cold.coldFrom, cold.tokens, cold.tokensAt = part, ramping, d.now, 0, d.now-10*ms
+		d.b.turn(cold, ramping)
+		cold.part, cold.coldFrom, cold.tokens, cold.tokensAt = part, d.now, 0, d.now-10*ms
 		d.b.rampRoom(d.now, cold)
 		return cold.tokens
 	}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -27,7 +27,9 @@
 	pace       pace
 	service    pace // seconds of service that it reports
 	mark       mark
-	listed     bool
+	listed     bool          // by the last list,
+	rostered   bool          // and the sets of the roster know;
+	away     bool // it is among those that have gone
 	started    time.Duration // process start as listed
 	version    uint64        // of the list that named it last
 	coldFrom   time.Duration // since when its ramp counts
@@ -233,8 +235,12 @@
 // mostWeight is more than any weight can be: with one that cannot, a list tells nothing of sizes.
 const mostWeight = 1e6
 
-// weigh notes whether the listed weights are all such as can be, and tell endpoints apart.
+// weigh notes, where weights or endpoints are others than before, whether the listed weights are all such as can be, and tell endpoints apart.
 func (b *Balancer) weigh() {
+	if !b.odd {
+		return
+	}
+	b.odd = false
 	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
 	none := func(e *endpoint) bool { return !(e.weight > 0 && e.weight <= mostWeight) }
 	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
@@ -242,11 +248,10 @@
 
 // able is how many whole endpoints are in service. Rates are kept for each, so that the limit falls at once
 // when some leave: what all could bear would choke the few that are left.
-func (b *Balancer) able(now time.Duration) (n float64) {
-	for _, e := range b.listed {
-		if e.mark <= ramping {
-			n += b.share(now, e)
-		}
+func (b *Balancer) able(now time.Duration) float64 {
+	n := float64(b.whole)
+	for _, e := range b.ramps {
+		n += b.share(now, e)
 	}
 	return max(n, 1)
 }
@@ -259,8 +264,8 @@
 // warmOdds is the sum of the odds of the subset's warm endpoints.
 func (b *Balancer) warmOdds() float64 {
 	sum := 0.0
-	for _, e := range b.listed {
-		if e.mark == usable && e.part > 0 {
+	for _, e := range b.mine {
+		if e.mark == usable {
 			sum += b.odds(e)
 		}
 	}
--- a/internal/decision/succession.go
+++ b/internal/decision/succession.go
@@ -150,7 +150,7 @@
 	for i := range min(len(b.tenants), len(l.Shares)) {
 		b.tenants[i].hold(now, l.Shares[i])
 	}
-	b.count()
+	b.moved = true
 	b.place(now)
 	b.arm()
 	return nil
