--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -29,7 +29,7 @@
 	mark       mark
 	listed     bool          // by the last list,
 	rostered   bool          // and the sets of the roster know;
-	away     bool // it is among those that have gone
+	away       bool          // it is among those that have gone
 	started    time.Duration // process start as listed
 	version    uint64        // of the list that named it last
 	coldFrom   time.Duration // since when its ramp counts
