--- a/cmd/dykering/main_test.go
+++ b/cmd/dykering/main_test.go
@@ -19,6 +19,18 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
+	if program := os.Getenv("BE_CONFINED"); program != "" {
+		args := append([]string{program}, os.Args[1:]...)
+		if text := os.Getenv("CONFINED_ARGS"); text != "" {
+			args = append(args, strings.Split(text, "\n")...)
+		}
+		err := confine()
+		if err == nil {
+			err = syscall.Exec(program, args, os.Environ())
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	if os.Getenv("BE_DYKERING") == "1" {
 		main()
 		return
