--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -39,6 +39,7 @@
 	{"p50 ms", -1, func(r *model.Result) float64 { return 1000 * r.P50 }},
 	{"p99 ms", -1, func(r *model.Result) float64 { return 1000 * r.P99 }},
 	{"attempts", 0, func(r *model.Result) float64 { return float64(r.Attempts) / float64(max(r.Asked, 1)) }},
+	{"connects", 0, func(r *model.Result) float64 { return float64(r.Connects) / float64(max(r.Asked, 1)) }},
 	{"refused", 0, func(r *model.Result) float64 { return float64(r.Refused) / float64(max(r.Asked, 1)) }},
 	{"broken", -1, func(r *model.Result) (n float64) {
 		for _, k := range r.Broken {
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -20,7 +20,8 @@
 	Unmade     int               `json:"unmade"` // of them, beyond what may be open: callers ask for more than is ever answered
 	Tries      int               `json:"tries"`
 	Attempts   int               `json:"attempts"`
-	Served     int               `json:"served"` // in time
+	Connects   int               `json:"connects,omitempty"` // connections opened, where they cost
+	Served     int               `json:"served"`             // in time
 	Late       int               `json:"late"`
 	Refused    int               `json:"refused"`
 	Failed     int               `json:"failed"`
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -129,6 +129,7 @@
 	}
 	c.open++
 	s.open++
+	s.w.Result.Connects++
 	a.work = time.Duration(s.kind.Handshake).Seconds()
 	return 2 * s.w.Latency(), true
 }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -23,6 +23,7 @@
 type Scenario struct {
 	Version   int             `toml:"version" doc:"of the format" min:"1" max:"1"`
 	Name      string          `toml:"name" doc:"of the scenario"`
+	Day       string          `toml:"day" doc:"which of the troubles come, beside those that name no day"`
 	Lasts     strict.Duration `toml:"lasts" doc:"how long callers ask" min:"1s" max:"1h"`
 	Broker    Broker          `toml:"broker"`
 	Servers   Servers         `toml:"servers"`
@@ -157,6 +158,7 @@
 //   - kill: instances of the broker end at once and start again; handover: a new process takes over from an old one.
 type Trouble struct {
 	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover"`
+	Day    string          `toml:"day" doc:"the scenario's day on which it comes; empty for each"`
 	At     Times           `toml:"at" doc:"when it begins"`
 	Lasts  Times           `toml:"lasts" doc:"how long; of a drain, until the server is back"`
 	Tier   int             `toml:"tier" doc:"whose servers and instances; 0 for the first" min:"0" max:"8"`
@@ -341,6 +343,11 @@
 			fault(key+"what", "of one zone none can be lost")
 		}
 	}
+	known := func(t Trouble) bool { return t.Day == s.Day }
+	if s.Day != "" && !slices.ContainsFunc(s.Troubles, known) {
+		fault("day", "no trouble comes on a day %q", s.Day)
+	}
+	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.Day != "" && !known(t) })
 	if s.Callers.Rate.From <= 0 {
 		fault("callers.rate", "has to be above 0")
 	}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -34,6 +34,7 @@
 		"no work":         {`work = "0.02..0.08"`, `work = "0..1"`, "class[0].work: has to be above 0"},
 		"unknown what":    {`what = "drain"`, `what = "deluge"`, "trouble[0].what"},
 		"flood of nobody": {`what = "drain"`, `what = "flood"`, `trouble[0].team: missing: "" is no team here`},
+		"no such day":     {"version = 1", "version = 1\nday = \"fair\"", `day: no trouble comes on a day "fair"`},
 		"version":         {"version = 1", "version = 2", ":1: version: has to be at most 1"},
 	} {
 		text := strings.Replace(string(standard), tc.from, tc.to, 1)
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -67,6 +67,9 @@
 	s.policy = p
 	l := w.List(i.in)
 	l.Kind = decision.Cached
+	for _, e := range l.Entries {
+		w.Checker.Listed(w.Now(), i.in.N, w.Servers[e.Endpoint-1].N, e.State == decision.Ready)
+	}
 	i.seat = s
 	p.Targets(w.Now(), l)
 	return nil
