--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -46,9 +46,11 @@
 	paceTrust     = 4.0  // answers that the pace of its kind counts for
 	latencyWeight = 0.05 // weight of one answer in a class's mean latency
 
-	bucketLeast = 8.0 // requests that chance may bring together, at any rate,
-	bucketStart = 2.0 // and at the start
-	tenantBurst = 4.0 // seconds of its share that a tenant may save up
+	bucketLeast = 8.0  // requests that chance may bring together, at any rate,
+	bucketStart = 2.0  // and at the start
+	evenAtMost  = 1.17 // of all shares at an instance that is served where callers come evenly: all of capacity
+	shareGrowth = 1.5  // of the shares, over what is served beyond that
+	tenantBurst = 4.0  // seconds of its share that a tenant may save up
 
 	// Strain: what calls take, over what they should at most take on average. Above 1 calls are paced, for where
 	// an instance has a call or two in flight a limit on their number holds nothing back.
@@ -122,7 +124,8 @@
 	kinds    []pace // by machine kind
 	services []pace // by machine kind: seconds of service that its endpoints report
 	tenants  []bucket
-	quota    float64 // requests a second within all shares, at this instance
+	shortBy  time.Duration // capacity counts as short until then
+	quota    float64       // requests a second within all shares, at this instance
 	held     []*request
 	scratch  []*endpoint
 
@@ -259,20 +262,26 @@
 }
 
 // beyondShare meters a tenant's requests against its share at this instance. Callers come unevenly: where it
-// serves more than an even part of all shares, each tenant's grows alike, and who floods still stands out.
+// serves clearly more than an even part of all shares, each tenant's grows alike, and who floods still stands
+// out. It grows somewhat faster than what is served, for else half of all would be beyond shares just met.
 // A repeat counts as beyond: most are of requests refused for that, and would use up the share of new ones.
 func (b *Balancer) beyondShare(now time.Duration, q Request) bool {
 	if b.set.Stage > 0 || q.Tenant >= len(b.tenants) || q.Repeat {
 		return b.set.Stage == 0 && q.Tenant < len(b.tenants)
 	}
-	return !b.tenants[q.Tenant].take(now, 1/max(1, b.served.value(now, b.window)/b.quota))
+	more := b.served.value(now, b.window)/b.quota - evenAtMost
+	return !b.tenants[q.Tenant].take(now, 1/(1+shareGrowth*max(more, 0)))
 }
 
-// short tells whether capacity is short, by what this instance sees: requests wait, as many calls are out as
-// may be, or they take too long. While it is not, nobody is refused for what is beyond a share.
+// short tells whether capacity is short, by what this instance sees, or was within a rate window: requests wait,
+// as many calls are out as may be, or they take too long. While it is not, nobody is refused for what is beyond
+// a share. Without the window, what is beyond fills each gap up to the limit, and endpoints choke.
 func (b *Balancer) short(now time.Duration) bool {
 	b.refit(now)
-	return len(b.held) > 0 || b.strain > 1 || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit
+	if len(b.held) > 0 || b.strain > 1 || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
+		b.shortBy = now + b.window
+	}
+	return now < b.shortBy
 }
 
 // hold puts a request among those waiting for an endpoint.
