--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -273,9 +273,9 @@
 	return !b.tenants[q.Tenant].take(now, 1/(1+shareGrowth*max(more, 0)))
 }
 
-// short tells whether capacity is short, by what this instance sees, or was within a rate window: requests wait,
-// as many calls are out as may be, or they take too long. While it is not, nobody is refused for what is beyond
-// a share. Without the window, what is beyond fills each gap up to the limit, and endpoints choke.
+// short tells whether capacity is short, by what this instance sees, or was within a rate window: requests
+// wait, as many calls are out as may be, or they take too long. While it is not, nobody is refused for what
+// is beyond a share. Without the window, what is beyond fills each gap up to the limit, and endpoints choke.
 func (b *Balancer) short(now time.Duration) bool {
 	b.refit(now)
 	if len(b.held) > 0 || b.strain > 1 || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
@@ -643,13 +643,14 @@
 	return best
 }
 
-// dueTrial is an isolated endpoint that is due a trial; only a first attempt with time for another is risked.
+// dueTrial is an isolated endpoint that is due a trial; only a first attempt with time for another is risked,
+// and one of a few: an instance that is asked once in ten seconds tried a dead endpoint with each request.
 func (b *Balancer) dueTrial(now time.Duration, r *request) *endpoint {
 	if r.attempts > 0 || r.class.Effect == Unsafe {
 		return nil
 	}
 	for _, e := range b.shunned {
-		if e.part > 0 && e.trialAt <= now && len(e.calls) == 0 {
+		if e.part > 0 && e.trialAt <= now && e.trialFrom <= b.answered && len(e.calls) == 0 {
 			return e
 		}
 	}
@@ -919,7 +920,7 @@
 	b.turn(e, isolated)
 	b.out -= len(e.calls) // stuck calls must not use up the limit
 	e.trialPause = max(seconds(trialFirst*b.set.ConnectTimeout.Seconds()), b.tick)
-	e.trialAt = now + b.jitter(e.trialPause)
+	e.trialAt, e.trialFrom = now+b.jitter(e.trialPause), b.answered+othersAnswers
 	b.host.Log(fmt.Sprintf("endpoint %d isolated: %s (list version %d)", e.id, why, e.version))
 }
 
@@ -935,7 +936,7 @@
 // postpone doubles the wait for the next trial call after one that failed.
 func (b *Balancer) postpone(now time.Duration, e *endpoint) {
 	e.trialPause = min(2*e.trialPause, max(b.set.Cold, b.window))
-	e.trialAt = now + b.jitter(e.trialPause)
+	e.trialAt, e.trialFrom = now+b.jitter(e.trialPause), b.answered+othersAnswers
 }
 
 // restore ends an isolation; the endpoint ramps up, as it may have restarted.
--- /dev/null
+++ b/internal/decision/fleet_test.go
@@ -0,0 +1,127 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// What a broker of a large fleet has to bear: it sees little itself, and what it does all others do too.
+func TestOneOfManyBrokers(t *testing.T) {
+	small := func() Settings {
+		s := settings()
+		s.Instances, s.Ordinal = 300, 7
+		return s
+	}
+	t.Run("one call in ten seconds", func(t *testing.T) {
+		// It neither keeps calling a dead server nor shuns a good one for long after one bad answer.
+		d := start(t, small(), 300)
+		d.serve(1, nil)
+		dead, spoilt := d.b.mine[0].id, d.b.mine[1].id
+		knocks, errors, after := 0, 0, 0
+		for range 60 {
+			at := len(d.sent)
+			d.ask(read)
+			for ; at < len(d.sent); at++ {
+				switch x := d.sent[at]; {
+				case x.to == dead:
+					knocks++
+					d.end(x, ConnectFailed, ms)
+				case x.to == spoilt && errors == 0:
+					errors++
+					d.end(x, Error, 20*ms)
+				default:
+					if x.to == spoilt {
+						after++
+					}
+					d.end(x, OK, 20*ms)
+				}
+			}
+			d.pass(10 * time.Second)
+		}
+		if len(d.fails) > 0 || len(d.refusals) > 0 || after < 10 {
+			t.Errorf("%d failed, %d refused, %d calls to the server of one bad answer", len(d.fails), len(d.refusals), after)
+		}
+		if knocks > 20 {
+			t.Errorf("%d calls to a dead server in ten minutes", knocks)
+		}
+	})
+	t.Run("a connection table that is full", func(t *testing.T) {
+		// A broker that has no connection there doesn't knock all day, and serves its callers elsewhere.
+		d := start(t, small(), 300)
+		d.serve(1, nil)
+		full, knocks := d.b.mine[0].id, 0
+		for range 3000 {
+			at := len(d.sent)
+			d.ask(read)
+			d.pass(20 * ms)
+			for ; at < len(d.sent); at++ {
+				x := d.sent[at]
+				if x.to == full {
+					knocks++
+					d.end(x, ConnectFailed, ms)
+				} else {
+					d.end(x, OK, 20*ms)
+				}
+			}
+		}
+		if knocks > 30 || len(d.fails)+len(d.refusals) > 0 {
+			t.Errorf("%d attempts to connect in a minute, %d failed, %d refused", knocks, len(d.fails), len(d.refusals))
+		}
+	})
+	t.Run("all servers under new ids", func(t *testing.T) {
+		// Two thousand within a minute, in lists of fifty: what is remembered is bounded, and all that is asked is served.
+		d := start(t, small(), 2000)
+		version, answered := uint64(1), 0
+		for i := 0; i < 2000; i += 50 {
+			l := List{Kind: Delta, Version: version + 1}
+			version++
+			for k := i + 1; k <= i+50; k++ {
+				l.Entries = append(l.Entries, Entry{Endpoint: EndpointID(k), State: Gone, Weight: 1},
+					Entry{Endpoint: EndpointID(10000 + k), Started: d.now, Weight: 1})
+			}
+			d.b.Targets(d.now, l)
+			for range 10 {
+				d.ask(read)
+				d.pass(150 * ms)
+				for ; answered < len(d.sent); answered++ {
+					d.end(d.sent[answered], OK, 20*ms)
+				}
+			}
+		}
+		if n := len(d.b.byID); n > 4000+goneMost || len(d.b.listed) != 2000 || len(d.b.requests) > 0 {
+			t.Errorf("%d servers remembered, %d listed, %d requests left", n, len(d.b.listed), len(d.b.requests))
+		}
+		if n := len(d.refusals) + len(d.fails); n > 4 {
+			t.Errorf("%d of 400 not served", n)
+		}
+		d.now += d.b.set.Cold
+		d.b.Targets(d.now, List{Kind: Delta, Version: version + 1})
+		if n := len(d.b.byID); n != 2000 {
+			t.Errorf("%d servers remembered once those that left would be warm, want 2000", n)
+		}
+	})
+	t.Run("all hear the same list", func(t *testing.T) {
+		// A server that starts gets no more from all brokers together than a cold one bears, in the first second after a list
+		// that all have in the same tick: here a request from each, at once.
+		cold, total := 0, 0
+		for i := range 300 {
+			s := small()
+			s.Ordinal = i
+			d := start(t, s, 300)
+			d.serve(4, nil)
+			d.list(Entry{Endpoint: 17, Started: d.now, Weight: 1})
+			at := len(d.sent)
+			for range 4 {
+				d.ask(read)
+			}
+			for _, x := range d.sent[at:] {
+				if total++; x.to == 17 {
+					cold++
+				}
+			}
+		}
+		if even := total / 300; cold > 3*even {
+			t.Errorf("%d of %d calls to the cold server, an even part is %d", cold, total, even)
+		}
+	})
+}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -47,6 +47,7 @@
 	lost       int           // own calls in flight that it will hardly answer
 	trialAt    time.Duration
 	trialPause time.Duration
+	trialFrom  int     // answers of any kind before which there is none
 	tokens     float64 // sends a ramping endpoint may get now
 	tokensAt   time.Duration
 }
