--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -63,6 +63,7 @@
 	strainMost   = 4.0  // the most that one call may tell
 	paceMost     = 1.5  // of the peak rate of requests: the pace when nothing is held back
 	paceLeast    = 0.15 // and the least, of that
+	yieldStrain  = 0.7  // strain at which what is beyond a share yields, before calls are paced
 	paceBurst    = 2.0  // calls that may be sent at once, or those of half a second
 
 	// Silence: no answer of any kind since a call was sent, while others answer.
@@ -281,7 +282,11 @@
 // a few calls is reached by chance.
 func (b *Balancer) short(now time.Duration) bool {
 	b.refit(now)
-	if len(b.held) > 0 || b.strain > 1 || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
+	most := 1.0
+	if b.set.Instances > len(b.listed) {
+		most = yieldStrain
+	}
+	if len(b.held) > 0 || b.strain > most || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
 		b.shortBy = now + b.window*evenAmong/time.Duration(max(b.set.Instances, evenAmong))
 		return true
 	}
