Old strain, an outlived pace and shares of nothing no longer refuse or hold back for good

Found in reading the change again; each row of TestShortageEnds failed before: - short took a strain of any age: after slow calls and ten seconds of silence a marked repeat was refused beside idle servers, and with refusals alone no answer would ever lower it. It counts for a rate window after the answer that it rests on. - press returned without a word where instances no longer outnumber servers: a pace that had begun held for good once servers came.

--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -143,6 +143,7 @@
 	pipe *os.File
 	log  *bufio.Reader
 	url  string
+	seen []string // lines of the log that were read
 }
 
 func start(t *testing.T, text string) *program { return startWith(t, text, nil) }
@@ -209,6 +210,7 @@
 		if err != nil {
 			p.t.Fatalf("the log ended before %q: %v", text, err)
 		}
+		p.seen = append(p.seen, line)
 		if strings.Contains(line, text) {
 			return line
 		}
--- a/cmd/dykering/terms_test.go
+++ b/cmd/dykering/terms_test.go
@@ -132,11 +132,9 @@
 		cmd.ExtraFiles = []*os.File{file} // with it, the program looks for a predecessor on a Unix socket
 		cmd.Env = append(cmd.Env, "BE_CONFINED="+built, "TMPDIR="+t.TempDir(), "BALANCER_ACCEPT_FD=3")
 	})
-	res, err := http.Get(p.url + "/api")
-	if err != nil {
-		t.Fatal(err)
+	if status, _ := p.ask("t1"); status != http.StatusOK {
+		t.Errorf("answered with %d", status)
 	}
-	res.Body.Close()
 	if children, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", p.cmd.Process.Pid)); err != nil || len(children) == 0 {
 		t.Error(children, err)
 	} else {
@@ -160,9 +158,13 @@
 	if err := p.cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
+	// The filter was there: the handover's socket was refused, and so is a shell's process.
+	if !slices.ContainsFunc(p.seen, func(l string) bool { return strings.Contains(l, "handover.cannot_receive") }) {
+		t.Errorf("no Unix socket was refused: %q", p.seen)
+	}
 	probe := exec.Command(os.Args[0])
-	probe.Env = append(os.Environ(), "BE_CONFINED=/bin/sh", "CONFINED_ARGS=-c\nls / && ls /")
-	if out, err := probe.CombinedOutput(); err == nil {
-		t.Errorf("a confined shell has started processes: %s", out)
+	probe.Env = append(os.Environ(), "BE_CONFINED=/bin/sh", "CONFINED_ARGS=-c\necho up; ls / && echo down")
+	if out, err := probe.CombinedOutput(); err == nil || !strings.HasPrefix(string(out), "up\n") || strings.Contains(string(out), "down") {
+		t.Errorf("a confined shell has started a process, or has not run: %v, %s", err, out)
 	}
 }
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -271,8 +271,11 @@
 	if b.set.Stage > 0 || q.Tenant >= len(b.tenants) || q.Repeat {
 		return b.set.Stage == 0 && q.Tenant < len(b.tenants)
 	}
-	more := b.served.value(now, b.window)/b.quota - evenAtMost
-	return !b.tenants[q.Tenant].take(now, 1/(1+shareGrowth*max(more, 0)))
+	more := 0.0
+	if b.quota > 0 {
+		more = max(b.served.value(now, b.window)/b.quota-evenAtMost, 0)
+	}
+	return !b.tenants[q.Tenant].take(now, 1/(1+shareGrowth*more))
 }
 
 // short tells whether capacity is short, by what this instance sees: requests wait, as many calls are out as
@@ -286,7 +289,8 @@
 	if b.set.Instances > len(b.listed) {
 		most = yieldStrain
 	}
-	if len(b.held) > 0 || b.strain > most || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
+	strained := b.strain > most && now-b.strainAt <= b.window // without answers it tells nothing of now
+	if len(b.held) > 0 || strained || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
 		b.shortBy = now + b.window*evenAmong/time.Duration(max(b.set.Instances, evenAmong))
 		return true
 	}
@@ -302,7 +306,7 @@
 // place sends held requests, the most worth first, while there is room.
 func (b *Balancer) place(now time.Duration) {
 	b.refit(now)
-	if b.moved && len(b.held) > 0 {
+	if b.recount && len(b.held) > 0 {
 		b.count()
 	}
 	if len(b.held) > 1 {
@@ -461,7 +465,7 @@
 	}
 	base := able * b.rate.peak(now, b.window)
 	if now-b.countAt > b.window {
-		b.wide, b.countAt, b.moved = ownCalls*base, now, true
+		b.wide, b.countAt, b.recount = ownCalls*base, now, true
 	}
 	queue := queueHolds * able * float64(max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, able*b.spare.peak(now, b.window))
@@ -563,7 +567,7 @@
 // few that came after them.
 func (b *Balancer) count() {
 	b.weigh()
-	b.moved = false
+	b.recount = false
 	for _, e := range b.mine {
 		e.part = 0
 	}
@@ -838,6 +842,7 @@
 	b.strain += weight * (min(took.Seconds()/due, strainMost) - b.strain)
 	b.strainAt = now
 	if b.set.Instances <= len(b.listed) {
+		b.paced = false // instances were more when it began
 		return
 	}
 	most := paceMost * b.asked.peak(now, b.window)
@@ -1224,7 +1229,7 @@
 		b.byID[x.Endpoint] = e
 	}
 	e.zone, e.cell, e.kind, e.version = x.Zone, x.Cell, max(x.Kind, 0), l.Version
-	b.odd = b.odd || e.weight != x.Weight
+	b.reweigh = b.reweigh || e.weight != x.Weight
 	e.weight = x.Weight
 	e.listed = x.State != Gone
 	restarted := x.Started > e.started
--- a/internal/decision/fleet_test.go
+++ b/internal/decision/fleet_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 )
@@ -125,3 +126,65 @@
 		}
 	})
 }
+
+// What capacity looked like before says nothing of now: each row is refused or held back for good without its cause.
+func TestShortageEnds(t *testing.T) {
+	s := settings()
+	s.MarksRetry = true
+	s.Tenants = []Tenant{{Name: "a", QuotaPerS: 100}}
+	slow := func(d *bed) { // calls that take three times what is usual
+		d.serve(100, nil)
+		for range 200 {
+			d.ask(read)
+			d.pass(60 * ms)
+			d.end(d.last(), OK, 400*ms)
+		}
+	}
+	t.Run("a repeat after a silence", func(t *testing.T) {
+		d := start(t, s, 20)
+		slow(d)
+		if d.b.strain <= 1 {
+			t.Fatalf("strain %.2f: nothing is tested", d.b.strain)
+		}
+		d.pass(10 * time.Second)
+		at := len(d.sent)
+		d.b.Request(d.now, Request{ID: "again", Left: 1500 * ms, Repeat: true})
+		if len(d.sent) == at {
+			t.Error("refused beside idle servers, for calls that were slow ten seconds ago")
+		}
+	})
+	t.Run("a pace as servers come", func(t *testing.T) {
+		s := s
+		s.Instances = 30
+		d := start(t, s, 20)
+		slow(d)
+		if !d.b.paced {
+			t.Fatal("not paced: nothing is tested")
+		}
+		l := List{Kind: Delta, Version: 2}
+		for id := EndpointID(21); id <= 40; id++ {
+			l.Entries = append(l.Entries, Entry{Endpoint: id, Weight: 1})
+		}
+		d.b.Targets(d.now, l)
+		d.pass(2 * time.Second)
+		d.serve(20, nil)
+		if d.b.paced {
+			t.Error("calls are paced for good once there are more endpoints than instances")
+		}
+	})
+	t.Run("no shares at all", func(t *testing.T) {
+		s := s
+		s.Tenants = []Tenant{{Name: "a"}, {Name: "b"}}
+		d := start(t, s, 20)
+		d.serve(100, nil)
+		if _, err := json.Marshal(d.b.Learnt(d.now)); err != nil {
+			t.Error("what is learnt cannot be told to a successor:", err)
+		}
+		if len(d.refusals) > 0 {
+			t.Errorf("%d of 100 refused beside idle servers", len(d.refusals))
+		}
+		if id := d.ask(read); !d.b.requests[id].low {
+			t.Error("within a share of nothing")
+		}
+	})
+}
--- a/internal/decision/roster.go
+++ b/internal/decision/roster.go
@@ -20,17 +20,17 @@
 	shunned []*endpoint // isolated
 	overdue []*endpoint // with calls in flight that they will hardly answer, as of the last tick
 	whole   int         // usable
-	odd     bool        // who is listed, or a weight, has changed since they were weighed
-	moved   bool        // marks, the list or this instance's needs have changed since the subset was counted
+	reweigh bool        // who is listed, or a weight, has changed since they were weighed
+	recount bool        // marks, the list or this instance's needs have changed since the subset was counted
 }
 
-func byID(x, y *endpoint) int { return cmp.Compare(x.id, y.id) }
+func compareIDs(x, y *endpoint) int { return cmp.Compare(x.id, y.id) }
 
-func sortByID(set []*endpoint) { slices.SortFunc(set, byID) }
+func sortByID(set []*endpoint) { slices.SortFunc(set, compareIDs) }
 
 // keep has a set hold an endpoint, or not.
 func keep(set *[]*endpoint, e *endpoint, in bool) {
-	switch at, has := slices.BinarySearchFunc(*set, e, byID); {
+	switch at, has := slices.BinarySearchFunc(*set, e, compareIDs); {
 	case in && !has:
 		*set = slices.Insert(*set, at, e)
 	case !in && has:
@@ -51,7 +51,7 @@
 		r.sum(e, 1)
 	}
 	r.note(e)
-	r.moved = true
+	r.recount = true
 }
 
 // sum counts a listed endpoint in, or out.
@@ -70,13 +70,13 @@
 
 // relist takes in who is listed now, after the entries of a list were noted, and tells who no longer is.
 func (r *roster) relist(l List) (left []*endpoint) {
-	r.moved = true
+	r.recount = true
 	list := func(e *endpoint, in bool) {
 		if e.rostered != in {
 			e.rostered = in
 			r.sum(e, map[bool]int{false: -1, true: 1}[in])
 			r.note(e)
-			r.odd = true
+			r.reweigh = true
 			if !in {
 				left = append(left, e)
 			}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -238,10 +238,10 @@
 
 // weigh notes, where weights or endpoints are others than before, whether the listed weights are all such as can be, and tell endpoints apart.
 func (b *Balancer) weigh() {
-	if !b.odd {
+	if !b.reweigh {
 		return
 	}
-	b.odd = false
+	b.reweigh = false
 	apart := func(e *endpoint) bool { return e.weight != b.listed[0].weight }
 	none := func(e *endpoint) bool { return !(e.weight > 0 && e.weight <= mostWeight) }
 	b.weighted = slices.ContainsFunc(b.listed, apart) && !slices.ContainsFunc(b.listed, none)
--- a/internal/decision/succession.go
+++ b/internal/decision/succession.go
@@ -150,7 +150,7 @@
 	for i := range min(len(b.tenants), len(l.Shares)) {
 		b.tenants[i].hold(now, l.Shares[i])
 	}
-	b.moved = true
+	b.recount = true
 	b.place(now)
 	b.arm()
 	return nil
--- a/internal/lab/model/caller.go
+++ b/internal/lab/model/caller.go
@@ -80,7 +80,7 @@
 	all, hot := w.Tiers[0].Instances, w.S.Callers.Hot
 	few := (len(all) + 9) / 10
 	share := hot * float64(few) / float64(len(all))
-	if hot == 1 || few == len(all) || share >= 1 {
+	if hot == 1 || share >= 1 {
 		return all[w.asks.IntN(len(all))]
 	}
 	if w.hot == nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -348,6 +348,9 @@
 		fault("day", "no trouble comes on a day %q", s.Day)
 	}
 	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.Day != "" && !known(t) })
+	if n := s.Broker.Instances; s.Callers.Hot > 1 && s.Callers.Hot*float64((n+9)/10) >= float64(n) {
+		fault("callers.hot", "one in ten of %d instances cannot get %v times the mean: that is all, or more", n, s.Callers.Hot)
+	}
 	if s.Callers.Rate.From <= 0 {
 		fault("callers.rate", "has to be above 0")
 	}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -34,6 +34,7 @@
 		"no work":         {`work = "0.02..0.08"`, `work = "0..1"`, "class[0].work: has to be above 0"},
 		"unknown what":    {`what = "drain"`, `what = "deluge"`, "trouble[0].what"},
 		"flood of nobody": {`what = "drain"`, `what = "flood"`, `trouble[0].team: missing: "" is no team here`},
+		"more than all":   {"rate = ", "hot = 9\nrate = ", "callers.hot: one in ten of 4 instances"},
 		"no such day":     {"version = 1", "version = 1\nday = \"fair\"", `day: no trouble comes on a day "fair"`},
 		"version":         {"version = 1", "version = 2", ":1: version: has to be at most 1"},
 	} {
