An answer before the sender of a long body says all is out is that of a request that ran

Cause: exchangeLong took an answer that came while the sender had not yet reported for one that came too early, though the last byte could already be out (a.out closed); the request was then called unsent and could be repeated against its class. Change: wait for the sender when its last byte is out, and keep what it reports when cancelling finds it just ended.

--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -337,10 +337,13 @@
 	case res = <-answer:
 		select {
 		case e = <-sent:
+		case <-a.out: // its last byte is out, and its sender about to say so
+			e = <-sent
 		default:
-			e.write = errEarly
-			a.Cancel() // ends the sending
-			<-sent
+			a.Cancel() // ends the sending, unless that has just ended: then it has run
+			if e = <-sent; e != (ending{}) {
+				e = ending{write: errEarly}
+			}
 		}
 	}
 	if e == (ending{}) {
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -378,3 +379,33 @@
 		}
 	}
 }
+
+// tardy is a sidecar that hears of a body's last byte only once its attempt is given up.
+type tardy struct{ aside }
+
+func (tardy) Written(a *core.Attempt) { <-a.Ctx.Done() }
+
+// An answer that comes before the sender of a long body has said that all is out is that of a request that ran. It
+// was taken for one that came too early, and the request for one that never ran: refused as harmless to repeat.
+func TestAnswerBeforeTheSenderSaysAllIsOut(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); string(body) != "triptrip" {
+			t.Errorf("%q, %v", body, err)
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer endpoint.Close()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	rest := &requestBody{r: bufio.NewReader(strings.NewReader("trip")), length: 8, left: 4}
+	in := inbound{method: http.MethodPost, target: "/api", host: "h", header: http.Header{"Content-Length": {"8"}}, body: []byte("trip"),
+		more: newUpload(&caller{Conn: near, callers: &callers{}}, rest, func() bool { return false })}
+	c := core.NewCall(decision.Request{Long: true}, &in)
+	c.Deadline, c.Left = time.Now().Add(patience), patience
+	a := newAttempt(core.NewAttempt(c, core.NewEndpoint(1, endpoint.Listener.Addr().String()), 0, tardy{}))
+	defer a.Close()
+	if res := a.run(nil, patience, roomy()); res.status != decision.Error || !res.spent {
+		t.Errorf("%v, spent %v: want an error of a request that ran", res.status, res.spent)
+	}
+}
