--- /dev/null
+++ b/internal/fleet/membership/view.go
@@ -0,0 +1,251 @@
+// Package membership keeps a broker's view of the fleet: which brokers there are, and whether each is alive,
+// suspect, dead or has left. The view is a state machine fed by observations of the gossip (package gossip, on
+// hashicorp/memberlist) and by the time that the caller passes in; it does no I/O and reads no clock, so that the
+// laboratory can play it in virtual time and the tests can drive it event by event.
+//
+// What the view decides that memberlist does not: which observation is news (a lower incarnation never is), what
+// a change is called and why, when a member that is gone is forgotten, how many members are held at most, and
+// what two brokers compare to tell that they see the same fleet (Number and Digest).
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// State is what the view holds of a member.
+type State uint8
+
+// The states, as SWIM names them. Left is a member that said it goes; Dead one that stopped answering.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
+}
+
+// gone tells whether a member in this state takes no part in the fleet.
+func (s State) gone() bool { return s == Dead || s == Left }
+
+// Meta is what a member tells of itself. It travels in memberlist's node meta, 512 bytes at most.
+type Meta struct {
+	Zone    string    `json:"z,omitempty"`
+	Tier    string    `json:"t,omitempty"`
+	Version string    `json:"v,omitempty"` // the build
+	Started time.Time `json:"s"`           // when its process started: a new process under an old id is newer
+	Weight  uint16    `json:"w"`           // its part of fleet-wide budgets, 1 by default
+}
+
+// Member is one broker as the view holds it.
+type Member struct {
+	ID          string
+	Addr        string // host:port of its gossip
+	Incarnation uint32
+	State       State
+	Meta        Meta
+	Since       time.Time // of its state
+}
+
+// Observation is what the gossip says of one member now.
+type Observation struct {
+	ID          string
+	Addr        string
+	Incarnation uint32
+	State       State
+	Meta        Meta
+}
+
+// Reason says why a member's state changed.
+type Reason string
+
+// The reasons. memberlist suspects a member only when its direct probe and the indirect ones through others failed,
+// and declares it dead when the suspicion was not refuted in time.
+const (
+	Joined    Reason = "joined"
+	Probes    Reason = "direct and indirect probes failed"
+	Expired   Reason = "suspicion not refuted in time"
+	Refuted   Reason = "refuted with a newer incarnation"
+	Returned  Reason = "came back with a newer incarnation"
+	Restarted Reason = "a new process under the same id"
+	Said      Reason = "left"
+	Updated   Reason = "told new meta"
+	Forgotten Reason = "gone for longer than it is remembered"
+)
+
+// Change is one change of the view.
+type Change struct {
+	Member Member // as it is after the change
+	From   State  // before it; the same as Member.State for a member that is new or forgotten
+	Reason Reason
+	Number uint64 // of the view after it
+}
+
+// Limits bound the view.
+type Limits struct {
+	Most int           // members held, itself among them; observations of further ones are refused
+	Kept time.Duration // how long a dead or left member is remembered
+}
+
+// Refusal counts observations that the view did not take, by why.
+type Refusal struct {
+	Full  uint64 // of a new member while Most are held
+	Stale uint64 // of an incarnation older than the one held
+}
+
+// View is a broker's view of the fleet. It is not safe for concurrent use: one goroutine owns it.
+type View struct {
+	limits  Limits
+	self    string
+	members map[string]*Member
+	number  uint64
+	changed time.Time
+	refused Refusal
+}
+
+// New makes a view that holds its own member.
+func New(self Observation, limits Limits, now time.Time) *View {
+	v := &View{limits: limits, self: self.ID, members: make(map[string]*Member, min(limits.Most, 1024))}
+	v.Observe(self, now)
+	return v
+}
+
+// Observe takes what the gossip says of a member, and returns what changed, if anything.
+func (v *View) Observe(o Observation, now time.Time) (Change, bool) {
+	m, known := v.members[o.ID]
+	if !known {
+		if len(v.members) >= v.limits.Most {
+			v.refused.Full++
+			return Change{}, false
+		}
+		if o.State.gone() {
+			return Change{}, false // what was never seen alive is nothing to remember
+		}
+		m = &Member{ID: o.ID, Addr: o.Addr, Incarnation: o.Incarnation, State: o.State, Meta: o.Meta, Since: now}
+		v.members[o.ID] = m
+		return v.change(m, o.State, Joined, now), true
+	}
+	restarted := o.Meta.Started.After(m.Meta.Started)
+	if o.Incarnation < m.Incarnation && !restarted {
+		v.refused.Stale++
+		return Change{}, false
+	}
+	from := m.State
+	reason, ok := transition(m, o, restarted)
+	if !ok {
+		return Change{}, false
+	}
+	m.Addr, m.Incarnation, m.Meta = o.Addr, o.Incarnation, o.Meta
+	if m.State != o.State {
+		m.State, m.Since = o.State, now
+	}
+	return v.change(m, from, reason, now), true
+}
+
+// transition names a change from what is held to what is observed, or says there is none.
+func transition(m *Member, o Observation, restarted bool) (Reason, bool) {
+	newer := o.Incarnation > m.Incarnation
+	switch {
+	case restarted && !o.State.gone():
+		return Restarted, true
+	case m.State == o.State && newer && o.State == Alive:
+		return Refuted, true // a suspicion that this view had not heard of yet
+	case m.State == o.State:
+		if m.Meta != o.Meta || m.Addr != o.Addr || newer {
+			return Updated, true
+		}
+		return "", false
+	case o.State == Suspect:
+		return Probes, m.State == Alive || newer
+	case o.State == Dead:
+		return Expired, true
+	case o.State == Left:
+		return Said, true
+	case m.State == Suspect: // and alive now
+		return Refuted, true
+	}
+	return Returned, true // alive from dead or left
+}
+
+// change counts a change.
+func (v *View) change(m *Member, from State, r Reason, now time.Time) Change {
+	v.number++
+	v.changed = now
+	return Change{Member: *m, From: from, Reason: r, Number: v.number}
+}
+
+// Expire forgets members that have been dead or left for longer than they are kept, and returns them.
+func (v *View) Expire(now time.Time) []Change {
+	var forgotten []Change
+	for id, m := range v.members {
+		if m.State.gone() && now.Sub(m.Since) >= v.limits.Kept && id != v.self {
+			delete(v.members, id)
+			forgotten = append(forgotten, v.change(m, m.State, Forgotten, now))
+		}
+	}
+	slices.SortFunc(forgotten, func(a, b Change) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	return forgotten
+}
+
+// Members are all that are held, by id.
+func (v *View) Members() []Member {
+	all := make([]Member, 0, len(v.members))
+	for _, m := range v.members {
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Live counts the members that are alive or suspect, and sums their weights.
+func (v *View) Live() (n int, weight uint64) {
+	for _, m := range v.members {
+		if !m.State.gone() {
+			n++
+			weight += uint64(m.Meta.Weight)
+		}
+	}
+	return n, weight
+}
+
+// Number counts the changes of this view since it began. Two views with the same number need not be the same.
+func (v *View) Number() uint64 { return v.number }
+
+// Digest is a short hash of who takes part, and under which incarnation: the same in two views that agree on it.
+// Suspect counts as taking part, as it may still refute; dead and left members do not.
+func (v *View) Digest() string {
+	live := make([]*Member, 0, len(v.members))
+	for _, m := range v.members {
+		if !m.State.gone() {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	h := fnv.New64a()
+	for _, m := range live {
+		fmt.Fprintf(h, "%s@%d;", m.ID, m.Incarnation)
+	}
+	return fmt.Sprintf("%d-%016x", len(live), h.Sum64())
+}
+
+// Settled tells whether nothing has changed for quiet.
+func (v *View) Settled(now time.Time, quiet time.Duration) bool { return now.Sub(v.changed) >= quiet }
+
+// Refused counts what was not taken.
+func (v *View) Refused() Refusal { return v.refused }
