Gossip of the fleet on memberlist, a [fleet] section off by default, and a fault relay

Change: internal/fleet/gossip runs memberlist as [fleet] says (bind, seeds, probe interval and timeout, suspicion multiplier, indirect probes, how long the dead are kept, a cap on members), with one goroutine that owns the view, fed by a bounded queue of memberlist's events and a look at its states each probe interval; a log line for each change with its reason, counters of acks, suspicions, refutations, bytes and packets; /-/fleet on the second address. A relayed transport sends all gossip through internal/lab/faultnet's relay, which drops links one way or both, a share of packets, delays, and cuts the fleet into sets.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -31,17 +32,21 @@
 	Resume()
 }
 
+// Fleet is the view of the fleet, where this process keeps one: a value that encodes as JSON.
+type Fleet interface{ Snapshot() any }
+
 // Server answers the calls at one address.
 type Server struct {
 	http    http.Server
 	callers *callers
 }
 
-// New makes a server for the calls that come to a listener. It owns the listener from then on.
-func New(l net.Listener, s Sidecar) *Server {
+// New makes a server for the calls that come to a listener. It owns the listener from then on. Fleet may be nil,
+// and /-/fleet then answers 404.
+func New(l net.Listener, s Sidecar, fleet Fleet) *Server {
 	c := &callers{Listener: l, most: MaxConnections}
 	server := &Server{callers: c, http: http.Server{
-		Handler: handler(s), ConnState: c.state, MaxHeaderBytes: maxHead,
+		Handler: handler(s, fleet), ConnState: c.state, MaxHeaderBytes: maxHead,
 		ReadTimeout: callTimeout, WriteTimeout: callTimeout,
 		ErrorLog: log.New(io.Discard, "", 0), // what a caller does wrong is its own affair, and may be endless
 	}}
@@ -61,7 +66,7 @@
 func (s *Server) Close() error { return s.http.Close() }
 
 // handler knows the paths and their methods. http.ServeMux would redirect paths that are not clean.
-func handler(s Sidecar) http.Handler {
+func handler(s Sidecar, fleet Fleet) http.Handler {
 	type call struct {
 		method string
 		answer func() bool
@@ -78,6 +83,11 @@
 		"/-/resume": {http.MethodPost, act(s.Resume)},
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/fleet" && fleet != nil && r.Method == http.MethodGet {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(fleet.Snapshot()) // a caller that has gone cannot be told
+			return
+		}
 		c, ok := calls[r.URL.Path]
 		switch {
 		case !ok:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	s := &sidecar{}
-	server := New(l, s)
+	server := New(l, s, nil)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Run() }()
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/fleet/gossip/gossip.go
@@ -0,0 +1,333 @@
+// Package gossip keeps a broker's view of the fleet (package membership) by hashicorp/memberlist: SWIM with
+// Lifeguard's suspicion and local health. One goroutine owns the view; memberlist's own goroutines reach it only
+// through a bounded queue of events, and it looks at memberlist's states once a probe interval besides, as
+// memberlist tells of joins, leaves and updates but not of suspicion.
+package gossip
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"go.uber.org/zap"
+
+	"dykering/internal/fleet/membership"
+)
+
+const (
+	// queued bounds memberlist's events that wait for the owner. What does not fit is found at the next look.
+	queued = 1024
+	// changesQueued bounds the changes that wait for the one who follows them (Changes).
+	changesQueued = 1024
+	// skew is how far in the future a member's start may lie before it is refused: clocks of one site differ less.
+	skew = time.Minute
+	// leaveTimeout bounds the wait for others to hear that this member leaves.
+	leaveTimeout = 2 * time.Second
+	// joinTimeout bounds the first join, through the seeds.
+	joinTimeout = 10 * time.Second
+)
+
+// Counters are what the gossip has done since it began. All are bounded by their type alone.
+type Counters struct {
+	Traffic
+	Acks, Suspicions, Refutations, Deaths, Joins, Leaves, Conflicts, Future, Lost atomic.Uint64
+}
+
+// Snapshot is the view as it was after its last change.
+type Snapshot struct {
+	Self    string              `json:"self"`
+	Number  uint64              `json:"number"`
+	Digest  string              `json:"digest"`
+	Health  int                 `json:"health"` // memberlist's awareness: 0 is well, more is a member that is slow itself
+	Members []membership.Member `json:"members"`
+}
+
+// Gossip is a running member of the fleet.
+type Gossip struct {
+	list     *memberlist.Memberlist
+	log      *zap.Logger
+	self     membership.Observation
+	section  Section
+	events   chan memberlist.NodeEvent
+	changes  chan membership.Change
+	snapshot atomic.Pointer[Snapshot]
+	counters Counters
+	done     chan struct{}
+	ended    chan struct{}
+	once     sync.Once
+}
+
+// Start joins the fleet as the section says, with meta for this member. It owns memberlist's goroutines and one of
+// its own until Close. Without seeds it waits to be joined.
+func Start(s Section, meta membership.Meta, logger *zap.Logger) (*Gossip, error) {
+	g := &Gossip{log: logger, section: s, events: make(chan memberlist.NodeEvent, queued),
+		changes: make(chan membership.Change, changesQueued), done: make(chan struct{}), ended: make(chan struct{})}
+	c := memberlist.DefaultLANConfig()
+	c.Name = s.ID
+	host, port, _ := net.SplitHostPort(s.Bind) // checked with the section
+	c.BindAddr, c.AdvertiseAddr = host, host
+	c.BindPort, _ = strconv.Atoi(port)
+	c.AdvertisePort = c.BindPort
+	c.ProbeInterval, c.ProbeTimeout = time.Duration(s.ProbeInterval), time.Duration(s.ProbeTimeout)
+	c.SuspicionMult, c.IndirectChecks = s.SuspicionMult, s.IndirectChecks
+	c.GossipToTheDeadTime = time.Duration(s.DeadKept)
+	c.LogOutput = &lines{g: g}
+	c.Events, c.Conflict, c.Ping, c.Delegate, c.Alive = (*events)(g), (*events)(g), (*events)(g), (*events)(g), (*events)(g)
+	var err error
+	if s.Relay != "" {
+		c.Transport, err = newRelayed(s.Bind, s.Relay, &g.counters.Traffic)
+	} else {
+		var t *memberlist.NetTransport
+		t, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host},
+			BindPort: c.BindPort, Logger: log.New(c.LogOutput, "", 0)})
+		if t != nil {
+			c.Transport = count(t, &g.counters.Traffic)
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	meta.Weight = uint16(s.Weight)
+	g.self = membership.Observation{ID: s.ID, State: membership.Alive, Meta: meta,
+		Incarnation: incarnation(meta)}
+	if g.list, err = memberlist.Create(c); err != nil {
+		c.Transport.Shutdown()
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	g.self.Addr = g.list.LocalNode().Address()
+	view := membership.New(g.self, membership.Limits{Most: s.Most, Kept: time.Duration(s.DeadKept)}, time.Now())
+	g.publish(view)
+	go g.own(view)
+	if len(s.Seeds) > 0 {
+		joined := make(chan error, 1)
+		go func() { _, err := g.list.Join(s.Seeds); joined <- err }()
+		select {
+		case err = <-joined:
+		case <-time.After(joinTimeout):
+			err = errors.New("no seed answered in time")
+		}
+		if err != nil { // it goes on: a seed that comes later joins it
+			g.log.Warn("fleet.join", zap.Strings("seeds", s.Seeds), zap.Error(err))
+		}
+	}
+	g.log.Info("fleet.started", zap.String("id", s.ID), zap.String("addr", g.self.Addr))
+	return g, nil
+}
+
+// incarnation of a process is the second it started in: a process that starts again under its id is newer.
+// memberlist's own incarnation, which a refutation raises, is not told by its interface.
+func incarnation(m membership.Meta) uint32 { return uint32(m.Started.Unix()) }
+
+// Changes are the view's changes, for the one goroutine that follows them; what it does not take in time is lost
+// to it, and counted.
+func (g *Gossip) Changes() <-chan membership.Change { return g.changes }
+
+// View is the view after its last change.
+func (g *Gossip) View() *Snapshot { return g.snapshot.Load() }
+
+// Counters are what it has done.
+func (g *Gossip) Counters() *Counters { return &g.counters }
+
+// Close leaves the fleet, telling the others for a while, and ends all of its goroutines.
+func (g *Gossip) Close() error {
+	var err error
+	g.once.Do(func() {
+		err = g.list.Leave(leaveTimeout)
+		close(g.done)
+		<-g.ended
+		err = errors.Join(err, g.list.Shutdown())
+	})
+	return err
+}
+
+// own is the one goroutine that changes the view.
+func (g *Gossip) own(view *membership.View) {
+	defer close(g.ended)
+	tick := time.NewTicker(time.Duration(g.section.ProbeInterval))
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-g.events:
+			g.observe(view, e.Node, e.Event == memberlist.NodeLeave)
+		case <-tick.C:
+			g.look(view)
+		case <-g.done:
+			return
+		}
+		g.publish(view)
+	}
+}
+
+// look compares memberlist's states with the view: suspicion is seen here, and what the queue did not hold.
+func (g *Gossip) look(view *membership.View) {
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, n := range g.list.Members() {
+		listed[n.Name] = true
+		g.observe(view, n, false)
+	}
+	for _, m := range view.Members() {
+		if !listed[m.ID] && (m.State == membership.Alive || m.State == membership.Suspect) {
+			g.apply(view, membership.Observation{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation,
+				State: membership.Dead, Meta: m.Meta}, now)
+		}
+	}
+	for _, c := range view.Expire(now) {
+		g.tell(c)
+	}
+}
+
+// observe takes what memberlist says of a node.
+func (g *Gossip) observe(view *membership.View, n *memberlist.Node, leave bool) {
+	var meta membership.Meta
+	if err := json.Unmarshal(n.Meta, &meta); err != nil && n.Name != g.self.ID {
+		g.counters.Bad.Add(1)
+		g.log.Warn("fleet.refused", zap.String("id", n.Name), zap.String("why", "meta that is not ours"))
+		return
+	}
+	now := time.Now()
+	if meta.Started.After(now.Add(skew)) {
+		g.counters.Future.Add(1)
+		g.log.Warn("fleet.refused", zap.String("id", n.Name), zap.Time("started", meta.Started),
+			zap.String("why", "an incarnation from the future"))
+		return
+	}
+	state := membership.State(n.State) // memberlist's states are in the same order
+	if leave && state == membership.Alive {
+		state = membership.Dead
+	}
+	if n.Name == g.self.ID {
+		return // memberlist refutes what is said of this member; the view keeps it alive
+	}
+	g.apply(view, membership.Observation{ID: n.Name, Addr: n.Address(), Incarnation: incarnation(meta),
+		State: state, Meta: meta}, now)
+}
+
+// apply changes the view, and tells of it.
+func (g *Gossip) apply(view *membership.View, o membership.Observation, now time.Time) {
+	if c, news := view.Observe(o, now); news {
+		g.tell(c)
+	}
+}
+
+// tell logs a change, counts it and hands it on.
+func (g *Gossip) tell(c membership.Change) {
+	switch c.Reason {
+	case membership.Probes:
+		g.counters.Suspicions.Add(1)
+	case membership.Refuted:
+		g.counters.Refutations.Add(1)
+	case membership.Expired:
+		g.counters.Deaths.Add(1)
+	case membership.Joined, membership.Returned, membership.Restarted:
+		g.counters.Joins.Add(1)
+	case membership.Said:
+		g.counters.Leaves.Add(1)
+	}
+	g.log.Info("fleet.member", zap.String("id", c.Member.ID), zap.Stringer("from", c.From),
+		zap.Stringer("to", c.Member.State), zap.String("why", string(c.Reason)),
+		zap.Uint32("incarnation", c.Member.Incarnation), zap.String("zone", c.Member.Meta.Zone),
+		zap.Uint64("view", c.Number))
+	select {
+	case g.changes <- c:
+	default:
+		g.counters.Lost.Add(1)
+	}
+}
+
+// publish makes the view's state what View gives.
+func (g *Gossip) publish(view *membership.View) {
+	if s := g.snapshot.Load(); s != nil && s.Number == view.Number() {
+		return
+	}
+	g.snapshot.Store(&Snapshot{Self: g.self.ID, Number: view.Number(), Digest: view.Digest(),
+		Health: g.list.GetHealthScore(), Members: view.Members()})
+}
+
+// events are memberlist's delegates. Each of their methods is called by memberlist's goroutines, and none blocks.
+type events Gossip
+
+func (e *events) queue(kind memberlist.NodeEventType, n *memberlist.Node) {
+	node := *n
+	select {
+	case e.events <- memberlist.NodeEvent{Event: kind, Node: &node}:
+	default: // the next look finds it
+	}
+}
+
+func (e *events) NotifyJoin(n *memberlist.Node)   { e.queue(memberlist.NodeJoin, n) }
+func (e *events) NotifyLeave(n *memberlist.Node)  { e.queue(memberlist.NodeLeave, n) }
+func (e *events) NotifyUpdate(n *memberlist.Node) { e.queue(memberlist.NodeUpdate, n) }
+
+func (e *events) NotifyConflict(existing, other *memberlist.Node) {
+	e.counters.Conflicts.Add(1)
+	e.log.Warn("fleet.conflict", zap.String("id", existing.Name), zap.String("addr", existing.Address()),
+		zap.String("other", other.Address()), zap.String("why", "a second process with the same id"))
+}
+
+func (e *events) AckPayload() []byte { return nil }
+
+func (e *events) NotifyPingComplete(*memberlist.Node, time.Duration, []byte) { e.counters.Acks.Add(1) }
+
+// NotifyAlive refuses members whose meta is not ours, before memberlist takes them.
+func (e *events) NotifyAlive(n *memberlist.Node) error {
+	var meta membership.Meta
+	if n.Name != e.self.ID && json.Unmarshal(n.Meta, &meta) != nil {
+		e.counters.Bad.Add(1)
+		return fmt.Errorf("%s: meta that is not ours", n.Name)
+	}
+	return nil
+}
+
+// NodeMeta is this member's meta. It is well under memberlist's limit of 512 bytes.
+func (e *events) NodeMeta(limit int) []byte {
+	b, _ := json.Marshal(e.self.Meta)
+	return b[:min(len(b), limit)]
+}
+
+func (e *events) NotifyMsg([]byte)                           {}
+func (e *events) GetBroadcasts(overhead, limit int) [][]byte { return nil }
+func (e *events) LocalState(join bool) []byte                { return nil }
+func (e *events) MergeRemoteState(buf []byte, join bool)     {}
+
+// lines are memberlist's log, put into ours: a warning or error of it is one of ours, the rest debug.
+type lines struct {
+	g    *Gossip
+	mu   sync.Mutex
+	part []byte
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.part = append(l.part, p...)
+	for {
+		i := bytes.IndexByte(l.part, '\n')
+		if i < 0 {
+			if len(l.part) > 4096 { // a line without its end is not kept for ever
+				l.part = l.part[:0]
+			}
+			return len(p), nil
+		}
+		text := strings.TrimSpace(string(l.part[:i]))
+		l.part = l.part[i+1:]
+		switch {
+		case strings.Contains(text, "[ERR]"), strings.Contains(text, "[WARN]"):
+			l.g.log.Warn("fleet.memberlist", zap.String("said", text))
+		default:
+			l.g.log.Debug("fleet.memberlist", zap.String("said", text))
+		}
+	}
+}
+
+var _ io.Writer = (*lines)(nil)
--- /dev/null
+++ b/internal/fleet/gossip/section.go
@@ -0,0 +1,81 @@
+package gossip
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"dykering/internal/faults"
+	"dykering/internal/operator"
+	"dykering/internal/strict"
+)
+
+// Section is the table [fleet] of an operator's file. It is read at the start; a change takes a new process.
+type Section struct {
+	Enabled        bool            `toml:"enabled" doc:"whether this broker keeps a view of the fleet by gossip with the others"`
+	ID             string          `toml:"id" doc:"this broker's id in the fleet; empty: the platform's name of it"`
+	Bind           string          `toml:"bind" doc:"IPv4 address and port of the gossip, UDP and TCP alike; port 0 is any"`
+	Seeds          []string        `toml:"seeds" doc:"gossip addresses of members to join through; none: it waits to be joined"`
+	Zone           string          `toml:"zone" doc:"this broker's zone, as others are told it"`
+	Tier           string          `toml:"tier" doc:"this broker's tier, as others are told it"`
+	Weight         int             `toml:"weight" doc:"this broker's part in fleet-wide budgets" min:"1" max:"1000"`
+	ProbeInterval  strict.Duration `toml:"probe_interval" doc:"how often a member probes another" min:"50ms" max:"60s"`
+	ProbeTimeout   strict.Duration `toml:"probe_timeout" doc:"how long a probe's answer is awaited" min:"10ms" max:"30s"`
+	SuspicionMult  int             `toml:"suspicion_mult" doc:"a suspicion lasts this many probe intervals, times log10 of the members where that is over 1" min:"1" max:"20"`
+	IndirectChecks int             `toml:"indirect_checks" doc:"members asked to probe one that did not answer" min:"1" max:"16"`
+	DeadKept       strict.Duration `toml:"dead_kept" doc:"how long a dead or left member is remembered" min:"1s" max:"24h"`
+	Most           int             `toml:"most" doc:"members held at most, this one among them" min:"2" max:"100000"`
+	Relay          string          `toml:"relay" doc:"laboratory only: a fault relay that all gossip goes through; empty: none"`
+}
+
+// DefaultSection is what holds where the file says nothing: memberlist's settings for a LAN.
+func DefaultSection() *Section {
+	return &Section{Bind: "127.0.0.1:7946", Weight: 1, ProbeInterval: strict.Duration(time.Second),
+		ProbeTimeout: strict.Duration(500 * time.Millisecond), SuspicionMult: 4, IndirectChecks: 3,
+		DeadKept: strict.Duration(30 * time.Second), Most: 4096}
+}
+
+func init() {
+	operator.Register("fleet", "The view of the fleet, kept by gossip among the brokers (SWIM). Off by default.",
+		func() any { return DefaultSection() })
+}
+
+// Check finds the faults that the keys' bounds do not tell.
+func (s *Section) Check() []faults.Fault {
+	var wrong []faults.Fault
+	if err := ipv4(s.Bind, true); err != "" {
+		wrong = append(wrong, faults.Fault{Key: "bind", Text: err})
+	}
+	for _, seed := range s.Seeds {
+		if err := ipv4(seed, false); err != "" {
+			wrong = append(wrong, faults.Fault{Key: "seeds", Text: err})
+		}
+	}
+	if s.Relay != "" {
+		if err := ipv4(s.Relay, false); err != "" {
+			wrong = append(wrong, faults.Fault{Key: "relay", Text: err})
+		}
+	}
+	if inBounds := s.ProbeInterval >= strict.Duration(50*time.Millisecond) && s.ProbeTimeout <= strict.Duration(30*time.Second); inBounds && s.ProbeTimeout >= s.ProbeInterval {
+		wrong = append(wrong, faults.Fault{Key: "probe_timeout", Text: "has to be shorter than probe_interval"})
+	}
+	if len(s.Seeds) > s.Most {
+		wrong = append(wrong, faults.Fault{Key: "seeds", Text: "are more than most"})
+	}
+	return wrong
+}
+
+// ipv4 tells what is wrong with an IPv4 address and port, if anything.
+func ipv4(addr string, any bool) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return strconv.Quote(addr) + " is not host:port"
+	}
+	if ip := net.ParseIP(host); ip == nil || ip.To4() == nil {
+		return strconv.Quote(addr) + " is not an IPv4 address with its port"
+	}
+	if p, err := strconv.Atoi(port); err != nil || p > 65535 || p < 0 || p == 0 && !any {
+		return strconv.Quote(addr) + " has no port it can be reached at"
+	}
+	return ""
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,13 +35,21 @@
 	if err != nil {
 		return err
 	}
+	fleet, err := startFleet(c, g)
+	if err != nil {
+		listener.Close()
+		return err
+	}
+	if fleet != nil {
+		defer fleet.Close()
+	}
 	if c.Control != "" {
 		place, err := net.Listen("tcp", c.Control)
 		if err != nil {
 			listener.Close()
 			return fmt.Errorf("control: %w", err)
 		}
-		operators := control.New(place, s)
+		operators := control.New(place, s, fleetOf(fleet))
 		defer operators.Close()
 		go func() {
 			if err := operators.Run(); err != nil {
