--- /dev/null
+++ b/cmd/dykering-lab/fleetview.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dykering/internal/lab/swim"
+)
+
+// newFleetView plays the fleet's gossip in virtual time at several sizes (package swim), and prints a table.
+func newFleetView() *cobra.Command {
+	var sizes []int
+	var crashes int
+	var loss float64
+	var seed uint64
+	c := &cobra.Command{Use: "fleet-view", Short: "The fleet's view by gossip in virtual time: detection, false suspicion, heal, load",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if loss < 0 || loss >= 1 || crashes < 1 {
+				return fmt.Errorf("--loss is a share below 1, and --crashes at least 1")
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "members\tdetect p50\tp99\tundetected\tfalse suspicions /member-h\tfalse deaths /member-h\theal to one view\tbytes /member-s\ttook")
+			for _, n := range sizes {
+				if n < 2 {
+					return fmt.Errorf("a fleet of %d", n)
+				}
+				began := time.Now()
+				r := swim.Measure(n, swim.LAN(), crashes, loss, seed)
+				fmt.Fprintf(t, "%d\t%.2fs\t%.2fs\t%d\t%.2f\t%.3f\t%.1fs\t%.0f\t%.1fs\n", n, r.DetectP50.Seconds(),
+					r.DetectP99.Seconds(), r.Undetected, r.FalsePerMemberHour, r.FalseDeathsPerMemberHr,
+					r.Heal.Seconds(), r.BytesPerMemberSecond, time.Since(began).Seconds())
+
+			}
+			return t.Flush()
+		}}
+	c.Flags().IntSliceVar(&sizes, "members", []int{5, 10, 30, 300, 1000}, "sizes of the fleet")
+	c.Flags().IntVar(&crashes, "crashes", 20, "crashes one after another, at most half of the fleet")
+	c.Flags().Float64Var(&loss, "loss", 0.2, "share of messages lost in the trial of false suspicion (1 minute)")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the draws")
+	return c
+}
