dykering fleet members: the view from the second address, states by name

Measured: the crash test reads the view of a survivor through the command and finds the digest its log told and the victim dead.

--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +41,7 @@
 type broker struct {
 	*program
 	id, addr string
+	control  string // the second address
 	mu       sync.Mutex
 	states   map[string]string // by id, as the log has told
 	lines    []memberLine
@@ -55,7 +58,7 @@
 	seed    string
 }
 
-func newFleet(t *testing.T) *fleet {
+func newTestFleet(t *testing.T) *fleet {
 	r, err := faultnet.New(uint64(len(t.Name())))
 	if err != nil {
 		t.Fatal(err)
@@ -73,7 +76,16 @@
 	}
 	text := fmt.Sprintf("version = 1\n[log]\nformat = \"json\"\nburst = 1000\nmost = 10000\n[fleet]\nenabled = true\n"+
 		"id = %q\nbind = \"127.0.0.1:0\"\nseeds = %s\nrelay = %q\n%s", id, seeds, f.relay.Addr(), fleetSettings)
-	b := &broker{program: start(f.t, text), id: id, states: map[string]string{}, changed: make(chan struct{}, 1)}
+	withControl := func(cmd *exec.Cmd) { // the second address, on a port of its own
+		platform, err := os.ReadFile(cmd.Args[3])
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		text := strings.Replace(string(platform), `"listen":`, `"control":"127.0.0.1:0","listen":`, 1)
+		cmd.Args[3] = write(f.t, "control.json", text)
+	}
+	b := &broker{program: startWith(f.t, text, withControl), id: id, states: map[string]string{},
+		changed: make(chan struct{}, 1)}
 	for _, line := range b.seen {
 		b.take(line)
 	}
@@ -91,10 +103,13 @@
 // take reads one line of the log.
 func (b *broker) take(line string) {
 	var l memberLine
-	var started struct{ Event, Addr string }
+	var started struct{ Event, Addr, Address string }
 	if json.Unmarshal([]byte(line), &started) == nil && started.Event == "fleet.started" {
 		b.addr = started.Addr
 	}
+	if started.Event == "control.listening" {
+		b.control = started.Address
+	}
 	if json.Unmarshal([]byte(line), &l) != nil {
 		return
 	}
@@ -232,7 +247,7 @@
 // is ever suspected.
 func TestFleetCrash(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(10)
 	victim, rest := all[3], except(all, all[3])
 	victim.signal(syscall.SIGKILL)
@@ -243,13 +258,21 @@
 		}
 	}
 	t.Logf("a crash of one of 10 seen by all in %v", took)
+	// What the second address shows is what the log told, digest and all.
+	rest[0].mu.Lock()
+	digest := rest[0].digest
+	rest[0].mu.Unlock()
+	code, out, errOut := command("fleet", "members", "--control", rest[0].control)
+	if code != exitOK || !strings.Contains(out, "digest "+digest) || !strings.Contains(out, victim.id+"  dead") {
+		t.Errorf("fleet members: %d, %s%s; want digest %s and %s dead", code, out, errOut, digest, victim.id)
+	}
 }
 
 // A stall of 10 s: the member is declared dead, as the settings say (its suspicion ends within 4 s); once it
 // resumes it refutes, the view settles on all ten again, and nobody else flaps.
 func TestFleetStall(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(10)
 	victim, rest := all[5], except(all, all[5])
 	victim.signal(syscall.SIGSTOP)
@@ -269,7 +292,7 @@
 // A link lost one way between two members only: the indirect probes through the others keep both alive in all views.
 func TestFleetOneWayLoss(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(5)
 	a, b := all[1], all[2]
 	f.relay.Down(a.addr, b.addr, false)
@@ -305,7 +328,7 @@
 // digest everywhere.
 func TestFleetCut(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(10)
 	left, right := all[:6], all[6:]
 	addrs := func(bs []*broker) (a []string) {
@@ -330,7 +353,7 @@
 // dead by anybody (with these settings 0 to 2 in the runs so far), and once the loss ends all are alive in all views.
 func TestFleetLoss(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(10)
 	f.relay.Loss(0.2)
 	time.Sleep(60 * time.Second) // what is watched is what happens meanwhile
@@ -354,7 +377,7 @@
 // Thirty join through one seed, one just after the other; then each restarts in turn under a new incarnation.
 func TestFleetJoinStormAndRollingRestart(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	began := time.Now()
 	all := f.start(30)
 	t.Logf("30 joined through one seed and saw one view %v after the first began", time.Since(began))
@@ -375,7 +398,7 @@
 // Each has a clear line in the log, and the view stays whole.
 func TestFleetBadInput(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newTestFleet(t)
 	all := f.start(4)
 	garbage, err := net.Dial("udp4", f.relay.Addr())
 	if err != nil {
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -41,6 +41,20 @@
 	return fmt.Sprintf("state(%d)", uint8(s))
 }
 
+// MarshalText writes a state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads it.
+func (s *State) UnmarshalText(text []byte) error {
+	for k := Alive; k <= Left; k++ {
+		if k.String() == string(text) {
+			*s = k
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is no state of a member", text)
+}
+
 // gone tells whether a member in this state takes no part in the fleet.
 func (s State) gone() bool { return s == Dead || s == Left }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,6 +49,7 @@
 			listener.Close()
 			return fmt.Errorf("control: %w", err)
 		}
+		g.log.Info("control.listening", zap.Stringer("address", place.Addr()))
 		operators := control.New(place, s, fleetOf(fleet))
 		defer operators.Close()
 		go func() {
