The model counts false suspicions by episode, and probes over TCP too, as memberlist does

Change: a working member suspected or declared dead counts once for each incarnation; a late probe also goes direct once more as the fallback does.

--- a/internal/lab/swim/swim.go
+++ b/internal/lab/swim/swim.go
@@ -124,7 +124,11 @@
 
 // Stats count what the fleet did.
 type Stats struct {
-	Messages, Bytes, Suspicions, FalseSuspicions, Refutations, Deaths, FalseDeaths uint64
+	Messages, Bytes, Suspicions, Refutations, Deaths uint64
+	// FalseSuspicions and FalseDeaths count episodes: a working member suspected, or declared dead, under one of its
+	// incarnations, however many members hear of it.
+	FalseSuspicions, FalseDeaths int
+	episodes                     map[[3]uint32]bool // member, incarnation, state
 }
 
 // New makes a fleet of n members that all know each other alive, and starts their timers at random phases.
@@ -293,6 +297,8 @@
 	for _, k := range f.pick(i, f.s.IndirectChecks, t) {
 		f.send(i, k, &event{kind: deliverAsk, seq: seq, target: uint64(t)})
 	}
+	// memberlist's fallback: a ping over TCP at the same time, which a lost link refuses as it does packets.
+	f.send(i, t, &event{kind: deliverPing, seq: seq, target: uint64(i)})
 }
 
 // pick draws up to n members that i holds alive, other than i and but.
@@ -398,17 +404,13 @@
 		m.suspected[u.of], m.confirms[u.of] = f.now, 0
 		f.at(f.suspicion(i, u.of)+1, &event{kind: suspectEnd, from: i, target: uint64(u.of)})
 		f.Stats.Suspicions++
-		if f.members[u.of].up {
-			f.Stats.FalseSuspicions++
-		}
+		f.episode(u, &f.Stats.FalseSuspicions)
 	case membership.Dead, membership.Left:
 		if u.inc < inc || held == membership.Dead || held == membership.Left {
 			return
 		}
 		f.Stats.Deaths++
-		if f.members[u.of].up {
-			f.Stats.FalseDeaths++
-		}
+		f.episode(u, &f.Stats.FalseDeaths)
 	}
 	if u.state != membership.Suspect {
 		m.suspected[u.of] = -1
@@ -421,6 +423,18 @@
 	}
 }
 
+// episode counts an update of a working member, once for each incarnation.
+func (f *Fleet) episode(u update, count *int) {
+	key := [3]uint32{uint32(u.of), u.inc, uint32(u.state)}
+	if f.members[u.of].up && !f.Stats.episodes[key] {
+		if f.Stats.episodes == nil {
+			f.Stats.episodes = map[[3]uint32]bool{}
+		}
+		f.Stats.episodes[key] = true
+		*count++
+	}
+}
+
 // reconnect has member i ask one member that it holds dead to join again: a full exchange of states both ways, if
 // both can reach each other.
 func (f *Fleet) reconnect(i int) {
