The crash test at 5, 10 and 30 processes, with the bytes a member sends

Change: the crash test runs for each size in parallel and logs the time until all saw the crash and a survivor's bytes sent a second from /-/fleet.

--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -246,25 +248,41 @@
 // The failure on-call fears most: a broker that crashes. All others see it dead within SWIM's bound, and no other
 // is ever suspected.
 func TestFleetCrash(t *testing.T) {
-	t.Parallel()
-	f := newTestFleet(t)
-	all := f.start(10)
-	victim, rest := all[3], except(all, all[3])
-	victim.signal(syscall.SIGKILL)
-	took := f.waitAll(detect, "dead", func(b *broker) bool { return b.state(victim.id) == "dead" }, rest...)
-	for _, b := range rest {
-		if s := b.suspected(ids(rest)); len(s) > 0 {
-			t.Errorf("%s suspected the living: %v", b.id, s)
-		}
-	}
-	t.Logf("a crash of one of 10 seen by all in %v", took)
-	// What the second address shows is what the log told, digest and all.
-	rest[0].mu.Lock()
-	digest := rest[0].digest
-	rest[0].mu.Unlock()
-	code, out, errOut := command("fleet", "members", "--control", rest[0].control)
-	if code != exitOK || !strings.Contains(out, "digest "+digest) || !strings.Contains(out, victim.id+"  dead") {
-		t.Errorf("fleet members: %d, %s%s; want digest %s and %s dead", code, out, errOut, digest, victim.id)
+	for _, n := range []int{5, 10, 30} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			began := time.Now()
+			all := f.start(n)
+			victim, rest := all[3], except(all, all[3])
+			victim.signal(syscall.SIGKILL)
+			took := f.waitAll(detect, "dead", func(b *broker) bool { return b.state(victim.id) == "dead" }, rest...)
+			for _, b := range rest {
+				if s := b.suspected(ids(rest)); len(s) > 0 {
+					t.Errorf("%s suspected the living: %v", b.id, s)
+				}
+			}
+			// What the second address shows is what the log told, digest and all.
+			rest[0].mu.Lock()
+			digest := rest[0].digest
+			rest[0].mu.Unlock()
+			code, out, errOut := command("fleet", "members", "--control", rest[0].control)
+			if code != exitOK || !strings.Contains(out, "digest "+digest) ||
+				!regexp.MustCompile(`(?m)^`+victim.id+` +dead `).MatchString(out) {
+				t.Errorf("fleet members: %d, %s%s; want digest %s and %s dead", code, out, errOut, digest, victim.id)
+			}
+			res, err := http.Get("http://" + rest[0].control + "/-/fleet")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			var view struct {
+				Counters struct{ BytesOut, PacketsOut uint64 }
+			}
+			json.NewDecoder(res.Body).Decode(&view)
+			t.Logf("a crash of one of %d seen by all in %v; a member sends %.0f bytes a second", n, took,
+				float64(view.Counters.BytesOut)/time.Since(began).Seconds())
+		})
 	}
 }
 
