--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -60,6 +62,32 @@
 	seed    string
 }
 
+// Addr, Signal and Start are what a schedule of faults acts on.
+func (f *fleet) Addr(id string) string {
+	if b := f.find(id); b != nil {
+		return b.addr
+	}
+	return ""
+}
+
+func (f *fleet) Signal(id string, s syscall.Signal) error {
+	if b := f.find(id); b != nil {
+		return b.cmd.Process.Signal(s)
+	}
+	return fmt.Errorf("no member %s", id)
+}
+
+func (f *fleet) Start(string, string) error { return errors.New("brokers are started by the test's goroutine") }
+
+func (f *fleet) find(id string) *broker {
+	for _, b := range f.brokers {
+		if b.id == id {
+			return b
+		}
+	}
+	return nil
+}
+
 func newTestFleet(t *testing.T) *fleet {
 	r, err := faultnet.New(uint64(len(t.Name())))
 	if err != nil {
@@ -293,11 +321,26 @@
 	f := newTestFleet(t)
 	all := f.start(10)
 	victim, rest := all[5], except(all, all[5])
-	victim.signal(syscall.SIGSTOP)
-	stopped := time.Now()
+	schedule, wrong := faultnet.LoadSchedule("stall.toml", []byte(`
+[[step]]
+at = "0s"
+do = "stop"
+member = "b5"
+
+[[step]]
+at = "10s"
+do = "cont"
+member = "b5"
+`))
+	if len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	played := make(chan error, 1)
+	go func() { played <- faultnet.Play(context.Background(), schedule, f.relay, f) }()
 	f.waitAll(10*time.Second, "dead while stalled", func(b *broker) bool { return b.state(victim.id) == "dead" }, rest...)
-	time.Sleep(time.Until(stopped.Add(10 * time.Second))) // the stall lasts its 10 s
-	victim.signal(syscall.SIGCONT)
+	if err := <-played; err != nil {
+		t.Fatal(err)
+	}
 	took := f.waitAll(detect, "one view after the stall", sees(all), all...)
 	for _, b := range rest {
 		if s := b.suspected(ids(rest)); len(s) > 0 {
