--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -77,7 +77,9 @@
 	return fmt.Errorf("no member %s", id)
 }
 
-func (f *fleet) Start(string, string) error { return errors.New("brokers are started by the test's goroutine") }
+func (f *fleet) Start(string, string) error {
+	return errors.New("brokers are started by the test's goroutine")
+}
 
 func (f *fleet) find(id string) *broker {
 	for _, b := range f.brokers {
