The view holds who is suspect and who left, read from memberlist's own packets

Need: memberlist's list gives every member's state as alive, and its leave event does not say whether the member said so.

The port that port 0 becomes is advertised on memberlist's own transport too; changes are queued only for one who follows them.

--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -344,6 +344,11 @@
 		t.Fatal(err)
 	}
 	took := f.waitAll(detect, "one view after the stall", sees(all), all...)
+	for _, b := range rest {
+		if s := b.suspected(map[string]bool{victim.id: true}); len(s) < 2 || !strings.Contains(s[0], "suspect") {
+			t.Errorf("%s saw %s as %v, want it suspect and then dead", b.id, victim.id, s)
+		}
+	}
 	for _, b := range rest {
 		if s := b.suspected(ids(rest)); len(s) > 0 {
 			t.Errorf("%s suspected the living: %v", b.id, s)
@@ -446,8 +451,7 @@
 	t.Logf("30 joined through one seed and saw one view %v after the first began", time.Since(began))
 	for i, b := range all {
 		b.signal(syscall.SIGTERM)
-		f.waitAll(detect, "gone", func(x *broker) bool { s := x.state(b.id); return s == "left" || s == "dead" },
-			except(all, b)...)
+		f.waitAll(detect, "left", func(x *broker) bool { return x.state(b.id) == "left" }, except(all, b)...)
 		b.cmd.Wait()
 		f.seed = all[(i+1)%len(all)].addr // one that is up
 		all[i] = f.join(b.id)
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip keeps a broker's view of the fleet (package membership) by hashicorp/memberlist: SWIM with
 // Lifeguard's suspicion and local health. One goroutine owns the view; memberlist's own goroutines reach it only
-// through a bounded queue of events, and it looks at memberlist's states once a probe interval besides, as
-// memberlist tells of joins, leaves and updates but not of suspicion.
+// through bounded queues: of its events, which tell of joins, leaves and updates, and of the rumours in its packets,
+// which tell of suspicion and of who said that it goes. It looks at memberlist's list once a probe interval besides.
 package gossip
 
 import (
@@ -11,6 +11,8 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -38,6 +40,8 @@
 	// reconnectEvery is in probe intervals: how often one dead member is asked to join again, as Serf does. SWIM
 	// never probes the dead, so without it the two sides of a healed cut would stay two fleets.
 	reconnectEvery = 5
+	// suspicionMost is by how much memberlist's longest suspicion outlasts its shortest, and a margin.
+	suspicionMost = 7
 )
 
 // Counters are what the gossip has done since it began. All are bounded by their type alone.
@@ -57,23 +61,36 @@
 
 // Gossip is a running member of the fleet.
 type Gossip struct {
-	list     *memberlist.Memberlist
-	log      *zap.Logger
-	self     membership.Observation
-	section  Section
-	events   chan memberlist.NodeEvent
-	changes  chan membership.Change
-	snapshot atomic.Pointer[Snapshot]
-	counters Counters
-	done     chan struct{}
-	ended    chan struct{}
-	once     sync.Once
+	list    *memberlist.Memberlist
+	log     *zap.Logger
+	self    membership.Observation
+	section Section
+	events  chan memberlist.NodeEvent
+	rumours chan rumour
+	leaving sync.Map // ids of members heard to leave, until memberlist tells that they are gone
+	// The owner's alone: who is suspected, and memberlist's own incarnations, as its rumours tell them.
+	suspects     map[string]suspicion
+	incarnations map[string]uint32
+	changes      chan membership.Change
+	snapshot     atomic.Pointer[Snapshot]
+	counters     Counters
+	done         chan struct{}
+	ended        chan struct{}
+	once         sync.Once
+	followed     atomic.Bool // whether anybody takes the changes
+}
+
+// suspicion of a member, in one of memberlist's incarnations, which a refutation raises.
+type suspicion struct {
+	incarnation uint32
+	until       time.Time // by then memberlist has declared it dead, or has heard it refute
 }
 
 // Start joins the fleet as the section says, with meta for this member. It owns memberlist's goroutines and one of
 // its own until Close. Without seeds it waits to be joined.
 func Start(s Section, meta membership.Meta, logger *zap.Logger) (*Gossip, error) {
 	g := &Gossip{log: logger, section: s, events: make(chan memberlist.NodeEvent, queued),
+		rumours: make(chan rumour, queued), suspects: map[string]suspicion{}, incarnations: map[string]uint32{},
 		changes: make(chan membership.Change, changesQueued), done: make(chan struct{}), ended: make(chan struct{})}
 	c := memberlist.DefaultLANConfig()
 	c.Name = s.ID
@@ -89,15 +106,22 @@
 	c.TCPTimeout = min(c.TCPTimeout, 4*c.ProbeInterval) // a join of one that is still away ends soon
 	c.LogOutput = &lines{g: g}
 	c.Events, c.Conflict, c.Ping, c.Delegate, c.Alive = (*events)(g), (*events)(g), (*events)(g), (*events)(g), (*events)(g)
+	c.EnableCompression = false // rumours are read from the packets, which are small
 	var err error
 	if s.Relay != "" {
-		c.Transport, err = newRelayed(s.Bind, s.Relay, &g.counters.Traffic)
+		var t *relayed
+		if t, err = newRelayed(s.Bind, s.Relay, &g.counters.Traffic); t != nil {
+			c.Transport = count(t, &g.counters.Traffic, g.hear)
+		}
 	} else {
 		var t *memberlist.NetTransport
 		t, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host},
 			BindPort: c.BindPort, Logger: log.New(c.LogOutput, "", 0)})
 		if t != nil {
-			c.Transport = count(t, &g.counters.Traffic)
+			// memberlist learns the port that port 0 became only from a transport of its own type, not a wrapper.
+			c.BindPort = t.GetAutoBindPort()
+			c.AdvertisePort = c.BindPort
+			c.Transport = count(t, &g.counters.Traffic, g.hear)
 		}
 	}
 	if err != nil {
@@ -134,9 +158,12 @@
 // memberlist's own incarnation, which a refutation raises, is not told by its interface.
 func incarnation(m membership.Meta) uint32 { return uint32(m.Started.Unix()) }
 
-// Changes are the view's changes, for the one goroutine that follows them; what it does not take in time is lost
-// to it, and counted.
-func (g *Gossip) Changes() <-chan membership.Change { return g.changes }
+// Changes are the view's changes from the first call on, for the one goroutine that follows them; what it does not
+// take in time is lost to it, and counted.
+func (g *Gossip) Changes() <-chan membership.Change {
+	g.followed.Store(true)
+	return g.changes
+}
 
 // View is the view after its last change.
 func (g *Gossip) View() *Snapshot { return g.snapshot.Load() }
@@ -167,6 +194,8 @@
 		select {
 		case e := <-g.events:
 			g.observe(view, e.Node, e.Event == memberlist.NodeLeave)
+		case r := <-g.rumours:
+			g.rumour(view, r)
 		case <-tick.C:
 			g.look(view)
 			if ticks++; ticks%reconnectEvery == 0 && !joining {
@@ -211,7 +240,18 @@
 
 // look compares memberlist's states with the view: suspicion is seen here, and what the queue did not hold.
 func (g *Gossip) look(view *membership.View) {
+	// memberlist queues its event in the same hold of its lock that takes a member out of its list: what the list
+	// lacks is then in the queue, with its reason, unless the queue was full.
+	for drained := false; !drained; {
+		select {
+		case e := <-g.events:
+			g.observe(view, e.Node, e.Event == memberlist.NodeLeave)
+		default:
+			drained = true
+		}
+	}
 	now := time.Now()
+	maps.DeleteFunc(g.suspects, func(_ string, s suspicion) bool { return now.After(s.until) })
 	listed := map[string]bool{}
 	for _, n := range g.list.Members() {
 		listed[n.Name] = true
@@ -225,7 +265,14 @@
 	}
 	for _, c := range view.Expire(now) {
 		g.tell(c, view)
+		delete(g.incarnations, c.Member.ID)
 	}
+	g.leaving.Range(func(id, _ any) bool { // of members that this view does not hold
+		if _, known := view.Member(id.(string)); !known {
+			g.leaving.Delete(id)
+		}
+		return true
+	})
 }
 
 // observe takes what memberlist says of a node.
@@ -243,17 +290,77 @@
 			zap.String("why", "an incarnation from the future"))
 		return
 	}
-	state := membership.State(n.State) // memberlist's states are in the same order
-	if leave && state == membership.Alive {
-		state = membership.Dead
-	}
 	if n.Name == g.self.ID {
 		return // memberlist refutes what is said of this member; the view keeps it alive
 	}
+	state := membership.Alive
+	_, said := g.leaving.Load(n.Name)
+	switch _, suspected := g.suspects[n.Name]; {
+	case leave && said:
+		state = membership.Left
+	case leave:
+		state = membership.Dead
+	case suspected:
+		state = membership.Suspect
+	}
+	if leave {
+		g.leaving.Delete(n.Name)
+		delete(g.suspects, n.Name)
+	}
 	g.apply(view, membership.Observation{ID: n.Name, Addr: n.Address(), Incarnation: incarnation(meta),
 		State: state, Meta: meta}, now)
 }
 
+// hear listens to a packet on its way, on memberlist's goroutines: of those that come, who leaves; of those that go
+// out, what memberlist has taken itself. What the queue does not hold the next look mends, but for a suspicion.
+func (g *Gossip) hear(packet []byte, out bool) {
+	said(packet, func(r rumour) {
+		switch {
+		case r.Node == g.self.ID:
+		case out:
+			select {
+			case g.rumours <- r:
+			default:
+				g.counters.Lost.Add(1)
+			}
+		case r.kind == kindDead && r.From == r.Node:
+			g.leaving.Store(r.Node, true)
+		case r.kind == kindAlive:
+			g.leaving.Delete(r.Node)
+		}
+	})
+}
+
+// rumour takes what memberlist passes on of a member that the view holds. A rumour goes out several times.
+func (g *Gossip) rumour(view *membership.View, r rumour) {
+	m, known := view.Member(r.Node)
+	s, suspected := g.suspects[r.Node]
+	state := m.State
+	now := time.Now()
+	switch {
+	case !known:
+		return
+	case r.kind == kindSuspect && m.State == membership.Alive && r.Incarnation >= g.incarnations[r.Node]:
+		n, _ := view.Live()
+		lasts := float64(g.section.SuspicionMult) * max(1, math.Log10(float64(n))) * float64(g.section.ProbeInterval)
+		g.suspects[r.Node] = suspicion{r.Incarnation, now.Add(time.Duration(lasts * suspicionMost))}
+		state = membership.Suspect
+	case r.kind == kindAlive:
+		g.incarnations[r.Node] = max(g.incarnations[r.Node], r.Incarnation)
+		if !suspected || r.Incarnation <= s.incarnation {
+			return
+		}
+		delete(g.suspects, r.Node)
+		state = membership.Alive
+	case r.kind == kindDead && r.From == r.Node && m.State == membership.Dead:
+		state = membership.Left // memberlist had it from a push-pull
+	default:
+		return
+	}
+	g.apply(view, membership.Observation{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation, State: state,
+		Meta: m.Meta}, now)
+}
+
 // apply changes the view, and tells of it.
 func (g *Gossip) apply(view *membership.View, o membership.Observation, now time.Time) {
 	if c, news := view.Observe(o, now); news {
@@ -279,6 +386,9 @@
 		zap.Stringer("to", c.Member.State), zap.String("why", string(c.Reason)),
 		zap.Uint32("incarnation", c.Member.Incarnation), zap.String("zone", c.Member.Meta.Zone),
 		zap.Uint64("view", c.Number), zap.String("digest", view.Digest()))
+	if !g.followed.Load() {
+		return
+	}
 	select {
 	case g.changes <- c:
 	default:
--- /dev/null
+++ b/internal/fleet/gossip/gossip_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dykering/internal/fleet/membership"
+	"dykering/internal/strict"
+)
+
+func member(t *testing.T, id string, seeds ...string) *Gossip {
+	t.Helper()
+	s := *DefaultSection()
+	s.Enabled, s.ID, s.Bind, s.Seeds = true, id, "127.0.0.1:0", seeds
+	s.ProbeInterval, s.ProbeTimeout = strict.Duration(100*time.Millisecond), strict.Duration(50*time.Millisecond)
+	g, err := Start(s, membership.Meta{Zone: "z1", Started: time.Now()}, zap.NewExample())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// On memberlist's own transport, as in production: a member that follows the changes hears of a join and of a
+// leave, with their reasons; one that does not loses none to a queue nobody reads.
+func TestJoinAndLeaveOnTheNetTransport(t *testing.T) {
+	a := member(t, "a")
+	defer a.Close()
+	changes := a.Changes()
+	b := member(t, "b", a.View().Members[0].Addr)
+	want := []membership.Reason{membership.Joined, membership.Said}
+	for _, reason := range want {
+		select {
+		case c := <-changes:
+			if c.Member.ID != "b" || c.Reason != reason || c.Member.Meta.Zone != "z1" {
+				t.Fatalf("%+v, want b %s", c, reason)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("no change: want b %s", reason)
+		}
+		if reason == membership.Joined {
+			for end := time.Now().Add(10 * time.Second); len(b.View().Members) != 2; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) { // b's own view is published by its own goroutine
+					t.Fatalf("b holds %v", b.View().Members)
+				}
+			}
+			if err := b.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	if n := b.Counters().Lost.Load(); n != 0 || b.Counters().PacketsOut.Load() == 0 {
+		t.Errorf("b lost %d changes, sent %d packets", n, b.Counters().PacketsOut.Load())
+	}
+}
--- a/internal/fleet/gossip/transport.go
+++ b/internal/fleet/gossip/transport.go
@@ -18,24 +18,26 @@
 	PacketsIn, PacketsOut, BytesIn, BytesOut, StreamsIn, StreamsOut, Bad atomic.Uint64
 }
 
-// counted is memberlist's own transport, counted.
+// counted is a transport that is counted and listened to.
 type counted struct {
 	memberlist.NodeAwareTransport
 	traffic *Traffic
+	heard   func(packet []byte, out bool) // each packet, before it goes on; it does not block
 	packets chan *memberlist.Packet
 	once    sync.Once
 	done    chan struct{}
 }
 
 // count wraps a transport. Its packets pass through one goroutine of its own, which ends with the transport.
-func count(t memberlist.NodeAwareTransport, traffic *Traffic) *counted {
-	c := &counted{NodeAwareTransport: t, traffic: traffic, packets: make(chan *memberlist.Packet), done: make(chan struct{})}
+func count(t memberlist.NodeAwareTransport, traffic *Traffic, heard func([]byte, bool)) *counted {
+	c := &counted{NodeAwareTransport: t, traffic: traffic, heard: heard, packets: make(chan *memberlist.Packet), done: make(chan struct{})}
 	go func() {
 		for {
 			select {
 			case p := <-t.PacketCh():
 				traffic.PacketsIn.Add(1)
 				traffic.BytesIn.Add(uint64(len(p.Buf)))
+				heard(p.Buf, false)
 				select {
 				case c.packets <- p:
 				case <-c.done:
@@ -58,6 +60,7 @@
 func (c *counted) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
 	c.traffic.PacketsOut.Add(1)
 	c.traffic.BytesOut.Add(uint64(len(b)))
+	c.heard(b, true)
 	return c.NodeAwareTransport.WriteToAddress(b, addr)
 }
 
@@ -169,8 +172,6 @@
 			t.traffic.Bad.Add(1)
 			continue
 		}
-		t.traffic.PacketsIn.Add(1)
-		t.traffic.BytesIn.Add(uint64(len(payload)))
 		p := &memberlist.Packet{Buf: append([]byte(nil), payload...), From: addr, Timestamp: time.Now()}
 		if t.closed.Load() {
 			return
@@ -215,8 +216,6 @@
 }
 
 func (t *relayed) WriteTo(b []byte, addr string) (time.Time, error) {
-	t.traffic.PacketsOut.Add(1)
-	t.traffic.BytesOut.Add(uint64(len(b)))
 	_, err := t.udp.WriteToUDP(Header(addr, b), t.relay)
 	return time.Now(), err
 }
@@ -228,7 +227,6 @@
 func (t *relayed) PacketCh() <-chan *memberlist.Packet { return t.packets }
 
 func (t *relayed) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	t.traffic.StreamsOut.Add(1)
 	c, err := net.DialTimeout("tcp4", t.stream, timeout)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -227,6 +227,14 @@
 	return all
 }
 
+// Member is one that is held.
+func (v *View) Member(id string) (Member, bool) {
+	if m := v.members[id]; m != nil {
+		return *m, true
+	}
+	return Member{}, false
+}
+
 // Live counts the members that are alive or suspect, and sums their weights.
 func (v *View) Live() (n int, weight uint64) {
 	for _, m := range v.members {
