The laboratory's real engine starts brokers with the fleet's view and puts faults between them

Change: [broker] fleet and [[fault]] in a scenario; the engine writes each broker's operator file, relays all gossip, plays the steps, and the result holds the digests at the end with the counters.

--- a/cmd/dykering-lab/demo.go
+++ b/cmd/dykering-lab/demo.go
@@ -57,13 +57,16 @@
 
 // newBroker is the broker itself, as the demo starts it: the same as `dykering run`.
 func newBroker() *cobra.Command {
-	return &cobra.Command{Use: "broker", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+	var operator string
+	c := &cobra.Command{Use: "broker", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		writeStats()
-		if err := sidecar.Main(os.Getenv, ""); err != nil {
+		if err := sidecar.Main(os.Getenv, operator); err != nil {
 			return faulty{err}
 		}
 		return nil
 	}}
+	c.Flags().StringVar(&operator, "operator", "", "the operator's TOML file")
+	return c
 }
 
 // setUp starts the demo's servers and discovery.
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -38,11 +38,21 @@
 	Seconds    []Second          `json:"seconds"`
 	Broken     map[string]int    `json:"broken"` // rules, and how often
 	Violations []rules.Violation `json:"violations,omitempty"`
+	Views      *Views            `json:"views,omitempty"` // of the fleet, where the brokers keep them
 
 	latency     *hdrhistogram.Histogram
 	troubleEnds time.Duration
 }
 
+// Views are the brokers' views of the fleet at the end, and what they counted, summed over the brokers.
+type Views struct {
+	Digests     map[string]int `json:"digests"` // and how many brokers hold each
+	Suspicions  uint64         `json:"suspicions"`
+	Refutations uint64         `json:"refutations"`
+	Deaths      uint64         `json:"deaths"`
+	BytesOut    uint64         `json:"bytesOut"` // of packets
+}
+
 // ClassResult is what came of a class.
 type ClassResult struct {
 	Name   string `json:"name"`
--- /dev/null
+++ b/internal/lab/real/fleet.go
@@ -0,0 +1,153 @@
+package real
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"dykering/internal/fleet/gossip"
+	"dykering/internal/lab/faultnet"
+	"dykering/internal/lab/model"
+)
+
+// fleet is what the brokers of the first tier gossip through, where a scenario asks for it: the relay, and each
+// member's instance and gossip address, by its id.
+type fleet struct {
+	st      *stage
+	relay   *faultnet.Relay
+	members map[string]*instance
+	addrs   map[string]string
+	seed    string
+}
+
+// fleetSettings are the brokers': a probe each 200 ms, so that what takes minutes in a fleet shows in a short run.
+const fleetSettings = `version = 1
+[log]
+format = "json"
+[fleet]
+enabled = true
+id = %q
+bind = %q
+seeds = %s
+relay = %q
+probe_interval = "200ms"
+probe_timeout = "100ms"
+suspicion_mult = 5
+dead_kept = "120s"
+`
+
+// lookTimeout bounds the look at one broker's view at the end of a run.
+const lookTimeout = 2 * time.Second
+
+func newFleet(st *stage, seed uint64) (*fleet, error) {
+	r, err := faultnet.New(seed)
+	if err != nil {
+		return nil, err
+	}
+	return &fleet{st: st, relay: r, members: map[string]*instance{}, addrs: map[string]string{}}, nil
+}
+
+// enlist writes an instance's operator file, and has its processes started with it.
+func (f *fleet) enlist(i *instance, id, dir string) error {
+	place, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	place.Close() // its address is free, if nobody takes it in this moment
+	addr, seeds := place.Addr().String(), "[]"
+	if f.seed == "" {
+		f.seed = addr
+	} else {
+		seeds = fmt.Sprintf("[%q]", f.seed)
+	}
+	f.members[id], f.addrs[id] = i, addr
+	path := filepath.Join(dir, "operator.toml")
+	text := fmt.Sprintf(fleetSettings, id, addr, seeds, f.relay.Addr())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	i.launch.Command = append(append([]string(nil), i.launch.Command...), "--operator", path)
+	return nil
+}
+
+// play carries out the scenario's faults, until they or the run end.
+func (f *fleet) play(ctx context.Context, faults []faultnet.Step) {
+	if err := faultnet.Play(ctx, &faultnet.Schedule{Steps: faults}, f.relay, f); err != nil && ctx.Err() == nil {
+		f.st.fail(err)
+	}
+}
+
+// Addr, Signal and Start are what a schedule of faults acts on. What ends or starts a process is the clock's.
+func (f *fleet) Addr(id string) string { return f.addrs[id] }
+
+func (f *fleet) Signal(id string, s syscall.Signal) error {
+	i := f.members[id]
+	if i == nil {
+		return fmt.Errorf("no member %q", id)
+	}
+	f.st.post(func() {
+		switch {
+		case s == syscall.SIGKILL:
+			f.st.Kill(i.in, -1)
+		case i.process != nil:
+			if err := i.process.Signal(s); err != nil {
+				f.st.fail(err)
+			}
+		}
+	})
+	return nil
+}
+
+func (f *fleet) Start(id, as string) error {
+	i := f.members[id]
+	if i == nil {
+		return fmt.Errorf("no member %q", id)
+	}
+	if as != id {
+		return fmt.Errorf("%s: here a process starts under its own id only", as)
+	}
+	f.st.post(func() {
+		if i.process == nil {
+			f.st.succeed(i, nil)
+		}
+	})
+	return nil
+}
+
+// views tell what each broker's view holds at the end: its digest, and how many hold that.
+func (f *fleet) views() (*model.Views, error) {
+	v := &model.Views{Digests: map[string]int{}}
+	client := http.Client{Timeout: lookTimeout}
+	defer client.CloseIdleConnections()
+	for id, i := range f.members {
+		if i.process == nil {
+			continue
+		}
+		res, err := client.Get("http://" + i.process.control + "/-/fleet")
+		if err != nil {
+			return nil, fmt.Errorf("the view of %s: %w", id, err)
+		}
+		var got struct {
+			gossip.Snapshot
+			Counters struct{ Suspicions, Refutations, Deaths, BytesOut uint64 }
+		}
+		err = json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&got)
+		res.Body.Close()
+		if err != nil {
+			return nil, fmt.Errorf("the view of %s: %w", id, err)
+		}
+		v.Digests[got.Digest]++
+		v.Suspicions += got.Counters.Suspicions
+		v.Refutations += got.Counters.Refutations
+		v.Deaths += got.Counters.Deaths
+		v.BytesOut += got.Counters.BytesOut
+	}
+	return v, nil
+}
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -49,6 +49,7 @@
 	failed    chan error // the first ends the run
 	ctx       context.Context
 	work      sync.WaitGroup // all goroutines but the clock's
+	fleet     *fleet         // nil without one
 }
 
 // instance is an instance of the broker: a socket that is held for it, its discovery, and its process.
@@ -78,6 +79,11 @@
 		st.tearDown()
 	}()
 	st.w = model.New(s, seed, st, st, st, slack)
+	if s.Broker.Fleet {
+		if st.fleet, err = newFleet(st, seed); err != nil {
+			return nil, err
+		}
+	}
 	for _, sv := range st.w.Servers {
 		if err := st.listen(sv); err != nil {
 			return nil, err
@@ -96,11 +102,19 @@
 	}
 	st.began = time.Now()
 	end := st.w.Start()
+	if st.fleet != nil {
+		st.work.Go(func() { st.fleet.play(ctx, s.Faults) })
+	}
 	if err := st.run(ctx, end, st.w.Over, st.failed); err != nil {
 		return nil, err
 	}
 	r := st.w.End()
 	r.Engine = "real"
+	if st.fleet != nil {
+		if r.Views, err = st.fleet.views(); err != nil {
+			return nil, err
+		}
+	}
 	return r, nil
 }
 
@@ -164,6 +178,11 @@
 	if err := os.WriteFile(i.launch.File, text, 0o600); err != nil {
 		return err
 	}
+	if st.fleet != nil && in.Tier.N == 0 {
+		if err := st.fleet.enlist(i, name, dir); err != nil {
+			return err
+		}
+	}
 	i.process, err = st.start(i)
 	return err
 }
@@ -203,6 +222,9 @@
 	for _, s := range st.servers {
 		s.close()
 	}
+	if st.fleet != nil {
+		st.fleet.relay.Close()
+	}
 	for _, i := range st.instances {
 		if i.places != nil {
 			i.places.Close()
@@ -307,7 +329,9 @@
 		}
 	}
 	st.work.Go(p.Kill)
-	st.After(lasts, func() { st.succeed(i, nil) })
+	if lasts >= 0 { // else it stays away, until a schedule of faults starts it
+		st.After(lasts, func() { st.succeed(i, nil) })
+	}
 }
 
 // Handover starts a successor, and ends its predecessor when that can serve.
--- a/internal/lab/real/play_test.go
+++ b/internal/lab/real/play_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"dykering/internal/core"
+	"dykering/internal/lab/faultnet"
 	"dykering/internal/lab/rules"
 	"dykering/internal/lab/scenario"
 	"dykering/internal/sidecar"
@@ -27,14 +28,18 @@
 
 // TestMain lets the test binary stand in for brokers, right and wrong ones.
 func TestMain(m *testing.M) {
-	if len(os.Args) != 3 || os.Args[1] != "broker" {
+	if len(os.Args) < 3 || os.Args[1] != "broker" {
 		os.Exit(m.Run())
 	}
 	fmt.Fprintln(os.Stderr, "pid", os.Getpid())
 	var err error
 	switch how := os.Args[2]; how {
 	case "right":
-		err = sidecar.Main(os.Getenv, "")
+		operator := ""
+		if len(os.Args) == 5 { // after --operator
+			operator = os.Args[4]
+		}
+		err = sidecar.Main(os.Getenv, operator)
 	case "exits":
 		os.Exit(3)
 	case "never ready":
@@ -243,3 +248,32 @@
 		t.Error(err)
 	}
 }
+
+// A scenario with a fleet: its brokers serve while one of them is killed, stays away and starts again, one is stalled,
+// and gossip is cut and healed; at the end all hold one view.
+func TestFleetUnderFaults(t *testing.T) {
+	t.Parallel()
+	s := brief(t)
+	s.Lasts = strict.Duration(14 * time.Second)
+	s.Broker.Instances, s.Broker.Fleet = 4, true
+	at := func(seconds int) strict.Duration { return strict.Duration(time.Duration(seconds) * time.Second) }
+	b := func(i int) string { return fmt.Sprintf("broker-0-%d", i) }
+	s.Faults = []faultnet.Step{
+		{At: at(1), Do: "kill", Member: b(1)}, {At: at(2), Do: "stop", Member: b(2)}, {At: at(3), Do: "cont", Member: b(2)},
+		{At: at(4), Do: "start", Member: b(1)}, {At: at(5), Do: "cut", Sets: [][]string{{b(0), b(1)}, {b(2), b(3)}}},
+		{At: at(9), Do: "heal"}}
+	if wrong := s.Check(); len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	r, err := Play(t.Context(), s, 3, options(t, "right"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Broken) > 0 || len(r.Views.Digests) != 1 || r.Views.Deaths == 0 || r.Views.Suspicions < r.Views.Deaths || r.Service < 0.5 {
+		t.Errorf("service %.3f, broken %v, views %+v", r.Service, r.Broken, r.Views)
+	}
+	s.Broker.Fleet = false
+	if wrong := s.Check(); len(wrong) != 1 || !strings.Contains(wrong[0].Error(), "broker.fleet") {
+		t.Errorf("faults without a fleet: %v", wrong)
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dykering/internal/faults"
+	"dykering/internal/lab/faultnet"
 	"dykering/internal/strict"
 )
 
@@ -35,6 +36,7 @@
 	Teams     []Team          `toml:"team"`
 	Below     []Below         `toml:"below"`
 	Troubles  []Trouble       `toml:"trouble"`
+	Faults    []faultnet.Step `toml:"fault"`
 }
 
 // Broker is the tier of instances.
@@ -44,6 +46,7 @@
 	MaxAttempts int             `toml:"max_attempts" doc:"sends of a request; 0 for no bound" min:"0" max:"100"`
 	MayCancel   bool            `toml:"may_cancel" doc:"whether an attempt may be called off"`
 	Connect     strict.Duration `toml:"connect_timeout" doc:"for a connection" min:"1ms" max:"1m"`
+	Fleet       bool            `toml:"fleet" doc:"whether they keep a view of the fleet, by gossip through a relay that faults are put into; on real sockets only"`
 	RetryAfter  strict.Duration `toml:"max_retry_after" doc:"the longest wait that callers follow" min:"0s" max:"1m"`
 }
 
@@ -276,6 +279,10 @@
 	fault := func(key, text string, args ...any) {
 		wrong = append(wrong, faults.Fault{Key: key, Text: fmt.Sprintf(text, args...)})
 	}
+	wrong = append(wrong, (&faultnet.Schedule{Steps: s.Faults}).Check()...)
+	if len(s.Faults) > 0 && !s.Broker.Fleet {
+		fault("fault", "faults between brokers need broker.fleet")
+	}
 	if len(s.Kinds) == 0 {
 		fault("kind", "at least one kind of server is needed")
 	}
