--- a/cmd/dykering/fleet.go
+++ b/cmd/dykering/fleet.go
@@ -12,6 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"dykering/internal/fleet/gossip"
+	"dykering/internal/fleet/replica"
+	"dykering/internal/fleet/replication"
 )
 
 // askTimeout bounds a call to the second address.
@@ -19,8 +21,16 @@
 
 func newFleet() *cobra.Command {
 	fleet := &cobra.Command{Use: "fleet", Short: "Look at the view of the fleet of a running process", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: members is missing") }}
+		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: members or state is missing") }}
 	var control string
+	state := &cobra.Command{Use: "state", Short: "The facts that a process holds of servers: origin, what it says, how much longer it holds",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := showState(c.OutOrStdout(), control); err != nil {
+				return faulty{err}
+			}
+			return nil
+		}}
 	members := &cobra.Command{Use: "members", Short: "The members that a process holds: id, state, incarnation, zone, since",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -29,27 +39,55 @@
 			}
 			return nil
 		}}
-	members.Flags().StringVar(&control, "control", "127.0.0.1:9901", "the process's second address")
-	fleet.AddCommand(members)
+	fleet.PersistentFlags().StringVar(&control, "control", "127.0.0.1:9901", "the process's second address")
+	fleet.AddCommand(members, state)
 	return fleet
 }
 
-func showMembers(out io.Writer, control string) error {
+// askFleet asks a process for a part of what it keeps of the fleet.
+func askFleet[T any](control, path, without string) (got T, err error) {
 	client := http.Client{Timeout: askTimeout}
-	res, err := client.Get("http://" + control + "/-/fleet")
+	res, err := client.Get("http://" + control + path)
 	if err != nil {
-		return fmt.Errorf("fleet: %w", err)
+		return got, fmt.Errorf("fleet: %w", err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode == http.StatusNotFound {
-		return errors.New("fleet: the process keeps no view of the fleet ([fleet] enabled is false)")
+		return got, errors.New("fleet: " + without)
 	}
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("fleet: %s answers %s", control, res.Status)
+		return got, fmt.Errorf("fleet: %s answers %s", control, res.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, 64<<20)).Decode(&got); err != nil {
+		return got, fmt.Errorf("fleet: what %s answers: %w", control, err)
+	}
+	return got, nil
+}
+
+func showState(out io.Writer, control string) error {
+	type shown struct {
+		replication.State
+		Self string
+	}
+	s, err := askFleet[shown](control, "/-/fleet/state", "the process replicates no state ([fleet.replication] enabled is false)")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d facts, digest %s, as %s holds them\n", len(s.Facts), s.Digest, s.Self)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "server\tword\torigin\twritten\tholds for")
+	for _, f := range s.Facts {
+		word := map[replica.Word]string{replica.Good: "good", replica.Bad: "bad"}[f.Word]
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", f.Subject, word, f.Origin,
+			time.UnixMilli(f.Stamp.Wall).UTC().Format(time.RFC3339), f.Left.Round(time.Second))
 	}
-	var view gossip.Snapshot
-	if err := json.NewDecoder(io.LimitReader(res.Body, 64<<20)).Decode(&view); err != nil {
-		return fmt.Errorf("fleet: what %s answers: %w", control, err)
+	return t.Flush()
+}
+
+func showMembers(out io.Writer, control string) error {
+	view, err := askFleet[gossip.Snapshot](control, "/-/fleet", "the process keeps no view of the fleet ([fleet] enabled is false)")
+	if err != nil {
+		return err
 	}
 	fmt.Fprintf(out, "view %d, digest %s, health %d, as %s holds it\n", view.Number, view.Digest, view.Health, view.Self)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -51,6 +52,7 @@
 	lines    []memberLine
 	digest   string
 	warnings []string
+	replica  []string      // lines of the replicated state
 	changed  chan struct{} // a token after each line
 }
 
@@ -60,6 +62,8 @@
 	relay   *faultnet.Relay
 	brokers []*broker
 	seed    string
+	more    string // of [fleet], beside fleetSettings
+	places  string // the discovery that all brokers share; empty for one of each
 }
 
 // Addr, Signal and Start are what a schedule of faults acts on.
@@ -107,13 +111,16 @@
 		seeds = fmt.Sprintf("[%q]", f.seed)
 	}
 	text := fmt.Sprintf("version = 1\n[log]\nformat = \"json\"\nburst = 1000\nmost = 10000\n[fleet]\nenabled = true\n"+
-		"id = %q\nbind = \"127.0.0.1:0\"\nseeds = %s\nrelay = %q\n%s", id, seeds, f.relay.Addr(), fleetSettings)
+		"id = %q\nbind = \"127.0.0.1:0\"\nseeds = %s\nrelay = %q\n%s%s", id, seeds, f.relay.Addr(), fleetSettings, f.more)
 	withControl := func(cmd *exec.Cmd) { // the second address, on a port of its own
 		platform, err := os.ReadFile(cmd.Args[3])
 		if err != nil {
 			f.t.Fatal(err)
 		}
 		text := strings.Replace(string(platform), `"listen":`, `"control":"127.0.0.1:0","listen":`, 1)
+		if f.places != "" {
+			text = regexp.MustCompile(`"discovery":"127[^"]*"`).ReplaceAllString(text, `"discovery":"`+f.places+`"`)
+		}
 		cmd.Args[3] = write(f.t, "control.json", text)
 	}
 	b := &broker{program: startWith(f.t, text, withControl), id: id, states: map[string]string{},
@@ -151,6 +158,8 @@
 		b.states[l.ID] = l.To
 		b.lines = append(b.lines, l)
 		b.digest = l.Digest
+	case strings.HasPrefix(l.Event, "fleet.replica."):
+		b.replica = append(b.replica, line)
 	case strings.HasPrefix(l.Event, "fleet.") && strings.Contains(line, `"level":"warn"`):
 		b.warnings = append(b.warnings, line)
 	}
@@ -461,6 +470,15 @@
 	f.waitAll(detect, "the same digest", func(*broker) bool { _, same := digests(all); return same }, all[0])
 }
 
+// said tells whether a broker's log has said something of the fleet.
+func said(text string) func(*broker) bool {
+	return func(b *broker) bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return slices.ContainsFunc(append(b.warnings, b.replica...), func(l string) bool { return strings.Contains(l, text) })
+	}
+}
+
 // Bad input: a packet of garbage, a member that claims to start in the future, a second process under a taken id.
 // Each has a clear line in the log, and the view stays whole.
 func TestFleetBadInput(t *testing.T) {
@@ -481,21 +499,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	future.Join()
 	defer future.Close()
 	twin := f.join(all[2].id)
 	f.brokers = f.brokers[:len(all)] // the twin is no member
-	said := func(text string) func(*broker) bool {
-		return func(b *broker) bool {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			for _, w := range b.warnings {
-				if strings.Contains(w, text) {
-					return true
-				}
-			}
-			return false
-		}
-	}
 	f.waitAll(detect, "garbage told", said("fleet.memberlist"), all[0])
 	f.waitAll(detect, "the future refused", said("an incarnation from the future"), all...)
 	// memberlist refuses the twin's claim where it arrives, and passes it on nowhere: at the seed it joins through.
--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -119,7 +119,7 @@
 		{"check " + platform, exitOK, nil},
 		{"check " + platform + " " + broken + " " + half, exitFault, []string{broken + ":3: limits.cores", broken + ":4: limits.sockets",
 			broken + ": seed", broken + ": settings: missing", half + ":2: unexpected end"}},
-		{"config show --config " + platform, exitOK, []string{"limits.memory_mb       = 64", platform + ":2", "log.level", "# default"}},
+		{"config show --config " + platform, exitOK, []string{"limits.memory_mb = 64", platform + ":2", "log.level", "# default"}},
 		{"config show --config " + broken, exitFault, []string{"limits.cores"}},
 		{"run --config " + platform + " --operator " + broken, exitFault, []string{broken + ":1: "}},
 	} {
@@ -128,7 +128,7 @@
 			t.Errorf("%q: exit %d, want %d: %s", tc.args, code, tc.code, errOut)
 		}
 		for _, want := range tc.want {
-			if !strings.Contains(out+errOut, want) {
+			if columns := regexp.MustCompile(` +`).ReplaceAllString(out, " "); !strings.Contains(columns+errOut, want) {
 				t.Errorf("%q: %q is not in %q", tc.args, want, out+errOut)
 			}
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -32,8 +33,9 @@
 	Resume()
 }
 
-// Fleet is the view of the fleet, where this process keeps one: a value that encodes as JSON.
-type Fleet interface{ Snapshot() any }
+// Fleet is what this process keeps of the fleet, by the part that is asked for: "" is the view of the members. Each is
+// a value that encodes as JSON, nil where this process does not keep it.
+type Fleet interface{ Part(name string) any }
 
 // Server answers the calls at one address.
 type Server struct {
@@ -42,7 +44,7 @@
 }
 
 // New makes a server for the calls that come to a listener. It owns the listener from then on. Fleet may be nil,
-// and /-/fleet then answers 404.
+// and what is below /-/fleet then answers 404.
 func New(l net.Listener, s Sidecar, fleet Fleet) *Server {
 	c := &callers{Listener: l, most: MaxConnections}
 	server := &Server{callers: c, http: http.Server{
@@ -83,10 +85,12 @@
 		"/-/resume": {http.MethodPost, act(s.Resume)},
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/-/fleet" && fleet != nil && r.Method == http.MethodGet {
-			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(fleet.Snapshot()) // a caller that has gone cannot be told
-			return
+		if part, ok := strings.CutPrefix(r.URL.Path, "/-/fleet"); ok && fleet != nil && r.Method == http.MethodGet {
+			if x := fleet.Part(strings.TrimPrefix(part, "/")); x != nil {
+				w.Header().Set("Content-Type", "application/json")
+				json.NewEncoder(w).Encode(x) // a caller that has gone cannot be told
+				return
+			}
 		}
 		c, ok := calls[r.URL.Path]
 		switch {
--- /dev/null
+++ b/internal/core/evidence.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"dykering/internal/decision"
+)
+
+// Evidence is what this process's own calls have shown of a server, under a name that all brokers of a fleet share.
+type Evidence struct {
+	Server string // its uid and start: one that has restarted is another
+	Bad    bool   // it is isolated; otherwise it answered well
+	Age    time.Duration
+}
+
+// serverName is what brokers call an endpoint among themselves.
+func serverName(e *Endpoint) string { return e.uid + "@" + strconv.FormatInt(e.bootMS, 10) }
+
+// ask has the loop answer something, or gives up with ctx: the loop may have a long queue, or none.
+func ask[T any](ctx context.Context, l *Loop, look func() T) (T, error) {
+	got := make(chan T, 1)
+	var none T
+	select {
+	case l.events <- func() { got <- look() }:
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case x := <-got:
+		return x, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// Evidence is what this process has found out itself, with the servers named that it was answered by lately, and how
+// many are listed.
+func (l *Loop) Evidence(ctx context.Context, named []string) (all []Evidence, listed int, err error) {
+	type answer struct {
+		all    []Evidence
+		listed int
+	}
+	a, err := ask(ctx, l, func() (a answer) {
+		a.listed = len(l.endpoints.byID)
+		for _, e := range l.balancer.Evidence(l.now(), l.known(named)) {
+			if x := l.endpoints.byID[e.Endpoint]; x != nil {
+				a.all = append(a.all, Evidence{serverName(x), e.Bad, e.Age})
+			}
+		}
+		return a
+	})
+	return a.all, a.listed, err
+}
+
+// Advise hands the Balancer what the word of other brokers comes to, and tells how much of it changed anything.
+func (l *Loop) Advise(ctx context.Context, advice []Evidence) (heeded int, err error) {
+	return ask(ctx, l, func() int {
+		var told []decision.Advice
+		for _, a := range advice {
+			for _, id := range l.known([]string{a.Server}) {
+				told = append(told, decision.Advice{Endpoint: id, Bad: a.Bad, Age: a.Age})
+			}
+		}
+		return l.balancer.Advise(l.now(), told)
+	})
+}
+
+// known are the ids of the servers named that are listed, as they were started.
+func (l *Loop) known(named []string) (ids []decision.EndpointID) {
+	for _, name := range named {
+		at := strings.LastIndexByte(name, '@')
+		if at < 0 {
+			continue
+		}
+		if e := l.endpoints.byID[l.endpoints.ids[name[:at]]]; e != nil && serverName(e) == name {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
--- a/internal/decision/roster.go
+++ b/internal/decision/roster.go
@@ -46,7 +46,7 @@
 	if e.rostered {
 		r.sum(e, -1)
 	}
-	e.mark = to
+	e.mark, e.advised = to, 0
 	if e.rostered {
 		r.sum(e, 1)
 	}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -47,8 +47,10 @@
 	lost       int           // own calls in flight that it will hardly answer
 	trialAt    time.Duration
 	trialPause time.Duration
-	trialFrom  int     // answers of any kind before which there is none
-	tokens     float64 // sends a ramping endpoint may get now
+	advised    time.Duration // the first pause of an isolation on the word of others; 0 for one by own calls
+	hastened   time.Duration // when the word of others brought a trial forward last
+	trialFrom  int           // answers of any kind before which there is none
+	tokens     float64       // sends a ramping endpoint may get now
 	tokensAt   time.Duration
 }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -13,7 +13,9 @@
 	"log"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,8 +37,6 @@
 	skew = time.Minute
 	// leaveTimeout bounds the wait for others to hear that this member leaves.
 	leaveTimeout = 2 * time.Second
-	// joinTimeout bounds a join, through the seeds or a member that is dead.
-	joinTimeout = 10 * time.Second
 	// reconnectEvery is in probe intervals: how often one dead member is asked to join again, as Serf does. SWIM
 	// never probes the dead, so without it the two sides of a healed cut would stay two fleets.
 	reconnectEvery = 5
@@ -73,11 +73,15 @@
 	incarnations map[string]uint32
 	changes      chan membership.Change
 	snapshot     atomic.Pointer[Snapshot]
+	replica      atomic.Pointer[Replica]
+	told         memberlist.TransmitLimitedQueue // messages of the replica
 	counters     Counters
 	done         chan struct{}
 	ended        chan struct{}
 	once         sync.Once
-	followed     atomic.Bool // whether anybody takes the changes
+	joining      sync.Once
+	join         chan struct{} // closed by Join
+	followed     atomic.Bool   // whether anybody takes the changes
 }
 
 // suspicion of a member, in one of memberlist's incarnations, which a refutation raises.
@@ -86,13 +90,15 @@
 	until       time.Time // by then memberlist has declared it dead, or has heard it refute
 }
 
-// Start joins the fleet as the section says, with meta for this member. It owns memberlist's goroutines and one of
-// its own until Close. Without seeds it waits to be joined.
+// Start makes a member of the fleet as the section says, with meta for it. It owns memberlist's goroutines and one of
+// its own until Close. It can be joined; it joins others from Join on.
 func Start(s Section, meta membership.Meta, logger *zap.Logger) (*Gossip, error) {
 	g := &Gossip{log: logger, section: s, events: make(chan memberlist.NodeEvent, queued),
-		rumours: make(chan rumour, queued), suspects: map[string]suspicion{}, incarnations: map[string]uint32{},
+		join: make(chan struct{}), rumours: make(chan rumour, queued), suspects: map[string]suspicion{}, incarnations: map[string]uint32{},
 		changes: make(chan membership.Change, changesQueued), done: make(chan struct{}), ended: make(chan struct{})}
 	c := memberlist.DefaultLANConfig()
+	g.told.RetransmitMult = c.RetransmitMult
+	g.told.NumNodes = func() int { return len(g.snapshot.Load().Members) }
 	c.Name = s.ID
 	host, port, _ := net.SplitHostPort(s.Bind) // checked with the section
 	c.BindAddr, c.AdvertiseAddr = host, host
@@ -138,22 +144,14 @@
 	view := membership.New(g.self, membership.Limits{Most: s.Most, Kept: time.Duration(s.DeadKept)}, time.Now())
 	g.publish(view)
 	go g.own(view)
-	if len(s.Seeds) > 0 {
-		joined := make(chan error, 1)
-		go func() { _, err := g.list.Join(s.Seeds); joined <- err }()
-		select {
-		case err = <-joined:
-		case <-time.After(joinTimeout):
-			err = errors.New("no seed answered in time")
-		}
-		if err != nil { // it goes on: a seed that comes later joins it
-			g.log.Warn("fleet.join", zap.Strings("seeds", s.Seeds), zap.Error(err))
-		}
-	}
 	g.log.Info("fleet.started", zap.String("id", s.ID), zap.String("addr", g.self.Addr))
 	return g, nil
 }
 
+// Join has it join the fleet through the seeds, at once and for as long as it knows nobody, and does not wait for that.
+// What is to take part in the first exchange is attached before.
+func (g *Gossip) Join() { g.joining.Do(func() { close(g.join) }) }
+
 // incarnation of a process is the second it started in: a process that starts again under its id is newer.
 // memberlist's own incarnation, which a refutation raises, is not told by its interface.
 func incarnation(m membership.Meta) uint32 { return uint32(m.Started.Unix()) }
@@ -190,6 +188,20 @@
 	defer tick.Stop()
 	joined := make(chan struct{}, 1) // a join that has ended; one is out at a time
 	joining, ticks, next := false, 0, 0
+	// Bounded by memberlist's TCP timeout for each address. What it finds comes as events.
+	join := func(addrs []string) {
+		joining = len(addrs) > 0
+		if !joining {
+			return
+		}
+		go func() {
+			if _, err := g.list.Join(addrs); err != nil {
+				g.log.Warn("fleet.join", zap.Strings("through", addrs), zap.Error(err))
+			}
+			joined <- struct{}{}
+		}()
+	}
+	first := g.join
 	for {
 		select {
 		case e := <-g.events:
@@ -198,16 +210,14 @@
 			g.rumour(view, r)
 		case <-tick.C:
 			g.look(view)
-			if ticks++; ticks%reconnectEvery == 0 && !joining {
+			if ticks++; ticks%reconnectEvery == 0 && !joining && first == nil {
 				var addrs []string
-				if addrs, next = g.lost(view, next); len(addrs) > 0 {
-					joining = true
-					go func() {
-						g.list.Join(addrs) // bounded by memberlist's TCP timeout; what it finds comes as events
-						joined <- struct{}{}
-					}()
-				}
+				addrs, next = g.lost(view, next)
+				join(addrs)
 			}
+		case <-first:
+			first = nil
+			join(g.section.Seeds)
 		case <-joined:
 			joining = false
 		case <-g.done:
@@ -446,10 +456,79 @@
 	return b[:min(len(b), limit)]
 }
 
-func (e *events) NotifyMsg([]byte)                           {}
-func (e *events) GetBroadcasts(overhead, limit int) [][]byte { return nil }
-func (e *events) LocalState(join bool) []byte                { return nil }
-func (e *events) MergeRemoteState(buf []byte, join bool)     {}
+// NotifyMsg takes what another member told.
+func (e *events) NotifyMsg(b []byte) {
+	if r := e.replica.Load(); r != nil && len(b) > 0 {
+		(*r).Heard(bytes.Clone(b)) // memberlist uses the bytes again
+	}
+}
+
+func (e *events) GetBroadcasts(overhead, limit int) [][]byte {
+	return e.told.GetBroadcasts(overhead, limit)
+}
+
+func (e *events) LocalState(bool) []byte {
+	if r := e.replica.Load(); r != nil {
+		return (*r).Summary()
+	}
+	return nil
+}
+
+func (e *events) MergeRemoteState(b []byte, _ bool) {
+	if r := e.replica.Load(); r != nil && len(b) > 0 {
+		(*r).Compare(bytes.Clone(b))
+	}
+}
+
+// Replica is state that the members replicate. Its methods are called by memberlist's goroutines and do not block.
+type Replica interface {
+	Heard(msg []byte)       // what a member told
+	Summary() []byte        // of what this member holds; sent with each push-pull, at a join too
+	Compare(summary []byte) // takes another's
+}
+
+// Attach has a replica take part from now on. There is one.
+func (g *Gossip) Attach(r Replica) { g.replica.Store(&r) }
+
+// Tell gossips a message to all members. A later one under the same name takes its place if it is still to be sent.
+func (g *Gossip) Tell(name string, msg []byte) { g.told.QueueBroadcast(&told{name, msg}) }
+
+// Send sends one member a message over a stream, within memberlist's timeout for it. It blocks for as long.
+func (g *Gossip) Send(id string, msg []byte) error {
+	for _, n := range g.list.Members() {
+		if n.Name == id {
+			g.counters.BytesOut.Add(uint64(len(msg)))
+			if err := g.list.SendReliable(n, msg); err != nil {
+				return fmt.Errorf("gossip: to %s: %w", id, err)
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("gossip: %s is no member", id)
+}
+
+// Peer is another member that is there, drawn.
+func (g *Gossip) Peer() (id string, ok bool) {
+	all := slices.DeleteFunc(g.list.Members(), func(n *memberlist.Node) bool { return n.Name == g.self.ID })
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[rand.IntN(len(all))].Name, true
+}
+
+// told is a message in memberlist's queue of what is gossiped.
+type told struct {
+	name string
+	msg  []byte
+}
+
+func (t *told) Invalidates(b memberlist.Broadcast) bool {
+	o, ok := b.(*told)
+	return ok && o.name == t.name
+}
+func (t *told) Name() string    { return t.name }
+func (t *told) Message() []byte { return t.msg }
+func (t *told) Finished()       {}
 
 // lines are memberlist's log, put into ours: a warning or error of it is one of ours, the rest debug.
 type lines struct {
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	g.Join()
 	return g
 }
 
--- a/internal/fleet/gossip/section.go
+++ b/internal/fleet/gossip/section.go
@@ -25,14 +25,32 @@
 	IndirectChecks int             `toml:"indirect_checks" doc:"members asked to probe one that did not answer" min:"1" max:"16"`
 	DeadKept       strict.Duration `toml:"dead_kept" doc:"how long a dead or left member is remembered" min:"1s" max:"24h"`
 	Most           int             `toml:"most" doc:"members held at most, this one among them" min:"2" max:"100000"`
+	Replication    Replication     `toml:"replication"`
 	Relay          string          `toml:"relay" doc:"laboratory only: a fault relay that all gossip goes through; empty: none"`
 }
 
+// Replication is the table [fleet.replication]: what the members tell each other of servers.
+type Replication struct {
+	Enabled   bool            `toml:"enabled" doc:"whether members tell each other which servers they isolated or were answered by"`
+	TTL       strict.Duration `toml:"ttl" doc:"how long a fact holds that its origin does not tell anew" min:"1s" max:"5m"`
+	Witnesses int             `toml:"witnesses" doc:"members that have to call a server bad before this one heeds it" min:"1" max:"100"`
+	PerOrigin int             `toml:"per_origin" doc:"percent of the servers that one member may call bad; one that calls more so is not heard" min:"1" max:"100"`
+	MostBad   int             `toml:"most_bad" doc:"percent of the servers that may be bad by the word of others" min:"1" max:"100"`
+	Facts     int             `toml:"facts" doc:"facts of one member held at most" min:"1" max:"4096"`
+	Rate      strict.Bytes    `toml:"rate" doc:"bytes a second that this member sends of them, at most" min:"1KiB" max:"64MiB"`
+	Ahead     strict.Duration `toml:"ahead" doc:"how far ahead of this clock another's stamp may be" min:"100ms" max:"1h"`
+	Snapshot  string          `toml:"snapshot" doc:"file that the facts are kept in, so that a restart comes back with them; empty: none"`
+	Every     strict.Duration `toml:"snapshot_every" doc:"how often it is written" min:"200ms" max:"10m"`
+	Offset    strict.Duration `toml:"clock_offset" doc:"laboratory only: how far this member's clock is taken to be ahead"`
+}
+
 // DefaultSection is what holds where the file says nothing: memberlist's settings for a LAN.
 func DefaultSection() *Section {
 	return &Section{Bind: "127.0.0.1:7946", Weight: 1, ProbeInterval: strict.Duration(time.Second),
 		ProbeTimeout: strict.Duration(500 * time.Millisecond), SuspicionMult: 4, IndirectChecks: 3,
-		DeadKept: strict.Duration(30 * time.Second), Most: 4096}
+		DeadKept: strict.Duration(30 * time.Second), Most: 4096,
+		Replication: Replication{TTL: strict.Duration(15 * time.Second), Witnesses: 2, PerOrigin: 30, MostBad: 20,
+			Facts: 64, Rate: 64 << 10, Ahead: strict.Duration(10 * time.Second), Every: strict.Duration(5 * time.Second)}}
 }
 
 func init() {
--- /dev/null
+++ b/internal/fleet/replication/snapshot_test.go
@@ -0,0 +1,78 @@
+package replication
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"dykering/internal/fleet/replica"
+)
+
+// A snapshot gives back what is left of each fact; one that is too old, another member's, from another format, damaged
+// anywhere in the file or no snapshot at all is refused with its reason, and never more than an error.
+func TestSnapshot(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	path := filepath.Join(t.TempDir(), "replica.db")
+	facts := []replica.Fact{{Origin: "a", Subject: "s1", Stamp: replica.Stamp{Wall: 7}, Word: replica.Bad, Left: 10 * time.Second},
+		{Origin: "b", Subject: "s2", Word: replica.Good, Left: 3 * time.Second}}
+	if _, err := load(path, "me", now, time.Minute); err != errNoSnapshot {
+		t.Fatal(err)
+	}
+	if err := store(path, "me", now, facts); err != nil {
+		t.Fatal(err)
+	}
+	got, err := load(path, "me", now.Add(5*time.Second), time.Minute)
+	if err != nil || len(got) != 1 || got[0].Left != 5*time.Second || got[0].Stamp != facts[0].Stamp {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for want, load := range map[string]func() error{
+		"saved 5m0s ago": func() error { _, err := load(path, "me", now.Add(5*time.Minute), time.Minute); return err },
+		"saved -1s ago":  func() error { _, err := load(path, "me", now.Add(-time.Second), time.Minute); return err },
+		"of another":     func() error { _, err := load(path, "other", now, time.Minute); return err },
+	} {
+		if err := load(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	broken := filepath.Join(t.TempDir(), "broken.db")
+	try := func(text []byte) {
+		if err := os.WriteFile(broken, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := load(broken, "me", now, time.Minute)
+		switch {
+		case err != nil:
+			refused++
+		case len(got) != len(facts) || got[0] != facts[0] || got[1] != facts[1]:
+			t.Fatalf("damaged, and taken as %+v", got)
+		}
+	}
+	for cut := 0; cut < len(whole); cut += 997 {
+		try(whole[:cut])
+	}
+	for at := 0; at < len(whole); at += 61 { // many of the bytes are of no page in use
+		text := append([]byte(nil), whole...)
+		text[at] ^= 0x55
+		try(text)
+	}
+	if refused < 10 {
+		t.Errorf("only %d refused", refused)
+	}
+	if err := open(path, false, func(db *bbolt.DB) error {
+		return db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put(keyFacts, []byte("other")) })
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := load(path, "me", now, time.Minute); err == nil || !strings.Contains(err.Error(), "checksum") {
+		t.Errorf("%v, want its checksum", err)
+	}
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -88,6 +88,9 @@
 	callers callers
 }
 
+// Loop is the core that it serves with, for what tells it of other brokers.
+func (s *Server) Loop() *core.Loop { return s.loop }
+
 // New makes a server, and the core that it serves with.
 func New(c *config.Config, log *zap.Logger) (*Server, error) {
 	memory := core.NewMemory(c.Plan())
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -38,7 +38,9 @@
 	Seconds    []Second          `json:"seconds"`
 	Broken     map[string]int    `json:"broken"` // rules, and how often
 	Violations []rules.Violation `json:"violations,omitempty"`
-	Views      *Views            `json:"views,omitempty"` // of the fleet, where the brokers keep them
+	Replicated int               `json:"replicated,omitempty"` // facts sent between brokers
+	Heeded     int               `json:"heeded,omitempty"`     // words of others that changed a mark or a trial
+	Views      *Views            `json:"views,omitempty"`      // of the fleet, where the brokers keep them
 
 	latency     *hdrhistogram.Histogram
 	troubleEnds time.Duration
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -36,6 +36,7 @@
 	*instance
 	policy Policy
 	dead   bool
+	mind   *mind                        // nil without replicated state
 	mute   map[decision.EndpointID]bool // servers from which nothing came: a new connection is needed
 }
 
@@ -72,6 +73,7 @@
 	}
 	i.seat = s
 	p.Targets(w.Now(), l)
+	s.replicate()
 	return nil
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	if fleet != nil {
-		defer fleet.Close()
+		defer fleet.close()
+		fleet.replicate(s.Loop())
+		fleet.gossip.Join()
 	}
 	if c.Control != "" {
 		place, err := net.Listen("tcp", c.Control)
