Tenants' quotas divided among the live brokers by leases, granted by voters on Raft; marks alone are heeded

Need: an even part of a tenant's quota refuses those inside their share where callers are uneven, a dead broker's part lies idle, and one that joins takes a part nobody gave up (issue of fleet-wide budgets).

Change: internal/fleet/budget decides without I/O or clock: max-min division by demand with floors and hysteresis, a ledger whose parts never pass the pool, a grantor that counts leases longer than holders by the bound on drift, holders that count from their question. internal/fleet/budgets carries it: etcd's raft over the gossip's streams, kept in bbolt. decision.Allot sets the rates of the shares. [fleet.budgets] off by default; dykering fleet budgets. A new member exchanges states for 60 probe intervals: one that came back at another address was heard of only after up to 30 s.

--- a/cmd/dykering/fleet.go
+++ b/cmd/dykering/fleet.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"dykering/internal/fleet/budgets"
 	"dykering/internal/fleet/gossip"
 	"dykering/internal/fleet/replica"
 	"dykering/internal/fleet/replication"
@@ -21,7 +24,7 @@
 
 func newFleet() *cobra.Command {
 	fleet := &cobra.Command{Use: "fleet", Short: "Look at the view of the fleet of a running process", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: members or state is missing") }}
+		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: members, state or budgets is missing") }}
 	var control string
 	state := &cobra.Command{Use: "state", Short: "The facts that a process holds of servers: origin, what it says, how much longer it holds",
 		Args: cobra.NoArgs,
@@ -31,6 +34,14 @@
 			}
 			return nil
 		}}
+	budget := &cobra.Command{Use: "budgets", Short: "What a process may spend of each whole, by which lease; at a voter, what all may",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := showBudgets(c.OutOrStdout(), control); err != nil {
+				return faulty{err}
+			}
+			return nil
+		}}
 	members := &cobra.Command{Use: "members", Short: "The members that a process holds: id, state, incarnation, zone, since",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -40,7 +51,7 @@
 			return nil
 		}}
 	fleet.PersistentFlags().StringVar(&control, "control", "127.0.0.1:9901", "the process's second address")
-	fleet.AddCommand(members, state)
+	fleet.AddCommand(members, state, budget)
 	return fleet
 }
 
@@ -84,6 +95,33 @@
 	return t.Flush()
 }
 
+func showBudgets(out io.Writer, control string) error {
+	b, err := askFleet[budgets.State](control, "/-/fleet/budgets", "the process divides no budgets ([fleet.budgets] enabled is false)")
+	if err != nil {
+		return err
+	}
+	if b.Leased {
+		fmt.Fprintf(out, "%s spends by lease %d, for %v\n", b.Self, b.Version, b.Left.Round(time.Millisecond))
+	} else {
+		fmt.Fprintf(out, "%s spends by its floor\n", b.Self)
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "tenant\twhole/s\tfloor/s\tpart/s\tdemand/s")
+	for _, p := range b.Parts {
+		fmt.Fprintf(t, "%s\t%.1f\t%.2f\t%.2f\t%.2f\n", p.Tenant, p.Whole, p.Floor, p.Part, p.Demand)
+	}
+	if b.Ledger == nil {
+		return t.Flush()
+	}
+	fmt.Fprintf(t, "\nthe ledger of the voters, led by %s\nholder\tlease\tparts/s\n", b.Lead)
+	for _, holder := range slices.Sorted(maps.Keys(b.Ledger.Grants)) {
+		for _, g := range b.Ledger.Grants[holder] {
+			fmt.Fprintf(t, "%s\t%d\t%.2f\n", holder, g.Version, g.Parts)
+		}
+	}
+	return t.Flush()
+}
+
 func showMembers(out io.Writer, control string) error {
 	view, err := askFleet[gossip.Snapshot](control, "/-/fleet", "the process keeps no view of the fleet ([fleet] enabled is false)")
 	if err != nil {
--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,13 +56,13 @@
 	return a.all, a.listed, err
 }
 
-// Advise hands the Balancer what the word of other brokers comes to, and tells how much of it changed anything.
+// Advise hands the Balancer the servers that are bad by the word of other brokers, and tells how much of it changed anything.
 func (l *Loop) Advise(ctx context.Context, advice []Evidence) (heeded int, err error) {
 	return ask(ctx, l, func() int {
 		var told []decision.Advice
 		for _, a := range advice {
 			for _, id := range l.known([]string{a.Server}) {
-				told = append(told, decision.Advice{Endpoint: id, Bad: a.Bad, Age: a.Age})
+				told = append(told, decision.Advice{Endpoint: id, Age: a.Age})
 			}
 		}
 		return l.balancer.Advise(l.now(), told)
@@ -81,3 +82,17 @@
 	}
 	return ids
 }
+
+// Use is what came of one tenant's requests since the start.
+type Use = decision.Use
+
+// Uses tell what came of each tenant, in the settings' order; of none before the first list.
+func (l *Loop) Uses(ctx context.Context) ([]Use, error) {
+	return ask(ctx, l, func() []Use { return l.balancer.Uses() })
+}
+
+// Allot sets what each tenant may ask for a second within its share at this process.
+func (l *Loop) Allot(parts []float64) {
+	parts = slices.Clone(parts)
+	l.Post(func() { l.balancer.Allot(l.now(), parts) })
+}
--- a/internal/decision/advice.go
+++ b/internal/decision/advice.go
@@ -1,9 +1,12 @@
 package decision
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file holds what an instance tells others of endpoints, and takes from them. Which word of others counts is
-// decided elsewhere (package replica); here it can do no more than hasten a mark or a trial that own calls would come to.
+// decided elsewhere (package replica); here it can do no more than hasten a mark that own calls would come to.
 
 // Evidence is what an instance knows of an endpoint by its own calls.
 type Evidence struct {
@@ -12,10 +15,9 @@
 	Age      time.Duration // of the last answer of any kind, where it is not bad
 }
 
-// Advice is what others' evidence comes to for an endpoint.
+// Advice is an endpoint that others have isolated.
 type Advice struct {
 	Endpoint EndpointID
-	Bad      bool          // others have isolated it; otherwise one of them was answered well by it
 	Age      time.Duration // of the evidence
 }
 
@@ -43,22 +45,18 @@
 }
 
 // Advise takes the word of others, and tells how much of it changed anything. Own evidence decides: an endpoint that
-// has answered this instance since is not marked, the share of the list that may be isolated holds, and an isolated
-// endpoint gets its trial as soon as a request can make it.
+// has answered this instance since is not marked, the share of the list that may be isolated holds, and it gets its
+// trials as any isolated one. That others are answered brings no trial forward: all instances' trials at once pushed
+// servers over that had just returned cold (docs/REPLICATION.md).
 func (b *Balancer) Advise(now time.Duration, advice []Advice) (heeded int) {
 	for _, a := range advice {
 		e := b.byID[a.Endpoint]
-		switch {
-		case e == nil || !e.rostered:
-		case a.Bad && e.mark <= ramping && e.lastAnswer < now-a.Age && b.mayEject():
-			b.isolate(now, e, "by the word of others")
-			e.advised = e.trialPause
-			heeded++
-		case !a.Bad && e.mark == isolated && e.trialAt > now && now-e.hastened >= e.trialPause:
-			// One trial a pause, that doubles with each that fails: whoever says otherwise all day costs no more.
-			e.trialAt, e.trialFrom, e.hastened = now, b.answered, now
-			heeded++
+		if e == nil || !e.rostered || e.mark > ramping || e.lastAnswer >= now-a.Age || !b.mayEject() {
+			continue
 		}
+		b.isolate(now, e, "by the word of others")
+		e.advised = e.trialPause
+		heeded++
 	}
 	if heeded > 0 {
 		b.place(now)
@@ -66,3 +64,33 @@
 	}
 	return heeded
 }
+
+// Use is what came of one tenant since the start.
+type Use struct {
+	Asked  float64 // requests that are no repeats
+	Within float64 // of them, within its share at this instance
+}
+
+// Uses tell what came of each tenant.
+func (b *Balancer) Uses() []Use {
+	uses := make([]Use, len(b.tenants))
+	for i := range b.tenants {
+		uses[i] = b.tenants[i].use
+	}
+	return uses
+}
+
+// Allot sets what each tenant may ask for a second within its share at this instance, in place of an even part of its
+// quota. What it may ask for is then the same however much is served here: the parts of all instances add up.
+func (b *Balancer) Allot(now time.Duration, parts []float64) {
+	if b.tenants == nil {
+		b.meter(now)
+	}
+	for i := range min(len(parts), len(b.tenants)) {
+		t := &b.tenants[i]
+		t.spend(now, 0)
+		t.rate, t.most = parts[i], bucketLeast+parts[i]*tenantBurst
+		t.level = min(t.level, t.most)
+	}
+	b.quota = math.Inf(1)
+}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -48,7 +48,6 @@
 	trialAt    time.Duration
 	trialPause time.Duration
 	advised    time.Duration // the first pause of an isolation on the word of others; 0 for one by own calls
-	hastened   time.Duration // when the word of others brought a trial forward last
 	trialFrom  int           // answers of any kind before which there is none
 	tokens     float64       // sends a ramping endpoint may get now
 	tokensAt   time.Duration
@@ -141,6 +140,7 @@
 type bucket struct {
 	rate, level, most float64
 	at                time.Duration
+	use               Use
 }
 
 // newBucket makes a bucket that holds some seconds of its rate, and a few more for chance. It starts with next
@@ -152,10 +152,12 @@
 // take takes n out, if they are there.
 func (b *bucket) take(now time.Duration, n float64) bool {
 	b.spend(now, 0)
+	b.use.Asked++
 	if b.level < n {
 		return false
 	}
 	b.level -= n
+	b.use.Within++
 	return true
 }
 
--- /dev/null
+++ b/internal/fleet/budgets/budgets.go
@@ -0,0 +1,407 @@
+// Package budgets divides tenants' quotas among the live brokers of a fleet, by leases (package budget). A few members,
+// the voters, replicate the ledger of what was given by Raft (go.etcd.io/raft/v3), kept in bbolt; the one that leads
+// grants. Every broker asks for its next lease several times while one holds, spends by it for as long as its own clock
+// says, and by its floor without one. One goroutine owns all of it; messages go over the gossip's streams.
+package budgets
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+	"go.uber.org/zap"
+
+	"dykering/internal/core"
+	"dykering/internal/fleet/budget"
+	"dykering/internal/fleet/gossip"
+)
+
+const (
+	// queued bounds the messages that wait for the owner, and outgoing those that wait to be sent to one member: what does
+	// not fit is lost, as on a link, and asked for or sent again.
+	queued   = 1024
+	outgoing = 64
+	// mostPeers bounds the members that messages are sent to at a time; the queue of one that is idle ends.
+	mostPeers = 4096
+	idleAfter = 30 * time.Second
+	// askTimeout bounds the wait for the core's loop.
+	askTimeout = 200 * time.Millisecond
+	// renewals is how many times a lease is asked for anew while it holds.
+	renewals = 4
+	// demandWindow is over which demand is smoothed, in renewals.
+	demandWindow = 2.0
+)
+
+// Broker is whose requests the budgets are of.
+type Broker interface {
+	Uses(ctx context.Context) ([]core.Use, error)
+	Allot(parts []float64)
+}
+
+// Gossip is how members are reached.
+type Gossip interface {
+	Handle(take func(msg []byte))
+	Send(id string, msg []byte) error
+}
+
+// Config is what a service is started with.
+type Config struct {
+	Self      string
+	Weight    int
+	Section   gossip.Budgets
+	Tenants   []string
+	Wholes    []float64 // requests a second, by tenant
+	Instances int       // that floors are set aside for
+}
+
+// Part is what this broker may spend of a whole, in requests a second.
+type Part struct {
+	Tenant  string  `json:"tenant"`
+	Whole   float64 `json:"whole"`
+	Floor   float64 `json:"floor"`
+	Part    float64 `json:"part"` // the floor in it
+	Demand  float64 `json:"demand"`
+	Asked   float64 `json:"asked"`   // requests since the start that are no repeats
+	Within  float64 `json:"within"`  // of them, within the part
+	Charged float64 `json:"charged"` // at a voter: what all leases come to, as the ledger has it
+}
+
+// State is what a broker holds.
+type State struct {
+	Self    string         `json:"self"`
+	Leased  bool           `json:"leased"`
+	Left    time.Duration  `json:"left"` // of the lease
+	Version uint64         `json:"version"`
+	Lead    string         `json:"lead,omitempty"` // as this voter knows it
+	Parts   []Part         `json:"parts"`
+	Ledger  *budget.Ledger `json:"ledger,omitempty"` // at a voter
+}
+
+// envelope is a message among members.
+type envelope struct {
+	Raft  []byte          `codec:"r,omitempty"`
+	Ask   *budget.Request `codec:"a,omitempty"`
+	Sent  bool            `codec:"s,omitempty"` // a voter sent it on to the one that leads
+	Grant *budget.Grant   `codec:"g,omitempty"`
+}
+
+func encode(m any) []byte {
+	var b []byte
+	codec.NewEncoderBytes(&b, &codec.MsgpackHandle{}).MustEncode(m) // of types that it knows
+	return b
+}
+
+func decode(b []byte, m any) error { return codec.NewDecoderBytes(b, &codec.MsgpackHandle{}).Decode(m) }
+
+// Service is a running part in the budgets.
+type Service struct {
+	config Config
+	broker Broker
+	gossip Gossip
+	log    *zap.Logger
+	holder *budget.Holder
+	group  *group // nil for one that does not vote
+	floor  []float64
+	voter  int // that is asked
+	heard  bool
+	leased bool
+	uses   []core.Use
+	usedAt time.Duration
+	demand []float64
+	began  time.Time
+	events chan envelope
+	state  atomic.Pointer[State]
+	lost   atomic.Uint64
+	done   chan struct{}
+	wg     sync.WaitGroup
+	once   sync.Once
+	peers  peers
+}
+
+// Start begins to take part. From before its first request the broker spends by its floor.
+func Start(c Config, broker Broker, g Gossip, log *zap.Logger) (*Service, error) {
+	terms := budget.Terms{Length: time.Duration(c.Section.Lease), Drift: float64(c.Section.Drift) / 100}
+	s := &Service{config: c, broker: broker, gossip: g, log: log, began: time.Now(), events: make(chan envelope, queued),
+		demand: make([]float64, len(c.Wholes)), done: make(chan struct{})}
+	pool := make([]float64, len(c.Wholes))
+	for i, w := range c.Wholes {
+		aside := w * float64(c.Section.Floor) / 100
+		s.floor = append(s.floor, aside/float64(max(c.Instances, 1)))
+		pool[i] = w - aside
+	}
+	// Another process under the same id is another holder.
+	s.holder = budget.NewHolder(fmt.Sprintf("%s#%d", c.Self, time.Now().UnixNano()), float64(c.Weight), terms, s.floor)
+	s.peers = peers{s: s, out: map[string]*peer{}}
+	s.voter = int(time.Now().UnixNano()) % max(len(c.Section.Voters), 1)
+	if slices.Contains(c.Section.Voters, c.Self) {
+		var err error
+		if s.group, err = newGroup(c.Self, c.Section.Voters, c.Section.Dir, terms, pool, log, s.send); err != nil {
+			return nil, err
+		}
+	}
+	s.allot(s.now())
+	g.Handle(s.take)
+	s.wg.Go(s.own)
+	return s, nil
+}
+
+// Close ends its goroutines. The broker spends nothing within shares from then on: a process that takes its place
+// has the floor.
+func (s *Service) Close() {
+	s.once.Do(func() {
+		s.broker.Allot(make([]float64, len(s.floor)))
+		close(s.done)
+		s.wg.Wait()
+		if s.group != nil {
+			if err := s.group.disk.close(); err != nil {
+				s.log.Warn("fleet.budget.close", zap.Error(err))
+			}
+		}
+	})
+}
+
+// State is what this broker holds, after the last event.
+func (s *Service) State() *State { return s.state.Load() }
+
+// now is this member's clock. The laboratory may have it run fast or slow.
+func (s *Service) now() time.Duration {
+	return time.Duration(float64(time.Since(s.began)) * s.config.Section.Rate)
+}
+
+// take takes a message, on the gossip's goroutines.
+func (s *Service) take(b []byte) {
+	var m envelope
+	if err := decode(b, &m); err != nil {
+		s.log.Warn("fleet.budget.refused", zap.Error(err))
+		return
+	}
+	select {
+	case s.events <- m:
+	default:
+		s.lost.Add(1)
+	}
+}
+
+// splitHolder is the member of a holder, and its process.
+func splitHolder(holder string) (member, process string) {
+	if i := strings.LastIndexByte(holder, '#'); i >= 0 {
+		return holder[:i], holder[i+1:]
+	}
+	return holder, ""
+}
+
+// own is the one goroutine that changes anything.
+func (s *Service) own() {
+	lease := time.Duration(s.config.Section.Lease)
+	tick, renew := time.NewTicker(lease/ticksOfLease), time.NewTicker(lease/renewals)
+	defer tick.Stop()
+	defer renew.Stop()
+	s.ask()
+	for {
+		select {
+		case m := <-s.events:
+			s.heed(m)
+		case <-tick.C:
+			if s.group != nil {
+				s.group.node.Tick()
+				s.group.decide(s.now())
+			}
+			s.peers.sweep()
+		case <-renew.C:
+			s.ask()
+		case <-s.done:
+			s.peers.end()
+			return
+		}
+		if s.group != nil {
+			if err := s.group.work(s.now()); err != nil {
+				// What it cannot keep it must not promise: it votes no more. The others go on, and it spends by its leases.
+				s.log.Error("fleet.budget.voteless", zap.Error(err))
+				s.group.disk.close()
+				s.group = nil
+			}
+		}
+		s.publish()
+	}
+}
+
+// heed takes a message in.
+func (s *Service) heed(m envelope) {
+	now := s.now()
+	switch {
+	case m.Grant != nil:
+		s.heard = true
+		if s.holder.Granted(now, *m.Grant) {
+			s.allot(now)
+		}
+	case s.group == nil: // not for this one
+	case m.Raft != nil:
+		if err := s.group.step(m.Raft); err != nil {
+			s.log.Debug("fleet.raft", zap.Error(err))
+		}
+	case m.Ask != nil && s.group.grantor != nil:
+		s.group.grantor.Ask(now, *m.Ask)
+	case m.Ask != nil && !m.Sent:
+		if lead, known := s.group.leader(); known {
+			s.send(lead, envelope{Ask: m.Ask, Sent: true})
+		}
+	}
+}
+
+// ask asks a voter for the next lease: the one asked last if that was answered, else the next.
+func (s *Service) ask() {
+	s.measure()
+	now := s.now()
+	s.allot(now) // where a lease has ended
+	r := s.holder.Ask(now, s.demand)
+	if s.group != nil {
+		s.heed(envelope{Ask: &r})
+		return
+	}
+	if !s.heard {
+		s.voter = (s.voter + 1) % len(s.config.Section.Voters)
+	}
+	s.heard = false
+	s.send(s.config.Section.Voters[s.voter], envelope{Ask: &r})
+}
+
+// measure takes what was asked of this broker since into its demand.
+func (s *Service) measure() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	uses, err := s.broker.Uses(ctx)
+	if err != nil || len(uses) != len(s.demand) { // before the first list there are none
+		return
+	}
+	now := s.now()
+	if dt := (now - s.usedAt).Seconds(); s.uses != nil && dt > 0 {
+		for i := range s.demand {
+			s.demand[i] += ((uses[i].Asked-s.uses[i].Asked)/dt - s.demand[i]) / demandWindow
+		}
+	}
+	s.uses, s.usedAt = uses, now
+}
+
+// allot has the broker spend by what it holds. Each time that changes, a line tells from when until when, by the wall's
+// clock: the parts of all brokers add up to the wholes at each instant, and their logs show it.
+func (s *Service) allot(now time.Duration) {
+	parts, leased := s.holder.May(now)
+	if s.state.Load() != nil && !leased && !s.leased {
+		return
+	}
+	s.broker.Allot(parts)
+	wall := time.Now()
+	until := wall.Add(time.Duration(float64(s.holder.Left(now)) / s.config.Section.Rate))
+	fields := []zap.Field{zap.Uint64("version", s.holder.Uses()), zap.Float64s("parts", parts), zap.Float64s("demand", s.demand),
+		zap.Int64("from_us", wall.UnixMicro())}
+	switch {
+	case leased:
+		s.log.Info("fleet.budget.lease", append(fields, zap.Int64("until_us", until.UnixMicro()))...)
+	case s.leased:
+		s.log.Warn("fleet.budget.floor", append(fields, zap.String("why", "no grant came before the lease ended"))...)
+	default:
+		s.log.Info("fleet.budget.floor", append(fields, zap.String("why", "no lease yet"))...)
+	}
+	s.leased = leased
+}
+
+func (s *Service) publish() {
+	now := s.now()
+	parts, leased := s.holder.May(now)
+	if s.leased && !leased {
+		s.allot(now)
+	}
+	st := &State{Self: s.config.Self, Leased: leased, Left: s.holder.Left(now), Version: s.holder.Uses()}
+	var charged []float64
+	if s.group != nil {
+		st.Lead, _ = s.group.leader()
+		charged = s.group.ledger.Charged("")
+		st.Ledger = &budget.Ledger{Pool: s.group.ledger.Pool, Version: s.group.ledger.Version, Grants: map[string][]budget.Grant{}}
+		for h, grants := range s.group.ledger.Grants {
+			st.Ledger.Grants[h] = slices.Clone(grants)
+		}
+	}
+	for i, tenant := range s.config.Tenants {
+		p := Part{Tenant: tenant, Whole: s.config.Wholes[i], Floor: s.floor[i], Part: parts[i], Demand: s.demand[i]}
+		if i < len(s.uses) {
+			p.Asked, p.Within = s.uses[i].Asked, s.uses[i].Within
+		}
+		if charged != nil {
+			p.Charged = charged[i]
+		}
+		st.Parts = append(st.Parts, p)
+	}
+	s.state.Store(st)
+}
+
+// send sends a member a message, or this one itself. It does not block.
+func (s *Service) send(to string, m envelope) {
+	if to == s.config.Self {
+		select {
+		case s.events <- m:
+		default:
+			s.lost.Add(1)
+		}
+		return
+	}
+	s.peers.send(to, encode(m))
+}
+
+// peers send messages, one queue and goroutine for each member that there is something for, so that one that is slow or
+// gone holds up no other. The service's owner uses them.
+type peers struct {
+	s   *Service
+	out map[string]*peer
+}
+
+type peer struct {
+	queue chan []byte
+	used  time.Time
+}
+
+func (p *peers) send(to string, msg []byte) {
+	x := p.out[to]
+	if x == nil {
+		if len(p.out) >= mostPeers {
+			p.s.lost.Add(1)
+			return
+		}
+		x = &peer{queue: make(chan []byte, outgoing)}
+		p.out[to] = x
+		p.s.wg.Go(func() {
+			for msg := range x.queue {
+				if err := p.s.gossip.Send(to, msg); err != nil {
+					p.s.log.Debug("fleet.budget.unsent", zap.Error(err)) // it is asked for, or sent, again
+				}
+			}
+		})
+	}
+	x.used = time.Now()
+	select {
+	case x.queue <- msg:
+	default:
+		p.s.lost.Add(1)
+	}
+}
+
+// sweep ends the queues of members that nothing was sent to for a while.
+func (p *peers) sweep() {
+	for id, x := range p.out {
+		if time.Since(x.used) > idleAfter {
+			close(x.queue)
+			delete(p.out, id)
+		}
+	}
+}
+
+func (p *peers) end() {
+	for id, x := range p.out {
+		close(x.queue)
+		delete(p.out, id)
+	}
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -40,6 +40,10 @@
 	// reconnectEvery is in probe intervals: how often one dead member is asked to join again, as Serf does. SWIM
 	// never probes the dead, so without it the two sides of a healed cut would stay two fleets.
 	reconnectEvery = 5
+	// announceTicks is in probe intervals: for how long a new member exchanges states now and then. One that starts again
+	// at another address before its old process was found dead is refused until then, and would not be heard of before
+	// memberlist's next push-pull.
+	announceTicks = 60
 	// suspicionMost is by how much memberlist's longest suspicion outlasts its shortest, and a margin.
 	suspicionMost = 7
 )
@@ -74,7 +78,8 @@
 	changes      chan membership.Change
 	snapshot     atomic.Pointer[Snapshot]
 	replica      atomic.Pointer[Replica]
-	told         memberlist.TransmitLimitedQueue // messages of the replica
+	takers       [256]atomic.Pointer[func([]byte)] // by kind
+	told         memberlist.TransmitLimitedQueue   // messages of the replica
 	counters     Counters
 	done         chan struct{}
 	ended        chan struct{}
@@ -213,6 +218,9 @@
 			if ticks++; ticks%reconnectEvery == 0 && !joining && first == nil {
 				var addrs []string
 				addrs, next = g.lost(view, next)
+				if len(addrs) == 0 && ticks <= announceTicks {
+					addrs = g.someone(view)
+				}
 				join(addrs)
 			}
 		case <-first:
@@ -248,6 +256,20 @@
 	return []string{dead[from%len(dead)]}, from + 1
 }
 
+// someone is another member that lives, drawn, to exchange states with.
+func (g *Gossip) someone(view *membership.View) []string {
+	var live []string
+	for _, m := range view.Members() {
+		if m.ID != g.self.ID && m.State == membership.Alive {
+			live = append(live, m.Addr)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return []string{live[rand.IntN(len(live))]}
+}
+
 // look compares memberlist's states with the view: suspicion is seen here, and what the queue did not hold.
 func (g *Gossip) look(view *membership.View) {
 	// memberlist queues its event in the same hold of its lock that takes a member out of its list: what the list
@@ -456,10 +478,13 @@
 	return b[:min(len(b), limit)]
 }
 
-// NotifyMsg takes what another member told.
+// NotifyMsg takes what another member told, for whoever takes messages of its kind.
 func (e *events) NotifyMsg(b []byte) {
-	if r := e.replica.Load(); r != nil && len(b) > 0 {
-		(*r).Heard(bytes.Clone(b)) // memberlist uses the bytes again
+	if len(b) < 2 {
+		return
+	}
+	if take := e.takers[b[0]].Load(); take != nil {
+		(*take)(bytes.Clone(b[1:])) // memberlist uses the bytes again
 	}
 }
 
@@ -487,18 +512,44 @@
 	Compare(summary []byte) // takes another's
 }
 
+// Kind tells whose a message among members is.
+type Kind byte
+
+// The kinds. They are sent, and never change.
+const (
+	KindFacts   Kind = 'r' // replicated state
+	KindBudgets Kind = 'b' // fleet-wide budgets
+)
+
+// Channel carries one kind of messages.
+type Channel struct {
+	g    *Gossip
+	kind Kind
+}
+
+// Channel is that of a kind.
+func (g *Gossip) Channel(k Kind) Channel { return Channel{g, k} }
+
+// Handle has messages of the kind taken from now on, on memberlist's goroutines: take must not block.
+func (c Channel) Handle(take func(msg []byte)) { c.g.takers[c.kind].Store(&take) }
+
 // Attach has a replica take part from now on. There is one.
-func (g *Gossip) Attach(r Replica) { g.replica.Store(&r) }
+func (c Channel) Attach(r Replica) {
+	c.g.replica.Store(&r)
+	c.Handle(r.Heard)
+}
 
 // Tell gossips a message to all members. A later one under the same name takes its place if it is still to be sent.
-func (g *Gossip) Tell(name string, msg []byte) { g.told.QueueBroadcast(&told{name, msg}) }
+func (c Channel) Tell(name string, msg []byte) {
+	c.g.told.QueueBroadcast(&told{name, append([]byte{byte(c.kind)}, msg...)})
+}
 
 // Send sends one member a message over a stream, within memberlist's timeout for it. It blocks for as long.
-func (g *Gossip) Send(id string, msg []byte) error {
-	for _, n := range g.list.Members() {
+func (c Channel) Send(id string, msg []byte) error {
+	for _, n := range c.g.list.Members() {
 		if n.Name == id {
-			g.counters.BytesOut.Add(uint64(len(msg)))
-			if err := g.list.SendReliable(n, msg); err != nil {
+			c.g.counters.BytesOut.Add(uint64(len(msg)) + 1)
+			if err := c.g.list.SendReliable(n, append([]byte{byte(c.kind)}, msg...)); err != nil {
 				return fmt.Errorf("gossip: to %s: %w", id, err)
 			}
 			return nil
@@ -508,8 +559,8 @@
 }
 
 // Peer is another member that is there, drawn.
-func (g *Gossip) Peer() (id string, ok bool) {
-	all := slices.DeleteFunc(g.list.Members(), func(n *memberlist.Node) bool { return n.Name == g.self.ID })
+func (c Channel) Peer() (id string, ok bool) {
+	all := slices.DeleteFunc(c.g.list.Members(), func(n *memberlist.Node) bool { return n.Name == c.g.self.ID })
 	if len(all) == 0 {
 		return "", false
 	}
--- a/internal/fleet/gossip/section.go
+++ b/internal/fleet/gossip/section.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"fmt"
 	"net"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dykering/internal/faults"
@@ -26,6 +29,7 @@
 	DeadKept       strict.Duration `toml:"dead_kept" doc:"how long a dead or left member is remembered" min:"1s" max:"24h"`
 	Most           int             `toml:"most" doc:"members held at most, this one among them" min:"2" max:"100000"`
 	Replication    Replication     `toml:"replication"`
+	Budgets        Budgets         `toml:"budgets"`
 	Relay          string          `toml:"relay" doc:"laboratory only: a fault relay that all gossip goes through; empty: none"`
 }
 
@@ -44,13 +48,63 @@
 	Offset    strict.Duration `toml:"clock_offset" doc:"laboratory only: how far this member's clock is taken to be ahead"`
 }
 
+// Budgets is the table [fleet.budgets]: tenants' quotas, divided among the live members.
+type Budgets struct {
+	Enabled bool            `toml:"enabled" doc:"whether tenants' quotas are divided among the live members by leases, in place of even parts"`
+	Voters  []string        `toml:"voters" doc:"ids of the members that keep the ledger by Raft: three or five, the same list at all"`
+	Dir     string          `toml:"dir" doc:"folder for a voter's part of the ledger; it has to outlive the process"`
+	Wholes  []string        `toml:"wholes" doc:"tenant=requests a second, in place of the platform's quota of that tenant"`
+	Floor   int             `toml:"floor" doc:"percent of each whole set aside, in even parts, for members that reach no majority of the voters" min:"1" max:"90"`
+	Lease   strict.Duration `toml:"lease" doc:"how long a lease holds from when it was asked for" min:"300ms" max:"5m"`
+	Drift   int             `toml:"drift" doc:"percent by which any member's clock may run fast or slow" min:"1" max:"20"`
+	Rate    float64         `toml:"clock_rate" doc:"laboratory only: seconds that this member's clock counts in one"`
+}
+
+// Whole reads one of Wholes.
+func (b *Budgets) Whole(text string) (tenant string, perS float64, err error) {
+	tenant, rate, ok := strings.Cut(text, "=")
+	perS, bad := strconv.ParseFloat(rate, 64)
+	if !ok || tenant == "" || bad != nil || !(perS >= 0 && perS <= 1e9) {
+		return "", 0, fmt.Errorf("%q is not tenant=requests a second", text)
+	}
+	return tenant, perS, nil
+}
+
+// check finds the faults that the keys' bounds do not tell.
+func (b *Budgets) check() (wrong []faults.Fault) {
+	for _, text := range b.Wholes {
+		if _, _, err := b.Whole(text); err != nil {
+			wrong = append(wrong, faults.Fault{Key: "budgets.wholes", Text: err.Error()})
+		}
+	}
+	if b.Enabled && len(b.Voters) == 0 {
+		wrong = append(wrong, faults.Fault{Key: "budgets.voters", Text: "are needed where budgets are enabled"})
+	}
+	if len(b.Voters) > mostVoters {
+		wrong = append(wrong, faults.Fault{Key: "budgets.voters", Text: fmt.Sprintf("are more than %d", mostVoters)})
+	}
+	for i, v := range b.Voters {
+		if v == "" || slices.Contains(b.Voters[:i], v) {
+			wrong = append(wrong, faults.Fault{Key: "budgets.voters", Text: fmt.Sprintf("%q is empty or named twice", v)})
+		}
+	}
+	if b.Rate < 0.5 || b.Rate > 2 {
+		wrong = append(wrong, faults.Fault{Key: "budgets.clock_rate", Text: "has to be from 0.5 to 2"})
+	}
+	return wrong
+}
+
+// mostVoters bounds the group: each further one makes each grant slower.
+const mostVoters = 7
+
 // DefaultSection is what holds where the file says nothing: memberlist's settings for a LAN.
 func DefaultSection() *Section {
 	return &Section{Bind: "127.0.0.1:7946", Weight: 1, ProbeInterval: strict.Duration(time.Second),
 		ProbeTimeout: strict.Duration(500 * time.Millisecond), SuspicionMult: 4, IndirectChecks: 3,
 		DeadKept: strict.Duration(30 * time.Second), Most: 4096,
 		Replication: Replication{TTL: strict.Duration(15 * time.Second), Witnesses: 2, PerOrigin: 30, MostBad: 20,
-			Facts: 64, Rate: 64 << 10, Ahead: strict.Duration(10 * time.Second), Every: strict.Duration(5 * time.Second)}}
+			Facts: 64, Rate: 64 << 10, Ahead: strict.Duration(10 * time.Second), Every: strict.Duration(5 * time.Second)},
+		Budgets: Budgets{Floor: 20, Lease: strict.Duration(3 * time.Second), Drift: 1, Rate: 1}}
 }
 
 func init() {
@@ -77,6 +131,7 @@
 	if inBounds := s.ProbeInterval >= strict.Duration(50*time.Millisecond) && s.ProbeTimeout <= strict.Duration(30*time.Second); inBounds && s.ProbeTimeout >= s.ProbeInterval {
 		wrong = append(wrong, faults.Fault{Key: "probe_timeout", Text: "has to be shorter than probe_interval"})
 	}
+	wrong = append(wrong, s.Budgets.check()...)
 	if len(s.Seeds) > s.Most {
 		wrong = append(wrong, faults.Fault{Key: "seeds", Text: "are more than most"})
 	}
--- a/internal/fleet/replica/advise.go
+++ b/internal/fleet/replica/advise.go
@@ -13,17 +13,15 @@
 	Most      float64 // share of the servers that may be bad by the word of others at a time
 }
 
-// Advice is what the facts of others come to for one server.
+// Advice is a server that is bad by the facts of others.
 type Advice struct {
 	Subject   string
-	Word      Word
 	Witnesses int
 	Age       time.Duration // of the latest fact behind it
 }
 
 // Advise tells what the facts of other brokers come to, where so many servers are listed. A server is bad by as many
-// as the rules ask for while nobody else was answered well by it: who was, is evidence that it lives, and all that
-// follows is that those who isolated it may try it. Facts are counted, not compared by their stamps: a broker whose
+// as the rules ask for while nobody else was answered well by it: who was, is evidence that it lives. Facts are counted, not compared by their stamps: a broker whose
 // clock is ahead weighs no more than another. Of more bad servers than may be, those with the most witnesses count.
 func (s *Store) Advise(now Now, servers int, r Rules) []Advice {
 	type tally struct {
@@ -61,24 +59,14 @@
 	}
 	var advice []Advice
 	for subject, t := range tallies {
-		switch {
-		case t.good > 0:
-			advice = append(advice, Advice{subject, Good, t.good, t.age})
-		case t.bad >= r.Witnesses:
-			advice = append(advice, Advice{subject, Bad, t.bad, t.age})
+		if t.good == 0 && t.bad >= r.Witnesses {
+			advice = append(advice, Advice{subject, t.bad, t.age})
 		}
 	}
 	slices.SortFunc(advice, func(a, b Advice) int {
-		return cmp.Or(cmp.Compare(b.Word, a.Word), cmp.Compare(b.Witnesses, a.Witnesses), cmp.Compare(a.Subject, b.Subject))
-	})
-	most := int(r.Most * float64(servers))
-	return slices.DeleteFunc(advice, func(a Advice) bool {
-		if a.Word == Bad {
-			most--
-			return most < 0
-		}
-		return false
+		return cmp.Or(cmp.Compare(b.Witnesses, a.Witnesses), cmp.Compare(a.Subject, b.Subject))
 	})
+	return advice[:min(len(advice), int(r.Most*float64(servers)))]
 }
 
 // Disputed are the servers that anybody calls bad: for those alone it is worth telling that they answer.
--- a/internal/fleet/replication/replication.go
+++ b/internal/fleet/replication/replication.go
@@ -220,7 +220,7 @@
 		Most: float64(s.section.MostBad) / 100}
 	var advice []core.Evidence
 	for _, a := range store.Advise(now, listed, rules) {
-		advice = append(advice, core.Evidence{Server: a.Subject, Bad: a.Word == replica.Bad, Age: a.Age})
+		advice = append(advice, core.Evidence{Server: a.Subject, Bad: true, Age: a.Age})
 	}
 	if len(advice) == 0 {
 		return
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -157,7 +157,7 @@
 		rules := replicaRules
 		rules.Witnesses = cmp.Or(w.S.Broker.Witnesses, rules.Witnesses)
 		for _, a := range m.store.Advise(now, len(s.in.Tier.Servers), rules) {
-			advice = append(advice, decision.Advice{Endpoint: endpointOf(a.Subject), Bad: a.Word == replica.Bad, Age: a.Age})
+			advice = append(advice, decision.Advice{Endpoint: endpointOf(a.Subject), Age: a.Age})
 		}
 		w.Result.Heeded += b.Advise(w.Now(), advice)
 	}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -1,17 +1,21 @@
 package sidecar
 
 import (
+	"fmt"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dykering/internal/config"
 	"dykering/internal/control"
+	"dykering/internal/fleet/budgets"
 	"dykering/internal/fleet/gossip"
 	"dykering/internal/fleet/membership"
 	"dykering/internal/fleet/replication"
 	"dykering/internal/operator"
+	"dykering/internal/settings"
 )
 
 // fleet is this process's part in the fleet: the gossip, and what stands on it where the operator's file asks for it.
@@ -19,6 +23,7 @@
 	section gossip.Section
 	gossip  *gossip.Gossip
 	replica *replication.Service // nil without
+	budgets *budgets.Service     // nil without
 	log     *zap.Logger
 }
 
@@ -46,12 +51,38 @@
 // replicate begins to share what this process learns, where that is asked for.
 func (f *fleet) replicate(broker replication.Broker) {
 	if f.section.Replication.Enabled {
-		f.replica = replication.Start(f.section.ID, f.section.Most, f.section.Replication, broker, f.gossip, f.log)
+		f.replica = replication.Start(f.section.ID, f.section.Most, f.section.Replication, broker,
+			f.gossip.Channel(gossip.KindFacts), f.log)
 	}
 }
 
+// divide begins to divide tenants' quotas among the members, where that is asked for.
+func (f *fleet) divide(broker budgets.Broker, set *settings.Settings) (err error) {
+	b := f.section.Budgets
+	if !b.Enabled {
+		return nil
+	}
+	c := budgets.Config{Self: f.section.ID, Weight: f.section.Weight, Section: b, Instances: set.Instances}
+	for _, t := range set.Tenants {
+		c.Tenants, c.Wholes = append(c.Tenants, t.Name), append(c.Wholes, t.QuotaPerS)
+	}
+	for _, text := range b.Wholes {
+		tenant, perS, err := b.Whole(text)
+		i := slices.Index(c.Tenants, tenant)
+		if err != nil || i < 0 {
+			return fmt.Errorf("fleet.budgets.wholes: the platform names no tenant %q", tenant)
+		}
+		c.Wholes[i] = perS
+	}
+	f.budgets, err = budgets.Start(c, broker, f.gossip.Channel(gossip.KindBudgets), f.log)
+	return err
+}
+
 // close ends all of it, what stands on the gossip first.
 func (f *fleet) close() {
+	if f.budgets != nil {
+		f.budgets.Close()
+	}
 	if f.replica != nil {
 		f.replica.Close()
 	}
@@ -67,6 +98,8 @@
 		return f.members()
 	case name == "state" && f.replica != nil:
 		return f.state()
+	case name == "budgets" && f.budgets != nil:
+		return f.budgets.State()
 	}
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,6 +43,10 @@
 	if fleet != nil {
 		defer fleet.close()
 		fleet.replicate(s.Loop())
+		if err := fleet.divide(s.Loop(), &c.Settings); err != nil {
+			listener.Close()
+			return err
+		}
 		fleet.gossip.Join()
 	}
 	if c.Control != "" {
