Budgets of a flood in the laboratory; marks only of called endpoints; demand net of floors

Need: the laboratory has to show what fleet-wide budgets keep in a flood, and marks of endpoints that a broker never calls lengthened its subset for nothing, as they get no trial.

Change: the sim engine divides quotas with the program's ledger, grantor and holders ([broker] budgets), and its result tells what was used, short and most. Demand is smoothed over 16 measures and asked net of the floor; half of what nobody asks for goes by demand. Advice marks only endpoints of the own subset. The process tests ask as a tenant.

--- a/cmd/dykering/fleet_budgets_test.go
+++ b/cmd/dykering/fleet_budgets_test.go
@@ -73,13 +73,6 @@
 	return func(b *broker) bool { return b.budget(t).Leased }
 }
 
-func part(b *broker, t *testing.T) float64 {
-	if st := b.budget(t); len(st.Parts) == 1 {
-		return st.Parts[0].Part
-	}
-	return 0
-}
-
 // span is a time in which a broker might spend a part.
 type span struct {
 	from, until int64
@@ -171,7 +164,10 @@
 	defer close(stop)
 	all[0].load(60, stop, wg) // ten times another's
 	all[3].load(6, stop, wg)
-	s.waitAll(20*time.Second, "the whole is where demand is", func(b *broker) bool { return part(b, t) > 50 }, all[0])
+	s.waitAll(20*time.Second, "the whole is where demand is", func(b *broker) bool {
+		p := b.budget(t).Parts[0]
+		return p.Demand > 20 && p.Part > 2*whole/5
+	}, all[0])
 	s.relay.Cut([]string{all[0].addr, all[1].addr, all[2].addr}, []string{all[3].addr, all[4].addr})
 	cut := time.Now()
 	s.waitAll(2*lease, "falls to its floor", func(b *broker) bool { return !leased(t)(b) }, all[3], all[4])
@@ -183,7 +179,7 @@
 	time.Sleep(time.Until(cut.Add(cutFor)))
 	after, took := all[3].budget(t), time.Since(cut)
 	// What a bucket had saved up at the cut, at most four seconds of the part and the eight of chance, comes on top.
-	if spent := after.Parts[0].Within - before.Within; spent > floor*took.Seconds()+8+4*floor {
+	if spent := after.Parts[0].Within - before.Within; spent == 0 || spent > floor*took.Seconds()+8+4*floor {
 		t.Errorf("the minority admitted %.0f in %v at a floor of %.2f a second", spent, took, floor)
 	}
 	if after.Leased {
--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -227,7 +227,7 @@
 // ask sends a request, and tells how long its answer took.
 func (p *program) ask(id string) (status int, took time.Duration) {
 	r, _ := http.NewRequest("GET", p.url+"/x", nil)
-	r.Header = http.Header{"X-Txn": {id}, "X-Lane": {"read"}, "X-Remaining": {"900m"}}
+	r.Header = http.Header{"X-Txn": {id}, "X-Lane": {"read"}, "X-Remaining": {"900m"}, "X-Org": {"one"}}
 	began := time.Now()
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/internal/decision/advice.go
+++ b/internal/decision/advice.go
@@ -45,13 +45,13 @@
 }
 
 // Advise takes the word of others, and tells how much of it changed anything. Own evidence decides: an endpoint that
-// has answered this instance since is not marked, the share of the list that may be isolated holds, and it gets its
-// trials as any isolated one. That others are answered brings no trial forward: all instances' trials at once pushed
+// has answered this instance since is not marked, nor one that it does not call, as it would get no trial; the share of
+// the list that may be isolated holds, and it gets its trials as any isolated one. That others are answered brings no trial forward: all instances' trials at once pushed
 // servers over that had just returned cold (docs/REPLICATION.md).
 func (b *Balancer) Advise(now time.Duration, advice []Advice) (heeded int) {
 	for _, a := range advice {
 		e := b.byID[a.Endpoint]
-		if e == nil || !e.rostered || e.mark > ramping || e.lastAnswer >= now-a.Age || !b.mayEject() {
+		if e == nil || e.part == 0 || e.mark > ramping || e.lastAnswer >= now-a.Age || !b.mayEject() {
 			continue
 		}
 		b.isolate(now, e, "by the word of others")
--- a/internal/fleet/budget/divide.go
+++ b/internal/fleet/budget/divide.go
@@ -24,20 +24,19 @@
 // keep is the share by which a part has to change to be given anew: parts follow demand, not its noise.
 const keep = 0.1
 
-// headroom is how much more than its demand a holder is meant to have, so that it can show that it would spend more.
-const headroom = 1.25
-
 // Divide gives each claim its part of a pool: as much as it asks for where there is enough, else equal parts by weight of
-// what is short (max-min fairness), and of what nobody asks for a part by weight. The parts add up to the pool or less.
+// what is short (max-min fairness). Of what nobody asks for half goes by demand, as who asks for more varies by more, and
+// half by weight, so that who asks for nothing can begin. The parts add up to the pool or less.
 func Divide(pool float64, claims []Claim) []float64 {
 	parts := make([]float64, len(claims))
 	order := make([]int, len(claims))
-	left, weight := pool, 0.0
+	left, weight, all := pool, 0.0, 0.0
 	for i, c := range claims {
 		order[i] = i
 		weight += c.Weight
+		all += max(c.Demand, 0)
 	}
-	want := func(i int) float64 { return max(claims[i].Demand, 0) * headroom }
+	want := func(i int) float64 { return max(claims[i].Demand, 0) }
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(want(a)/claims[a].Weight, want(b)/claims[b].Weight), cmp.Compare(a, b))
 	})
@@ -48,8 +47,13 @@
 		left -= parts[i]
 		w -= claims[i].Weight
 	}
+	left = max(left, 0)
 	for i, c := range claims {
-		parts[i] += max(left, 0) * c.Weight / weight
+		spare := c.Weight / weight
+		if all > 0 {
+			spare = (spare + want(i)/all) / 2
+		}
+		parts[i] += left * spare
 	}
 	// Hysteresis: who has nearly this much keeps it, where the sum allows that.
 	sum := 0.0
--- a/internal/fleet/budgets/budgets.go
+++ b/internal/fleet/budgets/budgets.go
@@ -33,8 +33,6 @@
 	askTimeout = 200 * time.Millisecond
 	// renewals is how many times a lease is asked for anew while it holds.
 	renewals = 4
-	// demandWindow is over which demand is smoothed, in renewals.
-	demandWindow = 2.0
 )
 
 // Broker is whose requests the budgets are of.
@@ -111,8 +109,7 @@
 	heard  bool
 	leased bool
 	uses   []core.Use
-	usedAt time.Duration
-	demand []float64
+	demand budget.Demand
 	began  time.Time
 	events chan envelope
 	state  atomic.Pointer[State]
@@ -127,7 +124,8 @@
 func Start(c Config, broker Broker, g Gossip, log *zap.Logger) (*Service, error) {
 	terms := budget.Terms{Length: time.Duration(c.Section.Lease), Drift: float64(c.Section.Drift) / 100}
 	s := &Service{config: c, broker: broker, gossip: g, log: log, began: time.Now(), events: make(chan envelope, queued),
-		demand: make([]float64, len(c.Wholes)), done: make(chan struct{})}
+		done: make(chan struct{})}
+	s.demand.Measure(s.now(), make([]float64, len(c.Wholes)))
 	pool := make([]float64, len(c.Wholes))
 	for i, w := range c.Wholes {
 		aside := w * float64(c.Section.Floor) / 100
@@ -258,7 +256,7 @@
 	s.measure()
 	now := s.now()
 	s.allot(now) // where a lease has ended
-	r := s.holder.Ask(now, s.demand)
+	r := s.holder.Ask(now, s.demand.Rates())
 	if s.group != nil {
 		s.heed(envelope{Ask: &r})
 		return
@@ -275,16 +273,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	uses, err := s.broker.Uses(ctx)
-	if err != nil || len(uses) != len(s.demand) { // before the first list there are none
+	if err != nil || len(uses) != len(s.floor) { // before the first list there are none
 		return
 	}
-	now := s.now()
-	if dt := (now - s.usedAt).Seconds(); s.uses != nil && dt > 0 {
-		for i := range s.demand {
-			s.demand[i] += ((uses[i].Asked-s.uses[i].Asked)/dt - s.demand[i]) / demandWindow
-		}
+	asked := make([]float64, len(uses))
+	for i, u := range uses {
+		asked[i] = u.Asked
 	}
-	s.uses, s.usedAt = uses, now
+	s.demand.Measure(s.now(), asked)
+	s.uses = uses
 }
 
 // allot has the broker spend by what it holds. Each time that changes, a line tells from when until when, by the wall's
@@ -297,7 +294,7 @@
 	s.broker.Allot(parts)
 	wall := time.Now()
 	until := wall.Add(time.Duration(float64(s.holder.Left(now)) / s.config.Section.Rate))
-	fields := []zap.Field{zap.Uint64("version", s.holder.Uses()), zap.Float64s("parts", parts), zap.Float64s("demand", s.demand),
+	fields := []zap.Field{zap.Uint64("version", s.holder.Uses()), zap.Float64s("parts", parts), zap.Float64s("demand", s.demand.Rates()),
 		zap.Int64("from_us", wall.UnixMicro())}
 	switch {
 	case leased:
@@ -317,6 +314,7 @@
 		s.allot(now)
 	}
 	st := &State{Self: s.config.Self, Leased: leased, Left: s.holder.Left(now), Version: s.holder.Uses()}
+	demand := s.demand.Rates()
 	var charged []float64
 	if s.group != nil {
 		st.Lead, _ = s.group.leader()
@@ -327,7 +325,7 @@
 		}
 	}
 	for i, tenant := range s.config.Tenants {
-		p := Part{Tenant: tenant, Whole: s.config.Wholes[i], Floor: s.floor[i], Part: parts[i], Demand: s.demand[i]}
+		p := Part{Tenant: tenant, Whole: s.config.Wholes[i], Floor: s.floor[i], Part: parts[i], Demand: demand[i]}
 		if i < len(s.uses) {
 			p.Asked, p.Within = s.uses[i].Asked, s.uses[i].Within
 		}
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -40,12 +40,34 @@
 	Violations []rules.Violation `json:"violations,omitempty"`
 	Replicated int               `json:"replicated,omitempty"` // facts sent between brokers
 	Heeded     int               `json:"heeded,omitempty"`     // words of others that changed a mark or a trial
+	Budgets    *Budgets          `json:"budgets,omitempty"`    // of the fleet, where quotas are divided
 	Views      *Views            `json:"views,omitempty"`      // of the fleet, where the brokers keep them
 
 	latency     *hdrhistogram.Histogram
 	troubleEnds time.Duration
 }
 
+// Budgets are what came of dividing the teams' quotas among the brokers.
+type Budgets struct {
+	Used  float64 `json:"used"`  // of the quotas, in seconds in which a team asked for more than its quota: what was admitted within shares
+	Over  int     `json:"over"`  // such seconds, summed over the teams
+	Short float64 `json:"short"` // seconds, from the fifth on, in which living brokers' parts came to less than 0.95 of a quota
+	Most  float64 `json:"most"`  // of any quota that parts came to at a time
+
+	used, of float64
+}
+
+// Second takes in one second of a team: requests asked for and admitted within shares, of its quota.
+func (b *Budgets) Second(asked, within, quota float64) {
+	if asked < quota {
+		return
+	}
+	b.Over++
+	b.used += within
+	b.of += quota
+	b.Used = b.used / b.of
+}
+
 // Views are the brokers' views of the fleet at the end, and what they counted, summed over the brokers.
 type Views struct {
 	Digests     map[string]int `json:"digests"` // and how many brokers hold each
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -48,6 +48,7 @@
 	Connect     strict.Duration `toml:"connect_timeout" doc:"for a connection" min:"1ms" max:"1m"`
 	Fleet       bool            `toml:"fleet" doc:"whether they keep a view of the fleet, by gossip through a relay that faults are put into; on real sockets only"`
 	Replicate   bool            `toml:"replicate" doc:"whether they tell each other which servers they isolated or were answered by; in virtual time"`
+	Budgets     bool            `toml:"budgets" doc:"whether teams' quotas are divided among them by leases, in place of even parts; in virtual time"`
 	Witnesses   int             `toml:"witnesses" doc:"of them that have to call a server bad before another heeds it; 0 for the program's default" min:"0" max:"100"`
 	RetryAfter  strict.Duration `toml:"max_retry_after" doc:"the longest wait that callers follow" min:"0s" max:"1m"`
 }
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -19,6 +19,7 @@
 	w         *model.World
 	policy    NewPolicy
 	instances []*instance
+	granted   *granted // nil without fleet-wide budgets
 	err       error
 }
 
@@ -74,6 +75,7 @@
 	i.seat = s
 	p.Targets(w.Now(), l)
 	s.replicate()
+	s.divide()
 	return nil
 }
 
