Further attempts of the fleet as one more whole; the cut for 60 s, with a join under load and a crash of two

Change: [fleet.budgets] retries; its part follows the requests that come to a broker (decision.AllotRetries; answers then earn none). Tests of what others may tell the decision module.

--- a/cmd/dykering/fleet_budgets_test.go
+++ b/cmd/dykering/fleet_budgets_test.go
@@ -47,9 +47,9 @@
 	return b
 }
 
-func (s *shares) beginAll() []*broker {
+func (s *shares) beginAll(n int) []*broker {
 	s.t.Helper()
-	for i := range s.of {
+	for i := range n {
 		s.begin(fmt.Sprint("b", i), "")
 	}
 	s.waitAll(detect, "one view", sees(s.brokers), s.brokers...)
@@ -150,15 +150,15 @@
 }
 
 // cutFor is how long the minority is cut off.
-const cutFor = 20 * time.Second
+const cutFor = 60 * time.Second
 
 // A cut into a majority and a minority, under uneven load: the minority falls to its floor once its leases have ended,
 // the majority's parts grow only by then, and the sum by the logs never passes the whole. What a part allows is what
 // is admitted. After the heal all have leases again.
 func TestFleetBudgetsCut(t *testing.T) {
 	t.Parallel()
-	s := newShares(t, 5)
-	all := s.beginAll()
+	s := newShares(t, 6) // one comes later
+	all := s.beginAll(5)
 	stop, wg := make(chan struct{}), &sync.WaitGroup{}
 	defer wg.Wait()
 	defer close(stop)
@@ -171,7 +171,7 @@
 	s.relay.Cut([]string{all[0].addr, all[1].addr, all[2].addr}, []string{all[3].addr, all[4].addr})
 	cut := time.Now()
 	s.waitAll(2*lease, "falls to its floor", func(b *broker) bool { return !leased(t)(b) }, all[3], all[4])
-	floor := whole * floorPart / 5
+	floor := whole * floorPart / 6
 	before := all[3].budget(t).Parts[0]
 	if before.Part != floor {
 		t.Errorf("without a lease it may spend %.2f, the floor is %.2f", before.Part, floor)
@@ -187,6 +187,23 @@
 	}
 	s.relay.Heal()
 	s.waitAll(2*detect, "a lease after the heal", leased(t), all...)
+	// One joins under load and gets its part; then it and another crash at once, and the rest have the whole again.
+	joined := s.begin("b5", "")
+	began := time.Now()
+	s.waitAll(detect, "a lease of the one that joined", leased(t), joined)
+	took = time.Since(began)
+	all[4].load(40, stop, wg)
+	s.waitAll(detect, "a part for its load", func(b *broker) bool { return b.budget(t).Parts[0].Part > 20 }, all[4])
+	joined.signal(syscall.SIGKILL)
+	all[4].signal(syscall.SIGKILL)
+	back := s.waitAll(detect, "the whole divided anew", func(*broker) bool {
+		sum := 0.0
+		for _, b := range all[:4] {
+			sum += b.budget(t).Parts[0].Part - floor
+		}
+		return sum >= 0.95*whole*(1-floorPart)
+	}, all[0])
+	t.Logf("a lease %v after a join could serve; the whole divided anew %v after a crash of two", took, back)
 	t.Logf("leases came to %.2f of %.0f at the most", s.check(), whole*(1-floorPart))
 }
 
@@ -195,7 +212,7 @@
 func TestFleetBudgetsLead(t *testing.T) {
 	t.Parallel()
 	s := newShares(t, 5)
-	all := s.beginAll()
+	all := s.beginAll(5)
 	lead := func() *broker {
 		var id string
 		s.waitAll(detect, "a lead", func(b *broker) bool { id = b.budget(t).Lead; return s.find(id) != nil }, all[0])
--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -91,8 +91,12 @@
 	return ask(ctx, l, func() []Use { return l.balancer.Uses() })
 }
 
-// Allot sets what each tenant may ask for a second within its share at this process.
-func (l *Loop) Allot(parts []float64) {
+// Allot sets what each tenant may ask for a second within its share at this process, and how many further attempts may be
+// made a second; a negative number leaves those to answers.
+func (l *Loop) Allot(parts []float64, retries float64) {
 	parts = slices.Clone(parts)
-	l.Post(func() { l.balancer.Allot(l.now(), parts) })
+	l.Post(func() {
+		l.balancer.Allot(l.now(), parts)
+		l.balancer.AllotRetries(l.now(), retries)
+	})
 }
--- a/internal/decision/advice.go
+++ b/internal/decision/advice.go
@@ -80,6 +80,17 @@
 	return uses
 }
 
+// AllotRetries sets how many further attempts a second may be made here, in place of those that answers earn, and adds
+// what has come of that since it was called last; a negative rate leaves it to answers.
+func (b *Balancer) AllotRetries(now time.Duration, rate float64) {
+	if b.retries.on {
+		b.budget += b.retries.rate * (now - b.retries.at).Seconds()
+	}
+	if b.retries = (allotted{rate >= 0, rate, now}); b.retries.on {
+		b.budget = min(b.budget, max(rate*tenantBurst, 1))
+	}
+}
+
 // Allot sets what each tenant may ask for a second within its share at this instance, in place of an even part of its
 // quota. What it may ask for is then the same however much is served here: the parts of all instances add up.
 func (b *Balancer) Allot(now time.Duration, parts []float64) {
--- /dev/null
+++ b/internal/decision/advice_test.go
@@ -0,0 +1,87 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// The word of others marks an endpoint that has not answered since, up to half of the list, and is not told on as own
+// evidence until a trial of this instance's own failed; one that answered here is kept, and told as good where asked.
+func TestAdviceHastensAMark(t *testing.T) {
+	d := start(t, settings(), 6)
+	d.serve(60, func(EndpointID) Status { return OK })
+	bad := func(age time.Duration, ids ...EndpointID) int {
+		var a []Advice
+		for _, id := range ids {
+			a = append(a, Advice{Endpoint: id, Age: age})
+		}
+		return d.b.Advise(d.now, a)
+	}
+	if n := bad(time.Minute, 1, 2, 99); n != 0 {
+		t.Errorf("%d marked that answered since", n)
+	}
+	d.pass(time.Second)
+	if n := bad(0, 1, 2, 3, 4, 5, 6); n != 3 {
+		t.Errorf("%d of 6 marked, want half", n)
+	}
+	if e := d.b.Evidence(d.now, []EndpointID{1, 5, 99}); len(e) != 1 || e[0].Endpoint != 5 || e[0].Bad || e[0].Age < time.Second {
+		t.Errorf("evidence %+v, want that 5 answered a second ago", e)
+	}
+	if got := d.serve(40, func(to EndpointID) Status {
+		if to == 1 {
+			return ConnectFailed
+		}
+		return OK
+	}); got[2] == 0 || got[3] == 0 || got[1] == 0 {
+		t.Errorf("no trials: %v", got)
+	}
+	e := d.b.Evidence(d.now, nil)
+	if len(e) != 1 || e[0].Endpoint != 1 || !e[0].Bad {
+		t.Errorf("evidence %+v, want 1 bad by its trial", e)
+	}
+}
+
+// Shares and further attempts that are allotted are what may be spent, whatever is served; a part that falls takes what
+// was saved up with it.
+func TestAllot(t *testing.T) {
+	s := settings()
+	s.Instances, s.Tenants = 10, []Tenant{{Name: "one", QuotaPerS: 100}}
+	d := start(t, s, 4)
+	within := func(n int) float64 {
+		before := d.b.Uses()[0]
+		for range n {
+			d.b.beyondShare(d.now, Request{})
+		}
+		after := d.b.Uses()[0]
+		if after.Asked-before.Asked != float64(n) {
+			t.Errorf("%v asked of %d", after.Asked-before.Asked, n)
+		}
+		return after.Within - before.Within
+	}
+	d.b.Allot(d.now, []float64{50})
+	d.now += 100 * time.Second
+	if got := within(1000); got != 50*tenantBurst+bucketLeast {
+		t.Errorf("%v within 50 a second after a pause", got)
+	}
+	d.now += 100 * time.Second
+	d.b.Allot(d.now, []float64{1})
+	if got := within(1000); got != tenantBurst+bucketLeast {
+		t.Errorf("%v within 1 a second after a pause", got)
+	}
+	d.b.AllotRetries(d.now, 2)
+	for range 100 {
+		d.b.earn()
+	}
+	if d.b.budget > 2*tenantBurst {
+		t.Errorf("%v further attempts saved up", d.b.budget)
+	}
+	d.b.budget = 0
+	d.now += time.Second
+	if d.b.AllotRetries(d.now, 0.5); d.b.budget != 2 {
+		t.Errorf("%v further attempts after a second of 2", d.b.budget)
+	}
+	d.b.AllotRetries(d.now, -1)
+	if d.b.earn(); d.b.budget <= 2 {
+		t.Error("answers earn nothing again")
+	}
+}
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -154,6 +154,7 @@
 	errors   float64 // smoothed share of answers that are errors
 	strays   float64 // and of overdue calls that stay away for longer
 	budget   float64 // further attempts that may be made
+	retries  allotted
 
 	hidden      bool    // clients' repeats do not show what they have spent: see spent
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
@@ -791,7 +792,7 @@
 			r.class.good++
 		}
 		b.noteError(e, 0, errorWeight)
-		b.budget = min(b.budget+retryShare, retryReserve)
+		b.earn()
 		if r.trial && e.mark == isolated {
 			b.restore(now, e)
 		}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -143,6 +143,20 @@
 	use               Use
 }
 
+// allotted are the further attempts a second that the fleet leaves to this instance; without, answers earn them.
+type allotted struct {
+	on   bool
+	rate float64
+	at   time.Duration
+}
+
+// earn adds what an answered call earns to the further attempts that may be made.
+func (b *Balancer) earn() {
+	if !b.retries.on {
+		b.budget = min(b.budget+retryShare, retryReserve)
+	}
+}
+
 // newBucket makes a bucket that holds some seconds of its rate, and a few more for chance. It starts with next
 // to nothing: a tier that starts on more than it can do must not fill up before that is known.
 func newBucket(now time.Duration, rate, burst float64) bucket {
--- a/internal/fleet/budgets/budgets.go
+++ b/internal/fleet/budgets/budgets.go
@@ -38,7 +38,7 @@
 // Broker is whose requests the budgets are of.
 type Broker interface {
 	Uses(ctx context.Context) ([]core.Use, error)
-	Allot(parts []float64)
+	Allot(parts []float64, retries float64)
 }
 
 // Gossip is how members are reached.
@@ -69,6 +69,9 @@
 	Charged float64 `json:"charged"` // at a voter: what all leases come to, as the ledger has it
 }
 
+// RetriesName stands for a tenant's where the whole is that of the fleet's further attempts.
+const RetriesName = "(further attempts)"
+
 // State is what a broker holds.
 type State struct {
 	Self    string         `json:"self"`
@@ -123,6 +126,9 @@
 // Start begins to take part. From before its first request the broker spends by its floor.
 func Start(c Config, broker Broker, g Gossip, log *zap.Logger) (*Service, error) {
 	terms := budget.Terms{Length: time.Duration(c.Section.Lease), Drift: float64(c.Section.Drift) / 100}
+	if c.Section.Retries > 0 {
+		c.Tenants, c.Wholes = append(slices.Clone(c.Tenants), RetriesName), append(slices.Clone(c.Wholes), c.Section.Retries)
+	}
 	s := &Service{config: c, broker: broker, gossip: g, log: log, began: time.Now(), events: make(chan envelope, queued),
 		done: make(chan struct{})}
 	s.demand.Measure(s.now(), make([]float64, len(c.Wholes)))
@@ -152,7 +158,7 @@
 // has the floor.
 func (s *Service) Close() {
 	s.once.Do(func() {
-		s.broker.Allot(make([]float64, len(s.floor)))
+		s.spend(make([]float64, len(s.floor)))
 		close(s.done)
 		s.wg.Wait()
 		if s.group != nil {
@@ -273,25 +279,41 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	uses, err := s.broker.Uses(ctx)
-	if err != nil || len(uses) != len(s.floor) { // before the first list there are none
+	asked := make([]float64, len(s.floor))
+	if err != nil || len(uses) > len(asked) { // before the first list there are none
 		return
 	}
-	asked := make([]float64, len(uses))
+	requests, quotas := 0.0, 0.0
 	for i, u := range uses {
 		asked[i] = u.Asked
+		requests += u.Asked
+		quotas += s.config.Wholes[i]
+	}
+	if s.config.Section.Retries > 0 && quotas > 0 { // wanted where requests come
+		asked[len(asked)-1] = requests * s.config.Section.Retries / quotas
 	}
 	s.demand.Measure(s.now(), asked)
 	s.uses = uses
 }
 
+// spend has the broker spend by parts, of which that of further attempts is the last.
+func (s *Service) spend(parts []float64) {
+	if s.config.Section.Retries > 0 {
+		s.broker.Allot(parts[:len(parts)-1], parts[len(parts)-1])
+		return
+	}
+	s.broker.Allot(parts, -1)
+}
+
 // allot has the broker spend by what it holds. Each time that changes, a line tells from when until when, by the wall's
 // clock: the parts of all brokers add up to the wholes at each instant, and their logs show it.
 func (s *Service) allot(now time.Duration) {
 	parts, leased := s.holder.May(now)
 	if s.state.Load() != nil && !leased && !s.leased {
+		s.spend(parts) // what it has spent since comes back by the floor
 		return
 	}
-	s.broker.Allot(parts)
+	s.spend(parts)
 	wall := time.Now()
 	until := wall.Add(time.Duration(float64(s.holder.Left(now)) / s.config.Section.Rate))
 	fields := []zap.Field{zap.Uint64("version", s.holder.Uses()), zap.Float64s("parts", parts), zap.Float64s("demand", s.demand.Rates()),
--- a/internal/fleet/gossip/section.go
+++ b/internal/fleet/gossip/section.go
@@ -54,6 +54,7 @@
 	Voters  []string        `toml:"voters" doc:"ids of the members that keep the ledger by Raft: three or five, the same list at all"`
 	Dir     string          `toml:"dir" doc:"folder for a voter's part of the ledger; it has to outlive the process"`
 	Wholes  []string        `toml:"wholes" doc:"tenant=requests a second, in place of the platform's quota of that tenant"`
+	Retries float64         `toml:"retries" doc:"further attempts a second of the whole fleet; 0 leaves each member those that its answers earn"`
 	Floor   int             `toml:"floor" doc:"percent of each whole set aside, in even parts, for members that reach no majority of the voters" min:"1" max:"90"`
 	Lease   strict.Duration `toml:"lease" doc:"how long a lease holds from when it was asked for" min:"300ms" max:"5m"`
 	Drift   int             `toml:"drift" doc:"percent by which any member's clock may run fast or slow" min:"1" max:"20"`
@@ -88,6 +89,9 @@
 			wrong = append(wrong, faults.Fault{Key: "budgets.voters", Text: fmt.Sprintf("%q is empty or named twice", v)})
 		}
 	}
+	if !(b.Retries >= 0 && b.Retries <= 1e9) {
+		wrong = append(wrong, faults.Fault{Key: "budgets.retries", Text: "has to be from 0 to 1000000000"})
+	}
 	if b.Rate < 0.5 || b.Rate > 2 {
 		wrong = append(wrong, faults.Fault{Key: "budgets.clock_rate", Text: "has to be from 0.5 to 2"})
 	}
