The laboratory's facts spread as memberlist queues them, with comparisons, and it measures how long they take

Need: the model sent the oldest facts first; where a zone is lost a fact took 14 s to reach 0.99 of 300 brokers, which is not what the program does: memberlist sends first what was sent least, and copies are compared each 5 s.

Change: both in the model; the result tells the seconds until each fact was at 0.99 of its tier.

--- a/internal/fleet/replica/store.go
+++ b/internal/fleet/replica/store.go
@@ -46,6 +46,11 @@
 	Left    time.Duration `codec:"f" json:"left"`
 }
 
+// Key names one writing of a register.
+func (f Fact) Key() string {
+	return fmt.Sprintf("%s\x00%s\x00%d.%d", f.Origin, f.Subject, f.Stamp.Wall, f.Stamp.Logical)
+}
+
 // Limits bound the store.
 type Limits struct {
 	Origins   int           // whose facts are held at most
--- a/internal/lab/model/result.go
+++ b/internal/lab/model/result.go
@@ -39,6 +39,7 @@
 	Broken     map[string]int    `json:"broken"` // rules, and how often
 	Violations []rules.Violation `json:"violations,omitempty"`
 	Replicated int               `json:"replicated,omitempty"` // facts sent between brokers
+	Spread     []float64         `json:"spread,omitempty"`     // seconds until a fact was at 0.99 of its tier's brokers
 	Heeded     int               `json:"heeded,omitempty"`     // words of others that changed a mark or a trial
 	Budgets    *Budgets          `json:"budgets,omitempty"`    // of the fleet, where quotas are divided
 	Views      *Views            `json:"views,omitempty"`      // of the fleet, where the brokers keep them
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -19,7 +19,8 @@
 	w         *model.World
 	policy    NewPolicy
 	instances []*instance
-	granted   *granted // nil without fleet-wide budgets
+	granted   *granted           // nil without fleet-wide budgets
+	spreads   map[string]*spread // of facts that not all brokers of a tier hold yet
 	err       error
 }
 
--- a/internal/lab/sim/replica.go
+++ b/internal/lab/sim/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,12 +17,13 @@
 // to are the program's own (package replica); this file is the gossip around them, as memberlist's: each interval some
 // facts to a few others, each fact a bounded number of times.
 const (
-	gossipEvery = 200 * time.Millisecond
-	gossipNodes = 3
-	gossipMult  = 4  // times log10 of the brokers: how often a fact is sent on
-	gossipMost  = 20 // facts in a message
-	adviseEvery = 5  // gossip intervals between two looks at what the facts come to
-	factTTL     = 15 * time.Second
+	gossipEvery  = 200 * time.Millisecond
+	gossipNodes  = 3
+	gossipMult   = 4  // times log10 of the brokers: how often a fact is sent on
+	gossipMost   = 20 // facts in a message
+	compareEvery = 25 // gossip intervals between two comparisons with another copy
+	adviseEvery  = 5  // gossip intervals between two looks at what the facts come to
+	factTTL      = 15 * time.Second
 )
 
 // The bounds are the defaults of [fleet.replication].
@@ -91,10 +93,54 @@
 	for _, f := range facts {
 		if news, _ := s.mind.store.Merge(s.t.moment(), f); news {
 			s.tell(f)
+			s.t.spread(f, len(s.in.Tier.Instances))
 		}
 	}
 }
 
+// compare has a peer send what this copy lacks, and takes what the peer lacks to it.
+func (s *seat) compare() {
+	w, p := s.t.w, s.peer()
+	if p == nil {
+		return
+	}
+	w.After(w.Latency(), func() {
+		if s.dead || p.dead {
+			return
+		}
+		now := s.t.moment()
+		lacks, has := p.mind.store.Since(now, s.mind.store.Summary()), s.mind.store.Since(now, p.mind.store.Summary())
+		w.Result.Replicated += len(lacks) + len(has)
+		w.After(w.Latency(), func() {
+			if !s.dead && !p.dead {
+				s.hear(lacks)
+				p.hear(has)
+			}
+		})
+	})
+}
+
+// spread is how far a fact has come.
+type spread struct {
+	at time.Duration // when it was written
+	to int           // brokers that hold it
+}
+
+// spreadAt is the share of the brokers that a fact has spread at.
+const spreadAt = 0.99
+
+// spread counts one more broker that holds a fact, of so many in its tier.
+func (t *tiers) spread(f replica.Fact, of int) {
+	x := t.spreads[f.Key()]
+	if x == nil {
+		return // it has spread
+	}
+	if x.to++; float64(x.to) >= spreadAt*float64(of) {
+		t.w.Result.Spread = append(t.w.Result.Spread, (t.w.Now() - x.at).Seconds())
+		delete(t.spreads, f.Key())
+	}
+}
+
 func (s *seat) tell(f replica.Fact) {
 	times := gossipMult * int(math.Ceil(math.Log10(float64(len(s.in.Tier.Instances)+1))))
 	for i, r := range s.mind.queue {
@@ -125,9 +171,12 @@
 			word = replica.Bad
 		}
 		if f, news := m.store.Set(now, subject(e.Endpoint), word, factTTL); news {
+			s.t.spreads[f.Key()] = &spread{at: w.Now(), to: 1}
 			s.tell(f)
 		}
 	}
+	// Those that were sent least come first, as in memberlist's queue: in a storm of facts each gets some way at once.
+	slices.SortStableFunc(m.queue, func(a, b rumour) int { return cmp.Compare(b.left, a.left) })
 	if n := min(len(m.queue), gossipMost); n > 0 {
 		for range gossipNodes {
 			if p := s.peer(); p != nil {
@@ -152,7 +201,10 @@
 		}
 		m.queue = kept
 	}
-	if m.ticks++; m.ticks%adviseEvery == 0 {
+	if m.ticks++; m.ticks%compareEvery == 0 {
+		s.compare()
+	}
+	if m.ticks%adviseEvery == 0 {
 		var advice []decision.Advice
 		rules := replicaRules
 		rules.Witnesses = cmp.Or(w.S.Broker.Witnesses, rules.Witnesses)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -49,7 +49,7 @@
 // Run plays a scenario with a seed, to its end or that of the context.
 func Run(ctx context.Context, s *scenario.Scenario, seed uint64, policy NewPolicy) (*model.Result, error) {
 	c := &clock{now: model.Origin}
-	t := &tiers{policy: policy}
+	t := &tiers{policy: policy, spreads: map[string]*spread{}}
 	t.w = model.New(s, seed, c, t, nil, 0)
 	for _, in := range t.w.Instances {
 		if err := t.begin(in); err != nil {
