A voter whose ledger is lost, foreign or contradicted serves on without a vote

Need: Raft panics where its log contradicts the lead's, as one that was lost does, and a change of quotas kept a voter from starting: both would have ended a broker for what is advice on shares.

Change: what a voter does is guarded; on an error or panic it closes its ledger, says fleet.budget.voteless and spends by leases or its floor. A voter without a folder is a fault of the file where its id is named.

--- a/internal/fleet/budgets/budgets.go
+++ b/internal/fleet/budgets/budgets.go
@@ -123,8 +123,9 @@
 	peers  peers
 }
 
-// Start begins to take part. From before its first request the broker spends by its floor.
-func Start(c Config, broker Broker, g Gossip, log *zap.Logger) (*Service, error) {
+// Start begins to take part. From before its first request the broker spends by its floor. A voter that cannot open its
+// ledger takes part without a vote.
+func Start(c Config, broker Broker, g Gossip, log *zap.Logger) *Service {
 	terms := budget.Terms{Length: time.Duration(c.Section.Lease), Drift: float64(c.Section.Drift) / 100}
 	if c.Section.Retries > 0 {
 		c.Tenants, c.Wholes = append(slices.Clone(c.Tenants), RetriesName), append(slices.Clone(c.Wholes), c.Section.Retries)
@@ -145,13 +146,13 @@
 	if slices.Contains(c.Section.Voters, c.Self) {
 		var err error
 		if s.group, err = newGroup(c.Self, c.Section.Voters, c.Section.Dir, terms, pool, log, s.send); err != nil {
-			return nil, err
+			log.Error("fleet.budget.voteless", zap.Error(err)) // the broker serves all the same, by leases of the others or its floor
 		}
 	}
 	s.allot(s.now())
 	g.Handle(s.take)
 	s.wg.Go(s.own)
-	return s, nil
+	return s
 }
 
 // Close ends its goroutines. The broker spends nothing within shares from then on: a process that takes its place
@@ -211,10 +212,11 @@
 		case m := <-s.events:
 			s.heed(m)
 		case <-tick.C:
-			if s.group != nil {
-				s.group.node.Tick()
-				s.group.decide(s.now())
-			}
+			s.vote(func(g *group) error {
+				g.node.Tick()
+				g.decide(s.now())
+				return nil
+			})
 			s.peers.sweep()
 		case <-renew.C:
 			s.ask()
@@ -222,18 +224,32 @@
 			s.peers.end()
 			return
 		}
-		if s.group != nil {
-			if err := s.group.work(s.now()); err != nil {
-				// What it cannot keep it must not promise: it votes no more. The others go on, and it spends by its leases.
-				s.log.Error("fleet.budget.voteless", zap.Error(err))
-				s.group.disk.close()
-				s.group = nil
-			}
-		}
+		s.vote(func(g *group) error { return g.work(s.now()) })
 		s.publish()
 	}
 }
 
+// vote does something as a voter. What it cannot keep it must not promise: where that fails it votes no more. The others
+// go on, and it spends by its leases. Raft panics where its log contradicts what others hold, as one that was lost does:
+// that is no reason to end the broker.
+func (s *Service) vote(do func(*group) error) {
+	if s.group == nil {
+		return
+	}
+	err := func() (err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				err = fmt.Errorf("budgets: raft: %v", p)
+			}
+		}()
+		return do(s.group)
+	}()
+	if err != nil {
+		s.log.Error("fleet.budget.voteless", zap.Error(err), zap.NamedError("close", s.group.disk.close()))
+		s.group = nil
+	}
+}
+
 // heed takes a message in.
 func (s *Service) heed(m envelope) {
 	now := s.now()
@@ -245,9 +261,12 @@
 		}
 	case s.group == nil: // not for this one
 	case m.Raft != nil:
-		if err := s.group.step(m.Raft); err != nil {
-			s.log.Debug("fleet.raft", zap.Error(err))
-		}
+		s.vote(func(g *group) error {
+			if err := g.step(m.Raft); err != nil {
+				s.log.Debug("fleet.raft", zap.Error(err)) // a message that does not fit
+			}
+			return nil
+		})
 	case m.Ask != nil && s.group.grantor != nil:
 		s.group.grantor.Ask(now, *m.Ask)
 	case m.Ask != nil && !m.Sent:
--- a/internal/fleet/gossip/section.go
+++ b/internal/fleet/gossip/section.go
@@ -136,6 +136,9 @@
 		wrong = append(wrong, faults.Fault{Key: "probe_timeout", Text: "has to be shorter than probe_interval"})
 	}
 	wrong = append(wrong, s.Budgets.check()...)
+	if s.Budgets.Enabled && s.Budgets.Dir == "" && s.ID != "" && slices.Contains(s.Budgets.Voters, s.ID) {
+		wrong = append(wrong, faults.Fault{Key: "budgets.dir", Text: "is needed by a voter"})
+	}
 	if len(s.Seeds) > s.Most {
 		wrong = append(wrong, faults.Fault{Key: "seeds", Text: "are more than most"})
 	}
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -57,7 +57,7 @@
 }
 
 // divide begins to divide tenants' quotas among the members, where that is asked for.
-func (f *fleet) divide(broker budgets.Broker, set *settings.Settings) (err error) {
+func (f *fleet) divide(broker budgets.Broker, set *settings.Settings) error {
 	b := f.section.Budgets
 	if !b.Enabled {
 		return nil
@@ -74,8 +74,8 @@
 		}
 		c.Wholes[i] = perS
 	}
-	f.budgets, err = budgets.Start(c, broker, f.gossip.Channel(gossip.KindBudgets), f.log)
-	return err
+	f.budgets = budgets.Start(c, broker, f.gossip.Channel(gossip.KindBudgets), f.log)
+	return nil
 }
 
 // close ends all of it, what stands on the gossip first.
