A leave told just as the list is looked at stays a leave; messages of the fleet bounded

Cause: look drained memberlist's events before it read the list, so that a member that left between the two was taken for dead for a moment (a test failed one run in some).

--- a/internal/fleet/budgets/budgets.go
+++ b/internal/fleet/budgets/budgets.go
@@ -26,6 +26,8 @@
 	// not fit is lost, as on a link, and asked for or sent again.
 	queued   = 1024
 	outgoing = 64
+	// mostBytes bounds a message that is taken: a snapshot of the ledger of some thousand holders.
+	mostBytes = 4 << 20
 	// mostPeers bounds the members that messages are sent to at a time; the queue of one that is idle ends.
 	mostPeers = 4096
 	idleAfter = 30 * time.Second
@@ -181,7 +183,11 @@
 // take takes a message, on the gossip's goroutines.
 func (s *Service) take(b []byte) {
 	var m envelope
-	if err := decode(b, &m); err != nil {
+	err := fmt.Errorf("%d bytes are more than %d", len(b), mostBytes)
+	if len(b) <= mostBytes {
+		err = decode(b, &m)
+	}
+	if err != nil {
 		s.log.Warn("fleet.budget.refused", zap.Error(err))
 		return
 	}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -272,8 +272,15 @@
 
 // look compares memberlist's states with the view: suspicion is seen here, and what the queue did not hold.
 func (g *Gossip) look(view *membership.View) {
-	// memberlist queues its event in the same hold of its lock that takes a member out of its list: what the list
-	// lacks is then in the queue, with its reason, unless the queue was full.
+	now := time.Now()
+	maps.DeleteFunc(g.suspects, func(_ string, s suspicion) bool { return now.After(s.until) })
+	listed := map[string]bool{}
+	for _, n := range g.list.Members() {
+		listed[n.Name] = true
+		g.observe(view, n, false)
+	}
+	// memberlist queues its event in the same hold of its lock that takes a member out of its list: what the list lacked
+	// is in the queue by now, with its reason, unless the queue was full.
 	for drained := false; !drained; {
 		select {
 		case e := <-g.events:
@@ -282,15 +289,8 @@
 			drained = true
 		}
 	}
-	now := time.Now()
-	maps.DeleteFunc(g.suspects, func(_ string, s suspicion) bool { return now.After(s.until) })
-	listed := map[string]bool{}
-	for _, n := range g.list.Members() {
-		listed[n.Name] = true
-		g.observe(view, n, false)
-	}
 	for _, m := range view.Members() {
-		if !listed[m.ID] && (m.State == membership.Alive || m.State == membership.Suspect) {
+		if !listed[m.ID] && m.ID != g.self.ID && (m.State == membership.Alive || m.State == membership.Suspect) {
 			g.apply(view, membership.Observation{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation,
 				State: membership.Dead, Meta: m.Meta}, now)
 		}
--- a/internal/fleet/replication/replication.go
+++ b/internal/fleet/replication/replication.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,8 @@
 	askTimeout = 500 * time.Millisecond
 	// chunk is how many facts one message of a catch-up holds.
 	chunk = 256
+	// mostBytes bounds a message that is taken: a summary of some thousand origins, or a chunk of facts.
+	mostBytes = 1 << 20
 	// burst is for how many seconds the rate of what is sent may be saved up.
 	burst = 2
 )
@@ -102,6 +105,9 @@
 }
 
 func decode(b []byte) (m message, err error) {
+	if len(b) > mostBytes {
+		return m, fmt.Errorf("%d bytes are more than %d", len(b), mostBytes)
+	}
 	return m, codec.NewDecoderBytes(b, &codec.MsgpackHandle{}).Decode(&m)
 }
 
