--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -101,6 +101,9 @@
 	g := &Gossip{log: logger, section: s, events: make(chan memberlist.NodeEvent, queued),
 		join: make(chan struct{}), rumours: make(chan rumour, queued), suspects: map[string]suspicion{}, incarnations: map[string]uint32{},
 		changes: make(chan membership.Change, changesQueued), done: make(chan struct{}), ended: make(chan struct{})}
+	meta.Weight = uint16(s.Weight)
+	g.self = membership.Observation{ID: s.ID, State: membership.Alive, Meta: meta,
+		Incarnation: incarnation(meta)}
 	c := memberlist.DefaultLANConfig()
 	g.told.RetransmitMult = c.RetransmitMult
 	g.told.NumNodes = func() int { return len(g.snapshot.Load().Members) }
@@ -138,9 +141,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	meta.Weight = uint16(s.Weight)
-	g.self = membership.Observation{ID: s.ID, State: membership.Alive, Meta: meta,
-		Incarnation: incarnation(meta)}
 	if g.list, err = memberlist.Create(c); err != nil {
 		c.Transport.Shutdown()
 		return nil, fmt.Errorf("gossip: %w", err)
--- a/internal/fleet/gossip/transport.go
+++ b/internal/fleet/gossip/transport.go
@@ -73,9 +73,23 @@
 	return c.NodeAwareTransport.DialAddressTimeout(addr, timeout)
 }
 
-func (c *counted) Shutdown() error {
-	c.once.Do(func() { close(c.done) })
-	return c.NodeAwareTransport.Shutdown()
+// Shutdown ends the transport before what reads from it: its own shutdown waits for packets that it is about to hand
+// over. What comes meanwhile goes nowhere, also where memberlist never began to read.
+func (c *counted) Shutdown() (err error) {
+	c.once.Do(func() {
+		go func() {
+			for {
+				select {
+				case <-c.packets:
+				case <-c.done:
+					return
+				}
+			}
+		}()
+		err = c.NodeAwareTransport.Shutdown()
+		close(c.done)
+	})
+	return err
 }
 
 // relayed sends all gossip through a fault relay (package faultnet), which forwards it or not. Each packet and
