A member is taken for dead without an event only after two looks; advice before the first request

Cause: look compared the view with a list read before the last join events, so that two of 30 that had just joined were taken for dead (one run of the tests); and a broker that had no request yet had no subset, so that it heeded nobody.

--- a/internal/decision/advice.go
+++ b/internal/decision/advice.go
@@ -49,6 +49,9 @@
 // the list that may be isolated holds, and it gets its trials as any isolated one. That others are answered brings no trial forward: all instances' trials at once pushed
 // servers over that had just returned cold (docs/REPLICATION.md).
 func (b *Balancer) Advise(now time.Duration, advice []Advice) (heeded int) {
+	if b.recount && len(advice) > 0 {
+		b.count() // who has had no request yet has no subset
+	}
 	for _, a := range advice {
 		e := b.byID[a.Endpoint]
 		if e == nil || e.part == 0 || e.mark > ramping || e.lastAnswer >= now-a.Age || !b.mayEject() {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -75,6 +75,7 @@
 	// The owner's alone: who is suspected, and memberlist's own incarnations, as its rumours tell them.
 	suspects     map[string]suspicion
 	incarnations map[string]uint32
+	missing      map[string]bool // members that memberlist\'s list lacked at the last look
 	changes      chan membership.Change
 	snapshot     atomic.Pointer[Snapshot]
 	replica      atomic.Pointer[Replica]
@@ -279,22 +280,19 @@
 		listed[n.Name] = true
 		g.observe(view, n, false)
 	}
-	// memberlist queues its event in the same hold of its lock that takes a member out of its list: what the list lacked
-	// is in the queue by now, with its reason, unless the queue was full.
-	for drained := false; !drained; {
-		select {
-		case e := <-g.events:
-			g.observe(view, e.Node, e.Event == memberlist.NodeLeave)
-		default:
-			drained = true
-		}
-	}
+	// Events tell who is gone, and why. Only one that the list has lacked for two looks is taken for dead without: the
+	// queue was full then, as its event comes within a moment.
+	missing := map[string]bool{}
 	for _, m := range view.Members() {
-		if !listed[m.ID] && m.ID != g.self.ID && (m.State == membership.Alive || m.State == membership.Suspect) {
+		if listed[m.ID] || m.ID == g.self.ID || m.State != membership.Alive && m.State != membership.Suspect {
+			continue
+		}
+		if missing[m.ID] = true; g.missing[m.ID] {
 			g.apply(view, membership.Observation{ID: m.ID, Addr: m.Addr, Incarnation: m.Incarnation,
 				State: membership.Dead, Meta: m.Meta}, now)
 		}
 	}
+	g.missing = missing
 	for _, c := range view.Expire(now) {
 		g.tell(c, view)
 		delete(g.incarnations, c.Member.ID)
