A lease ends where it is spent, not when the budgets' goroutine looks

Cause: the core kept a lease's rate until the goroutine of the budgets told it otherwise, up to a thirtieth of a lease late, and in a process that was stopped with SIGSTOP all that time counted at the leased rate. The logs, which tell the lease's own end, could not show it. At the end of a process each message to a member that is gone waited for its time-out.

Change: an Allotment carries the floors and the moment of the end by the broker's clock; the bucket lapses by itself, from that moment on, whenever it is looked at. Further attempts go by the same bucket. Queues to members end with the service.

--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -91,12 +91,11 @@
 	return ask(ctx, l, func() []Use { return l.balancer.Uses() })
 }
 
-// Allot sets what each tenant may ask for a second within its share at this process, and how many further attempts may be
-// made a second; a negative number leaves those to answers.
-func (l *Loop) Allot(parts []float64, retries float64) {
-	parts = slices.Clone(parts)
-	l.Post(func() {
-		l.balancer.Allot(l.now(), parts)
-		l.balancer.AllotRetries(l.now(), retries)
-	})
+// Allot sets what may be spent a second at this process until a time, the zero time for no end; Until is set from it.
+func (l *Loop) Allot(a decision.Allotment, until time.Time) {
+	a.Parts, a.Floors = slices.Clone(a.Parts), slices.Clone(a.Floors)
+	if !until.IsZero() {
+		a.Until = until.Sub(l.origin)
+	}
+	l.Post(func() { l.balancer.Allot(l.now(), a) })
 }
--- a/internal/decision/advice.go
+++ b/internal/decision/advice.go
@@ -46,8 +46,8 @@
 
 // Advise takes the word of others, and tells how much of it changed anything. Own evidence decides: an endpoint that
 // has answered this instance since is not marked, nor one that it does not call, as it would get no trial; the share of
-// the list that may be isolated holds, and it gets its trials as any isolated one. That others are answered brings no trial forward: all instances' trials at once pushed
-// servers over that had just returned cold (docs/REPLICATION.md).
+// the list that may be isolated holds, and it gets its trials as any isolated one. That others are answered brings no
+// trial forward: all instances' trials at once pushed servers over that had just returned cold (docs/REPLICATION.md).
 func (b *Balancer) Advise(now time.Duration, advice []Advice) (heeded int) {
 	if b.recount && len(advice) > 0 {
 		b.count() // who has had no request yet has no subset
@@ -83,28 +83,34 @@
 	return uses
 }
 
-// AllotRetries sets how many further attempts a second may be made here, in place of those that answers earn, and adds
-// what has come of that since it was called last; a negative rate leaves it to answers.
-func (b *Balancer) AllotRetries(now time.Duration, rate float64) {
-	if b.retries.on {
-		b.budget += b.retries.rate * (now - b.retries.at).Seconds()
-	}
-	if b.retries = (allotted{rate >= 0, rate, now}); b.retries.on {
-		b.budget = min(b.budget, max(rate*tenantBurst, 1))
-	}
+// Allotment is what may be spent a second: the parts until a time, and the floors from then on.
+type Allotment struct {
+	Parts, Floors []float64     // by tenant
+	Retries       float64       // further attempts, in place of those that answers earn; negative leaves it to answers
+	RetriesFloor  float64       // and from Until on
+	Until         time.Duration // 0 for no end
 }
 
-// Allot sets what each tenant may ask for a second within its share at this instance, in place of an even part of its
-// quota. What it may ask for is then the same however much is served here: the parts of all instances add up.
-func (b *Balancer) Allot(now time.Duration, parts []float64) {
+// Allot sets what each tenant may ask for within its share at this instance, in place of an even part of its quota. What
+// it may ask for is then the same however much is served here: the parts of all instances add up. The end holds where
+// it is spent, however late anybody says that it has come.
+func (b *Balancer) Allot(now time.Duration, a Allotment) {
 	if b.tenants == nil {
 		b.meter(now)
 	}
-	for i := range min(len(parts), len(b.tenants)) {
-		t := &b.tenants[i]
-		t.spend(now, 0)
-		t.rate, t.most = parts[i], bucketLeast+parts[i]*tenantBurst
-		t.level = min(t.level, t.most)
+	for i := range min(len(a.Parts), len(a.Floors), len(b.tenants)) {
+		b.tenants[i].allot(now, a.Parts[i], a.Floors[i], a.Until, bucketLeast)
 	}
 	b.quota = math.Inf(1)
+	if a.Retries < 0 {
+		b.retries = nil
+		return
+	}
+	if b.retries == nil {
+		b.retries = &bucket{at: now}
+	}
+	// What is left of the budget is what the bucket holds, and what has come since.
+	b.retries.level = b.budget
+	b.retries.allot(now, a.Retries, a.RetriesFloor, a.Until, 1)
+	b.budget = max(b.retries.level, 0)
 }
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -154,7 +154,7 @@
 	errors   float64 // smoothed share of answers that are errors
 	strays   float64 // and of overdue calls that stay away for longer
 	budget   float64 // further attempts that may be made
-	retries  allotted
+	retries  *bucket // that the fleet leaves to this instance; nil where answers earn them
 
 	hidden      bool    // clients' repeats do not show what they have spent: see spent
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -139,20 +139,35 @@
 // bucket meters what a tenant may ask for within its share.
 type bucket struct {
 	rate, level, most float64
+	least             float64 // of most, whatever the rate
 	at                time.Duration
 	use               Use
+	floor             float64       // the rate from
+	until             time.Duration // then on; 0 for no end
 }
 
-// allotted are the further attempts a second that the fleet leaves to this instance; without, answers earn them.
-type allotted struct {
-	on   bool
-	rate float64
-	at   time.Duration
+// allot sets a bucket's rate until a time, and the one from then on; saved counts at most for that of now.
+func (b *bucket) allot(now time.Duration, rate, floor float64, until time.Duration, least float64) {
+	b.spend(now, 0)
+	b.rate, b.floor, b.until, b.least = rate, floor, until, least
+	b.most = least + rate*tenantBurst
+	b.level = min(b.level, b.most)
+}
+
+// lapse ends a rate whose time is over, from when it was: whoever looks late, as after a stall, finds no more than that.
+func (b *bucket) lapse(now time.Duration) {
+	if b.until == 0 || now < b.until {
+		return
+	}
+	until := max(b.until, b.at)
+	b.level = min(b.most, b.level+b.rate*(until-b.at).Seconds())
+	b.rate, b.most, b.at, b.until = b.floor, b.least+b.floor*tenantBurst, until, 0
+	b.level = min(b.level, b.most)
 }
 
 // earn adds what an answered call earns to the further attempts that may be made.
 func (b *Balancer) earn() {
-	if !b.retries.on {
+	if b.retries == nil {
 		b.budget = min(b.budget+retryShare, retryReserve)
 	}
 }
@@ -177,6 +192,7 @@
 
 // spend takes n out, on credit where they are not there: as much as it can hold.
 func (b *bucket) spend(now time.Duration, n float64) {
+	b.lapse(now)
 	b.level = max(min(b.most, b.level+b.rate*(now-b.at).Seconds())-n, -b.most)
 	b.at = now
 }
--- a/internal/fleet/budgets/budgets.go
+++ b/internal/fleet/budgets/budgets.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"dykering/internal/core"
+	"dykering/internal/decision"
 	"dykering/internal/fleet/budget"
 	"dykering/internal/fleet/gossip"
 )
@@ -40,7 +41,7 @@
 // Broker is whose requests the budgets are of.
 type Broker interface {
 	Uses(ctx context.Context) ([]core.Use, error)
-	Allot(parts []float64, retries float64)
+	Allot(a decision.Allotment, until time.Time)
 }
 
 // Gossip is how members are reached.
@@ -161,7 +162,8 @@
 // has the floor.
 func (s *Service) Close() {
 	s.once.Do(func() {
-		s.spend(make([]float64, len(s.floor)))
+		none := make([]float64, len(s.floor))
+		s.spend(none, none, time.Time{})
 		close(s.done)
 		s.wg.Wait()
 		if s.group != nil {
@@ -321,13 +323,14 @@
 	s.uses = uses
 }
 
-// spend has the broker spend by parts, of which that of further attempts is the last.
-func (s *Service) spend(parts []float64) {
-	if s.config.Section.Retries > 0 {
-		s.broker.Allot(parts[:len(parts)-1], parts[len(parts)-1])
-		return
+// spend has the broker spend by parts until a time and by floors from then on, of which those of further attempts are
+// the last. The broker itself ends the parts: this goroutine may look late.
+func (s *Service) spend(parts, floors []float64, until time.Time) {
+	a := decision.Allotment{Parts: parts, Floors: floors, Retries: -1}
+	if n := len(parts) - 1; s.config.Section.Retries > 0 {
+		a = decision.Allotment{Parts: parts[:n], Floors: floors[:n], Retries: parts[n], RetriesFloor: floors[n]}
 	}
-	s.broker.Allot(parts, -1)
+	s.broker.Allot(a, until)
 }
 
 // allot has the broker spend by what it holds. Each time that changes, a line tells from when until when, by the wall's
@@ -335,12 +338,15 @@
 func (s *Service) allot(now time.Duration) {
 	parts, leased := s.holder.May(now)
 	if s.state.Load() != nil && !leased && !s.leased {
-		s.spend(parts) // what it has spent since comes back by the floor
+		s.spend(s.floor, s.floor, time.Time{}) // further attempts that the floor brought since
 		return
 	}
-	s.spend(parts)
 	wall := time.Now()
-	until := wall.Add(time.Duration(float64(s.holder.Left(now)) / s.config.Section.Rate))
+	var until time.Time
+	if leased { // to the moment: by the clock that the lease was asked by
+		until = s.began.Add(time.Duration(float64(now+s.holder.Left(now)) / s.config.Section.Rate))
+	}
+	s.spend(parts, s.floor, until)
 	fields := []zap.Field{zap.Uint64("version", s.holder.Uses()), zap.Float64s("parts", parts), zap.Float64s("demand", s.demand.Rates()),
 		zap.Int64("from_us", wall.UnixMicro())}
 	switch {
@@ -420,6 +426,11 @@
 		p.out[to] = x
 		p.s.wg.Go(func() {
 			for msg := range x.queue {
+				select {
+				case <-p.s.done: // a queue to a member that is gone would hold up the end, a timeout for each message
+					return
+				default:
+				}
 				if err := p.s.gossip.Send(to, msg); err != nil {
 					p.s.log.Debug("fleet.budget.unsent", zap.Error(err)) // it is asked for, or sent, again
 				}
