Tests and the laboratory take addresses that nobody else can have

Cause: what was to listen later took a port that was free, closed it and bound it anew. Another process may have it by then; so may a child that is just being started, which holds a copy of every descriptor until its exec; and what an earlier test left may still call it. Excluded: TIME_WAIT (Go sets SO_REUSEADDR), sources of connections (they are 127.0.0.1's).

Change: internal/lab/loopback hands out addresses in turn at a host of 127.0.0.0/8 that is the process's own, passes over ports that something listens on at all addresses, and waits for a copy of a socket to go when it listens again.

--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"dykering/internal/lab/loopback"
 	"dykering/internal/operator"
 )
 
@@ -317,14 +318,10 @@
 
 // A reload in a drain leaves the drain, and what comes is still served.
 func TestReloadInADrain(t *testing.T) {
-	place, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	place.Close()
-	p := startWith(t, "version = 1\n", func(c *exec.Cmd) { c.Env = append(c.Env, "BALANCER_CONTROL="+place.Addr().String()) })
+	place := loopback.Address()
+	p := startWith(t, "version = 1\n", func(c *exec.Cmd) { c.Env = append(c.Env, "BALANCER_CONTROL="+place) })
 	call := func(name string) {
-		res, err := http.Post("http://"+place.Addr().String()+"/-/"+name, "", nil)
+		res, err := http.Post("http://"+place+"/-/"+name, "", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/faultnet/relay.go
+++ b/internal/lab/faultnet/relay.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"dykering/internal/fleet/gossip"
+	"dykering/internal/lab/loopback"
 )
 
 const (
@@ -62,11 +63,12 @@
 
 // New starts a relay on a loopback port of its own, for UDP and TCP alike.
 func New(seed uint64) (*Relay, error) {
-	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	tcp, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: tcp.Addr().(*net.TCPAddr).Port})
+	place := tcp.Addr().(*net.TCPAddr)
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: place.IP, Port: place.Port})
 	if err != nil {
 		tcp.Close()
 		return nil, err
--- a/internal/lab/real/fleet.go
+++ b/internal/lab/real/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +13,7 @@
 
 	"dykering/internal/fleet/gossip"
 	"dykering/internal/lab/faultnet"
+	"dykering/internal/lab/loopback"
 	"dykering/internal/lab/model"
 )
 
@@ -56,12 +56,7 @@
 
 // enlist writes an instance's operator file, and has its processes started with it.
 func (f *fleet) enlist(i *instance, id, dir string) error {
-	place, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	place.Close() // its address is free, if nobody takes it in this moment
-	addr, seeds := place.Addr().String(), "[]"
+	addr, seeds := loopback.Address(), "[]"
 	if f.seed == "" {
 		f.seed = addr
 	} else {
--- a/internal/lab/real/http.go
+++ b/internal/lab/real/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dykering/internal/decision"
+	"dykering/internal/lab/loopback"
 	"dykering/internal/lab/model"
 )
 
@@ -68,14 +69,13 @@
 func (st *stage) listen(s *model.Server) error {
 	sv := st.servers[s.N]
 	if sv == nil {
-		sv = &server{st: st, s: s, address: "127.0.0.1:0", conns: newConns()}
+		sv = &server{st: st, s: s, address: loopback.Address(), conns: newConns()}
 		st.servers[s.N] = sv
 	}
-	l, err := net.Listen("tcp", sv.address)
+	l, err := loopback.ListenAgain(sv.address)
 	if err != nil {
 		return fmt.Errorf("server %d: %w", s.N, err)
 	}
-	sv.address = l.Addr().String()
 	sv.http = &http.Server{Handler: sv, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: serverIdle, ErrorLog: quiet}
 	sv.open = l
 	web := sv.http
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -4,13 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"dykering/internal/lab/loopback"
 )
 
 const (
@@ -42,17 +43,12 @@
 
 // Start starts a process, and does not wait until it can serve.
 func (l Launch) Start() (*Process, error) {
-	place, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	place.Close() // its address is free, if nobody takes it in this moment
 	log, err := os.OpenFile(l.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer log.Close()
-	p := &Process{cmd: exec.Command(l.Command[0], l.Command[1:]...), control: place.Addr().String(), Log: l.Log,
+	p := &Process{cmd: exec.Command(l.Command[0], l.Command[1:]...), control: loopback.Address(), Log: l.Log,
 		ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+l.File, "BALANCER_ACCEPT_FD=3", "BALANCER_CONTROL="+p.control,
 		"TMPDIR="+l.Dir)
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dykering/internal/core"
+	"dykering/internal/lab/loopback"
 )
 
 const (
@@ -37,7 +38,7 @@
 
 // StartServer starts one on loopback.
 func StartServer(uid string, cores int, took time.Duration) (*Server, error) {
-	s := &Server{UID: uid, took: took, cores: make(chan struct{}, cores), address: "127.0.0.1:0"}
+	s := &Server{UID: uid, took: took, cores: make(chan struct{}, cores), address: loopback.Address()}
 	return s, s.Start()
 }
 
@@ -52,11 +53,10 @@
 func (s *Server) Start() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l, err := net.Listen("tcp", s.address)
+	l, err := loopback.ListenAgain(s.address)
 	if err != nil {
 		return fmt.Errorf("server %s: %w", s.UID, err)
 	}
-	s.address = l.Addr().String()
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go s.http.Serve(l) // ends with Kill
 	return nil
