A process ends in time though another that shares its socket has made it block

Whether a socket blocks is shared by all processes that have it, and whoever hands it on as os/exec does (File.Fd) makes it block for all. An accept then hangs in the kernel, and Listener.Close waits for it, so that stop() stood still before the loop had been told of the end: a rule at stake, not the tests alone. The tests also ended a process before it had accepted its caller, and a later test's endpoint could get an earlier's request.

The tests wait until their caller is accepted, and each server has an address of its own.

--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// close ends accepting. It does not wait for an accept that hangs: whether a socket blocks is shared with all processes
+// that have it, and one that hands it to another (as os/exec does with its ExtraFiles) makes it block for all. What such
+// an accept still brings is served, or passed on, as what came before.
+func (cs *callers) close() {
+	closed := make(chan struct{})
+	go func() {
+		cs.Listener.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(stopPoll):
+	}
+}
+
 // admit makes room for a connection. Those that have said nothing go first, then idle ones, whose clients may
 // send what crosses that on another, then those whose request takes long to come. If there are none, the new
 // one's request is turned away, for to cut it off would lose it.
--- a/internal/http1/inherit_test.go
+++ b/internal/http1/inherit_test.go
@@ -13,17 +13,17 @@
 	"time"
 
 	"dykering/internal/config"
+	"dykering/internal/lab/loopback"
 )
 
 // shared is a listening socket as the platform holds it, and further descriptors of it for processes to inherit.
 func shared(t *testing.T) (l *net.TCPListener, descriptor func() *int) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
-	l = listener.(*net.TCPListener)
+	t.Cleanup(func() { l.Close() })
 	return l, func() *int {
 		file, err := l.File()
 		if err != nil {
@@ -36,6 +36,28 @@
 	}
 }
 
+// A process ends in time though another one that shares its socket has made it block: its accept hangs then.
+func TestStopWhereTheSocketBlocks(t *testing.T) {
+	endpoint := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {})
+	socket, descriptor := shared(t)
+	rg := startWith(t, 1, 1024, func(c *config.Config) { c.Accept = descriptor() }, endpoint)
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), false) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := rg.dial() // wakes the accept, and the next one hangs
+	rg.accepted(c)
+	c.Close()
+	http.DefaultClient.CloseIdleConnections()
+	rg.stop()
+	rg.over()
+	rg.dial() // ends the accept
+}
+
 // The old process answers what it has, closes its callers' connections and ends; the new one serves all the
 // while, and what waits at the socket is nobody's to lose.
 func TestHandover(t *testing.T) {
--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -86,6 +86,25 @@
 	return rg
 }
 
+// accepted waits until a sidecar has a caller's connection: one that still waits at the socket is the successor's, and
+// where there is none, nobody's.
+func (rg *rig) accepted(c net.Conn) {
+	rg.t.Helper()
+	cs := &rg.server.callers
+	rg.until("it is accepted", func() bool {
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		for i := range cs.stages {
+			for at := cs.stages[i].Front(); at != nil; at = at.Next() {
+				if at.Value.(*caller).RemoteAddr().String() == c.LocalAddr().String() {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
 // allRead waits until a sidecar has read all that its callers have written.
 func (rg *rig) allRead() {
 	rg.t.Helper()
@@ -259,6 +278,7 @@
 		"chunks": cut(parts+inChunks(body), 10, n-2, n+2, n+400, n+50009, n+100000, n+100019, -20, -8, -1),
 	}, func(t *testing.T, h *handed, name string, pieces []string, after int, succeeded bool) {
 		c := h.dial()
+		h.accepted(c)
 		for _, piece := range pieces[:after] {
 			io.WriteString(c, piece)
 		}
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -40,11 +40,16 @@
 	if s.handsOver() {
 		s.untilItCanServe()
 	}
-	err := s.accept()
-	if phase, _, _ := s.life.Now(); phase != core.Stopping {
-		return err
+	accepted := make(chan error, 1)
+	go func() { accepted <- s.accept() }()
+	select {
+	case err := <-accepted:
+		if phase, _, _ := s.life.Now(); phase != core.Stopping {
+			return err
+		}
+		<-stopped
+	case <-stopped: // an accept may still hang: see callers.close
 	}
-	<-stopped
 	return nil
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -245,13 +245,13 @@
 	}
 	s.life.Stop(last, end)
 	if s.handsOver() {
-		s.callers.Listener.Close() // its own copy: the successor has the socket
+		s.callers.close() // its own copy: the successor has the socket
 	}
 	s.loop.Leave(end, s.handsOver())
 	for time.Now().Before(last) && !s.quits(time.Since(told)) {
 		time.Sleep(stopPoll)
 	}
-	s.callers.Listener.Close()
+	s.callers.close()
 	for time.Now().Before(end.Add(killMargin/2)) && !s.callers.onlyAnswers() {
 		s.callers.retire(0, 0)
 		time.Sleep(stopPoll)
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -23,6 +23,7 @@
 	"dykering/internal/config"
 	"dykering/internal/core"
 	"dykering/internal/decision"
+	"dykering/internal/lab/loopback"
 	"dykering/internal/listen"
 )
 
@@ -74,7 +75,7 @@
 	t.Helper()
 	rg := &rig{t: t, lists: make(chan string, 16), signals: make(chan os.Signal, 1),
 		reloads: make(chan os.Signal, 1), ended: make(chan error, 1)}
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	discovery := serverAt(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.WriteHeader(http.StatusOK)
 		for {
 			http.NewResponseController(w).Flush()
@@ -191,10 +192,23 @@
 	return res.StatusCode, string(body)
 }
 
+// serverAt is a server at an address of its own: what an earlier test left calls none of a later one's.
+func serverAt(t *testing.T, serve http.Handler) *httptest.Server {
+	l, err := loopback.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(serve)
+	s.Listener.Close()
+	s.Listener = l
+	s.Start()
+	return s
+}
+
 // peer is an endpoint that answers as the test says.
 func peer(t *testing.T, uid string, serve http.HandlerFunc) target {
 	t.Helper()
-	s := httptest.NewServer(serve)
+	s := serverAt(t, serve)
 	t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
