A seam for sockets, and a core whose loop ends

A core's loop ran for its process's life, so that nothing could play many in one process.

Change: http1.Network (dial, receive, find the heir) with the kernel's as thin as before; a connection that is not the kernel's says itself whether something can be read. discovery dials by it. Loop.Close lets go of discovery, of what is out and of idle connections; Post and what waits for an answer end with it. Run's goroutines end with Run.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,8 @@
 // only it touches the fields from endsAt on. It is the Balancer's Host.
 type Loop struct {
 	events   chan func()
+	done     chan struct{} // closed when the loop has ended
+	closing  sync.Once
 	origin   time.Time // zero of the event clock
 	config   Config
 	log      *zap.Logger
@@ -49,7 +52,7 @@
 		c.Log = zap.NewNop()
 	}
 	l := &Loop{
-		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c, log: c.Log, upstream: up,
+		events: make(chan func(), eventQueue), done: make(chan struct{}), origin: time.Now().Add(-clockStart), config: c, log: c.Log, upstream: up,
 		discover: discover, life: newLifecycle(c.Log), calls: map[decision.RequestID]*Call{},
 		adopted: map[*Attempt]bool{}, address: c.Discovery,
 	}
@@ -66,10 +69,46 @@
 
 func (l *Loop) now() time.Duration { return time.Since(l.origin) }
 
-// Post hands an event to the loop. Only other goroutines may call it; it blocks while the queue is full.
-func (l *Loop) Post(event func()) { l.events <- event }
+// Post hands an event to the loop. Only other goroutines may call it; it blocks while the queue is full, and does
+// nothing once the loop has ended.
+func (l *Loop) Post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// look has the loop tell something; the zero value once it has ended.
+func look[T any](l *Loop, tell func() T) (told T) {
+	got := make(chan T, 1)
+	l.Post(func() { got <- tell() })
+	select {
+	case told = <-got:
+	case <-l.done:
+	}
+	return told
+}
+
+// Close ends the loop, once it has let go of discovery, of what is out and of its idle connections. What is posted
+// later is not done: nobody is owed anything by then.
+func (l *Loop) Close() {
+	l.closing.Do(func() {
+		l.Post(func() {
+			l.discovery.Stop()
+			for _, c := range l.calls {
+				if c.out != nil {
+					c.out.Cancel()
+				}
+			}
+			for e := range l.pool.idle {
+				l.pool.closeIdle(e)
+			}
+			close(l.done)
+		})
+	})
+}
 
-// Run handles events for the life of the process.
+// Run handles events until Close.
 func (l *Loop) Run() {
 	l.targets(l.config.Known, FromCache)
 	if !l.config.Settings.MustAsk {
@@ -83,6 +122,8 @@
 			event()
 		case <-sweep.C:
 			l.pool.sweep(time.Now())
+		case <-l.done:
+			return
 		}
 	}
 }
@@ -423,9 +464,7 @@
 // Reserve takes a place for a connection to an endpoint that the process before has made, and Unreserve gives it
 // back.
 func (l *Loop) Reserve() bool {
-	ok := make(chan bool, 1)
-	l.Post(func() { ok <- l.pool.room() })
-	return <-ok
+	return look(l, l.pool.room)
 }
 
 func (l *Loop) Unreserve() { l.Post(func() { l.pool.open-- }) }
@@ -452,8 +491,7 @@
 
 // Stats looks at what the loop holds.
 func (l *Loop) Stats() Stats {
-	got := make(chan Stats, 1)
-	l.Post(func() {
+	return look(l, func() Stats {
 		s := Stats{Calls: len(l.calls), Out: len(l.adopted), Conns: l.pool.open, Idle: l.pool.order.Len(), Rev: l.rev,
 			Moved: l.moved, Discovery: l.address}
 		for _, c := range l.calls {
@@ -465,7 +503,6 @@
 			s.Endpoints = append(s.Endpoints, EndpointStats{ID: e.ID, Address: e.Address, Open: e.Open(),
 				Idle: len(l.pool.idle[e])})
 		}
-		got <- s
+		return s
 	})
-	return <-got
 }
--- a/internal/core/succession.go
+++ b/internal/core/succession.go
@@ -24,16 +24,14 @@
 
 // Word is what is to be told now: what is in flight and, at first, what this process has learnt.
 func (l *Loop) Word(first bool) Word {
-	told := make(chan Word, 1)
-	l.Post(func() {
+	return look(l, func() Word {
 		w := Word{Calls: l.balancer.Calls()}
 		if first {
 			learnt := l.balancer.Learnt(l.now())
 			w.Learnt = &learnt
 		}
-		told <- w
+		return w
 	})
-	return <-told
 }
 
 // Heed takes the word of the process before.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -35,8 +35,10 @@
 // Options are how a discovery is asked.
 type Options struct {
 	ConnectTimeout time.Duration
-	MustAsk        bool // a watch costs: it is not taken up again but when the sink says so
-	Log            *zap.Logger
+	// Dial makes a connection within a time; nil is the kernel's.
+	Dial    func(ctx context.Context, address string, within time.Duration) (net.Conn, error)
+	MustAsk bool // a watch costs: it is not taken up again but when the sink says so
+	Log     *zap.Logger
 }
 
 // watcher talks to the discovery at one address. It belongs to the loop that it serves; what its goroutines bring is
@@ -54,9 +56,14 @@
 
 // New makes the discovery at an address.
 func New(address string, to core.Sink, o Options) core.Discovery {
-	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
+	dial := (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext
+	if o.Dial != nil {
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+			return o.Dial(ctx, address, o.ConnectTimeout)
+		}
+	}
 	return &watcher{url: "http://" + address + "/v1/endpoints", sink: to, log: o.Log, again: !o.MustAsk,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true},
 			// One call is one request: where it points elsewhere it has failed.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -175,11 +175,7 @@
 
 // waiting tells whether something has come that its handler has not yet been able to read.
 func (c *caller) waiting() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	n, _ := peekByte(raw)
+	n, _ := peekConn(c.Conn)
 	return n > 0
 }
 
@@ -309,7 +305,7 @@
 // linger lets a caller that may still be sending read its answer: to close while something is unread would
 // take the answer from it.
 func (c *caller) linger() {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
@@ -384,6 +380,9 @@
 // awaitInput waits until a connection has something to read or has ended, without reading it. It ends with the
 // connection's read deadline.
 func awaitInput(c net.Conn) error {
+	if p, ok := c.(peeker); ok {
+		return p.Await()
+	}
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return err
--- a/internal/http1/passage.go
+++ b/internal/http1/passage.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,12 +67,12 @@
 	if s.config.Handover == "" {
 		return
 	}
-	heir, err := handover.Dial(s.config.Handover, s.heirName(), s.receiver)
+	heir, err := s.network.Find(s.config.Handover, s.heirName(), s.receiver)
 	if err != nil {
 		s.log.Warn("handover.no_successor", zap.Error(err)) // callers are sent away instead
 		return
 	}
-	s.heir.Store(heir)
+	s.heir.Store(&heir)
 }
 
 // heirName is the name under which this process and its successor find each other.
@@ -82,7 +81,7 @@
 // handing tells whether connections are passed on to a successor.
 func (s *Server) handing() bool {
 	heir := s.heir.Load()
-	return heir != nil && heir.Alive()
+	return heir != nil && (*heir).Alive()
 }
 
 // moves tells whether requests that have not been decided about are passed on to the successor, and what is idle with
@@ -109,14 +108,7 @@
 	if err != nil {
 		return err
 	}
-	conns := make([]syscall.Conn, len(raw))
-	for i, x := range raw {
-		var ok bool
-		if conns[i], ok = x.(syscall.Conn); !ok {
-			return fmt.Errorf("%T cannot be passed on", x)
-		}
-	}
-	err = s.heir.Load().Pass(state, conns...)
+	err = (*s.heir.Load()).Pass(state, raw...)
 	if err != nil && !errors.Is(err, handover.ErrDeclined) {
 		s.log.Warn("handover.broke_off", zap.Error(err))
 	}
@@ -206,7 +198,7 @@
 	if !s.handsOver() || s.config.Handover == "" {
 		return nil
 	}
-	receiver, err := handover.Listen(s.config.Handover, s.heirName())
+	receiver, err := s.network.Receive(s.config.Handover, s.heirName())
 	if err != nil {
 		s.log.Warn("handover.cannot_receive", zap.Error(err))
 		return nil
@@ -264,7 +256,7 @@
 		want = 2
 	}
 	for _, c := range conns {
-		if _, ok := c.(*net.TCPConn); !ok {
+		if _, ok := c.(tcpConn); !ok {
 			return false
 		}
 	}
@@ -357,7 +349,7 @@
 	s.loop.Adopt(a)
 	go func() {
 		defer a.Close()
-		res := newAttempt(a).over(newConn(upstream), s.memory)
+		res := newAttempt(a, s.network).over(newConn(upstream), s.memory)
 		if res.conn != nil {
 			res.conn.Close()
 		}
--- a/internal/http1/relay.go
+++ b/internal/http1/relay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -174,7 +173,7 @@
 
 // spoil shows a caller that what it got is not whole, where nothing else does.
 func (l *relay) spoil() {
-	if tcp, ok := l.caller.Conn.(*net.TCPConn); ok && l.old && l.body.length < 0 {
+	if tcp, ok := l.caller.Conn.(tcpConn); ok && l.old && l.body.length < 0 {
 		tcp.SetLinger(0)
 		tcp.Close()
 	}
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -19,19 +19,32 @@
 		defer close()
 	}
 	go s.loop.Run()
-	defer s.loop.Unwatch()
+	defer s.loop.Close()
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sendAway(ended)
 	go func() {
-		for range reload {
-			s.reload()
+		for {
+			select {
+			case _, more := <-reload:
+				if !more {
+					return
+				}
+				s.reload()
+			case <-ended:
+				return
+			}
 		}
 	}()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		sig := <-stop
+		var sig os.Signal
+		select {
+		case sig = <-stop:
+		case <-ended:
+			return
+		}
 		held := s.loop.Stats()
 		s.log.Info("process.stopping", zap.Stringer("signal", sig), zap.Int("calls", held.Calls), zap.Int("out", held.Out))
 		s.stop()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -14,7 +14,6 @@
 	"dykering/internal/core"
 	"dykering/internal/decision"
 	"dykering/internal/discovery"
-	"dykering/internal/handover"
 )
 
 const (
@@ -82,8 +81,9 @@
 	handsFor time.Duration // see handedOverAfter
 	acceptBy time.Duration // see there
 	life     *core.Lifecycle
-	receiver *handover.Receiver              // of the process before; nil where there is no way
-	heir     atomic.Pointer[handover.Sender] // to whom connections are passed on; nil for nobody
+	network  Network
+	receiver Receiver             // of the process before; nil where there is no way
+	heir     atomic.Pointer[Heir] // to whom connections are passed on; nil for nobody
 
 	callers callers
 }
@@ -91,20 +91,23 @@
 // Loop is the core that it serves with, for what tells it of other brokers.
 func (s *Server) Loop() *core.Loop { return s.loop }
 
-// New makes a server, and the core that it serves with.
-func New(c *config.Config, log *zap.Logger) (*Server, error) {
+// New makes a server on the kernel's sockets, and the core that it serves with.
+func New(c *config.Config, log *zap.Logger) (*Server, error) { return NewOn(Kernel{}, c, log) }
+
+// NewOn makes a server on a network.
+func NewOn(n Network, c *config.Config, log *zap.Logger) (*Server, error) {
 	memory := core.NewMemory(c.Plan())
 	told := c.Core()
 	told.Log = log
-	loop, err := core.New(told, &upstream{memory, c.Settings.ConnectTimeout},
+	loop, err := core.New(told, &upstream{n, memory, c.Settings.ConnectTimeout},
 		func(address string, to core.Sink) core.Discovery {
-			return discovery.New(address, to, discovery.Options{ConnectTimeout: c.Settings.ConnectTimeout,
+			return discovery.New(address, to, discovery.Options{ConnectTimeout: c.Settings.ConnectTimeout, Dial: n.Dial,
 				MustAsk: c.Settings.MustAsk, Log: log})
 		})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{loop: loop, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
+	s := &Server{network: n, loop: loop, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
 		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, acceptBy: acceptBy, life: loop.Lifecycle()}
 	s.callers.most = c.Plan().Inbound()
 	for i, class := range c.Settings.Classes {
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -74,15 +74,7 @@
 // Alive tells whether an idle connection can carry a request: its peer has neither closed it nor sent what
 // nobody asked for.
 func (c *conn) Alive() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n, peek := peekByte(raw)
+	n, peek := peekConn(c.Conn)
 	return n < 0 && (peek == syscall.EAGAIN || peek == syscall.EINTR)
 }
 
@@ -105,6 +97,7 @@
 
 // upstream carries attempts out over HTTP/1.1.
 type upstream struct {
+	network        Network
 	memory         *core.Memory
 	connectTimeout time.Duration
 }
@@ -112,7 +105,7 @@
 // Send makes an attempt.
 func (u *upstream) Send(a *core.Attempt, over core.Conn) core.Result {
 	c, _ := over.(*conn)
-	res := newAttempt(a).run(c, u.connectTimeout, u.memory)
+	res := newAttempt(a, u.network).run(c, u.connectTimeout, u.memory)
 	told := core.Result{Status: res.status, Took: res.took, Load: res.load, Spent: res.spent}
 	if res.conn != nil {
 		told.Conn = res.conn
@@ -126,14 +119,15 @@
 // attempt is one sending of a request to an endpoint.
 type attempt struct {
 	*core.Attempt
+	network Network
 	in      *inbound
 	longest int64         // that an answer may be
 	out     chan struct{} // closed when the last byte of a long body is out
 	ear     *ear          // see ear
 }
 
-func newAttempt(a *core.Attempt) *attempt {
-	return &attempt{Attempt: a, in: a.Call.Message.(*inbound), longest: maxLong, out: make(chan struct{}), ear: newEar()}
+func newAttempt(a *core.Attempt, n Network) *attempt {
+	return &attempt{Attempt: a, network: n, in: a.Call.Message.(*inbound), longest: maxLong, out: make(chan struct{}), ear: newEar()}
 }
 
 // result is how an attempt ended. Its connection is nil unless it can carry another attempt.
@@ -205,10 +199,9 @@
 // dial makes a connection. One that fails at once is tried once more: endpoints reset new connections now and
 // then, and a dead one does it twice.
 func (a *attempt) dial(timeout time.Duration) (*conn, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	raw, err := dialer.DialContext(a.Ctx, "tcp", a.Endpoint.Address)
+	raw, err := a.network.Dial(a.Ctx, a.Endpoint.Address, timeout)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		raw, err = dialer.DialContext(a.Ctx, "tcp", a.Endpoint.Address)
+		raw, err = a.network.Dial(a.Ctx, a.Endpoint.Address, timeout)
 	}
 	if err != nil {
 		return nil, err
@@ -644,7 +637,7 @@
 
 // awaits waits for something to read, for a while.
 func (c *conn) awaits(until time.Time) bool {
-	if _, ok := c.Conn.(syscall.Conn); !ok || c.reader.Buffered() > 0 {
+	if _, err := peekConn(c.Conn); err == syscall.ENOTSUP || c.reader.Buffered() > 0 {
 		return true
 	}
 	c.SetReadDeadline(until)
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -25,7 +25,7 @@
 	}
 	c := core.NewCall(decision.Request{}, &in)
 	c.Deadline = time.Now().Add(lasts)
-	a := newAttempt(core.NewAttempt(c, e, timeout, aside{}))
+	a := newAttempt(core.NewAttempt(c, e, timeout, aside{}), Kernel{})
 	a.longest = 4 * maxBody
 	return a
 }
@@ -403,7 +403,7 @@
 		more: newUpload(&caller{Conn: near, callers: &callers{}}, rest, func() bool { return false })}
 	c := core.NewCall(decision.Request{Long: true}, &in)
 	c.Deadline, c.Left = time.Now().Add(patience), patience
-	a := newAttempt(core.NewAttempt(c, core.NewEndpoint(1, endpoint.Listener.Addr().String()), 0, tardy{}))
+	a := newAttempt(core.NewAttempt(c, core.NewEndpoint(1, endpoint.Listener.Addr().String()), 0, tardy{}), Kernel{})
 	defer a.Close()
 	if res := a.run(nil, patience, roomy()); res.status != decision.Error || !res.spent {
 		t.Errorf("%v, spent %v: want an error of a request that ran", res.status, res.spent)
