The whole program in virtual time: netem, and the laboratory's engine whole

Change: internal/lab/netem emulates connections, listening sockets that are shared, processes that are killed and the passing of open connections, by the time package alone; internal/lab/whole plays the stage of the real engine on it, in a testing/synctest bubble, with http1.Server as it ships. The stage's ground is an interface now. `dykering-lab whole FILE`.

--- a/cmd/dykering-lab/demo_test.go
+++ b/cmd/dykering-lab/demo_test.go
@@ -13,7 +13,7 @@
 // TestMain lets the test binary stand in for the program, that the demo starts again as the broker.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 1 && (os.Args[1] == "broker" || os.Args[1] == "reverse-proxy") {
-		os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr, nil))
 	}
 	os.Exit(m.Run())
 }
--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -24,19 +24,26 @@
 	"dykering/internal/lab/model"
 	"dykering/internal/lab/scenario"
 	"dykering/internal/lab/sim"
+	"dykering/internal/lab/whole"
 )
 
-func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	args := os.Args[1:]
+	if len(args) > 0 && bubbled[args[0]] {
+		inBubbles(func(in whole.Bubble) int { return execute(args, os.Stdout, os.Stderr, in) })
+	}
+	os.Exit(execute(args, os.Stdout, os.Stderr, nil))
+}
 
 // faulty marks an error as one of the work, not of the command line.
 type faulty struct{ error }
 
 // execute runs a command line, and returns the exit code: 0 well, 1 a fault or a broken rule, 2 a wrong command line.
-func execute(args []string, out, errOut io.Writer) int {
+func execute(args []string, out, errOut io.Writer, in whole.Bubble) int {
 	root := &cobra.Command{Use: "dykering-lab", Short: "The laboratory of the broker", Args: cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(c *cobra.Command, _ []string) error { return errors.New("a command is missing") }}
-	root.AddCommand(newCheck(), newSim(), newReal(), newRun(), newCompare(), newLoad(), newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView())
+	root.AddCommand(newCheck(), newSim(), newReal(), newWhole(in), newRun(), newCompare(), newLoad(), newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
@@ -95,17 +102,7 @@
 					return fmt.Errorf("--policy %s: there is %s", p, strings.Join(slices.Sorted(maps.Keys(sim.Policies)), ", "))
 				}
 			}
-			if instances > 0 {
-				s.Broker.Instances = instances
-			}
-			if servers > 0 {
-				s.Servers.Count = servers
-			}
-			s.Callers.Rate.From *= scale
-			s.Callers.Rate.To *= scale
-			for i := range s.Teams {
-				s.Teams[i].Quota *= scale
-			}
+			resize(s, instances, servers, scale)
 			var jobs []*job
 			for i := range max(seeds, 1) {
 				for _, p := range policies {
@@ -126,6 +123,21 @@
 	return c
 }
 
+// resize changes a scenario's size; 0 leaves a number as it is.
+func resize(s *scenario.Scenario, instances, servers int, scale float64) {
+	if instances > 0 {
+		s.Broker.Instances = instances
+	}
+	if servers > 0 {
+		s.Servers.Count = servers
+	}
+	s.Callers.Rate.From *= scale
+	s.Callers.Rate.To *= scale
+	for i := range s.Teams {
+		s.Teams[i].Quota *= scale
+	}
+}
+
 // playAll plays jobs, as many at a time as there are cores. Each is the same whatever plays beside it.
 func playAll(ctx context.Context, s *scenario.Scenario, jobs []*job) {
 	next := make(chan *job)
--- a/cmd/dykering-lab/main_test.go
+++ b/cmd/dykering-lab/main_test.go
@@ -16,7 +16,7 @@
 
 func command(args string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
-	code = execute(strings.Fields(args), &o, &e)
+	code = execute(strings.Fields(args), &o, &e, nil)
 	return code, o.String(), e.String()
 }
 
--- a/internal/lab/real/clock.go
+++ b/internal/lab/real/clock.go
@@ -52,8 +52,6 @@
 // context's end or an error.
 func (c *wall) run(ctx context.Context, until time.Duration, over func() bool, failed <-chan error) error {
 	defer close(c.done)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	for {
 		for at, ok := c.heap.Next(); ok && at <= c.real(); at, ok = c.heap.Next() {
 			var do func()
@@ -68,15 +66,18 @@
 		if c.real() >= until || over() {
 			return nil
 		}
-		timer.Reset(time.Until(c.at(next)))
+		timer := time.NewTimer(time.Until(c.at(next))) // not reset: see netem's wakes
 		select {
 		case <-timer.C:
 		case do := <-c.posts:
 			do()
 		case err := <-failed:
+			timer.Stop()
 			return err
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
 		}
+		timer.Stop()
 	}
 }
--- a/internal/lab/real/conn.go
+++ b/internal/lab/real/conn.go
@@ -187,7 +187,7 @@
 		c.Close()
 		return n, errWrong
 	case halfClose:
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if tcp, ok := c.Conn.(tcpConn); ok {
 			tcp.CloseWrite()
 		}
 		return len(p), nil // the rest is nowhere
@@ -201,7 +201,7 @@
 
 // reset ends the connection with a reset.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(tcpConn); ok {
 		tcp.SetLinger(0) // an error means that it has ended
 	}
 	c.Close()
--- a/internal/lab/real/fleet.go
+++ b/internal/lab/real/fleet.go
@@ -68,7 +68,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	i.launch.Command = append(append([]string(nil), i.launch.Command...), "--operator", path)
+	i.operator = path
 	return nil
 }
 
@@ -92,8 +92,10 @@
 		case s == syscall.SIGKILL:
 			f.st.Kill(i.in, -1)
 		case i.process != nil:
-			if err := i.process.Signal(s); err != nil {
-				f.st.fail(err)
+			if p, ok := i.process.(*Process); ok {
+				if err := p.Signal(s); err != nil {
+					f.st.fail(err)
+				}
 			}
 		}
 	})
@@ -122,10 +124,11 @@
 	client := http.Client{Timeout: lookTimeout}
 	defer client.CloseIdleConnections()
 	for id, i := range f.members {
-		if i.process == nil {
+		p, ok := i.process.(*Process)
+		if !ok {
 			continue
 		}
-		res, err := client.Get("http://" + i.process.control + "/-/fleet")
+		res, err := client.Get("http://" + p.control + "/-/fleet")
 		if err != nil {
 			return nil, fmt.Errorf("the view of %s: %w", id, err)
 		}
--- a/internal/lab/real/http.go
+++ b/internal/lab/real/http.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"dykering/internal/decision"
-	"dykering/internal/lab/loopback"
 	"dykering/internal/lab/model"
 )
 
@@ -55,7 +54,7 @@
 	conns   *conns
 	http    *http.Server // nil while it does not listen
 	open    net.Listener
-	hole    *hole
+	heard   func() // ends that connections to it never come up; nil unless that is so
 }
 
 // attempt is one that has come to a server.
@@ -69,13 +68,14 @@
 func (st *stage) listen(s *model.Server) error {
 	sv := st.servers[s.N]
 	if sv == nil {
-		sv = &server{st: st, s: s, address: loopback.Address(), conns: newConns()}
+		sv = &server{st: st, s: s, conns: newConns()}
 		st.servers[s.N] = sv
 	}
-	l, err := loopback.ListenAgain(sv.address)
+	l, err := st.ground.Listen(fmt.Sprint("server ", s.N), s.Entry().Zone, sv.address)
 	if err != nil {
 		return fmt.Errorf("server %d: %w", s.N, err)
 	}
+	sv.address = l.Addr().String()
 	sv.http = &http.Server{Handler: sv, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: serverIdle, ErrorLog: quiet}
 	sv.open = l
 	web := sv.http
@@ -89,7 +89,7 @@
 
 // Up is the Sockets', as are the methods below.
 func (st *stage) Up(s *model.Server) {
-	if sv := st.servers[s.N]; sv != nil && sv.hole != nil {
+	if sv := st.servers[s.N]; sv != nil && sv.heard != nil {
 		return // it listens when that is over
 	}
 	if err := st.listen(s); err != nil {
@@ -108,18 +108,18 @@
 	sv.conns.set(how, n)
 	silent := how == neverUp || how == vanish
 	switch {
-	case silent && sv.hole == nil && sv.http != nil:
+	case silent && sv.heard == nil && sv.http != nil:
 		sv.open.Close() // its connections stay
 		sv.http = nil
-		h, err := dig(sv.address)
+		heard, err := st.ground.Deaf(sv.address)
 		if err != nil {
 			st.fail(fmt.Errorf("server %d: %w", s.N, err))
 			return
 		}
-		sv.hole = h
-	case !silent && sv.hole != nil:
-		sv.hole.close()
-		sv.hole = nil
+		sv.heard = heard
+	case !silent && sv.heard != nil:
+		sv.heard()
+		sv.heard = nil
 		if err := st.listen(s); err != nil {
 			st.fail(err)
 		}
@@ -136,9 +136,9 @@
 
 func (sv *server) close() {
 	sv.stop()
-	if sv.hole != nil {
-		sv.hole.close()
-		sv.hole = nil
+	if sv.heard != nil {
+		sv.heard()
+		sv.heard = nil
 	}
 	sv.conns.set("none", 0)
 	sv.conns.reset()
@@ -237,7 +237,7 @@
 	if before == nil || before.ended {
 		tell()
 	} else {
-		st.After(slack, tell)
+		st.After(st.late, tell)
 	}
 	st.After(st.w.Latency(), func() {
 		if !a.Over {
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -42,10 +41,11 @@
 type stage struct {
 	*wall
 	w         *model.World
-	o         Options
+	ground    Ground
 	instances []*instance
 	servers   map[int]*server
 	tries     map[decision.RequestID]*try
+	late      time.Duration
 	failed    chan error // the first ends the run
 	ctx       context.Context
 	work      sync.WaitGroup // all goroutines but the clock's
@@ -54,14 +54,15 @@
 
 // instance is an instance of the broker: a socket that is held for it, its discovery, and its process.
 type instance struct {
-	in      *model.Instance
-	socket  *os.File
-	url     string
-	places  *Discovery
-	launch  Launch
-	client  *http.Client
-	process *Process // nil while there is none
-	all     []*Process
+	in       *model.Instance
+	seat     Seat
+	url      string
+	places   *Discovery
+	file     string // the platform's
+	operator string // empty for none
+	client   *http.Client
+	process  Broker // nil while there is none
+	all      []Broker
 }
 
 // Play plays a scenario with a seed on real sockets. It ends by itself within the scenario's time and some seconds for
@@ -70,15 +71,24 @@
 	if err := playable(s); err != nil {
 		return nil, err
 	}
+	r, err := PlayOn(ctx, kernel{o}, s, seed, slack)
+	if err == nil {
+		r.Engine = "real"
+	}
+	return r, err
+}
+
+// PlayOn plays a scenario on a ground. Late is how late what happens may be seen there.
+func PlayOn(ctx context.Context, g Ground, s *scenario.Scenario, seed uint64, late time.Duration) (_ *model.Result, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	st := &stage{wall: newWall(), o: o, servers: map[int]*server{}, tries: map[decision.RequestID]*try{},
+	st := &stage{wall: newWall(), ground: g, late: late, servers: map[int]*server{}, tries: map[decision.RequestID]*try{},
 		failed: make(chan error, 1), ctx: ctx}
 	defer func() {
 		stop()
 		st.tearDown()
 	}()
-	st.w = model.New(s, seed, st, st, st, slack)
+	st.w = model.New(s, seed, st, st, st, late)
 	if s.Broker.Fleet {
 		if st.fleet, err = newFleet(st, seed); err != nil {
 			return nil, err
@@ -109,7 +119,6 @@
 		return nil, err
 	}
 	r := st.w.End()
-	r.Engine = "real"
 	if st.fleet != nil {
 		if r.Views, err = st.fleet.views(); err != nil {
 			return nil, err
@@ -145,41 +154,37 @@
 
 // begin makes an instance and starts its process.
 func (st *stage) begin(in *model.Instance) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	name, zone := fmt.Sprintf("broker-%d-%d", in.Tier.N, in.Ordinal), 0
+	if len(in.Tier.Servers) > 0 {
+		zone = in.Ordinal % max(st.w.S.Servers.Zones, 1)
+	}
+	place, err := st.ground.Seat(name, zone)
 	if err != nil {
 		return err
 	}
-	defer l.Close() // the descriptor below stays
-	i := &instance{in: in, url: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1024, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
+	i := &instance{in: in, seat: place, url: "http://" + place.Address(), client: &http.Client{Transport: &http.Transport{
+		DialContext: st.ground.Dial, MaxIdleConnsPerHost: 1024, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
 	st.instances = append(st.instances, i)
-	if i.socket, err = l.(*net.TCPListener).File(); err != nil {
-		return err
-	}
-	if i.places, err = StartDiscovery(nil); err != nil {
+	l, err := st.ground.Listen(discoveryName(name), zone, "")
+	if err != nil {
 		return err
 	}
+	i.places = discoveryAt(l, nil)
 	for _, e := range st.w.List(in).Entries {
 		i.places.TellTarget(st.target(e))
 	}
-	name := fmt.Sprintf("broker-%d-%d", in.Tier.N, in.Ordinal)
-	dir := filepath.Join(st.o.Dir, name)
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return err
-	}
-	text, err := json.MarshalIndent(map[string]any{"name": name, "listen": l.Addr().String(), "discovery": i.places.Address,
+	text, err := json.MarshalIndent(map[string]any{"name": name, "listen": place.Address(), "discovery": i.places.Address,
 		"seed": fmt.Sprintf("%x", st.w.Seed(in)), "limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"settings": told(st.w, in)}, "", " ")
 	if err != nil {
 		return err
 	}
-	i.launch = Launch{Command: st.o.Command, File: filepath.Join(dir, "config.json"), Socket: i.socket, Dir: dir,
-		Log: filepath.Join(dir, "log")}
-	if err := os.WriteFile(i.launch.File, text, 0o600); err != nil {
+	i.file = filepath.Join(place.Dir(), "config.json")
+	if err := os.WriteFile(i.file, text, 0o600); err != nil {
 		return err
 	}
 	if st.fleet != nil && in.Tier.N == 0 {
-		if err := st.fleet.enlist(i, name, dir); err != nil {
+		if err := st.fleet.enlist(i, name, place.Dir()); err != nil {
 			return err
 		}
 	}
@@ -188,21 +193,21 @@
 }
 
 // start starts a process of an instance, and watches it.
-func (st *stage) start(i *instance) (*Process, error) {
-	p, err := i.launch.Start()
+func (st *stage) start(i *instance) (Broker, error) {
+	p, err := i.seat.Start(i.file, i.operator)
 	if err != nil {
 		return nil, err
 	}
 	i.all = append(i.all, p)
 	st.work.Go(func() {
 		select {
-		case <-p.ended:
+		case <-p.Ended():
 		case <-st.ctx.Done():
 			return
 		}
 		st.post(func() {
 			if i.process == p {
-				st.fail(p.fault("ended by itself"))
+				st.fail(p.Fault("ended by itself"))
 			}
 		})
 	})
@@ -229,9 +234,7 @@
 		if i.places != nil {
 			i.places.Close()
 		}
-		if i.socket != nil {
-			i.socket.Close()
-		}
+		i.seat.Close()
 	}
 	select {
 	case <-st.done:
@@ -342,7 +345,7 @@
 }
 
 // succeed starts a process that takes over from another, or from none.
-func (st *stage) succeed(i *instance, old *Process) {
+func (st *stage) succeed(i *instance, old Broker) {
 	if st.ctx.Err() != nil {
 		return
 	}
@@ -393,7 +396,7 @@
 	c := st.w.S.Classes[m.Class]
 	st.w.Checker.Taken(st.Now(), rules.Request{ID: string(m.ID), Origin: m.Origin, Instance: m.Instance.N, Deadline: m.Until,
 		Effect: c.Effect, Scope: c.Scope, Window: time.Duration(c.Window)})
-	ctx, cancel := context.WithDeadline(st.ctx, st.at(m.Until+model.Grace+slack))
+	ctx, cancel := context.WithDeadline(st.ctx, st.at(m.Until+model.Grace+st.late))
 	t := &try{Try: m, cancel: cancel}
 	st.tries[m.ID] = t
 	team := ""
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -77,7 +77,7 @@
 	for {
 		select {
 		case <-p.ended:
-			return p.fault("ended before it could serve")
+			return p.Fault("ended before it could serve")
 		default:
 		}
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.control+"/-/ready", nil)
@@ -92,14 +92,17 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(p.fault(fmt.Sprintf("could not serve within %v", readyFor)), context.Cause(ctx))
+			return errors.Join(p.Fault(fmt.Sprintf("could not serve within %v", readyFor)), context.Cause(ctx))
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
 }
 
-// fault says what a process did, with the end of its log.
-func (p *Process) fault(text string) error {
+// Ended is closed when the process has.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Fault says what a process did, with the end of its log.
+func (p *Process) Fault(text string) error {
 	log, err := os.ReadFile(p.Log)
 	if err != nil {
 		log = []byte(err.Error())
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -126,18 +126,23 @@
 
 // StartDiscovery starts one that knows servers.
 func StartDiscovery(servers []*Server) (*Discovery, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	return discoveryAt(l, servers), nil
+}
+
+// discoveryAt is one that answers at a listener.
+func discoveryAt(l net.Listener, servers []*Server) *Discovery {
 	d := &Discovery{Address: l.Addr().String(), targets: map[string]core.Target{}, changed: make(chan struct{}),
 		broken: make(chan struct{})}
 	for _, s := range servers {
 		d.Tell(s, "Ready", 0)
 	}
-	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
+	d.http = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second, ErrorLog: quiet}
 	go d.http.Serve(l) // ends with Close
-	return d, nil
+	return d
 }
 
 // Close ends it.
--- /dev/null
+++ b/internal/lab/whole/whole.go
@@ -0,0 +1,333 @@
+// Package whole plays a scenario with the whole program in virtual time: each broker is an http1.Server as it ships, with
+// its core, its discovery and its handover, on an emulated network in this process, round the laboratory's servers,
+// callers, discoveries and checker that play on real sockets too (package real). Time is that of a testing/synctest
+// bubble: it goes on when all goroutines wait, so that nothing is late for want of a processor.
+package whole
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"dykering/internal/config"
+	"dykering/internal/http1"
+	"dykering/internal/lab/model"
+	"dykering/internal/lab/netem"
+	"dykering/internal/lab/real"
+	"dykering/internal/lab/scenario"
+)
+
+const (
+	// late is by how much limits are longer than in the decisions' engine: an answer is on its way for some latencies.
+	late = 20 * time.Millisecond
+	// readyFor and endFor are how long a broker may take until it can serve, and until it has ended.
+	readyFor = 5 * time.Second
+	endFor   = 30 * time.Second
+	poll     = time.Millisecond
+	// lookEvery is how often, in virtual time, a run looks at whether it is called off.
+	lookEvery = 100 * time.Millisecond
+	// mostLog is how much of a broker's log is kept for an error, in bytes.
+	mostLog = 2000
+	// settleFor is how long what a run has left may take to end: clients' and servers' goroutines and the last timers.
+	settleFor = time.Minute
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Dir     string // for configurations
+	Network netem.Options
+	// Step is told of each step of a handover before it is taken; see netem.Exchange. Nil for none.
+	Step func(step string, from, to *netem.Process)
+}
+
+// Bubble runs f in a bubble of virtual time, and returns when all of its goroutines have ended.
+type Bubble func(f func())
+
+// Play plays a scenario with a seed in a bubble. The context's end is looked for ten times in a virtual second.
+func Play(ctx context.Context, in Bubble, s *scenario.Scenario, seed uint64, o Options) (r *model.Result, err error) {
+	if len(s.Faults) > 0 || s.Broker.Fleet {
+		return nil, errors.New("fleet and fault: the gossip between brokers is played by the engine real only")
+	}
+	in(func() {
+		inside, stop := context.WithCancelCause(context.Background()) // the outer one's channel is of no bubble
+		defer stop(nil)
+		over := make(chan struct{})
+		var watch sync.WaitGroup
+		watch.Go(func() {
+			for ctx.Err() == nil {
+				select {
+				case <-over:
+					return
+				case <-time.After(lookEvery):
+				}
+			}
+			stop(context.Cause(ctx))
+		})
+		g := newGround(s, o)
+		r, err = real.PlayOn(inside, g, s, seed, late)
+		g.close()
+		close(over)
+		watch.Wait()
+		time.Sleep(settleFor)
+	})
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, err
+	}
+	r.Engine = "whole"
+	return r, nil
+}
+
+// ground is an emulated network with brokers on it.
+type ground struct {
+	o        Options
+	net      *netem.Network
+	exchange netem.Exchange
+	callers  *netem.Process
+
+	mu      sync.Mutex
+	sockets map[string]*netem.Socket // of servers and discoveries, by address
+	hosts   map[string]*netem.Process
+	brokers sync.WaitGroup
+}
+
+// newGround makes the network that a scenario asks for: one way of its latency is what the model draws beside, so that the
+// links themselves have the least.
+func newGround(_ *scenario.Scenario, o Options) *ground {
+	g := &ground{o: o, net: netem.New(o.Network), sockets: map[string]*netem.Socket{}, hosts: map[string]*netem.Process{}}
+	g.exchange.Step = o.Step
+	g.callers = g.net.Machine("callers", 0).Start()
+	return g
+}
+
+// close ends all that serves.
+func (g *ground) close() {
+	g.brokers.Wait()
+	g.callers.Kill()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.hosts {
+		p.Kill()
+	}
+	for _, s := range g.sockets {
+		s.Close()
+	}
+	g.net.Close()
+}
+
+// served is a listener with which its socket ends, and that tells nobody else of it.
+type served struct {
+	net.Listener
+	socket *netem.Socket
+	g      *ground
+}
+
+func (l served) Close() error {
+	l.socket.Close()
+	return l.Listener.Close()
+}
+
+func (g *ground) Listen(name string, zone int, address string) (net.Listener, error) {
+	m := g.net.Machine(name, zone)
+	if address == "" {
+		address = g.address()
+	}
+	s, err := m.Bind(address)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.hosts[name]
+	if p == nil {
+		p = m.Start()
+		g.hosts[name] = p
+	}
+	g.sockets[s.Address()] = s
+	return served{p.Listener(s), s, g}, nil
+}
+
+// address is one that nobody has.
+func (g *ground) address() string {
+	n := g.net.Port()
+	return fmt.Sprintf("127.%d.%d.1:%d", n>>8&0xff, n&0xff, 80)
+}
+
+func (g *ground) Deaf(address string) (func(), error) {
+	s, err := g.net.Machine("nobody", 0).Bind(address)
+	if err != nil {
+		return nil, err
+	}
+	s.Deaf(true)
+	return func() { s.Close() }, nil
+}
+
+func (g *ground) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return g.callers.Dial(ctx, network, address)
+}
+
+func (g *ground) Seat(name string, zone int) (real.Seat, error) {
+	dir := filepath.Join(g.o.Dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	m := g.net.Machine(name, zone)
+	s, err := m.Bind(g.address())
+	if err != nil {
+		return nil, err
+	}
+	return &seat{g: g, machine: m, socket: s, dir: dir}, nil
+}
+
+// seat is where the processes of an instance serve.
+type seat struct {
+	g       *ground
+	machine *netem.Machine
+	socket  *netem.Socket
+	dir     string
+	started int
+}
+
+func (s *seat) Address() string { return s.socket.Address() }
+func (s *seat) Dir() string     { return s.dir }
+func (s *seat) Close()          { s.socket.Close() }
+
+// accepting stands for the descriptor of the socket that a process inherits.
+var accepting = -1
+
+func (s *seat) Start(file, _ string) (real.Broker, error) {
+	c, err := config.Load(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return file
+		}
+		return ""
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.Accept, c.Handover = &accepting, s.dir
+	s.started++
+	b := &broker{name: fmt.Sprintf("%s, process %d", s.machine.Name, s.started), process: s.machine.Start(),
+		signals: make(chan os.Signal, 1), ended: make(chan struct{})}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&b.log), zap.WarnLevel)
+	if b.server, err = http1.NewOn(network{s.g, b.process}, c, zap.New(core)); err != nil {
+		return nil, err
+	}
+	listener := b.process.Listener(s.socket)
+	s.g.brokers.Go(func() {
+		defer close(b.ended)
+		b.err = b.server.Run(listener, b.signals, nil)
+		b.process.Kill() // what a process leaves open ends with it
+	})
+	return b, nil
+}
+
+// network is what a process has of a ground.
+type network struct {
+	g *ground
+	p *netem.Process
+}
+
+func (n network) Dial(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, within)
+	defer stop()
+	return n.p.Dial(ctx, "tcp", address)
+}
+
+func (n network) Receive(dir, name string) (http1.Receiver, error) {
+	r, err := n.g.exchange.Receive(n.p, dir, name)
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (n network) Find(dir, name string, _ http1.Receiver) (http1.Heir, error) {
+	h, err := n.g.exchange.Find(n.p, dir, name)
+	if err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// broker is a process of the broker.
+type broker struct {
+	name    string
+	process *netem.Process
+	server  *http1.Server
+	signals chan os.Signal
+	log     tail
+	ended   chan struct{}
+	err     error // with which it ended
+}
+
+func (b *broker) Ready(ctx context.Context) error {
+	for end := time.Now().Add(readyFor); !b.server.CanServe(); {
+		select {
+		case <-b.ended:
+			return b.Fault("ended before it could serve")
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(poll):
+		}
+		if time.Now().After(end) {
+			return b.Fault(fmt.Sprintf("could not serve within %v", readyFor))
+		}
+	}
+	return nil
+}
+
+func (b *broker) End() {
+	select {
+	case b.signals <- syscall.SIGTERM:
+	default: // it has one
+	}
+	select {
+	case <-b.ended:
+	case <-time.After(endFor):
+		b.Kill()
+	}
+}
+
+func (b *broker) Kill() {
+	b.process.Kill()
+	b.server.Loop().Close()
+	<-b.ended
+}
+
+func (b *broker) Ended() <-chan struct{} { return b.ended }
+
+func (b *broker) Fault(text string) error {
+	return fmt.Errorf("%s %s (%w); its log ends with:\n%s", b.name, text, errors.Join(b.err, context.Canceled), b.log.String())
+}
+
+// tail keeps the end of a log.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	t.text = t.text[max(len(t.text)-mostLog, 0):]
+	return len(p), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
+}
--- /dev/null
+++ b/internal/lab/whole/whole_test.go
@@ -0,0 +1,64 @@
+package whole
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykering/internal/lab/scenario"
+	"dykering/internal/strict"
+)
+
+func bubble(t *testing.T) Bubble {
+	return func(f func()) { synctest.Test(t, func(*testing.T) { f() }) }
+}
+
+func brief(troubles ...scenario.Trouble) *scenario.Scenario {
+	s := scenario.Default()
+	s.Lasts = strict.Duration(3 * time.Second)
+	s.Broker.Instances, s.Servers.Count = 1, 4
+	s.Callers.Rate = scenario.Span{From: 60, To: 60}
+	s.Teams = nil
+	s.Troubles = troubles
+	s.Below = []scenario.Below{{Name: "below", Instances: 1, Servers: 2, Calls: scenario.Span{From: 1, To: 1},
+		Work: scenario.Span{From: 0.002, To: 0.004}, Keeps: 0.1}}
+	return s
+}
+
+// What goes wrong with servers' bytes and befalls servers, lists and brokers is played in virtual time as on real sockets.
+func TestTroubles(t *testing.T) {
+	for name, x := range map[string]scenario.Trouble{
+		"none":              {What: "break"},
+		"reset in the head": {What: "bytes", How: "reset", Bytes: 9},
+		"cut in the body":   {What: "bytes", How: "cut", Bytes: 120},
+		"half closed":       {What: "bytes", How: "half_close", Bytes: 9},
+		"stall":             {What: "bytes", How: "stall", Bytes: 9},
+		"slow read":         {What: "bytes", How: "slow_read", Bytes: 40},
+		"slow write":        {What: "bytes", How: "slow_write", Bytes: 40},
+		"garbage":           {What: "bytes", How: "garbage"},
+		"never up":          {What: "bytes", How: "syn"},
+		"vanish":            {What: "vanish"},
+		"connections reset": {What: "reset"},
+		"replaced":          {What: "replace"},
+		"handover":          {What: "handover", Of: 1},
+		"killed":            {What: "kill", Of: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x.At, x.Lasts, x.Share = scenario.Times{From: time.Second, To: time.Second}, scenario.Times{From: time.Second, To: time.Second}, 0.25
+			floor := 0.85
+			if x.What == "kill" {
+				x.Lasts, floor = scenario.Times{From: 200 * time.Millisecond, To: 200 * time.Millisecond}, 0.5
+			}
+			began := time.Now()
+			r, err := Play(t.Context(), bubble(t), brief(x), 3, Options{Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%v: service %.3f of %d, %d attempts", time.Since(began), r.Service, r.Asked, r.Attempts)
+			if len(r.Broken) > 0 || r.Service < floor || r.Asked < 100 {
+				t.Errorf("service %.3f of %d, broken %v, %+v", r.Service, r.Asked, r.Broken, r.Violations)
+			}
+		})
+	}
+}
