The laboratory's troubles reach brokers' lives, lists and callers

Need: what the review left without a test are the broker's own drain, stop, handover and reload beside faults of servers, callers and lists. Change: the troubles stop, away (an operator's drain), reload, stale and again (lists), gone, dribble, twice and junk (callers), played by the stage on sockets and by the engine whole; partitions play there too.

--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -99,17 +99,24 @@
 				w.breakOff(in)
 			}
 			return
-		case "kill", "handover":
+		case "kill", "handover", "stop", "away", "reload", "stale", "again":
 			for i, x := range touched {
 				w.After(time.Duration(i)*time.Duration(t.Every), func() {
-					if in := tier.Instances[x]; t.What == "kill" {
+					switch in := tier.Instances[x]; t.What {
+					case "kill":
 						w.brokers.Kill(in, lasts)
-					} else {
+					case "handover":
 						w.brokers.Handover(in)
+					default:
+						w.brokers.Befall(in, t.What, lasts)
 					}
 				})
 			}
 			return
+		case "gone", "dribble", "junk", "twice":
+			w.manners[t.What] += min(factor, 1)
+			over(func() { w.manners[t.What] -= min(factor, 1) })
+			return
 		case "zone":
 			zone := r.IntN(w.S.Servers.Zones)
 			for _, s := range tier.Servers {
@@ -120,6 +127,9 @@
 			return
 		case "partition":
 			bit := uint64(1) << (number % 64)
+			if w.sockets != nil {
+				defer w.sockets.Parted()
+			}
 			for _, x := range touched {
 				tier.Instances[x].cut |= bit
 			}
@@ -133,6 +143,9 @@
 				for _, s := range tier.Servers {
 					s.cut &^= bit
 				}
+				if w.sockets != nil {
+					w.sockets.Parted()
+				}
 			})
 			return
 		}
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -48,6 +48,8 @@
 	// Kill ends an instance at once, and starts it again after a time; Handover has a successor take over from it.
 	Kill(in *Instance, lasts time.Duration)
 	Handover(in *Instance)
+	// Befall is what else a trouble does to an instance: stop, away, reload, stale or again.
+	Befall(in *Instance, what string, lasts time.Duration)
 }
 
 // Sockets are what a server has on real sockets.
@@ -57,6 +59,8 @@
 	// Bytes has what a server sends and reads go wrong, until how is "none". Reset breaks its connections.
 	Bytes(s *Server, how string, n int)
 	Reset(s *Server)
+	// Parted tells that other servers cannot be reached by some instances than before; see World.Parted.
+	Parted()
 }
 
 // Asker is told what becomes of a try: a client, or a server that calls the tier below.
@@ -114,9 +118,10 @@
 	asks     *rand.Rand
 	wires    *rand.Rand
 	hears    *rand.Rand
-	burst    float64   // of the rate
-	hot      []int     // the front's instances, those first that get most
-	flood    []float64 // what each team asks for beyond its share, in shares
+	burst    float64            // of the rate
+	hot      []int              // the front's instances, those first that get most
+	manners  map[string]float64 // what callers do to so much of what they ask, by the trouble's name
+	flood    []float64          // what each team asks for beyond its share, in shares
 	deaf     time.Duration
 	sendFree time.Duration // when discovery has sent all that it is to send
 	rev      uint64
@@ -136,7 +141,7 @@
 // what is seen is not seen at once.
 func New(s *scenario.Scenario, seed uint64, c Clock, b Brokers, sockets Sockets, slack time.Duration) *World {
 	w := &World{Clock: c, S: s, seed: seed, brokers: b, sockets: sockets, asks: Stream(seed, "callers", 0),
-		wires: Stream(seed, "network", 0), hears: Stream(seed, "discovery", 0), burst: 1, flood: make([]float64, len(s.Teams)), rev: 1}
+		wires: Stream(seed, "network", 0), hears: Stream(seed, "discovery", 0), burst: 1, manners: map[string]float64{}, flood: make([]float64, len(s.Teams)), rev: 1}
 	w.Checker = rules.New(rules.Settings{Grace: Grace + slack, DrainGrace: time.Duration(s.Servers.Grace) + slack})
 	w.Result = newResult(s, seed)
 	w.makeTier(s.Broker.Instances, s.Servers.Count, -1, nil)
@@ -226,6 +231,12 @@
 	return took
 }
 
+// Parted tells whether a partition stands between an instance and a server.
+func (w *World) Parted(in *Instance, s *Server) bool { return in.cut&s.cut != 0 }
+
+// Manner is the share of tries to which callers do something now.
+func (w *World) Manner(what string) float64 { return w.manners[what] }
+
 // Cut tells whether nothing goes between an instance and a server.
 func (w *World) Cut(in *Instance, s *Server) bool { return s.dark > 0 || in.cut&s.cut != 0 }
 
--- a/internal/lab/real/ground.go
+++ b/internal/lab/real/ground.go
@@ -21,6 +21,8 @@
 	Seat(name string, zone int) (Seat, error)
 	// Dial makes connections of callers.
 	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// Part loses all that goes between two machines where cut says so, by their names. It may be asked at any time.
+	Part(cut func(a, b string) bool)
 }
 
 // Seat is what the processes of an instance share.
@@ -40,6 +42,8 @@
 	End()                        // with SIGTERM and, if it does not heed that, by force
 	Kill()
 	Ended() <-chan struct{}
+	Drain(on bool) error     // at the second address
+	Reload() error           // SIGHUP
 	Fault(text string) error // says what it did, with the end of its log
 }
 
@@ -66,6 +70,9 @@
 	return d.DialContext(ctx, network, address)
 }
 
+// Part does nothing: what is played on sockets has no partition (see playable).
+func (g kernel) Part(func(a, b string) bool) {}
+
 func (g kernel) Seat(name string, _ int) (Seat, error) {
 	dir := filepath.Join(g.o.Dir, name)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
--- a/internal/lab/real/http.go
+++ b/internal/lab/real/http.go
@@ -64,6 +64,9 @@
 	told  bool // the checker knows of it
 }
 
+// serverName is what a server's machine is called.
+func serverName(s *model.Server) string { return fmt.Sprint("server ", s.N) }
+
 // listen has a server listen, at the address that it had.
 func (st *stage) listen(s *model.Server) error {
 	sv := st.servers[s.N]
@@ -71,7 +74,7 @@
 		sv = &server{st: st, s: s, conns: newConns()}
 		st.servers[s.N] = sv
 	}
-	l, err := st.ground.Listen(fmt.Sprint("server ", s.N), s.Entry().Zone, sv.address)
+	l, err := st.ground.Listen(serverName(s), s.Entry().Zone, sv.address)
 	if err != nil {
 		return fmt.Errorf("server %d: %w", s.N, err)
 	}
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -50,6 +51,8 @@
 	ctx       context.Context
 	work      sync.WaitGroup // all goroutines but the clock's
 	fleet     *fleet         // nil without one
+	moved     []*Discovery   // that brokers were told to leave
+	manners   *rand.Rand     // what callers do
 }
 
 // instance is an instance of the broker: a socket that is held for it, its discovery, and its process.
@@ -61,7 +64,10 @@
 	file     string // the platform's
 	operator string // empty for none
 	client   *http.Client
+	name     string
+	zone     int
 	process  Broker // nil while there is none
+	leaving  Broker // that was told to end, with no successor beside it
 	all      []Broker
 }
 
@@ -88,6 +94,7 @@
 		stop()
 		st.tearDown()
 	}()
+	st.manners = model.Stream(seed, "manners", 0)
 	st.w = model.New(s, seed, st, st, st, late)
 	if s.Broker.Fleet {
 		if st.fleet, err = newFleet(st, seed); err != nil {
@@ -162,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	i := &instance{in: in, seat: place, url: "http://" + place.Address(), client: &http.Client{Transport: &http.Transport{
+	i := &instance{in: in, name: name, zone: zone, seat: place, url: "http://" + place.Address(), client: &http.Client{Transport: &http.Transport{
 		DialContext: st.ground.Dial, MaxIdleConnsPerHost: 1024, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
 	st.instances = append(st.instances, i)
 	l, err := st.ground.Listen(discoveryName(name), zone, "")
@@ -173,14 +180,8 @@
 	for _, e := range st.w.List(in).Entries {
 		i.places.TellTarget(st.target(e))
 	}
-	text, err := json.MarshalIndent(map[string]any{"name": name, "listen": place.Address(), "discovery": i.places.Address,
-		"seed": fmt.Sprintf("%x", st.w.Seed(in)), "limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
-		"settings": told(st.w, in)}, "", " ")
-	if err != nil {
-		return err
-	}
 	i.file = filepath.Join(place.Dir(), "config.json")
-	if err := os.WriteFile(i.file, text, 0o600); err != nil {
+	if err := st.configure(i); err != nil {
 		return err
 	}
 	if st.fleet != nil && in.Tier.N == 0 {
@@ -192,6 +193,21 @@
 	return err
 }
 
+// configure writes an instance's file, as the platform does.
+func (st *stage) configure(i *instance) error {
+	text, err := json.MarshalIndent(map[string]any{"name": i.name, "listen": i.seat.Address(), "discovery": i.places.Address,
+		"seed": fmt.Sprintf("%x", st.w.Seed(i.in)), "limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
+		"settings": told(st.w, i.in)}, "", " ")
+	if err != nil {
+		return err
+	}
+	next := i.file + ".new" // a process may be reading it
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, i.file)
+}
+
 // start starts a process of an instance, and watches it.
 func (st *stage) start(i *instance) (Broker, error) {
 	p, err := i.seat.Start(i.file, i.operator)
@@ -206,7 +222,7 @@
 			return
 		}
 		st.post(func() {
-			if i.process == p {
+			if i.process == p && i.leaving != p {
 				st.fail(p.Fault("ended by itself"))
 			}
 		})
@@ -230,6 +246,9 @@
 	if st.fleet != nil {
 		st.fleet.relay.Close()
 	}
+	for _, d := range st.moved {
+		d.Close()
+	}
 	for _, i := range st.instances {
 		if i.places != nil {
 			i.places.Close()
@@ -370,6 +389,80 @@
 	})
 }
 
+// oldPlacesFor is how long a discovery answers that brokers were told to leave.
+const oldPlacesFor = time.Second
+
+// Befall stops an instance, has its operators drain it for a time, moves its discovery, or has that say what is odd.
+func (st *stage) Befall(in *model.Instance, what string, lasts time.Duration) {
+	i := st.of(in)
+	p := i.process
+	switch {
+	case what == "stale" || what == "again":
+		i.places.Repeat(what == "stale")
+	case p == nil || i.leaving == p:
+	case what == "stop":
+		i.leaving = p
+		st.work.Go(func() {
+			p.End()
+			st.post(func() {
+				if i.process == p {
+					i.process = nil
+				}
+				st.After(lasts, func() { st.succeed(i, nil) })
+			})
+		})
+	case what == "away":
+		drain := func(on bool) {
+			st.work.Go(func() {
+				if err := p.Drain(on); err != nil && st.ctx.Err() == nil {
+					st.post(func() {
+						if i.process == p && i.leaving != p {
+							st.fail(err)
+						}
+					})
+				}
+			})
+		}
+		drain(true)
+		st.After(lasts, func() {
+			if i.process == p {
+				drain(false)
+			}
+		})
+	case what == "reload":
+		l, err := st.ground.Listen(discoveryName(i.name), i.zone, "")
+		if err != nil {
+			st.fail(err)
+			return
+		}
+		old := i.places
+		i.places = discoveryAt(l, nil)
+		old.copyTo(i.places)
+		if err = errors.Join(st.configure(i), p.Reload()); err != nil {
+			st.fail(err)
+		}
+		st.After(oldPlacesFor, old.Close)
+		st.moved = append(st.moved, old)
+	}
+}
+
+// Parted is the Sockets'.
+func (st *stage) Parted() {
+	cut := map[[2]string]bool{}
+	for _, i := range st.instances {
+		for _, s := range i.in.Tier.Servers {
+			if st.w.Parted(i.in, s) {
+				cut[[2]string{i.name, serverName(s)}] = true
+			}
+		}
+	}
+	if len(cut) == 0 {
+		st.ground.Part(nil)
+		return
+	}
+	st.ground.Part(func(a, b string) bool { return cut[[2]string{a, b}] || cut[[2]string{b, a}] })
+}
+
 // try is one request on its way through an instance.
 type try struct {
 	*model.Try
@@ -405,6 +498,7 @@
 	}
 	q := question{url: i.url, id: string(m.ID), class: c.Name, effect: c.Effect, team: team, key: m.Origin, repeat: m.Repeat,
 		left: st.at(m.Until)}
+	st.behave(t, &q, i)
 	st.work.Go(func() {
 		defer cancel()
 		a := q.ask(ctx, i.client, &t.excused)
@@ -412,6 +506,92 @@
 	})
 }
 
+const (
+	goneWithin = 60 * time.Millisecond // a caller that goes before its answer
+	pieces     = 8                     // of a body that comes in pieces
+	pieceEvery = 5 * time.Millisecond
+	pieceSize  = 4 << 10
+	junkFor    = 4 * time.Second // within which what is no request has to be answered, or its connection closed
+)
+
+// behave is what callers do to a share of what they ask.
+func (st *stage) behave(t *try, q *question, i *instance) {
+	some := func(what string) bool { share := st.w.Manner(what); return share > 0 && st.manners.Float64() < share }
+	if some("gone") {
+		st.After(time.Duration(1+st.manners.Int64N(int64(goneWithin))), func() {
+			if !t.answered && st.Now() < t.Until {
+				t.answered = true
+				st.w.Checker.Lapsed(st.Now(), q.id)
+				t.cancel()
+				t.Asker.Hear(t.Try, model.Failed, 0)
+				st.After(forgetAfter, func() { delete(st.tries, t.ID) })
+			}
+		})
+	}
+	if some("dribble") && q.effect != string(decision.Safe) {
+		q.pieces, q.left = pieces, q.left.Add(-pieces*pieceEvery) // the time counts from the last byte
+	}
+	if some("twice") {
+		copied := *q
+		copied.pieces = 0
+		st.After(time.Millisecond, func() {
+			st.work.Go(func() { copied.once(st.ctx, i.client) }) // turned away: what it is told is nobody's answer
+		})
+	}
+	if some("junk") {
+		st.work.Go(func() {
+			if err := st.junk(strings.TrimPrefix(i.url, "http://")); err != nil {
+				st.post(func() {
+					if i.process != nil && !t.excused.Load() && st.ctx.Err() == nil {
+						st.fail(err)
+					}
+				})
+			}
+		})
+	}
+}
+
+// junk sends what is no request, and tells if that is neither answered nor its connection closed in time.
+func (st *stage) junk(address string) error {
+	ctx, stop := context.WithTimeout(st.ctx, junkFor)
+	defer stop()
+	c, err := st.ground.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil // nobody is there
+	}
+	defer c.Close()
+	release := context.AfterFunc(st.ctx, func() { c.Close() })
+	defer release()
+	c.SetDeadline(time.Now().Add(junkFor))
+	io.WriteString(c, "POST /lab HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")
+	_, err = io.Copy(io.Discard, c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("what is no request was neither answered nor ended within %v", junkFor)
+	}
+	return nil
+}
+
+// slowBody comes in pieces.
+type slowBody struct {
+	ctx  context.Context
+	left int
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	select {
+	case <-time.After(pieceEvery):
+	case <-b.ctx.Done():
+		return 0, context.Cause(b.ctx)
+	}
+	n := min(len(p), pieceSize)
+	clear(p[:n])
+	return n, nil
+}
+
 // answered is what became of a try.
 func (st *stage) answered(t *try, a answer) {
 	if t.answered {
@@ -449,6 +629,7 @@
 type question struct {
 	url, id, class, effect, team, key string
 	repeat                            bool
+	pieces                            int // that its body comes in; 0 for a short one at once
 	left                              time.Time
 }
 
@@ -488,6 +669,9 @@
 	if body != nil {
 		r.ContentLength = int64(len("lab"))
 	}
+	if body != nil && q.pieces > 0 {
+		r.Body, r.ContentLength = io.NopCloser(&slowBody{ctx, q.pieces}), -1
+	}
 	r.Header.Set("X-Txn", q.id)
 	r.Header.Set("X-Lane", q.class)
 	r.Header.Set("X-Remaining", fmt.Sprintf("%du", max(time.Until(q.left).Microseconds(), 0)))
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -123,6 +123,23 @@
 // Signal sends the process a signal.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Reload has the process read its files again.
+func (p *Process) Reload() error { return p.Signal(syscall.SIGHUP) }
+
+// Drain has the process send its callers away, or ends that.
+func (p *Process) Drain(on bool) error {
+	what := "resume"
+	if on {
+		what = "drain"
+	}
+	client := http.Client{Timeout: readyFor}
+	res, err := client.Post("http://"+p.control+"/-/"+what, "", nil)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	p.cmd.Process.Kill() // it may have ended already
--- a/internal/lab/real/standin.go
+++ b/internal/lab/real/standin.go
@@ -122,6 +122,8 @@
 	log     []core.Target // what changed with the last versions
 	broken  chan struct{} // closed when the watches that there are break off
 	held    chan struct{} // nil, or closed when it answers again
+	odd     core.List     // what was last said out of turn
+	oddly   chan struct{} // closed when there is more of that
 }
 
 // StartDiscovery starts one that knows servers.
@@ -136,7 +138,7 @@
 // discoveryAt is one that answers at a listener.
 func discoveryAt(l net.Listener, servers []*Server) *Discovery {
 	d := &Discovery{Address: l.Addr().String(), targets: map[string]core.Target{}, changed: make(chan struct{}),
-		broken: make(chan struct{})}
+		broken: make(chan struct{}), oddly: make(chan struct{})}
 	for _, s := range servers {
 		d.Tell(s, "Ready", 0)
 	}
@@ -191,6 +193,40 @@
 	}
 }
 
+// Repeat says the whole list once more on all watches: as it is, or, where stale, with an older version and without
+// what has changed last.
+func (d *Discovery) Repeat(stale bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.odd = core.List{Rev: d.rev, All: true}
+	if stale && d.rev > 1 {
+		d.odd.Rev--
+	}
+	for _, t := range d.targets {
+		if !stale || len(d.log) == 0 || t.UID != d.log[len(d.log)-1].UID {
+			d.odd.Targets = append(d.odd.Targets, t)
+		}
+	}
+	close(d.oddly)
+	d.oddly = make(chan struct{})
+}
+
+// outOfTurn is what was last said so, and what tells of more.
+func (d *Discovery) outOfTurn() (core.List, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.odd, d.oddly
+}
+
+// copyTo has another one know what this one does.
+func (d *Discovery) copyTo(other *Discovery) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		other.TellTarget(t)
+	}
+}
+
 // mayAnswer waits until it answers, and is what ends a watch.
 func (d *Discovery) mayAnswer(gone <-chan struct{}) (broken <-chan struct{}) {
 	d.mu.Lock()
@@ -234,6 +270,7 @@
 	}
 	broken := d.mayAnswer(r.Context().Done())
 	out := json.NewEncoder(w)
+	_, oddly := d.outOfTurn()
 	l, changed := d.list(since)
 	if r.URL.Query().Get("follow") != "1" {
 		out.Encode(l) // who has gone does not miss it
@@ -256,6 +293,12 @@
 			l, changed = d.list(&rev)
 		case <-beat.C:
 			l.Targets = nil
+		case <-oddly:
+			var odd core.List
+			if odd, oddly = d.outOfTurn(); out.Encode(odd) != nil {
+				return
+			}
+			l.Targets = nil
 		case <-broken:
 			panic(http.ErrAbortHandler) // its connection ends in the middle
 		case <-r.Context().Done():
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -161,16 +161,22 @@
 //     bytes: what they send and read goes wrong on the connection, see Bytes;
 //   - flap: discovery says that servers are gone and back by turns, and they are not;
 //   - burst: more is asked; flood: a team asks for so many times its share, beside what the others ask; discovery: no news comes; break: all watches of it break off;
-//   - kill: instances of the broker end at once and start again; handover: a new process takes over from an old one.
+//   - kill: instances of the broker end at once and start again; handover: a new process takes over from an old one;
+//     stop: they are told to end, and the next process starts once they have; away: their operators send callers away
+//     for a time; reload: they are told to follow a discovery at another address. In virtual time without the network
+//     code a stop is a kill, and the other two are nothing;
+//   - stale: discovery sends an older list; again: it sends what it has sent; on sockets alone, as what callers do:
+//     for a share (factor) of tries they go before they are answered (gone), send bodies in pieces (dribble), send what
+//     is no request beside (junk), or use an id twice (twice).
 type Trouble struct {
-	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover"`
+	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover stop away reload stale again gone dribble junk twice"`
 	Day    string          `toml:"day" doc:"the scenario's day on which it comes; empty for each"`
 	At     Times           `toml:"at" doc:"when it begins"`
 	Lasts  Times           `toml:"lasts" doc:"how long; of a drain, until the server is back"`
 	Tier   int             `toml:"tier" doc:"whose servers and instances; 0 for the first" min:"0" max:"8"`
 	Share  float64         `toml:"share" doc:"of the servers" min:"0" max:"1"`
 	Of     float64         `toml:"instances" doc:"share of the instances" min:"0" max:"1"`
-	Factor Span            `toml:"factor" doc:"how much slower; share of errors; rate of a burst over the usual"`
+	Factor Span            `toml:"factor" doc:"how much slower; share of errors, or of callers; rate of a burst over the usual"`
 	Every  strict.Duration `toml:"every" doc:"one after another, so far apart; 0 for all at once; of a flap, from turn to turn" min:"0s" max:"10m"`
 	Team   string          `toml:"team" doc:"that floods"`
 	How    string          `toml:"how" doc:"of bytes" oneof:"none reset stall half_close slow_read slow_write garbage cut syn" omitted:"none"`
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -147,6 +147,13 @@
 	})
 }
 
+// Befall plays a stop as a kill. What else it is told of does not happen here: there is no network code.
+func (t *tiers) Befall(in *model.Instance, what string, lasts time.Duration) {
+	if what == "stop" {
+		t.Kill(in, lasts)
+	}
+}
+
 // Handover has a successor take what comes, that inherits what its predecessor has learnt; the predecessor ends what
 // it has.
 func (t *tiers) Handover(in *model.Instance) {
--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -177,6 +177,14 @@
 	return g.callers.Dial(ctx, network, address)
 }
 
+func (g *ground) Part(cut func(a, b string) bool) {
+	if cut == nil {
+		g.net.Cut(nil)
+		return
+	}
+	g.net.Cut(func(from, to *netem.Machine) bool { return cut(from.Name, to.Name) })
+}
+
 func (g *ground) Seat(name string, zone int) (real.Seat, error) {
 	dir := filepath.Join(g.o.Dir, name)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -219,7 +227,7 @@
 	c.Accept, c.Handover = &accepting, s.dir
 	s.started++
 	b := &broker{name: fmt.Sprintf("%s, process %d", s.machine.Name, s.started), process: s.machine.Start(),
-		signals: make(chan os.Signal, 1), ended: make(chan struct{})}
+		signals: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), ended: make(chan struct{})}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&b.log), zap.WarnLevel)
 	if b.server, err = http1.NewOn(network{s.g, b.process}, c, zap.New(core)); err != nil {
 		return nil, err
@@ -227,7 +235,7 @@
 	listener := b.process.Listener(s.socket)
 	s.g.brokers.Go(func() {
 		defer close(b.ended)
-		b.err = b.server.Run(listener, b.signals, nil)
+		b.err = b.server.Run(listener, b.signals, b.reloads)
 		b.process.Kill() // what a process leaves open ends with it
 	})
 	return b, nil
@@ -267,6 +275,7 @@
 	process *netem.Process
 	server  *http1.Server
 	signals chan os.Signal
+	reloads chan os.Signal
 	log     tail
 	ended   chan struct{}
 	err     error // with which it ended
@@ -306,6 +315,23 @@
 	<-b.ended
 }
 
+func (b *broker) Drain(on bool) error {
+	if on {
+		b.server.Drain()
+	} else {
+		b.server.Resume()
+	}
+	return nil
+}
+
+func (b *broker) Reload() error {
+	select {
+	case b.reloads <- syscall.SIGHUP:
+	default: // one is to come that reads what is there now
+	}
+	return nil
+}
+
 func (b *broker) Ended() <-chan struct{} { return b.ended }
 
 func (b *broker) Fault(text string) error {
--- a/internal/lab/whole/whole_test.go
+++ b/internal/lab/whole/whole_test.go
@@ -42,13 +42,26 @@
 		"replaced":          {What: "replace"},
 		"handover":          {What: "handover", Of: 1},
 		"killed":            {What: "kill", Of: 1},
+		"parted":            {What: "partition", Of: 1},
+		"stopped":           {What: "stop", Of: 1},
+		"drained":           {What: "away", Of: 1},
+		"reloaded":          {What: "reload", Of: 1},
+		"an older list":     {What: "stale", Of: 1},
+		"a list again":      {What: "again", Of: 1},
+		"callers go":        {What: "gone", Factor: scenario.Span{From: 0.3, To: 0.3}},
+		"callers dribble":   {What: "dribble", Factor: scenario.Span{From: 0.5, To: 0.5}},
+		"an id twice":       {What: "twice", Factor: scenario.Span{From: 0.3, To: 0.3}},
+		"no requests":       {What: "junk", Factor: scenario.Span{From: 0.3, To: 0.3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			x.At, x.Lasts, x.Share = scenario.Times{From: time.Second, To: time.Second}, scenario.Times{From: time.Second, To: time.Second}, 0.25
 			floor := 0.85
-			if x.What == "kill" {
+			switch x.What {
+			case "kill", "stop":
 				x.Lasts, floor = scenario.Times{From: 200 * time.Millisecond, To: 200 * time.Millisecond}, 0.5
+			case "away", "gone", "twice": // callers have gone or are to go
+				floor = 0.5
 			}
 			began := time.Now()
 			r, err := Play(t.Context(), bubble(t), brief(x), 3, Options{Dir: t.TempDir()})
