The explorer: faults drawn at every turn of the whole program, and its finds in the checker and the stage mended

Change: internal/lab/explore draws schedules of up to four of 31 faults, meets each with each turn of a broker's life (drain, SIGTERM, handover, SIGHUP, kill) in turn, keeps what reaches new pairs of faults and stages, shrinks what breaks a rule and writes it as a scenario that replays it; `dykering-lab explore` goes on where it was called off. A process tells its stages (http1.Stages); the checker knows two more rules, held (nothing is kept for its client's silence) and bound (attempts).

Found, each in the laboratory and not in the program: the checker took cells of two zones for two (their numbers are unique in a tier); it judged attempts by when a cut link let them through; a server that ended in the dark listened again; a caller's library sent again what a killed process had taken; a stop without a successor on a held socket, that no platform plays.

--- /dev/null
+++ b/cmd/dykering-lab/explore.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"dykering/internal/lab/explore"
+	"dykering/internal/lab/whole"
+)
+
+func newExplore(in whole.Bubble) *cobra.Command {
+	var seed uint64
+	var at, most int
+	var dir string
+	var lasts time.Duration
+	c := &cobra.Command{Use: "explore", Short: "Search for a broken rule: faults drawn at every turn of the whole program, in virtual time",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if at == 0 {
+				at = runtime.GOMAXPROCS(0)
+			}
+			scratch, err := os.MkdirTemp("", "dykering-lab-")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(scratch)
+			s := &explore.Search{Explorer: &explore.Explorer{Bubble: in, Dir: scratch}, Out: dir, First: seed, At: at, Most: most}
+			if lasts > 0 {
+				s.Until = time.Now().Add(lasts)
+			}
+			bar := progressbar.NewOptions(max(most, -1), progressbar.OptionSetWriter(c.ErrOrStderr()), progressbar.OptionSetWidth(30),
+				progressbar.OptionShowCount(), progressbar.OptionShowIts(), progressbar.OptionSetElapsedTime(true),
+				progressbar.OptionSetPredictTime(most > 0), progressbar.OptionThrottle(500*time.Millisecond))
+			s.Told = func(runs, covered, finds int) {
+				bar.Describe(fmt.Sprintf("%d pairs, %d finds", covered, finds))
+				bar.Set(runs) // what cannot be drawn is not worth an end
+			}
+			began := time.Now()
+			r, err := s.Run(c.Context())
+			if err != nil {
+				return faulty{err}
+			}
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "\n%d runs, %d requests; this time %.0f s; %d of %d pairs of faults and stages reached\n", r.Runs, r.Asked,
+				time.Since(began).Seconds(), len(r.Reached), len(r.Reached)+len(r.Missing))
+			missing := map[string][]string{}
+			for _, p := range r.Missing {
+				missing[p.Fault] = append(missing[p.Fault], p.Stage)
+			}
+			for _, fault := range slices.Sorted(maps.Keys(missing)) {
+				fmt.Fprintf(out, "not reached: %s in %s\n", fault, strings.Join(missing[fault], " "))
+			}
+			if len(r.Broken) > 0 {
+				return faulty{fmt.Errorf("runs in which a rule was broken: %v; replays: %s", r.Broken, strings.Join(r.Finds, ", "))}
+			}
+			return nil
+		}}
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the draws")
+	c.Flags().IntVar(&most, "runs", 0, "how many at the most, with those played before; 0 for no bound")
+	c.Flags().DurationVar(&lasts, "for", 0, "how long at the most; 0 for no bound")
+	c.Flags().IntVar(&at, "at-a-time", 0, "runs beside each other; 0 for as many as there are cores")
+	c.Flags().StringVar(&dir, "out", filepath.Join("lab", "results", "explore"), "the folder for runs and finds; a search that was called off goes on there")
+	return c
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,12 +18,28 @@
 	end    context.CancelCauseFunc
 	host   AttemptHost
 
+	phase atomic.Int32
+
 	mu    sync.Mutex
 	sent  time.Time   // since when its time counts
 	timer *time.Timer // ends it with its time-out; nil while a long body is being sent
 	begun bool        // a long answer is on its way to the caller: it is no longer timed
 }
 
+// AttemptPhase is how far an attempt has come.
+type AttemptPhase int32
+
+const (
+	Connecting AttemptPhase = iota
+	Writing
+	Awaiting // its answer
+	Coming   // a long answer
+	AttemptPhases
+)
+
+// At notes how far the attempt has come, for those who look at the process.
+func (a *Attempt) At(p AttemptPhase) { a.phase.Store(int32(p)) }
+
 // AttemptHost is told how far an attempt has come. It is called by the upstream's goroutines, and must not block.
 type AttemptHost interface {
 	// Written tells that the last byte of a long body is out.
@@ -66,6 +83,7 @@
 	took, ok = time.Since(a.sent), a.begun
 	a.mu.Unlock()
 	if ok {
+		a.At(Coming)
 		a.host.Begin(a, r)
 	}
 	return took, ok
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -471,10 +471,13 @@
 
 // Stats is what a loop holds.
 type Stats struct {
-	Calls     int // not yet answered, or with an attempt out
-	Out       int // attempts
-	Conns     int // to endpoints
-	Idle      int // of them
+	Calls     int                // not yet answered, or with an attempt out
+	Out       int                // attempts
+	Phases    [AttemptPhases]int // of them
+	Held      int                // calls that wait for their first attempt
+	Again     int                // calls that wait for a further one
+	Conns     int                // to endpoints
+	Idle      int                // of them
 	Rev       uint64
 	Moved     bool   // a list of the discovery that is followed is still to come
 	Discovery string // its address
@@ -495,8 +498,14 @@
 		s := Stats{Calls: len(l.calls), Out: len(l.adopted), Conns: l.pool.open, Idle: l.pool.order.Len(), Rev: l.rev,
 			Moved: l.moved, Discovery: l.address}
 		for _, c := range l.calls {
-			if c.out != nil {
+			switch {
+			case c.out != nil:
 				s.Out++
+				s.Phases[c.out.phase.Load()]++
+			case c.attempts > 0:
+				s.Again++
+			default:
+				s.Held++
 			}
 		}
 		for _, e := range l.endpoints.byID {
--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	open   int
 	stages [stages]list.List // of *caller, the longest in its stage first
+	moved  [stages]uint64    // connections that have come so far
 	newest time.Time         // when the last connection came
 }
 
@@ -117,6 +118,7 @@
 	}
 	cs.open++
 	c.at = cs.stages[mute].PushBack(c)
+	cs.moved[mute]++
 	return true
 }
 
@@ -199,6 +201,7 @@
 		cs.stages[c.stage].Remove(c.at)
 		c.stage = to
 		c.at = cs.stages[to].PushBack(c)
+		cs.moved[to]++
 	}
 }
 
--- a/internal/http1/run.go
+++ b/internal/http1/run.go
@@ -89,6 +89,7 @@
 // reload takes up the discovery that the configuration file names now. All else is as it was at the start.
 // A file that cannot be used changes nothing.
 func (s *Server) reload() {
+	s.reloaded.Store(time.Now().UnixNano())
 	c, err := s.config.Reload()
 	if err != nil {
 		s.log.Warn("reload.refused", zap.Error(err)) // the old configuration stays
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -68,6 +68,7 @@
 // Server takes callers' requests to the loop, and its answers back.
 type Server struct {
 	loop     *core.Loop
+	up       *upstream
 	memory   *core.Memory
 	log      *zap.Logger
 	config   *config.Config
@@ -85,6 +86,8 @@
 	receiver Receiver             // of the process before; nil where there is no way
 	heir     atomic.Pointer[Heir] // to whom connections are passed on; nil for nobody
 
+	reloaded atomic.Int64 // when the last reload began, in Unix nanoseconds; 0 for never
+
 	callers callers
 }
 
@@ -99,7 +102,8 @@
 	memory := core.NewMemory(c.Plan())
 	told := c.Core()
 	told.Log = log
-	loop, err := core.New(told, &upstream{n, memory, c.Settings.ConnectTimeout},
+	up := &upstream{network: n, memory: memory, connectTimeout: c.Settings.ConnectTimeout}
+	loop, err := core.New(told, up,
 		func(address string, to core.Sink) core.Discovery {
 			return discovery.New(address, to, discovery.Options{ConnectTimeout: c.Settings.ConnectTimeout, Dial: n.Dial,
 				MustAsk: c.Settings.MustAsk, Log: log})
@@ -107,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{network: n, loop: loop, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
+	s := &Server{network: n, loop: loop, up: up, memory: memory, log: log, config: c, classes: map[string]int{}, tenants: map[string]int{},
 		quiet: quietAfter, handOver: handOver, heardFor: awayAfter, handsFor: handedOverAfter, acceptBy: acceptBy, life: loop.Lifecycle()}
 	s.callers.most = c.Plan().Inbound()
 	for i, class := range c.Settings.Classes {
--- /dev/null
+++ b/internal/http1/stages.go
@@ -0,0 +1,59 @@
+package http1
+
+import (
+	"time"
+
+	"dykering/internal/core"
+)
+
+// Visited is what a look at the stages has seen before, so that the next one also sees what came and went between.
+type Visited struct {
+	callers  [stages]uint64
+	attempts [core.AttemptPhases]uint64
+}
+
+// Stages are the stages in which something is now or was since the last look, of callers' connections, requests and the process itself, by the
+// names that the review of parts gives them: ac accepted, he a head or body is read, hd held, co connecting, wr being
+// written, aw answer awaited, cm answer coming, wa waiting to repeat, dr drain, st stop, ho handover, re reload, di
+// discovery to be followed anew.
+func (s *Server) Stages(last *Visited) (names []string) {
+	here := func(name string, n int) {
+		if n > 0 {
+			names = append(names, name)
+		}
+	}
+	s.callers.mu.Lock()
+	for stage, name := range map[stage]string{mute: "ac", reading: "he"} {
+		moved := s.callers.moved[stage]
+		here(name, s.callers.stages[stage].Len()+int(moved-last.callers[stage]))
+		last.callers[stage] = moved
+	}
+	s.callers.mu.Unlock()
+	held := s.loop.Stats()
+	here("hd", held.Held)
+	for phase, name := range map[core.AttemptPhase]string{core.Connecting: "co", core.Writing: "wr", core.Awaiting: "aw",
+		core.Coming: "cm"} {
+		entered := s.up.entered[phase].Load()
+		here(name, held.Phases[phase]+int(entered-last.attempts[phase]))
+		last.attempts[phase] = entered
+	}
+	here("wa", held.Again)
+	switch phase, _, _ := s.life.Now(); {
+	case phase == core.Draining:
+		names = append(names, "dr")
+	case phase == core.Stopping && s.handing():
+		names = append(names, "ho")
+	case phase == core.Stopping:
+		names = append(names, "st")
+	}
+	if at := s.reloaded.Load(); at != 0 && time.Since(time.Unix(0, at)) < reloadSeen {
+		names = append(names, "re")
+	}
+	if held.Moved {
+		names = append(names, "di")
+	}
+	return names
+}
+
+// reloadSeen is how long after a reload it counts as under way: callers and lists are told of it in that time.
+const reloadSeen = 50 * time.Millisecond
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -100,12 +101,16 @@
 	network        Network
 	memory         *core.Memory
 	connectTimeout time.Duration
+	entered        [core.AttemptPhases]atomic.Uint64 // how many attempts have come so far
 }
 
 // Send makes an attempt.
 func (u *upstream) Send(a *core.Attempt, over core.Conn) core.Result {
 	c, _ := over.(*conn)
-	res := newAttempt(a, u.network).run(c, u.connectTimeout, u.memory)
+	t := newAttempt(a, u.network)
+	t.entered = &u.entered
+	t.enter(core.Connecting)
+	res := t.run(c, u.connectTimeout, u.memory)
 	told := core.Result{Status: res.status, Took: res.took, Load: res.load, Spent: res.spent}
 	if res.conn != nil {
 		told.Conn = res.conn
@@ -121,9 +126,18 @@
 	*core.Attempt
 	network Network
 	in      *inbound
-	longest int64         // that an answer may be
-	out     chan struct{} // closed when the last byte of a long body is out
-	ear     *ear          // see ear
+	longest int64                              // that an answer may be
+	out     chan struct{}                      // closed when the last byte of a long body is out
+	ear     *ear                               // see ear
+	entered *[core.AttemptPhases]atomic.Uint64 // nil for nobody who counts
+}
+
+// enter notes how far the attempt has come.
+func (a *attempt) enter(p core.AttemptPhase) {
+	a.At(p)
+	if a.entered != nil {
+		a.entered[p].Add(1)
+	}
 }
 
 func newAttempt(a *core.Attempt, n Network) *attempt {
@@ -255,6 +269,7 @@
 	if a.in.more != nil {
 		return a.exchangeLong(c, room)
 	}
+	a.enter(core.Writing)
 	text := a.in.encode(a.Left - a.Elapsed())
 	pieces := net.Buffers{text}
 	if len(a.in.body) > 0 {
@@ -268,6 +283,7 @@
 
 // hear takes the answer to a request that is written.
 func (a *attempt) hear(c *conn, room *core.Memory) result {
+	a.enter(core.Awaiting)
 	a.Endpoint.Waiting.Add(1)
 	res, err := a.read(c, room)
 	a.Endpoint.Waiting.Add(-1)
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -92,6 +92,9 @@
 	return rules.Place{Zone: s.ordinal % s.w.S.Servers.Zones, Cell: s.ordinal / cellOf}
 }
 
+// Listens tells whether it is there to be connected to.
+func (s *Server) Listens() bool { return s.up }
+
 // Entry is what discovery says of the server.
 func (s *Server) Entry() decision.Entry {
 	p := s.place()
--- a/internal/lab/real/ground.go
+++ b/internal/lab/real/ground.go
@@ -33,6 +33,8 @@
 	// Start starts a process with the platform's file and, unless that is empty, the operator's. It does not wait until
 	// that can serve.
 	Start(file, operator string) (Broker, error)
+	// Shared tells whether the platform holds the socket for processes that follow each other; else each makes its own.
+	Shared() bool
 	Close()
 }
 
@@ -100,6 +102,7 @@
 func (s *seat) Address() string { return s.address }
 func (s *seat) Dir() string     { return s.dir }
 func (s *seat) Close()          { s.socket.Close() }
+func (s *seat) Shared() bool    { return true }
 
 func (s *seat) Start(file, operator string) (Broker, error) {
 	command := s.command
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -164,7 +164,7 @@
 //   - kill: instances of the broker end at once and start again; handover: a new process takes over from an old one;
 //     stop: they are told to end, and the next process starts once they have; away: their operators send callers away
 //     for a time; reload: they are told to follow a discovery at another address. In virtual time without the network
-//     code a stop is a kill, and the other two are nothing;
+//     code a stop is a kill, and the other two are nothing; on real sockets, and beside a handover, it is a handover;
 //   - stale: discovery sends an older list; again: it sends what it has sent; on sockets alone, as what callers do:
 //     for a share (factor) of tries they go before they are answered (gone), send bodies in pieces (dribble), send what
 //     is no request beside (junk), or use an id twice (twice).
