--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -4,6 +4,7 @@
 package explore
 
 import (
+	"cmp"
 	"context"
 	_ "embed"
 	"errors"
@@ -45,7 +46,7 @@
 	return func(*rand.Rand) scenario.Trouble { return scenario.Trouble{What: what, Share: share, Of: of} }
 }
 
-func bytes(how string, most int) func(*rand.Rand) scenario.Trouble {
+func wrongBytes(how string, most int) func(*rand.Rand) scenario.Trouble {
 	return func(r *rand.Rand) scenario.Trouble {
 		return scenario.Trouble{What: "bytes", How: how, Bytes: r.IntN(most + 1), Share: 0.35}
 	}
@@ -73,17 +74,17 @@
 	{"cold", trouble("replace", 0.35, 0), time.Second},
 	{"refusing", trouble("crash", 0.7, 0), 400 * time.Millisecond},
 	{"silent", trouble("vanish", 0.35, 0), time.Second},
-	{"never up", bytes("syn", 0), time.Second},
-	{"stalled", bytes("stall", 60), time.Second},
-	{"reset", bytes("reset", 60), time.Second},
+	{"never up", wrongBytes("syn", 0), time.Second},
+	{"stalled", wrongBytes("stall", 60), time.Second},
+	{"reset", wrongBytes("reset", 60), time.Second},
 	{"connections reset", trouble("reset", 0.5, 0), 0},
 	{"failing", factor("errors", 0.5, 0.3, 1), time.Second},
 	{"full", factor("burst", 0, 4, 10), time.Second},
-	{"spoilt", bytes("garbage", 0), time.Second},
-	{"cut", bytes("cut", 100), time.Second},
+	{"spoilt", wrongBytes("garbage", 0), time.Second},
+	{"cut", wrongBytes("cut", 100), time.Second},
 	{"slow", factor("slow", 0.5, 3, 20), time.Second},
 	{"paused", trouble("pause", 0.5, 0), 500 * time.Millisecond},
-	{"slow bytes", bytes("slow_write", 60), time.Second},
+	{"slow bytes", wrongBytes("slow_write", 60), time.Second},
 	{"parted", trouble("partition", 0.5, 0.5), time.Second},
 	{"caller gone", callers("gone"), time.Second},
 	{"caller slow", callers("dribble"), time.Second},
@@ -158,6 +159,7 @@
 	Bubble whole.Bubble
 	Dir    string        // for configurations; it is empty between runs
 	Wrong  whole.Options // what is changed of each run, for brokers that are to do what they must not
+	Within int           // runs that shrinking takes at the most; 0 for 200
 }
 
 // Draw makes a schedule. Wanted, if it names one, is a pair of a fault and a turn in a broker's life that are to meet.
@@ -261,7 +263,7 @@
 	return o
 }
 
-// shrinkRuns bounds the runs that shrinking takes.
+// shrinkRuns bounds the runs that shrinking takes, where nothing else does.
 const shrinkRuns = 200
 
 // Shrink finds a smaller schedule of the same seed that breaks the same rule: with fewer faults, then shorter faults,
@@ -269,7 +271,7 @@
 func (x *Explorer) Shrink(ctx context.Context, o *Outcome) *Outcome {
 	best, runs := o, 0
 	try := func(s Schedule) bool {
-		if runs++; runs > shrinkRuns || ctx.Err() != nil {
+		if runs++; runs > cmp.Or(x.Within, shrinkRuns) || ctx.Err() != nil {
 			return false
 		}
 		if got := x.Play(ctx, s); got.Bad() && got.Name() == o.Name() {
