Kills between any two steps of a handover, loops and leaks: played, and named

Change: the engine whole kills either side before any step of a passage; a run whose time stands still is told with its stacks (a bubble cannot be ended from outside); goroutines, connections and bytes of bodies that a process leaves are named.

--- a/internal/http1/stages.go
+++ b/internal/http1/stages.go
@@ -57,3 +57,8 @@
 
 // reloadSeen is how long after a reload it counts as under way: callers and lists are told of it in that time.
 const reloadSeen = 50 * time.Millisecond
+
+// Held is how many bytes of bodies are accounted for as held: none once a process has answered all.
+func (s *Server) Held() int64 {
+	return core.NewMemory(s.config.Plan()).Bodies.Left() - s.memory.Bodies.Left()
+}
--- a/internal/lab/netem/netem.go
+++ b/internal/lab/netem/netem.go
@@ -157,6 +157,18 @@
 	}
 }
 
+// Holds is how many connections a process has open.
+func (p *Process) Holds() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for h := range p.handles {
+		if _, ok := h.(*Conn); ok {
+			n++
+		}
+	}
+	return n
+}
+
 // Dead is closed when a process was killed.
 func (p *Process) Dead() <-chan struct{} { return p.dead }
 
@@ -400,13 +412,6 @@
 	}
 }
 
-// Open is how many connections there are.
-func (n *Network) Open() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.conns)
-}
-
 // Port is a port number that nobody has had.
 func (n *Network) Port() int {
 	n.mu.Lock()
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -218,6 +218,15 @@
 	i.all = append(i.all, p)
 	st.work.Go(func() {
 		select {
+		case <-killed(p):
+			st.post(func() {
+				st.excuse(i.in) // as Kill does
+				if i.process == p {
+					i.process = nil
+					st.After(killedFor, func() { st.succeed(i, nil) })
+				}
+			})
+			return
 		case <-p.Ended():
 		case <-st.ctx.Done():
 			return
@@ -346,16 +355,32 @@
 	}
 	p := i.process
 	i.process = nil
+	st.excuse(in)
+	st.work.Go(p.Kill)
+	if lasts >= 0 { // else it stays away, until a schedule of faults starts it
+		st.After(lasts, func() { st.succeed(i, nil) })
+	}
+}
+
+// killedFor is how long an instance that the ground has killed stays away.
+const killedFor = 200 * time.Millisecond
+
+// killed is closed when the ground has killed a process; nil where it does not.
+func killed(p Broker) <-chan struct{} {
+	if k, ok := p.(interface{ Killed() <-chan struct{} }); ok {
+		return k.Killed()
+	}
+	return nil
+}
+
+// excuse has nothing owed to those who asked an instance.
+func (st *stage) excuse(in *model.Instance) {
 	for _, t := range st.tries {
 		if t.Instance == in {
 			t.excused.Store(true)
 			t.cancel() // net/http would ask the next process by itself, with the time left of the first
 		}
 	}
-	st.work.Go(p.Kill)
-	if lasts >= 0 { // else it stays away, until a schedule of faults starts it
-		st.After(lasts, func() { st.succeed(i, nil) })
-	}
 }
 
 // Handover starts a successor, and ends its predecessor when that can serve.
@@ -377,6 +402,11 @@
 	}
 	st.work.Go(func() {
 		if err := p.Ready(st.ctx); err != nil {
+			select {
+			case <-killed(p):
+				return // who watches it starts another
+			default:
+			}
 			if st.ctx.Err() == nil {
 				st.fail(err)
 			}
--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -5,14 +5,17 @@
 package whole
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +41,8 @@
 	lookEvery = 100 * time.Millisecond
 	// mostLog is how much of a broker's log is kept for an error, in bytes.
 	mostLog = 2000
+	// letGoFor is how long a core that has ended may take to let go of its connections.
+	letGoFor = 20 * time.Millisecond
 	// settleFor is how long what a run has left may take to end: clients' and servers' goroutines and the last timers.
 	settleFor = time.Minute
 )
@@ -46,11 +51,16 @@
 type Options struct {
 	Dir     string // for configurations
 	Network netem.Options
-	// Step is told of each step of a handover before it is taken; see netem.Exchange. Nil for none.
-	Step func(step string, from, to *netem.Process)
+	// KillAt says, of each step of a handover before it is taken (netem.Exchange), whether the process that passes on, or
+	// the one that takes, is killed there. Nil for never.
+	KillAt func(step string) (from, to bool)
 	// Look is told each LookEvery, since the start, of the stages in which something is in a broker (http1's Stages).
 	Look      func(at time.Duration, stages []string)
 	LookEvery time.Duration
+	// Stuck is told of the stacks of a run whose time has stood still for StuckFor of the wall's: something in it neither
+	// waits nor ends. Nil panics, as such a run cannot be ended.
+	Stuck    func(stacks string)
+	StuckFor time.Duration // 0 for 30 s
 	// Wrong changes what a broker stands on, for brokers that are to do what they must not. Nil for none.
 	Wrong func(http1.Network, net.Listener) (http1.Network, net.Listener)
 }
@@ -63,6 +73,16 @@
 	if len(s.Faults) > 0 || s.Broker.Fleet {
 		return nil, errors.New("fleet and fault: the gossip between brokers is played by the engine real only")
 	}
+	defer func() {
+		if fault := recover(); fault != nil {
+			// synctest's word for goroutines that wait for what nobody does any more.
+			r, err = nil, fmt.Errorf("goroutines are left: %v", fault)
+		}
+	}()
+	var moved atomic.Int64
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go o.guard(&moved, stopped)
 	in(func() {
 		inside, stop := context.WithCancelCause(context.Background()) // the outer one's channel is of no bubble
 		defer stop(nil)
@@ -70,6 +90,7 @@
 		var watch sync.WaitGroup
 		watch.Go(func() {
 			for ctx.Err() == nil {
+				moved.Add(1)
 				select {
 				case <-over:
 					return
@@ -86,7 +107,13 @@
 		g.close()
 		close(over)
 		watch.Wait()
-		time.Sleep(settleFor)
+		for range settleFor / time.Second {
+			moved.Add(1)
+			time.Sleep(time.Second)
+		}
+		if err == nil {
+			err = g.leaks()
+		}
 	})
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
@@ -98,6 +125,31 @@
 	return r, nil
 }
 
+const stuckFor = 30 * time.Second
+
+// guard watches that a run's time goes on.
+func (o Options) guard(moved *atomic.Int64, stopped <-chan struct{}) {
+	patience := cmp.Or(o.StuckFor, stuckFor)
+	for last := int64(-1); ; {
+		select {
+		case <-stopped:
+			return
+		case <-time.After(patience):
+		}
+		now := moved.Load()
+		if now == last {
+			text := make([]byte, 1<<20)
+			text = text[:runtime.Stack(text, true)]
+			if o.Stuck == nil {
+				panic(fmt.Sprintf("the run's time has stood still for %v:\n%s", patience, text))
+			}
+			o.Stuck(string(text))
+			return
+		}
+		last = now
+	}
+}
+
 // ground is an emulated network with brokers on it.
 type ground struct {
 	o        Options
@@ -111,6 +163,32 @@
 	hosts   map[string]*netem.Process
 	brokers sync.WaitGroup
 	live    map[*broker]bool
+	held    []error // what brokers that ended in order had not given back
+}
+
+// leaks are what a run has left.
+func (g *ground) leaks() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return errors.Join(g.held...)
+}
+
+// kill kills the broker that runs as a process.
+func (g *ground) kill(p *netem.Process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for b := range g.live {
+		select {
+		case <-p.Dead():
+			return
+		default:
+		}
+		if b.process == p {
+			close(b.killed)
+			p.Kill()
+			b.server.Loop().Close()
+		}
+	}
 }
 
 // look tells of what brokers are at, until a run is over.
@@ -141,7 +219,15 @@
 		return slices.ContainsFunc(s.Troubles, func(t scenario.Trouble) bool { return t.What == what })
 	}
 	g := &ground{o: o, shared: has("handover") || !has("stop"), net: netem.New(o.Network), sockets: map[string]*netem.Socket{}, hosts: map[string]*netem.Process{}, live: map[*broker]bool{}}
-	g.exchange.Step = o.Step
+	if o.KillAt != nil {
+		g.exchange.Step = func(step string, from, to *netem.Process) {
+			if old, next := o.KillAt(step); old {
+				g.kill(from)
+			} else if next {
+				g.kill(to)
+			}
+		}
+	}
 	g.callers = g.net.Machine("callers", 0).Start()
 	return g
 }
@@ -270,7 +356,8 @@
 	}
 	s.started++
 	b := &broker{name: fmt.Sprintf("%s, process %d", s.machine.Name, s.started), process: s.machine.Start(),
-		signals: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), ended: make(chan struct{})}
+		signals: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), ended: make(chan struct{}),
+		killed: make(chan struct{})}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&b.log), zap.WarnLevel)
 	listener := b.process.Listener(s.socket)
 	if !s.g.shared {
@@ -294,6 +381,16 @@
 			s.g.mu.Unlock()
 		}()
 		b.err = b.server.Run(listener, b.signals, b.reloads)
+		select {
+		case <-b.process.Dead():
+		default:
+			time.Sleep(letGoFor)
+			if bytes, conns := b.server.Held(), b.process.Holds(); bytes != 0 || conns > 0 {
+				s.g.mu.Lock()
+				s.g.held = append(s.g.held, fmt.Errorf("%s ended and held %d bytes of bodies, %d connections", b.name, bytes, conns))
+				s.g.mu.Unlock()
+			}
+		}
 		b.process.Kill() // what a process leaves open ends with it
 		if !s.g.shared {
 			listener.Close()
@@ -339,6 +436,7 @@
 	reloads chan os.Signal
 	log     tail
 	visited http1.Visited // by look
+	killed  chan struct{} // closed when it was killed by other than the stage
 	ended   chan struct{}
 	err     error // with which it ended
 }
@@ -394,6 +492,9 @@
 	return nil
 }
 
+// Killed is closed when it was killed by other than the stage.
+func (b *broker) Killed() <-chan struct{} { return b.killed }
+
 func (b *broker) Ended() <-chan struct{} { return b.ended }
 
 func (b *broker) Fault(text string) error {
--- a/internal/lab/whole/whole_test.go
+++ b/internal/lab/whole/whole_test.go
@@ -1,10 +1,16 @@
 package whole
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"dykering/internal/http1"
 	"dykering/internal/lab/scenario"
 	"dykering/internal/strict"
 )
@@ -75,3 +81,85 @@
 		})
 	}
 }
+
+// A process that is killed between any two steps of a handover, on either side of it, breaks no rule: what it had is
+// lost with it, and what the other one has is served.
+func TestKilledBetweenSteps(t *testing.T) {
+	for _, step := range []string{"offered", "accepted", "go on", "started"} {
+		for _, old := range []bool{true, false} {
+			for _, nth := range []int64{1, 2, 4} {
+				t.Run(fmt.Sprintf("%s %d, the old one %v", step, nth, old), func(t *testing.T) {
+					t.Parallel()
+					var n atomic.Int64
+					s := brief(scenario.Trouble{What: "handover", Of: 1, At: scenario.Times{From: time.Second, To: time.Second}})
+					r, err := Play(t.Context(), bubble(t), s, 5, Options{Dir: t.TempDir(), KillAt: func(at string) (bool, bool) {
+						hit := at == step && n.Add(1) == nth
+						return hit && old, hit && !old
+					}})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if n.Load() < nth {
+						t.Fatalf("%d steps of this kind only", n.Load())
+					}
+					if len(r.Broken) > 0 || r.Service < 0.5 {
+						t.Errorf("service %.3f, broken %v, %+v", r.Service, r.Broken, r.Violations)
+					}
+				})
+			}
+		}
+	}
+}
+
+// wrongDials is a network whose connections are made in some way.
+type wrongDials struct {
+	http1.Network
+	before func()
+	twice  bool // and leaves one open
+}
+
+func (n wrongDials) Dial(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+	if n.before != nil {
+		n.before()
+	}
+	if n.twice {
+		n.Network.Dial(ctx, address, within)
+	}
+	return n.Network.Dial(ctx, address, within)
+}
+
+// A broker that loops without waiting, and one that leaves a goroutine behind, are named; neither hangs the run.
+func TestLoopsAndLeaks(t *testing.T) {
+	var spins, once atomic.Bool
+	spins.Store(true)
+	told := ""
+	spin := func() {
+		for once.CompareAndSwap(false, true); spins.Load(); {
+		}
+	}
+	wrong := func(before func()) func(http1.Network, net.Listener) (http1.Network, net.Listener) {
+		return func(n http1.Network, l net.Listener) (http1.Network, net.Listener) {
+			return wrongDials{Network: n, before: before}, l
+		}
+	}
+	o := Options{Dir: t.TempDir(), StuckFor: 300 * time.Millisecond, Wrong: wrong(spin), Stuck: func(stacks string) {
+		told = stacks
+		spins.Store(false)
+	}}
+	if _, err := Play(t.Context(), bubble(t), brief(), 3, o); err != nil {
+		t.Errorf("once it waits again the run goes on, not: %v", err)
+	}
+	if !strings.Contains(told, "TestLoopsAndLeaks") || !strings.Contains(told, "wrongDials") {
+		t.Errorf("who loops is not named: %.300s", told)
+	}
+	o = Options{Dir: t.TempDir(), Wrong: wrong(func() { go func() { select {} }() })}
+	if _, err := Play(t.Context(), bubble(t), brief(), 3, o); err == nil || !strings.Contains(err.Error(), "goroutines are left") {
+		t.Errorf("a goroutine that is left: %v", err)
+	}
+	o = Options{Dir: t.TempDir(), Wrong: func(n http1.Network, l net.Listener) (http1.Network, net.Listener) {
+		return wrongDials{Network: n, twice: true}, l
+	}}
+	if _, err := Play(t.Context(), bubble(t), brief(), 3, o); err == nil || !strings.Contains(err.Error(), "connections") {
+		t.Errorf("connections that are left: %v", err)
+	}
+}
