Fuzz targets with properties; an HTTP/1.0 answer in chunks is spoilt

Need: there was one fuzz target.

Found by FuzzAnswer: an answer of HTTP/1.0 with Transfer-Encoding was read in chunks; who reads 1.0 by the letter takes the chunks for its body. RFC 9112, 6.1 calls the framing faulty: it is spoilt now.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,11 @@
 
 demo:
 	go run ./cmd/dykering-lab demo
+
+# Each fuzz target for FUZZTIME, one after another; what it finds goes into testdata, which `make test` plays.
+FUZZTIME := 60s
+FUZZ := http1:FuzzHead http1:FuzzAnswer http1:FuzzChunked http1:FuzzPassage core:FuzzList settings:FuzzParse operator:FuzzParse wire:FuzzRun
+
+.PHONY: fuzz
+fuzz:
+	@for x in $(FUZZ); do echo "$$x"; go test -run '^$$' -fuzz "^$${x#*:}\$$" -fuzztime $(FUZZTIME) ./internal/$${x%:*} || exit 1; done
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -548,6 +548,10 @@
 	if header, err = text.ReadMIMEHeader(); err != nil {
 		return 0, nil, false, err
 	}
+	if len(header["Transfer-Encoding"]) > 0 && version == "HTTP/1.0" {
+		// RFC 9112, 6.1: its framing is faulty. Who reads 1.0 by the letter takes its chunks for the body itself.
+		return 0, nil, false, errSpoilt
+	}
 	lasting = version == "HTTP/1.1"
 	for _, value := range header["Connection"] {
 		lasting = lasting && !strings.Contains(strings.ToLower(value), "close")
