Experiments on the engine whole

Need: the same table for the whole program as for the decisions. Change: engine = "whole" in an experiment's file.

--- a/cmd/dykering-lab/run.go
+++ b/cmd/dykering-lab/run.go
@@ -12,9 +12,10 @@
 
 	"dykering/internal/faults"
 	"dykering/internal/lab/experiment"
+	"dykering/internal/lab/whole"
 )
 
-func newRun() *cobra.Command {
+func newRun(in whole.Bubble) *cobra.Command {
 	var dir string
 	var fresh bool
 	var at int
@@ -24,6 +25,7 @@
 			if err := faults.Join(wrong); err != nil {
 				return faulty{err}
 			}
+			e.In(in)
 			if dir == "" {
 				dir = filepath.Join("lab", "results", strings.TrimSuffix(filepath.Base(args[0]), ".toml"))
 			}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -23,6 +23,7 @@
 	"dykering/internal/lab/real"
 	"dykering/internal/lab/scenario"
 	"dykering/internal/lab/sim"
+	"dykering/internal/lab/whole"
 	"dykering/internal/strict"
 )
 
@@ -34,16 +35,20 @@
 	Version  int     `toml:"version" doc:"of the format" min:"1" max:"1"`
 	Name     string  `toml:"name" doc:"of the experiment"`
 	Scenario string  `toml:"scenario" doc:"a file, from this one's folder"`
-	Engine   string  `toml:"engine" doc:"sim for virtual time, real for sockets" oneof:"sim real"`
+	Engine   string  `toml:"engine" doc:"sim for the decisions in virtual time, whole for the whole program in it, real for sockets" oneof:"sim whole real"`
 	Seeds    int     `toml:"seeds" doc:"how many, the same for all sides" min:"1" max:"10000"`
 	First    int     `toml:"first_seed" doc:"the first of them" min:"0" max:"1000000000"`
 	Sides    []Side  `toml:"side"`
 	Sweeps   []Sweep `toml:"sweep"`
 
-	path string
-	text []byte
+	path   string
+	text   []byte
+	bubble whole.Bubble
 }
 
+// In has the engine whole play in bubbles.
+func (e *Experiment) In(b whole.Bubble) { e.bubble = b }
+
 // Side is one of what is compared. The first is what the others are compared with.
 type Side struct {
 	Name   string   `toml:"name" doc:"of the side"`
@@ -327,9 +332,20 @@
 	}
 	began := time.Now()
 	r = j.run()
-	if e.Engine == "sim" {
+	switch e.Engine {
+	case "sim":
 		r.Result, err = sim.Run(ctx, s, j.seed, sim.Policies[j.side.Policy])
-	} else {
+	case "whole":
+		if e.bubble == nil {
+			return r, errors.New("the engine whole needs bubbles")
+		}
+		var dir string
+		if dir, err = os.MkdirTemp("", "dykering-lab-"); err != nil {
+			return r, err
+		}
+		r.Result, err = whole.Play(ctx, e.bubble, s, j.seed, whole.Options{Dir: dir})
+		err = errors.Join(err, os.RemoveAll(dir))
+	default:
 		if j.side.Broker != "" {
 			command = []string{e.beside(j.side.Broker), "run"}
 		}
