--- a/cmd/dykering/fleet_state_test.go
+++ b/cmd/dykering/fleet_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -160,6 +161,8 @@
 		all[0].copied(t).Counters.BytesTold, all[0].copied(t).Counters.BytesSent)
 }
 
+var away = flag.Duration("away", 0, "how long a member stays away once more in TestFleetStateRestart, above 2m")
+
 // A member that is killed comes back after 5 s with what it had on disk; with a corrupt or foreign file it starts cold,
 // says so, and catches up from a peer. Meanwhile links lose a fifth and are slow. Its first seconds are served as well
 // as its peers'.
@@ -179,11 +182,11 @@
 	s.relay.Slow(faultnet.Delay{Fixed: 20 * time.Millisecond, Jitter: 50 * time.Millisecond, Tail: 0.05, TailBy: 300 * time.Millisecond})
 	took := s.same(agree, all...)
 	t.Logf("one digest after %v with 20%% loss and slow links", took)
-	again := func(expect string, wait time.Duration) {
+	again := func(expect string, wait time.Duration, truncate bool) {
 		t.Helper()
 		kept.signal(syscall.SIGKILL)
 		kept.cmd.Wait()
-		if expect == "fleet.replica.cold" {
+		if truncate {
 			if err := os.Truncate(path, 5000); err != nil { // in the middle of bbolt's second page
 				t.Fatal(err)
 			}
@@ -200,14 +203,17 @@
 		}
 		t.Logf("%s, back with the others' digest %v after it could serve, served %d of %d, a peer %d", expect, took, own, n, peers)
 	}
-	again("fleet.replica.warm", 5*time.Second)
+	again("fleet.replica.warm", 5*time.Second, false)
 	if !kept.holds(t, "b0", s.servers[0].UID, replica.Bad) {
 		t.Error("the word of b0 is gone")
 	}
-	again("fleet.replica.cold", 5*time.Second) // by then its old place is free: members at another address wait for that
+	again("fleet.replica.cold", 5*time.Second, true) // by then its old place is free: members at another address wait for that
 	if _, err := os.Stat(path + ".refused"); err != nil {
 		t.Error(err)
 	}
+	if *away > 0 { // what it had on disk is older than any fact lives
+		again("fleet.replica.cold", *away, false)
+	}
 	for _, b := range all {
 		if c := b.copied(t).Counters; c.BytesTold+c.BytesSent > 256<<10 {
 			t.Errorf("%s sent %d bytes", b.id, c.BytesTold+c.BytesSent)
