--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -153,6 +153,7 @@
 		for after := range len(pieces) + 1 {
 			for _, succeeded := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s after %d, succeeded %v", name, after, succeeded), func(t *testing.T) {
+					t.Parallel()
 					play(t, startHanded(t, nil), name, pieces, after, succeeded)
 				})
 			}
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -318,3 +318,59 @@
 		}
 	}
 }
+
+// The cells of the review's table that name the explorer are pairs that its kept search reached, and none that it reached
+// is said to have no test.
+func TestReviewsTable(t *testing.T) {
+	review, err := os.ReadFile("../../../docs/review-of-parts.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept, err := os.ReadFile("../../../lab/results/explore/" + PairsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reached := map[[2]string]string{}
+	cells(string(kept), func(fault, stage, cell string) { reached[[2]string{fault, stage}] = cell })
+	names := map[string]string{"server draining": "draining", "refusing connections": "refusing"}
+	named := 0
+	cells(string(review), func(fault, stage, cell string) {
+		if name := names[fault]; name != "" {
+			fault = name
+		}
+		n, played := reached[[2]string{fault, stage}]
+		switch {
+		case cell == "E" && (!played || n == "0"):
+			t.Errorf("%s in %s: named for the explorer, which does not reach it", fault, stage)
+		case cell == "E":
+			named++
+		case cell == "?" && played && n != "0" && fault != "id used twice": // not over two processes: Befall
+			t.Errorf("%s in %s: reached in %s runs, and said to have no test", fault, stage, n)
+		}
+	})
+	if named < 30 {
+		t.Errorf("%d cells name the explorer", named)
+	}
+}
+
+// cells tells of each cell of the tables whose first column is named fault.
+func cells(text string, told func(fault, stage, cell string)) {
+	var stages []string
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "|") {
+			stages = nil
+			continue
+		}
+		row := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		for i := range row {
+			row[i] = strings.TrimSpace(row[i])
+		}
+		if row[0] == "fault" {
+			stages = row[1:]
+			continue
+		}
+		for i := range min(len(stages), len(row)-1) {
+			told(row[0], stages[i], row[i+1])
+		}
+	}
+}
--- a/internal/lab/explore/search.go
+++ b/internal/lab/explore/search.go
@@ -105,12 +105,12 @@
 	}
 	workers.Wait()
 	r.Reached, r.Finds, r.Missing = s.reached, s.finds, s.missing()
+	err := os.WriteFile(filepath.Join(s.Out, PairsFile), []byte(r.Table()), 0o644)
 	select {
-	case err := <-fault:
-		return r, err
+	case err = <-fault:
 	default:
-		return r, nil
 	}
+	return r, err
 }
 
 // takeUp reads what was played before, up to the last whole line.
@@ -261,3 +261,25 @@
 	}
 	return none
 }
+
+// PairsFile is the name of the table of pairs that a search writes.
+const PairsFile = "pairs.md"
+
+// Table writes in how many runs each pair was reached, as a table.
+func (r *Report) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d runs, %d requests; runs in which a rule was broken: %d. In how many of the runs something was in a stage\n"+
+		"(columns, docs/review-of-parts.md) while a fault lasted.\n\n| fault |", r.Runs, r.Asked, len(r.Broken))
+	for _, s := range Stages {
+		fmt.Fprintf(&b, " %s |", s)
+	}
+	b.WriteString("\n| --- |" + strings.Repeat(" --- |", len(Stages)) + "\n")
+	for _, f := range Faults {
+		fmt.Fprintf(&b, "| %s |", f.Name)
+		for _, s := range Stages {
+			fmt.Fprintf(&b, " %d |", r.Reached[Pair{f.Name, s}])
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
