--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -549,3 +549,20 @@
 		t.Error("an endpoint without an address is told to the Balancer")
 	}
 }
+
+// A loop that has ended keeps nobody waiting, whatever is asked of it, and lets go of discovery and of idle connections.
+func TestEndedLoop(t *testing.T) {
+	b := newBench(t, func(*Attempt, int) Result { return Result{Status: decision.Moot} }, ready("s-1", 0))
+	b.loop.Close()
+	<-b.loop.done
+	b.loop.Close()
+	for range 2 * eventQueue { // more than the queue holds
+		b.loop.Post(func() { t.Error("it still runs") })
+	}
+	if s := b.loop.Stats(); s.Calls != 0 || b.loop.Reserve() {
+		t.Errorf("%+v", s)
+	}
+	if _, _, err := b.loop.Evidence(context.Background(), nil); !errors.Is(err, errEnded) {
+		t.Errorf("evidence of an ended loop: %v", err)
+	}
+}
--- a/internal/core/evidence.go
+++ b/internal/core/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,7 +21,10 @@
 // serverName is what brokers call an endpoint among themselves.
 func serverName(e *Endpoint) string { return e.uid + "@" + strconv.FormatInt(e.bootMS, 10) }
 
-// ask has the loop answer something, or gives up with ctx: the loop may have a long queue, or none.
+// errEnded is the word of a loop that has ended.
+var errEnded = errors.New("the core has ended")
+
+// ask has the loop answer something, or gives up with ctx or the loop's end: the loop may have a long queue, or none.
 func ask[T any](ctx context.Context, l *Loop, look func() T) (T, error) {
 	got := make(chan T, 1)
 	var none T
@@ -28,12 +32,16 @@
 	case l.events <- func() { got <- look() }:
 	case <-ctx.Done():
 		return none, ctx.Err()
+	case <-l.done:
+		return none, errEnded
 	}
 	select {
 	case x := <-got:
 		return x, nil
 	case <-ctx.Done():
 		return none, ctx.Err()
+	case <-l.done:
+		return none, errEnded
 	}
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -20,7 +20,7 @@
 )
 
 // Loop owns the Balancer and all state that goes with it: one goroutine runs the functions in events, and
-// only it touches the fields from endsAt on. It is the Balancer's Host.
+// only it touches the fields from ended on. It is the Balancer's Host.
 type Loop struct {
 	events   chan func()
 	done     chan struct{} // closed when the loop has ended
@@ -32,6 +32,7 @@
 	discover Discover
 	life     *Lifecycle
 
+	ended     bool      // Close has been done: nothing more is
 	endsAt    time.Time // when all must be answered; zero unless this process was told to stop
 	rev       uint64    // version of the list that the Balancer has
 	anewAt    time.Time // when discovery was last asked anew, as a watch brought an older whole list
@@ -103,6 +104,7 @@
 			for e := range l.pool.idle {
 				l.pool.closeIdle(e)
 			}
+			l.ended = true
 			close(l.done)
 		})
 	})
@@ -120,10 +122,11 @@
 		select {
 		case event := <-l.events:
 			event()
+			if l.ended {
+				return
+			}
 		case <-sweep.C:
 			l.pool.sweep(time.Now())
-		case <-l.done:
-			return
 		}
 	}
 }
@@ -379,9 +382,6 @@
 	l.discovery.Watch(nil)
 }
 
-// Unwatch ends the following of the list, as at the end of a process.
-func (l *Loop) Unwatch() { l.Post(func() { l.discovery.Stop() }) }
-
 // place is where a watch goes on from: the version of the list, nil for the whole list.
 func (l *Loop) place() *uint64 {
 	if l.moved {
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -114,7 +114,7 @@
 	rg.url = "http://" + listener.Addr().String()
 	go func() { rg.ended <- rg.server.Run(listener, rg.signals, rg.reloads) }()
 	t.Cleanup(func() {
-		rg.server.loop.Unwatch()
+		rg.server.loop.Close()
 		close(rg.reloads)
 		listener.Close()
 		rg.server.callers.closeAll()
--- a/internal/http1/stages.go
+++ b/internal/http1/stages.go
@@ -12,10 +12,10 @@
 	attempts [core.AttemptPhases]uint64
 }
 
-// Stages are the stages in which something is now or was since the last look, of callers' connections, requests and the process itself, by the
-// names that the review of parts gives them: ac accepted, he a head or body is read, hd held, co connecting, wr being
-// written, aw answer awaited, cm answer coming, wa waiting to repeat, dr drain, st stop, ho handover, re reload, di
-// discovery to be followed anew.
+// Stages are the stages in which something is now or was since the last look, of callers' connections, requests and the
+// process itself, by the names that the review of parts gives them: ac accepted, he a head or body is read, hd held, co
+// connecting, wr being written, aw answer awaited, cm answer coming, wa waiting to repeat, dr drain, st stop, ho handover,
+// re reload, di discovery to be followed anew.
 func (s *Server) Stages(last *Visited) (names []string) {
 	here := func(name string, n int) {
 		if n > 0 {
--- a/internal/lab/netem/netem.go
+++ b/internal/lab/netem/netem.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -419,6 +418,3 @@
 	n.ports++
 	return n.ports
 }
-
-// String names a machine.
-func (m *Machine) String() string { return fmt.Sprintf("%s (zone %d)", m.Name, m.Zone) }
--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// newGround makes the network that a scenario asks for: one way of its latency is what the model draws beside, so that the
-// links themselves have the least.
+// newGround makes the network. A scenario's latency is drawn by the model when an attempt comes, as on real sockets; its
+// servers' bounds on connections and prices of handshakes are not played here, but for what Options say of all machines.
 func newGround(s *scenario.Scenario, o Options) *ground {
 	has := func(what string) bool {
 		return slices.ContainsFunc(s.Troubles, func(t scenario.Trouble) bool { return t.What == what })
