--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -499,7 +499,7 @@
 func (b *broker) Ended() <-chan struct{} { return b.ended }
 
 func (b *broker) Fault(text string) error {
-	return fmt.Errorf("%s %s (%w); its log ends with:\n%s", b.name, text, errors.Join(b.err, context.Canceled), b.log.String())
+	return fmt.Errorf("%s %s (%v); its log ends with:\n%s", b.name, text, b.err, b.log.String())
 }
 
 // tail keeps the end of a log.
