A repeat of a keyed request is out within its window, also on a connection that comes up late

Excluded: two attempts out at once (the rule's other text), a wrong cell (`permitted` holds a repeat in its cell until its dial begins; TestKeyedStaysInItsCellAndWindow). Lines: `permitted` in balancer.go looked at the window when it picked; `run` in upstream.go then dialled for up to the connect time-out, `exchange` asked again for the drain and the deadline but not for the window. Change: Host.Send says within what time the last byte has to be out (`within`, the same figure that `permitted` uses, so no line of policy more); core notes it on the attempt, http1 dials and writes no longer than that, and what does not come up in time ends as Moot: its endpoint is not judged by it. The simulator's wire and the virtual engine send at once and pass it over. Tests: TestWindowPassedWhileDialing (without it the request is written, and the test hangs on the answer), TestRepeatsAreOutWithinTheirWindow, TestKeyedStaysInItsCellAndWindow.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -12,6 +12,7 @@
 	Call     *Call
 	Endpoint *Endpoint
 	Ctx      context.Context // ends with the time-out, or when the attempt is cancelled
+	OutBy    time.Time       // its last byte is out by then, or it does not begin; zero is no bound
 	Left     time.Duration   // what an endpoint is told that its answer is waited for, from the sending on
 
 	number int
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -72,18 +72,19 @@
 func (l *lister) Stop()         { l.note("stop") }
 func (l *lister) Fetch()        { l.note("fetch") }
 
-const read, once = 0, 1
+const read, once, keyed = 0, 1, 2
 
 // newBench starts a loop that knows some endpoints.
 func newBench(t *testing.T, send func(a *Attempt, n int) Result, targets ...Target) *bench {
 	t.Helper()
 	b := &bench{t: t, send: send, sends: map[decision.RequestID][]*Attempt{}, discarded: make(chan string, 100)}
 	class := decision.Class{Aim: 9 * time.Second, Deadline: 10 * time.Second, Worth: 1}
-	safe, unsafe := class, class
+	safe, unsafe, withKey := class, class, class
+	withKey.Name, withKey.Effect, withKey.Scope, withKey.Window = "keyed", decision.Keyed, decision.ScopeAll, 4*time.Second
 	safe.Name, safe.Effect, unsafe.Name, unsafe.Effect = "read", decision.Safe, "once", decision.Unsafe
 	s := settings.Settings{OpenCap: 50, Settings: decision.Settings{Instances: 1, Quantum: time.Millisecond,
 		MayCancel: true, MarksRetry: true, MaxAttempts: 3, ConnectTimeout: time.Second, Cold: time.Second, ColdFrom: 0.5, TipMultiple: 3,
-		Fall: time.Second, MaxRetryAfter: time.Second, Classes: []decision.Class{safe, unsafe}}}
+		Fall: time.Second, MaxRetryAfter: time.Second, Classes: []decision.Class{safe, unsafe, withKey}}}
 	l, err := New(Config{Settings: s, Limits: Limits{MemoryMB: 64, Sockets: 1024}, Discovery: "first",
 		Known: List{Rev: 1, All: true, Targets: targets}}, b,
 		func(address string, _ Sink) Discovery { return &lister{b, address} })
@@ -176,6 +177,23 @@
 	}
 }
 
+// A repeat of a keyed call that may have run is told by when its last byte must be out; nothing else is.
+func TestRepeatsAreOutWithinTheirWindow(t *testing.T) {
+	for _, class := range []int{read, keyed} {
+		b := newBench(t, nil, ready("s-1", 0), ready("s-2", 0))
+		b.send = func(a *Attempt, n int) Result { return []Result{{Status: decision.Error}, b.served("again")}[n-1] }
+		c := b.ask("x", class)
+		if got := b.final(c); got != "again" {
+			t.Error(got)
+		}
+		first, second := b.sends[c.ID][0], b.sends[c.ID][1]
+		window := b.loop.config.Settings.Classes[class].Window
+		if !first.OutBy.IsZero() || second.OutBy.IsZero() != (class == read) || second.OutBy.After(first.sent.Add(window)) {
+			t.Errorf("class %d: out by %v and %v, sent %v", class, first.OutBy, second.OutBy, first.sent)
+		}
+	}
+}
+
 // An answer that is given at once, or whose end is still to come, is the call's; what nobody wants is let go of.
 func TestResponses(t *testing.T) {
 	goOn := make(chan bool)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -309,9 +309,12 @@
 
 // The methods below are the Host. They never block and never call the Balancer.
 
-func (l *Loop) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+func (l *Loop) Send(id decision.RequestID, to decision.EndpointID, timeout, within time.Duration) {
 	c := l.calls[id]
 	a := NewAttempt(c, l.endpoints.byID[to], timeout, l)
+	if within > 0 {
+		a.OutBy = a.sent.Add(within)
+	}
 	c.attempts++
 	c.out = a
 	conn, ok := l.pool.acquire(a.Endpoint, a.sent)
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -243,9 +243,11 @@
 // Host carries out a Balancer's actions. It is called only from within the
 // Balancer's event methods and must not call back into the Balancer.
 type Host interface {
-	Send(id RequestID, to EndpointID, timeout time.Duration) // timeout 0: until the client gives up
-	Refuse(id RequestID, retryAfter time.Duration)           // final answer: try again, it is harmless
-	Fail(id RequestID)                                       // final answer: failed, promising nothing
+	// Send makes an attempt. Timeout 0 is until the client gives up. Within is how long its last byte may take to be
+	// out; an attempt that cannot begin so soon, as its connection comes up late, ends as Moot. 0 is no bound.
+	Send(id RequestID, to EndpointID, timeout, within time.Duration)
+	Refuse(id RequestID, retryAfter time.Duration) // final answer: try again, it is harmless
+	Fail(id RequestID)                             // final answer: failed, promising nothing
 	Cancel(id RequestID, attempt int)
 	SetTimer(token uint64, after time.Duration)
 	Watch(on bool)
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -617,7 +617,7 @@
 	if r.mayRun == nil || r.class.Effect == Safe {
 		return true
 	}
-	if r.class.Effect == Unsafe || now-r.runAt >= r.class.Window-b.tick {
+	if r.class.Effect == Unsafe || b.within(now, r) <= 0 {
 		return false
 	}
 	switch r.class.Scope {
@@ -695,7 +695,7 @@
 	if timeout >= r.deadline-now || r.coming {
 		timeout = 0
 	}
-	b.host.Send(r.id, e.id, timeout)
+	b.host.Send(r.id, e.id, timeout, b.within(now, r))
 }
 
 // enter counts a call as in flight. One whose body is long counts once the endpoint has it and can begin.
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -16,6 +16,7 @@
 	to      EndpointID
 	attempt int
 	timeout time.Duration
+	within  time.Duration
 }
 
 // recorder is a Host that writes down what it is asked to do, and a clock.
@@ -32,8 +33,8 @@
 	logs             []string
 }
 
-func (h *recorder) Send(id RequestID, to EndpointID, timeout time.Duration) {
-	h.sent = append(h.sent, sent{id, to, h.attempts[id], timeout})
+func (h *recorder) Send(id RequestID, to EndpointID, timeout, within time.Duration) {
+	h.sent = append(h.sent, sent{id, to, h.attempts[id], timeout, within})
 	h.attempts[id]++
 }
 func (h *recorder) Refuse(id RequestID, after time.Duration) {
@@ -448,6 +449,8 @@
 	d.end(first, Error, ms)
 	if again := d.last(); again.attempt != 1 || (again.to-1)/2 != (first.to-1)/2 {
 		t.Fatalf("retry %v of %v left the cell", again, first)
+	} else if first.within != 0 || again.within <= 0 || ms+again.within > d.b.set.Classes[book].Window {
+		t.Errorf("first %v, retry %v: want the retry bound by what is left of the window", first, again)
 	}
 	s := settings()
 	s.Classes[book].Window = 100 * ms
@@ -1300,7 +1303,7 @@
 		}
 		d.pass(20 * ms)
 		for _, r := range out {
-			d.end(sent{r.id, r.to.id, r.attempts - 1, 0}, OK, 20*ms)
+			d.end(sent{id: r.id, to: r.to.id, attempt: r.attempts - 1}, OK, 20*ms)
 		}
 	}
 	before := d.b.limit
--- a/internal/decision/example_test.go
+++ b/internal/decision/example_test.go
@@ -10,7 +10,7 @@
 // printer is a Host that prints the actions it is asked for.
 type printer struct{}
 
-func (printer) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+func (printer) Send(id decision.RequestID, to decision.EndpointID, timeout, _ time.Duration) {
 	fmt.Println("send", id, "to", to)
 }
 func (printer) Refuse(id decision.RequestID, retryAfter time.Duration) { fmt.Println("refuse", id) }
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -88,6 +88,16 @@
 	return r.to != nil && r.to.id == at && attempt == r.attempts-1
 }
 
+// within is how long a further attempt of a keyed request may take to be out, for repeats to be dropped: its window
+// counts from the first that may have run, and holds for when the last byte is out, not for when it was decided. 0 is
+// no bound.
+func (b *Balancer) within(now time.Duration, r *request) time.Duration {
+	if r.mayRun == nil || r.class.Effect != Keyed {
+		return 0
+	}
+	return r.runAt + r.class.Window - b.tick - now
+}
+
 // class is a class of request with what was seen of its latency.
 type class struct {
 	Class
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -199,7 +199,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = a.dial(connectTimeout); err != nil {
+		if c, err = a.dial(a.inTime(connectTimeout)); err != nil {
 			return result{status: a.unsent()}
 		}
 	}
@@ -255,17 +255,29 @@
 
 // unsent is the status of an attempt whose last byte was certainly not written.
 func (a *attempt) unsent() decision.Status {
-	if a.Ctx.Err() != nil {
+	if a.Ctx.Err() != nil || a.late() {
 		return decision.Moot
 	}
 	return decision.ConnectFailed
 }
 
+// late tells whether the time has passed by which the request's last byte had to be out.
+func (a *attempt) late() bool { return !a.OutBy.IsZero() && !time.Now().Before(a.OutBy) }
+
+// inTime is what of a time may be used before that.
+func (a *attempt) inTime(d time.Duration) time.Duration {
+	if a.OutBy.IsZero() {
+		return d
+	}
+	return min(d, max(time.Until(a.OutBy), time.Nanosecond)) // a dialer takes 0 for no bound
+}
+
 func (a *attempt) exchange(c *conn, room *core.Memory) result {
-	// The dial may have outlasted the endpoint's welcome.
-	if !a.Endpoint.Open() || a.Ctx.Err() != nil {
+	// The dial may have outlasted the endpoint's welcome, or the window in which a repeat is dropped.
+	if !a.Endpoint.Open() || a.Ctx.Err() != nil || a.late() {
 		return result{status: decision.Moot}
 	}
+	c.SetWriteDeadline(a.OutBy)
 	if a.in.more != nil {
 		return a.exchangeLong(c, room)
 	}
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -261,6 +262,54 @@
 	}
 }
 
+// slowNetwork has connections that come up once an attempt's window has passed, or never.
+type slowNetwork struct {
+	Kernel
+	until time.Time
+	never bool
+}
+
+func (n slowNetwork) Dial(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+	if n.never {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := n.Kernel.Dial(ctx, address, patience)
+	time.Sleep(time.Until(n.until))
+	return c, err
+}
+
+// A repeat whose connection comes up when the window has passed in which the server drops it is not written, and
+// ends as never sent: neither is its server at fault.
+func TestWindowPassedWhileDialing(t *testing.T) {
+	for name, never := range map[string]bool{"up too late": false, "never up": true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		a := attemptAt(inbound{method: "POST", target: "/", host: "h"}, l.Addr().String(), true, 2*patience, 0)
+		defer a.Close()
+		a.OutBy = time.Now().Add(50 * time.Millisecond)
+		a.network = slowNetwork{until: a.OutBy, never: never}
+		if res := a.run(nil, patience, roomy()); res.status != decision.Moot || res.conn != nil {
+			t.Errorf("%s: status %v, conn %v", name, res.status, res.conn)
+		}
+		if never {
+			continue
+		}
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(c); len(got) > 0 || err != nil {
+			t.Errorf("%s: the server got %q, %v", name, got, err)
+		}
+	}
+}
+
 // A machine that is cut off answers no dial: the connect time-out ends it, and nothing ran. Here a listener
 // whose backlog is full drops what comes.
 func TestSilentDialEndsAtConnectTimeout(t *testing.T) {
--- a/internal/lab/sim/instance.go
+++ b/internal/lab/sim/instance.go
@@ -248,8 +248,8 @@
 	s.forget(r)
 }
 
-// Send is the Host's, as are the methods below.
-func (s *seat) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+// Send is the Host's, as are the methods below. What is sent here is out at once, so within any time.
+func (s *seat) Send(id decision.RequestID, to decision.EndpointID, timeout, _ time.Duration) {
 	w := s.t.w
 	r := s.tries[id]
 	attempts := 0
--- a/internal/lab/sim/policies.go
+++ b/internal/lab/sim/policies.go
@@ -95,7 +95,7 @@
 	c.tries++
 	c.to = p.pick(p)
 	p.out[c.to]++
-	p.host.Send(c.ID, c.to, 0)
+	p.host.Send(c.ID, c.to, 0, 0)
 }
 
 func (p *plain) Outcome(now time.Duration, o decision.Outcome) {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -191,7 +191,7 @@
 	w.Policy.Targets(now, l)
 }
 
-func (w *wrong) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+func (w *wrong) Send(id decision.RequestID, to decision.EndpointID, timeout, within time.Duration) {
 	switch {
 	case w.does == rules.Cold && w.cold != 0:
 		to = w.cold
@@ -199,16 +199,16 @@
 		to = 10000
 	}
 	w.sent[id]++
-	w.host.Send(id, to, timeout)
+	w.host.Send(id, to, timeout, within)
 	if w.does == rules.Single && w.sent[id] == 1 {
-		w.host.Send(id, to, timeout)
+		w.host.Send(id, to, timeout, within)
 	}
 }
 
 func (w *wrong) Outcome(now time.Duration, o decision.Outcome) {
 	if w.does == rules.Effect && !o.Final && o.Status != decision.OK && w.sent[o.ID] < 3 {
 		w.sent[o.ID]++
-		w.host.Send(o.ID, o.Endpoint, 0) // whatever its class
+		w.host.Send(o.ID, o.Endpoint, 0, 0) // whatever its class
 		return
 	}
 	if w.does == rules.Answer && o.Final {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -345,7 +345,8 @@
 
 // The methods below are the Host.
 
-func (in *instance) Send(id decision.RequestID, to decision.EndpointID, timeout time.Duration) {
+// Send sends at once: the wire knows no connection that keeps a request waiting, so no time within which it is out.
+func (in *instance) Send(id decision.RequestID, to decision.EndpointID, timeout, _ time.Duration) {
 	in.action("dispatch", string(id), int64(to), timeout.Microseconds())
 }
 
