A reset is no end of an answer, and a client that has gone behind unread bytes is seen

Excluded: the relay of long answers (reads without looking; a reset is an error there), a close by FIN (whole under HTTP's rules), chunks. Lines: `awaits` in upstream.go looked at the socket (recvfrom with MSG_PEEK) while `take` waited for more. The look takes the socket's pending error away, `awaits` dropped it, and the read that followed got 0 bytes: an end. Confirmed by a test on a real socket: status ok with the broken body, each time. Change: what a look meets counts; `awaits` returns it, as a net.OpError so that it is judged as a reset.

Seen 2, by reading: between a request and its answer the connection was watched by a look for input, and with bytes behind the request (pipelined, or sent much at once) the watch ended for good; a FIN or reset behind them was never seen, the call went on, and was tried again. A long body that waited for its turn was not watched at all. Change: the watch waits for the peer's hang-up (poll, POLLRDHUP) whatever stands unread, netem likewise; a long request looks once before it goes out, and is not sent for a client that has gone. TestCutBodyShows closed its side before its request had gone out and wanted the endpoint to notice; such a request is no longer sent. It now closes once the endpoint has it, in the middle of the body, which is what it is for. Tests: TestResetIsNoEnd, TestClientGoneBehindMoreBytes (called off after 9 s without the mend), TestLongBodyOfWhoHasGone.

--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dykering/internal/core"
 )
 
@@ -386,6 +388,30 @@
 	if p, ok := c.(peeker); ok {
 		return p.Await()
 	}
+	return awaitSocket(c, func(uintptr) bool { return true })
+}
+
+// awaitEnd waits until the peer of a connection has gone, whatever it sent before that stands unread. It ends with the
+// connection's read deadline.
+func awaitEnd(c net.Conn) error {
+	if p, ok := c.(peeker); ok {
+		return p.AwaitEnd()
+	}
+	if err := awaitSocket(c, hungUp); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// hungUp tells whether a socket's peer has closed its side, or reset it, whatever stands unread.
+func hungUp(fd uintptr) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// awaitSocket waits until a socket has ended with nothing unread, or something stands unread and that is enough.
+func awaitSocket(c net.Conn, enough func(fd uintptr) bool) error {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return err
@@ -393,13 +419,14 @@
 	n, fault := 0, error(nil)
 	err = raw.Read(func(fd uintptr) bool {
 		n, fault = peek(fd)
-		return fault != syscall.EAGAIN && fault != syscall.EINTR
+		return fault != syscall.EAGAIN && fault != syscall.EINTR && (n <= 0 || enough(fd))
 	})
 	switch {
 	case err != nil:
 		return err
 	case fault != nil:
-		return os.NewSyscallError("recvfrom", fault)
+		return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(),
+			Err: os.NewSyscallError("recvfrom", fault)}
 	case n == 0:
 		return io.EOF
 	}
--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -247,10 +248,6 @@
 			}
 			return w.error(http.StatusBadRequest, "request body cut short")
 		case err := <-gone:
-			if err == nil {
-				gone = nil // another request has come behind this one
-				continue
-			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				gone = c.watch() // an attempt that ended stopped the reading of a body that had just ended
 				continue
@@ -279,14 +276,24 @@
 	}
 }
 
-// watch tells when a caller has gone, or, with nil, that it has sent more.
+// watch tells when a caller has gone, also behind what it has sent beyond its request.
 func (c *caller) watch() <-chan error {
 	c.Conn.SetReadDeadline(time.Time{})
 	told := make(chan error, 1)
-	go func() { told <- awaitInput(c.Conn) }()
+	go func() { told <- awaitEnd(c.Conn) }()
 	return told
 }
 
+// gone tells whether the caller has, whatever of it stands unread.
+func (c *caller) gone() (gone bool) {
+	if sys, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := sys.SyscallConn(); err == nil {
+			return raw.Control(func(fd uintptr) { gone = hungUp(fd) }) != nil || gone
+		}
+	}
+	return false
+}
+
 // unwatch ends a watch; the connection may be read again.
 func (c *caller) unwatch(told <-chan error) {
 	c.Conn.SetReadDeadline(time.Now())
--- a/internal/http1/long_test.go
+++ b/internal/http1/long_test.go
@@ -241,8 +241,9 @@
 
 // A body that its caller does not finish is not finished for the endpoint either, and gets an error.
 func TestCutBodyShows(t *testing.T) {
-	ended := make(chan error, 1)
+	came, ended := make(chan bool, 1), make(chan error, 1)
 	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		came <- true
 		_, err := io.ReadAll(r.Body)
 		ended <- err
 	}))
@@ -255,6 +256,7 @@
 		c := rg.dial()
 		fmt.Fprintf(c, head, fmt.Sprint("cut", id))
 		io.WriteString(c, framing)
+		<-came // of who has gone before, nothing is sent: TestLongBodyOfWhoHasGone
 		c.CloseWrite()
 		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && res.StatusCode != http.StatusBadRequest {
 			t.Errorf("%.40q: answered %d", framing, res.StatusCode)
--- a/internal/http1/network.go
+++ b/internal/http1/network.go
@@ -75,6 +75,17 @@
 type peeker interface {
 	Peek() (n int, err error) // EAGAIN for nothing, 0 without an error for the end
 	Await() error
+	// AwaitEnd waits likewise for the peer to have gone, whatever it sent before that stands unread.
+	AwaitEnd() error
+}
+
+// looks tells whether a connection can be looked at without being read.
+func looks(c net.Conn) bool {
+	switch c.(type) {
+	case peeker, syscall.Conn:
+		return true
+	}
+	return false
 }
 
 // peekConn looks for a byte to read, without taking it or waiting.
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -315,6 +315,42 @@
 	}
 }
 
+// A client may have gone behind bytes that nobody has read: its call is called off all the same, and what it sent
+// beyond its request goes nowhere.
+func TestClientGoneBehindMoreBytes(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) {
+			c.SetLinger(0)
+			c.Close()
+		},
+	} {
+		came, left := make(chan string, 2), make(chan bool, 2)
+		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+			came <- r.Header.Get("X-Txn")
+			gone(r)
+			left <- true
+		}))
+		c := rg.dial()
+		first := rg.request("once", 9*time.Second)
+		first.Write(c)
+		if id := <-came; id != first.Header.Get("X-Txn") {
+			t.Fatal(id)
+		}
+		rg.request("once", 9*time.Second).Write(c)
+		leave(c)
+		begun := time.Now()
+		<-left
+		if took := time.Since(begun); took > 3*time.Second { // far from the end of its time
+			t.Errorf("%s: called off after %v", name, took)
+		}
+		rg.idle()
+		if len(came) > 0 {
+			t.Errorf("%s: %s came to an endpoint too", name, <-came)
+		}
+	}
+}
+
 func TestBadInputNeverReachesAnEndpoint(t *testing.T) {
 	var came atomic.Int64
 	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { came.Add(1) }))
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -121,11 +121,19 @@
 	}
 }
 
+// breakOff tells, once, why the body can't be read to its end.
+func (u *upload) breakOff(err error) {
+	select {
+	case u.broken <- err:
+	default:
+	}
+}
+
 // fill reads the next piece.
 func (u *upload) fill(buffer []byte) (callerErr, writeErr error) {
 	n, err := u.body.Read(buffer[chunkFrame : len(buffer)-chunkTail])
 	if u.total += int64(n); u.total > maxLong {
-		u.broken <- errTooLarge
+		u.breakOff(errTooLarge)
 		return errTooLarge, nil
 	}
 	framed := u.body.chunks != nil
@@ -145,7 +153,7 @@
 		return nil, err
 	case err != nil:
 		if !u.caller.stopped.Load() {
-			u.broken <- err
+			u.breakOff(err)
 		}
 		return err, nil
 	}
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -327,6 +327,11 @@
 // exchangeLong sends a long body as it comes, and listens at the same time: an endpoint may turn it away before
 // its end. Until the last byte is out the request has not run.
 func (a *attempt) exchangeLong(c *conn, room *core.Memory) (res result) {
+	if u := a.in.more; !u.resumed && u.caller.gone() {
+		// Nobody has read on while it waited: that its caller has gone stands behind the body.
+		u.breakOff(errCallerGone)
+		return result{status: decision.Moot, spent: u.spent}
+	}
 	type ending struct{ caller, write error }
 	sent := make(chan ending, 1)
 	go func() {
@@ -514,8 +519,14 @@
 	defer func() { room.Bodies.Give(most - kept) }()
 	patience := time.Now().Add(answerPatience)
 	for !body.ended && (!long || len(r.body) == 0) {
-		if body.length < 0 && len(r.body) > 0 && !c.awaits(patience) {
-			break // it comes slowly, and may be long
+		if body.length < 0 && len(r.body) > 0 {
+			came, err := c.awaits(patience)
+			if err != nil {
+				return nil, err
+			}
+			if !came {
+				break // it comes slowly, and may be long
+			}
 		}
 		if len(r.body) == most && body.length < 0 {
 			break
@@ -657,8 +668,8 @@
 func (b *answerBody) skip() error {
 	buffer := make([]byte, 512)
 	for patience := time.Now().Add(skipPatience); !b.ended && !b.toClose && b.read < maxBody; {
-		if !b.conn.awaits(patience) {
-			return nil
+		if came, err := b.conn.awaits(patience); !came {
+			return err
 		}
 		if _, err := b.Read(buffer); err != nil && !errors.Is(err, io.EOF) {
 			return err
@@ -667,15 +678,23 @@
 	return nil
 }
 
-// awaits waits for something to read, for a while.
-func (c *conn) awaits(until time.Time) bool {
-	if _, err := peekConn(c.Conn); err == syscall.ENOTSUP || c.reader.Buffered() > 0 {
-		return true
+// awaits waits for something to read, or the end, for a while. It is false with no error when neither has come. To look
+// at a socket takes its pending error away: a read that follows would find the end where there was a reset, so the error
+// that is met here is the one that counts.
+func (c *conn) awaits(until time.Time) (came bool, err error) {
+	if c.reader.Buffered() > 0 || !looks(c.Conn) {
+		return true, nil
 	}
 	c.SetReadDeadline(until)
-	err := awaitInput(c.Conn)
+	err = awaitInput(c.Conn)
 	c.SetReadDeadline(time.Time{})
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case err == nil, errors.Is(err, io.EOF):
+		return true, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, nil
+	}
+	return false, err
 }
 
 // worded are the headers that encode words itself.
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dykering/internal/core"
 	"dykering/internal/decision"
 )
@@ -416,6 +418,46 @@
 	return newConn(near), far
 }
 
+// resetsAfter is a connection that is reset as soon as what its peer wrote has been read up to a word, and before
+// whoever read it looks at it again.
+type resetsAfter struct {
+	*net.TCPConn
+	word string
+	peer *net.TCPConn
+	got  []byte
+}
+
+func (c *resetsAfter) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if c.got = append(c.got, b[:n]...); n > 0 && strings.HasSuffix(string(c.got), c.word) {
+		c.peer.SetLinger(0)
+		c.peer.Close()
+		raw, _ := c.SyscallConn()
+		raw.Control(func(fd uintptr) {
+			polled := []unix.PollFd{{Fd: int32(fd)}}
+			unix.Poll(polled, int(patience.Milliseconds())) // the reset is here, and nobody has been told of it
+		})
+	}
+	return n, err
+}
+
+// An answer with no length ends with its connection's end. A reset is none: what came before it is not whole.
+func TestResetIsNoEnd(t *testing.T) {
+	for name, c := range map[string]struct{ text, word string }{
+		"behind the body":    {"HTTP/1.1 200 OK\r\n\r\nok", "ok"},
+		"behind the head":    {"HTTP/1.1 200 OK\r\n\r\n", "\r\n\r\n"},
+		"of an older server": {"HTTP/1.0 200 OK\r\n\r\nok", "ok"},
+		"in a failure":       {"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nok", "ok"},
+	} {
+		near, far := tcpPair(t)
+		io.WriteString(far, c.text)
+		raw := &resetsAfter{TCPConn: near.Conn.(*net.TCPConn), word: c.word, peer: far.(*net.TCPConn)}
+		if res := tryOut("", true, raw, patience, nil); res.status != decision.Reset || res.conn != nil || res.response != nil {
+			t.Errorf("%s: status %v, response %+v", name, res.status, res.response)
+		}
+	}
+}
+
 func TestAliveSeesWhatCameWhileIdle(t *testing.T) {
 	c, far := tcpPair(t)
 	if !c.Alive() {
@@ -458,3 +500,37 @@
 		t.Errorf("%v, spent %v: want an error of a request that ran", res.status, res.spent)
 	}
 }
+
+// A caller whose long body waited for its turn may have gone behind bytes that nobody has read: nothing is sent then,
+// and who awaits the answer is told.
+func TestLongBodyOfWhoHasGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, far := tcpPair(t)
+	who := &caller{Conn: near.Conn, callers: &callers{}}
+	io.WriteString(far, "trip")
+	far.Close()
+	for end := time.Now().Add(patience); !who.gone() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	u := newUpload(who, &requestBody{r: bufio.NewReader(near.Conn), length: 8, left: 4}, func() bool { return false })
+	a := attemptAt(inbound{method: http.MethodPost, target: "/api", host: "h", body: []byte("trip"), more: u}, l.Addr().String(),
+		true, patience, 0)
+	defer a.Close()
+	if res := a.run(nil, patience, roomy()); res.status != decision.Moot || res.spent || res.conn != nil {
+		t.Errorf("%v, spent %v, conn %v", res.status, res.spent, res.conn)
+	}
+	if err := <-u.broken; err != errCallerGone {
+		t.Error(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(c); len(got) > 0 || err != nil {
+		t.Errorf("the endpoint got %q, %v", got, err)
+	}
+}
--- a/internal/lab/netem/conn.go
+++ b/internal/lab/netem/conn.go
@@ -227,6 +227,25 @@
 	return 0, syscall.EAGAIN, next, s.changed
 }
 
+// ending tells whether the stream's end has come, whatever stands unread before it, and else when it will.
+func (s *stream) ending() (n int, err error, next time.Time, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := len(s.segs); k > 0 && s.segs[k-1].what != data {
+		last := s.segs[k-1]
+		switch {
+		case !s.come(last) && !last.lost:
+			next = last.at
+		case !s.come(last):
+		case last.what == rst:
+			return 0, os.NewSyscallError("read", syscall.ECONNRESET), time.Time{}, nil
+		default:
+			return 0, io.EOF, time.Time{}, nil
+		}
+	}
+	return 0, syscall.EAGAIN, next, s.changed
+}
+
 // Conn is a process's handle of a connection's end.
 type Conn struct {
 	end     *end
@@ -300,6 +319,11 @@
 
 // take reads, or waits until something can be read.
 func (c *Conn) take(b []byte, take bool) (int, error) {
+	return c.wait(func() (int, error, time.Time, <-chan struct{}) { return c.end.in.look(b, take) })
+}
+
+// wait waits until a look at the stream tells something.
+func (c *Conn) wait(look func() (n int, err error, next time.Time, changed <-chan struct{})) (int, error) {
 	for {
 		closed, deadline, _, mine := c.state()
 		if closed {
@@ -308,7 +332,7 @@
 		if _, over := passed(deadline, time.Time{}); over {
 			return 0, c.fault("read", os.ErrDeadlineExceeded)
 		}
-		n, err, next, changed := c.end.in.look(b, take)
+		n, err, next, changed := look()
 		if err != syscall.EAGAIN {
 			if err != nil {
 				err = c.fault("read", err)
@@ -335,6 +359,12 @@
 	return err
 }
 
+// AwaitEnd waits until the peer has closed its side or reset the connection, whatever stands unread before that.
+func (c *Conn) AwaitEnd() error {
+	_, err := c.wait(c.end.in.ending)
+	return err
+}
+
 // Peek tells how many bytes of one are there; EAGAIN says none, and 0 without an error the end.
 func (c *Conn) Peek() (int, error) {
 	var b [1]byte
