Lists come however they are broken into lines, and every way to another watch ends within 6 s

Seen by reading, each confirmed by a test that failed before: - A watch was read a line at a time: an indented list was taken for a malformed line, and the whole list asked for again, for ever (TestIndentedLists). Now at most 1.8 s: 2 s of a hung call, 1.8 s, 2 s for the answer. The pause is spread by the first one, so a fleet stays spread, and a broker asks no more than once in 1.3 s while all fails. Excluded: a dribbled half line (Scan did not return for it, so it never was a sign of life), a fetch that hangs beside a broken watch (the watch goes its own way; 3.2 s).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -372,6 +372,44 @@
 	}
 }
 
+// A line of a whole list that cannot be acted on loses nothing that was there: its endpoint stays as it was, one that
+// drains too, and others are served on. One that is not named has gone.
+func TestMalformedLinesLoseNothing(t *testing.T) {
+	drains := ready("s-4", 0)
+	drains.State = "Terminating"
+	for name, spoil := range map[string]func(*Target){
+		"state":   func(x *Target) { x.State = "Reddy" },
+		"address": func(x *Target) { x.Address = "127.0.0.1" },
+	} {
+		b := newBench(t, nil, ready("s-1", 0), ready("s-2", 0), ready("s-3", 0), drains)
+		b.send = func(*Attempt, int) Result { return b.served("ok") }
+		bad, alsoBad := ready("s-1", 0), ready("s-4", 0)
+		spoil(&bad)
+		spoil(&alsoBad)
+		list := List{Rev: 2, All: true, Targets: []Target{bad, ready("s-2", 0), alsoBad}}
+		b.loop.Post(func() { b.loop.Listed(b.loop.discovery, list, FromWatch) })
+		open := map[decision.EndpointID]bool{}
+		for _, e := range b.loop.Stats().Endpoints {
+			open[e.ID] = e.Open
+		}
+		if id := b.loop.endpoints.id; len(open) != 3 || !open[id("s-1")] || !open[id("s-2")] || open[id("s-4")] {
+			t.Errorf("%s: %v", name, open)
+		}
+		for i := range 20 {
+			if got := b.final(b.ask(fmt.Sprint(name, i), read)); got != "ok" {
+				t.Errorf("%s: %s", name, got)
+			}
+		}
+		sent := map[decision.EndpointID]bool{}
+		for _, attempts := range b.sends {
+			sent[attempts[0].Endpoint.ID] = true
+		}
+		if id := b.loop.endpoints.id; len(sent) != 2 || !sent[id("s-1")] {
+			t.Errorf("%s: sent to %v", name, sent)
+		}
+	}
+}
+
 // The ids of what has ended are kept for a while, and no more of them than there is room for.
 func TestPastIsBounded(t *testing.T) {
 	var past past
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -55,6 +55,7 @@
 	uid    string
 	bootMS int64
 	open   atomic.Bool
+	entry  decision.Entry // as it was last listed
 }
 
 // NewEndpoint makes an endpoint that is open.
@@ -155,6 +156,10 @@
 		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == decision.Ready {
 			t.log.Warn("discovery.entry_refused", zap.String("uid", x.UID), zap.String("state", x.State),
 				zap.String("address", x.Address), zap.String("zone", x.Zone), zap.String("model", x.Model))
+			if known, ok := t.ids[x.UID]; ok && l.All && !listed[known] {
+				listed[known] = true // it has not gone: it stays as it was
+				entries = append(entries, t.byID[known].entry)
+			}
 			continue
 		}
 		id := t.id(x.UID)
@@ -175,8 +180,9 @@
 		if state == decision.Gone {
 			t.forget(e)
 		}
-		entries = append(entries, decision.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
-			Weight: x.Weight, Started: t.started(x.BootMS)})
+		e.entry = decision.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state, Weight: x.Weight,
+			Started: t.started(x.BootMS)}
+		entries = append(entries, e.entry)
 	}
 	if l.All {
 		for id, e := range t.byID {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,7 +16,7 @@
 	eventQueue = 1024
 	sweepEvery = time.Second
 	// anewEvery is how often discovery is asked anew at most, as a watch has brought an older whole list.
-	anewEvery = 10 * time.Second
+	anewEvery = 3 * time.Second
 )
 
 // Loop owns the Balancer and all state that goes with it: one goroutine runs the functions in events, and
--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -243,8 +243,8 @@
 // Host carries out a Balancer's actions. It is called only from within the
 // Balancer's event methods and must not call back into the Balancer.
 type Host interface {
-	// Send makes an attempt. Timeout 0 is until the client gives up. Within is how long its last byte may take to be
-	// out; an attempt that cannot begin so soon, as its connection comes up late, ends as Moot. 0 is no bound.
+	// Send makes an attempt. Timeout 0 is until the client gives up. Within is how long its last byte may take
+	// to be out, 0 for no bound: what cannot begin so soon, as its connection comes up late, ends as Moot.
 	Send(id RequestID, to EndpointID, timeout, within time.Duration)
 	Refuse(id RequestID, retryAfter time.Duration) // final answer: try again, it is harmless
 	Fail(id RequestID)                             // final answer: failed, promising nothing
--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -91,7 +91,8 @@
 	maxEjected    = 0.5  // share of the list that errors and silence may isolate
 	trialFirst    = 4.0  // connect time-outs from isolation to the first trial call
 	refreshShare  = 0.5  // of AskEvery (or Cold): the pace of fetching lists after broken connections
-	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
+	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure,
+	watchMost     = 1.8  // up to so many seconds: with a hung call before, a slow one after, under 6
 	returnedWarm  = 0.75 // share of Cold that an endpoint skips in its ramp if nothing showed a restart
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
@@ -1211,15 +1212,15 @@
 	b.arm()
 }
 
-// rewatch subscribes after a pause that doubles with each failure, spread: many must not ask at once.
+// rewatch subscribes after a pause that grows with each failure, spread: many must not ask at once.
 func (b *Balancer) rewatch() {
 	if !b.set.MustAsk || b.watchDue {
 		return
 	}
 	b.watchDue = true
-	first := max(seconds(watchShare*b.set.AskEvery.Seconds()), b.tick)
-	b.watchPause = min(max(2*b.watchPause, first), max(b.set.AskEvery, first))
-	b.host.SetTimer(tokenWatch, seconds(b.watchPause.Seconds()*b.rng.Float64()))
+	first := max(seconds(min(watchShare*b.set.AskEvery.Seconds(), watchMost/3)), b.tick)
+	b.watchPause = min(max(2*b.watchPause, first), max(min(b.set.AskEvery, seconds(watchMost)), first))
+	b.host.SetTimer(tokenWatch, b.watchPause-seconds(first.Seconds()*b.rng.Float64()))
 }
 
 // entry takes one line of a list.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -120,6 +120,87 @@
 	}
 }
 
+// The lists of a watch may be broken into lines as anybody likes, and come in any pieces.
+func TestIndentedLists(t *testing.T) {
+	text := ""
+	for rev := range uint64(3) {
+		whole, err := json.MarshalIndent(core.List{Rev: rev, Targets: []core.Target{{UID: "a\n"}, {UID: "b"}}}, "", "\t")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text += "\n" + string(whole) + "\r\n\n"
+	}
+	text += `{"rev":3,"targets":[]}{"rev":4,"targets":[]}`
+	for _, piece := range []int{1, 7, len(text)} {
+		s, w := play(t, false, func(w http.ResponseWriter, r *http.Request) {
+			for rest := text; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
+				fmt.Fprint(w, rest[:min(piece, len(rest))])
+				http.NewResponseController(w).Flush()
+			}
+			<-r.Context().Done()
+		})
+		watch(s, w, 0)
+		for rev := range 5 {
+			if got := next(t, s.told); got != fmt.Sprint("list ", rev, " by ", core.FromWatch) {
+				t.Errorf("pieces of %d: told %q", piece, got)
+			}
+		}
+	}
+}
+
+// Part of a list, however slowly it comes, is no sign of life: what changes behind it would not be heard of.
+func TestHalfAListIsNoSignOfLife(t *testing.T) {
+	t.Parallel()
+	const told = 6 * time.Second
+	for name, half := range map[string]string{"of a line": `{"rev":8,"targets":[`, "of many": "{\n\t\"rev\": 8,\n", "behind a list": "{\"rev\":8,\"targets\":[]}\n{\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan time.Time, 8)
+			s, w := play(t, false, func(w http.ResponseWriter, r *http.Request) {
+				asked <- time.Now()
+				fmt.Fprint(w, half)
+				for r.Context().Err() == nil {
+					http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+					fmt.Fprint(w, "\n")
+				}
+			})
+			watch(s, w, 1)
+			began := next(t, asked)
+			if took := next(t, asked).Sub(began); took > told-2*time.Second {
+				t.Errorf("taken for alive for %v", took)
+			}
+		})
+	}
+}
+
+// A list that cannot be one takes nothing away: a watch asks for the whole list instead, and a fetch has failed.
+func TestMalformedLists(t *testing.T) {
+	for _, text := range []string{`{"rev":9,"all":true}`, `{"rev":9,"all":true,"targets":[{}]}`, `null`, `{"rev":"9"}`, `[]`, `7`, `{"rev":-1}`} {
+		asked := make(chan string, 8)
+		s, w := play(t, false, func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.RawQuery
+			fmt.Fprintln(w, text)
+			http.NewResponseController(w).Flush()
+			if r.URL.Query().Has("since") {
+				<-r.Context().Done()
+			}
+		})
+		watch(s, w, 4)
+		next(t, asked)
+		if got := next(t, asked); got != "follow=1" {
+			t.Errorf("%s: then asked %q, want the whole list", text, got)
+		}
+		s.Post(w.Stop)
+		s.Post(w.Fetch)
+		for got := next(t, asked); got != ""; got = next(t, asked) {
+		}
+		if got := next(t, s.told); got != "failed" {
+			t.Errorf("%s: told %q", text, got)
+		}
+	}
+}
+
 // Where discovery must be asked, a watch that falls silent, breaks off in the middle of a line or is not answered ends
 // with word of it, and is taken up again when that is asked for.
 func TestBrokenWatchesEnd(t *testing.T) {
