What is in the middle of a request at the end gets a refusal, and a write waits no longer than its request

Seen by reading the shutdown, confirmed on real connections: - stop() ended with closeAll, a bare close of who was being read: no answer, and what was on its way turned the close into a reset (TestStopAnswersHalfRequests: EOF for head, body and chunks without the mend). Now they get 503 with when to come back at once, then half-close, read, close, as after any last answer. Mute and idle ones are closed as before. - a whole answer waited 10 s for a caller that took nothing of it, behind a request of 1 s: now as long as the request might have taken, 1 s at the least (TestAnswerThatNobodyTakes). - the pool took the connection that was used last. What an endpoint sends behind its answer, some milliseconds late, then met the next request, with nothing but 1 ms of rest to show it. One that has rested for 20 ms is preferred, else the one that has for longest (TestPool). Where there is only one it is used as before; nothing waits. Excluded: TCP_NODELAY (Go sets it on what it accepts, dials and takes over), reading on after a half-close (linger reads and sends nothing on), retire's look and its close (TestRetireCrossesNoRequest).

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -13,6 +13,9 @@
 	// while the endpoint closes it would be lost as a reset.
 	idleShare   = 0.5
 	idleDefault = 10 * time.Second // where connIdle is not told
+	// rested is when a connection is preferred: what an endpoint sends behind its answer, some milliseconds late, has
+	// come by then and shows, where on a busier one it would be taken for the next answer.
+	rested = 20 * time.Millisecond
 )
 
 // Conn is a connection to an endpoint; it carries one attempt at a time. It embeds an Idle.
@@ -49,17 +52,26 @@
 	return p
 }
 
-// acquire takes the most recently used connection; nil asks for a new one. It is false when there may be no
-// further connection. Whether the connection is alive shows when it is used.
+// acquire takes the most recently used connection that has rested, or else the one that has for longest; nil asks for
+// a new one. It is false when there may be no further connection. Whether the connection is alive shows when it is used.
 func (p *pool) acquire(e *Endpoint, now time.Time) (c Conn, ok bool) {
-	if conns := p.idle[e]; len(conns) > 0 {
-		if last := conns[len(conns)-1]; now.Sub(last.idle().Since) < p.maxIdle {
-			p.take(last)
-			return last, true
-		}
+	conns := p.idle[e]
+	if len(conns) == 0 {
+		return nil, p.room()
+	}
+	if now.Sub(conns[len(conns)-1].idle().Since) >= p.maxIdle {
 		p.closeIdle(e) // the others are older
+		return nil, p.room()
 	}
-	return nil, p.room()
+	c = conns[0]
+	for _, x := range slices.Backward(conns) {
+		if now.Sub(x.idle().Since) >= rested {
+			c = x
+			break
+		}
+	}
+	p.take(c)
+	return c, true
 }
 
 // room takes a place for a connection.
--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -44,6 +44,7 @@
 	credit  time.Duration // how long the body may make no progress
 	stopped atomic.Bool   // nobody wants the rest of the body
 	asked   atomic.Bool   // the body's reading is to stop, and may go on
+	cut     atomic.Bool   // what has not come whole is waited for no longer
 }
 
 // passing is what can be passed on to the successor while it is on its way.
@@ -270,6 +271,11 @@
 		began := time.Now()
 		if c.paced {
 			c.Conn.SetReadDeadline(began.Add(c.credit))
+		}
+		if c.cut.Load() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if c.paced {
 			if c.stopped.Load() {
 				return 0, errStopped
 			}
@@ -371,11 +377,23 @@
 	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
-// closeAll ends the connections whose callers are owed nothing: they have not brought a whole request.
-func (cs *callers) closeAll() {
+// cutOff has those answered at once, with a refusal, who are in the middle of a request when the process ends. Their
+// connections end as after any last answer: to close them would take back what crosses the close.
+func (cs *callers) cutOff() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for at := cs.stages[reading].Front(); at != nil; at = at.Next() {
+		c := at.Value.(*caller)
+		c.cut.Store(true)
+		c.Conn.SetReadDeadline(time.Now())
+	}
+}
+
+// closeAll ends the connections in some stages, whose callers are owed nothing: they have not brought a whole request.
+func (cs *callers) closeAll(in ...stage) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for _, stage := range []stage{mute, idle, reading} {
+	for _, stage := range in {
 		for cs.stages[stage].Len() > 0 {
 			cs.drop(cs.stages[stage].Front().Value.(*caller))
 		}
--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -92,6 +92,9 @@
 	in, err := readRequest(r)
 	var f *fault
 	switch {
+	case c.cut.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+		w.lasts = false
+		return w.answer(core.TurnedAway(&s.config.Settings))
 	case errors.As(err, &f):
 		s.noteFault(f.status, f.text)
 		return w.error(f.status, f.text)
@@ -130,10 +133,11 @@
 			return false
 		}
 	}
+	w.patience = min(max(req.Left, leastWrite), writeTimeout)
 	held, err := s.take(c, in, req, body)
 	defer s.memory.Bodies.Give(held)
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoRoom), err != nil && c.cut.Load():
 		w.lasts = false
 		return w.answer(core.TurnedAway(&s.config.Settings))
 	case errors.Is(err, errTooLarge):
--- a/internal/http1/reply.go
+++ b/internal/http1/reply.go
@@ -13,11 +13,12 @@
 
 // reply writes one answer to a caller.
 type reply struct {
-	caller *caller
-	old    bool // HTTP/1.0: a body whose length is not known ends with the connection
-	lasts  bool // the connection may bring another request
-	gift   gift // nil where nothing can be passed on
-	passed bool // the successor has the connection
+	caller   *caller
+	old      bool          // HTTP/1.0: a body whose length is not known ends with the connection
+	lasts    bool          // the connection may bring another request
+	patience time.Duration // how long the caller may take nothing of a whole answer
+	gift     gift          // nil where nothing can be passed on
+	passed   bool          // the successor has the connection
 }
 
 // answer gives the final answer. Like the other methods it tells whether the connection may go on.
@@ -77,9 +78,9 @@
 	return b.Bytes()
 }
 
-// write writes pieces; a caller that takes nothing of them for writeTimeout has gone.
+// write writes pieces; a caller that does not take them for as long as it would have waited for them has gone.
 func (w *reply) write(pieces ...[]byte) bool {
-	w.caller.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.caller.Conn.SetWriteDeadline(time.Now().Add(max(w.patience, leastWrite)))
 	buffers := net.Buffers(pieces)
 	_, err := buffers.WriteTo(w.caller.Conn)
 	return err == nil
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -22,7 +22,8 @@
 	readTimeout  = 2500 * time.Millisecond
 	firstTimeout = 2900 * time.Millisecond
 	idleTimeout  = 30 * time.Second
-	writeTimeout = 10 * time.Second // for a piece of an answer to be taken
+	writeTimeout = 10 * time.Second // for a piece of an answer to be taken,
+	leastWrite   = time.Second      // and for a whole one at the least; else for as long as its request may take
 	maxName      = 128              // bytes of an id
 	maxRemaining = time.Hour
 	// quietAfter is how long no new connection must have come before a sidecar that was told to stop, and that
@@ -263,7 +264,8 @@
 		s.callers.retire(0, 0)
 		time.Sleep(stopPoll)
 	}
-	s.callers.closeAll()
+	s.callers.cutOff()
+	s.callers.closeAll(mute, idle)
 	for !s.callers.quietFor(0) {
 		time.Sleep(stopPoll) // answers end with their peers, which must make progress, or with the successor
 	}
