An endpoint that sent more than it was asked for is given time to do so again before its connection is used

A connection rested 1 ms, so one that was the only one to its endpoint and was used again before the second answer came would have served it to the next request. Preferring rested connections does not help where there is one. Change: an endpoint seen to send beyond its answer, or on an idle connection, is noted for 10 s; connections to it rest 20 ms in that time (1 ms to all others, so nobody else waits). Test: TestWhoSentBeyondIsGivenTime.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -52,6 +52,8 @@
 	Address string
 	Waiting atomic.Int32 // attempts that wait for its answer, on connections that stand
 
+	beyond atomic.Int64 // when it last sent more than it was asked for, in Unix nanoseconds
+
 	uid    string
 	bootMS int64
 	open   atomic.Bool
@@ -65,6 +67,27 @@
 	return e
 }
 
+const (
+	// settle is how long a connection rests after an answer at the least. Nothing ties an answer to its request, so what
+	// an endpoint sends beyond an answer must be seen before the next request is written.
+	settle = time.Millisecond
+	// rested is when that has come that is some milliseconds late. A connection that has rested so long is preferred, and
+	// one to an endpoint that has sent more than it was asked for, in the last distrustFor, waits until then.
+	rested      = 20 * time.Millisecond
+	distrustFor = 10 * time.Second
+)
+
+// SentBeyond notes that the endpoint has sent more than it was asked for.
+func (e *Endpoint) SentBeyond() { e.beyond.Store(time.Now().UnixNano()) }
+
+// Settle is how long a connection to it rests after an answer.
+func (e *Endpoint) Settle() time.Duration {
+	if time.Since(time.Unix(0, e.beyond.Load())) < distrustFor {
+		return rested
+	}
+	return settle
+}
+
 // Open tells whether it may get new attempts.
 func (e *Endpoint) Open() bool { return e.open.Load() }
 
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -13,9 +13,6 @@
 	// while the endpoint closes it would be lost as a reset.
 	idleShare   = 0.5
 	idleDefault = 10 * time.Second // where connIdle is not told
-	// rested is when a connection is preferred: what an endpoint sends behind its answer, some milliseconds late, has
-	// come by then and shows, where on a busier one it would be taken for the next answer.
-	rested = 20 * time.Millisecond
 )
 
 // Conn is a connection to an endpoint; it carries one attempt at a time. It embeds an Idle.
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -68,7 +68,7 @@
 		}()
 		a := attemptAt(inbound{method: http.MethodGet, target: "/"}, "", true, time.Minute, time.Minute)
 		defer a.Close()
-		res, err := a.read(newConn(near), room)
+		res, err := a.read(newConn(near, a.Endpoint), room)
 		if res.response != nil && res.response.more == nil && err == nil && res.status == decision.OK {
 			want, fault := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
 			if fault == nil && want.StatusCode == http.StatusOK {
--- a/internal/http1/passage.go
+++ b/internal/http1/passage.go
@@ -289,7 +289,7 @@
 	if left.Ended {
 		return l
 	}
-	up := newConn(upstream[0])
+	up := newConn(upstream[0], core.NewEndpoint(0, upstream[0].RemoteAddr().String()))
 	up.input, up.left = left.Input, left.Allowed
 	l.from = up
 	l.body = &answerBody{conn: up, reader: up.reader, length: left.Length, longest: maxLong, read: left.Read,
@@ -349,7 +349,7 @@
 	s.loop.Adopt(a)
 	go func() {
 		defer a.Close()
-		res := newAttempt(a, s.network).over(newConn(upstream), s.memory)
+		res := newAttempt(a, s.network).over(newConn(upstream, e), s.memory)
 		if res.conn != nil {
 			res.conn.Close()
 		}
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -35,9 +35,6 @@
 	// relayStall is how long an endpoint may take no more of a body, or give no more of an answer.
 	relayStall     = 10 * time.Second
 	maxInformation = 16 // 1xx responses before the final one
-	// settle is how long a connection rests after an answer. Nothing ties an answer to its request, so what an
-	// endpoint sends beyond an answer must be seen before the next request is written.
-	settle = time.Millisecond
 	// resetsSpread is how long a process that dies may take to reset all its connections.
 	resetsSpread = 3 * time.Millisecond
 )
@@ -48,11 +45,12 @@
 	core.Idle
 	reader *bufio.Reader // of what Read gives
 	input  []byte        // what another process has read of it
-	left   int           // bytes that may still be read
+	to     *core.Endpoint
+	left   int // bytes that may still be read
 }
 
-func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+func newConn(raw net.Conn, to *core.Endpoint) *conn {
+	c := &conn{Conn: raw, to: to}
 	c.reader = bufio.NewReader(c)
 	return c
 }
@@ -76,6 +74,9 @@
 // nobody asked for.
 func (c *conn) Alive() bool {
 	n, peek := peekConn(c.Conn)
+	if n > 0 {
+		c.to.SentBeyond()
+	}
 	return n < 0 && (peek == syscall.EAGAIN || peek == syscall.EINTR)
 }
 
@@ -191,7 +192,7 @@
 		}
 	}()
 	if c != nil {
-		time.Sleep(time.Until(c.Since.Add(settle)))
+		time.Sleep(time.Until(c.Since.Add(a.Endpoint.Settle())))
 		if !c.Alive() {
 			c.Close()
 			c = nil
@@ -220,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, a.Endpoint), nil
 }
 
 // whatBroke tells a connection that alone broke from an endpoint that did: one that ends takes all its
@@ -496,6 +497,9 @@
 			return res, err
 		}
 	}
+	if c.reader.Buffered() > 0 && body.ended {
+		a.Endpoint.SentBeyond()
+	}
 	if lasting && body.ended && !body.toClose && c.reader.Buffered() == 0 {
 		c.Conn.SetDeadline(time.Time{})
 		res.conn = c
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -44,7 +44,7 @@
 	if c == nil {
 		return a.run(nil, patience, roomy())
 	}
-	return a.over(newConn(c), roomy())
+	return a.over(newConn(c, a.Endpoint), roomy())
 }
 
 // roomy is memory for bodies that is not used up.
@@ -206,7 +206,7 @@
 	try := func(b *core.Memory) result {
 		a := attemptAt(inbound{method: "GET", target: "/", host: "h"}, "", true, patience, 0)
 		defer a.Close()
-		return a.over(newConn(pipe(t, answer)), b)
+		return a.over(newConn(pipe(t, answer), a.Endpoint), b)
 	}
 	tight := roomFor(1)
 	if res := try(tight); res.status != decision.OK || tight.Bodies.Left() != 1-2 {
@@ -245,6 +245,58 @@
 	}
 }
 
+// An endpoint that was seen to send more than it was asked for, behind its answer or on an idle connection, is given time
+// to send it again: the next request on a connection waits until what is some milliseconds late has come.
+func TestWhoSentBeyondIsGivenTime(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	plain := core.NewEndpoint(1, "").Settle()
+	for name, see := range map[string]func(*conn, net.Conn) *core.Endpoint{
+		"behind its answer": func(c *conn, far net.Conn) *core.Endpoint {
+			io.WriteString(far, answer+answer)
+			a := attemptAt(inbound{method: "GET", target: "/", host: "h"}, "", true, patience, 0)
+			defer a.Close()
+			c.to = a.Endpoint
+			a.over(c, roomy())
+			return a.Endpoint
+		},
+		"on an idle connection": func(c *conn, far net.Conn) *core.Endpoint {
+			io.WriteString(far, "H")
+			for end := time.Now().Add(patience); c.Alive() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			return c.to
+		},
+	} {
+		c, far := tcpPair(t)
+		e := see(c, far)
+		if e.Settle() < 5*plain {
+			t.Errorf("%s: a connection rests %v, as to others", name, e.Settle())
+		}
+		c, far = tcpPair(t)
+		c.Since = time.Now()
+		var came time.Time
+		done := make(chan bool)
+		go func() {
+			defer close(done)
+			takeRequest(far)
+			came = time.Now()
+			io.WriteString(far, answer)
+		}()
+		in := inbound{method: "GET", target: "/", host: "h"}
+		call := core.NewCall(decision.Request{}, &in)
+		call.Deadline = time.Now().Add(patience)
+		a := newAttempt(core.NewAttempt(call, e, 0, aside{}), Kernel{})
+		if res := a.run(c, patience, roomy()); res.status != decision.OK {
+			t.Errorf("%s: %v", name, res.status)
+		}
+		a.Close()
+		<-done
+		if rest := came.Sub(c.Since); rest < 5*plain {
+			t.Errorf("%s: the next request after %v", name, rest)
+		}
+	}
+}
+
 // A dial may outlast a drain: then the connection is closed with nothing sent on it.
 func TestDrainedWhileDialing(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -415,7 +467,7 @@
 		near.Close()
 		far.Close()
 	})
-	return newConn(near), far
+	return newConn(near, core.NewEndpoint(1, "")), far
 }
 
 // resetsAfter is a connection that is reset as soon as what its peer wrote has been read up to a word, and before
