--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -503,7 +503,7 @@
 // do: when nearly all are cold a draw by share alone would push them over. It goes by the odds, too: a slow
 // machine, or one of which a sliver lies in each of many subsets, got a whole fast one's.
 func (b *Balancer) rampRoom(now time.Duration, e *endpoint) bool {
-	warm := cmp.Or(b.warm.peak(now, b.window), b.demand(now))
+	warm := b.warmRate(now)
 	if b.warm.top == 0 && b.sharers() <= callers {
 		return len(e.calls) == 0 // of those few one call each is no more than chance would bring
 	}
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -346,8 +346,12 @@
 	return float64(b.set.Instances) * b.subset / float64(max(len(b.listed), 1))
 }
 
-// demand is what an endpoint of the subset would be sent a second, for its odds, were all of it warm.
-func (b *Balancer) demand(now time.Duration) float64 {
+// warmRate is what warm endpoints are sent a second, for their odds; where none has been, what an endpoint of the subset
+// would be, were all of it warm.
+func (b *Balancer) warmRate(now time.Duration) float64 {
+	if b.warm.top > 0 {
+		return b.warm.peak(now, b.window)
+	}
 	sum := 0.0
 	for _, e := range b.mine {
 		if e.mark != leaving {
