Laboratory: a broker that is to be killed has what it took excused first

Seen: the ground killed a process and told the stage of it at the same time; the callers' resets and the stage's word for them are posted by different goroutines, and whichever came first won. Ruled out: the program (the requests named were all in the process that was killed, and nothing else about them is broken). Lines: whole.go kill (close(killed) and p.Kill in one go), real/play.go start (excuse posted by the watcher). Now the kill waits until the stage has excused what the process had taken.

--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -217,15 +217,23 @@
 	}
 	i.all = append(i.all, p)
 	st.work.Go(func() {
+		dies, excused := dies(p)
+		defer excused()
 		select {
-		case <-killed(p):
+		case <-dies:
+			heard := make(chan struct{})
 			st.post(func() {
+				defer close(heard)
 				st.excuse(i.in) // as Kill does
 				if i.process == p {
 					i.process = nil
 					st.After(killedFor, func() { st.succeed(i, nil) })
 				}
 			})
+			select {
+			case <-heard:
+			case <-st.done:
+			}
 			return
 		case <-p.Ended():
 		case <-st.ctx.Done():
@@ -365,12 +373,19 @@
 // killedFor is how long an instance that the ground has killed stays away.
 const killedFor = 200 * time.Millisecond
 
-// killed is closed when the ground has killed a process; nil where it does not.
-func killed(p Broker) <-chan struct{} {
-	if k, ok := p.(interface{ Killed() <-chan struct{} }); ok {
-		return k.Killed()
+// mortal is a process that its ground may kill. Dies is closed when it is about to; the process is killed once Excused has
+// been called, since those who are told of a reset before its cause is known would take it for the process's own fault.
+type mortal interface {
+	Dies() <-chan struct{}
+	Excused()
+}
+
+// dies is closed when the ground is about to kill a process, nil where it does not; excused lets it.
+func dies(p Broker) (_ <-chan struct{}, excused func()) {
+	if m, ok := p.(mortal); ok {
+		return m.Dies(), m.Excused
 	}
-	return nil
+	return nil, func() {}
 }
 
 // excuse has nothing owed to those who asked an instance.
@@ -402,8 +417,9 @@
 	}
 	st.work.Go(func() {
 		if err := p.Ready(st.ctx); err != nil {
+			dies, _ := dies(p)
 			select {
-			case <-killed(p):
+			case <-dies:
 				return // who watches it starts another
 			default:
 			}
--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -174,22 +174,23 @@
 	return errors.Join(g.held...)
 }
 
-// kill kills the broker that runs as a process.
+// kill kills the broker that runs as a process, once the stage has excused what it has taken.
 func (g *ground) kill(p *netem.Process) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	for b := range g.live {
-		select {
-		case <-p.Dead():
-			return
-		default:
-		}
-		if b.process == p {
-			close(b.killed)
-			p.Kill()
-			b.server.Loop().Close()
+	var b *broker
+	for one := range g.live {
+		if one.process == p {
+			b = one
 		}
 	}
+	g.mu.Unlock()
+	if b == nil {
+		return
+	}
+	b.dying.Do(func() { close(b.dies) })
+	<-b.excused // not under the lock: the stage may be starting a process
+	p.Kill()
+	b.server.Loop().Close()
 }
 
 // look tells of what brokers are at, until a run is over.
@@ -358,7 +359,7 @@
 	s.started++
 	b := &broker{name: fmt.Sprintf("%s, process %d", s.machine.Name, s.started), process: s.machine.Start(),
 		signals: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), ended: make(chan struct{}),
-		killed: make(chan struct{})}
+		dies: make(chan struct{}), excused: make(chan struct{})}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&b.log), zap.WarnLevel)
 	listener := b.process.Listener(s.socket)
 	if !s.g.shared {
@@ -437,7 +438,10 @@
 	reloads chan os.Signal
 	log     tail
 	visited http1.Visited // by look
-	killed  chan struct{} // closed when it was killed by other than the stage
+	dying   sync.Once
+	dies    chan struct{} // closed when other than the stage is about to kill it
+	pardon  sync.Once
+	excused chan struct{} // closed once the stage knows
 	ended   chan struct{}
 	err     error // with which it ended
 }
@@ -493,8 +497,10 @@
 	return nil
 }
 
-// Killed is closed when it was killed by other than the stage.
-func (b *broker) Killed() <-chan struct{} { return b.killed }
+// Dies is closed when other than the stage is about to kill it, which waits for Excused.
+func (b *broker) Dies() <-chan struct{} { return b.dies }
+
+func (b *broker) Excused() { b.pardon.Do(func() { close(b.excused) }) }
 
 func (b *broker) Ended() <-chan struct{} { return b.ended }
 
