A watch of discovery that hung is followed by the next one after a pause that it has used up

Lines: rewatch in balancer.go, whose pause of up to 1.8 s counted from a failure, whenever the call had begun. Ruled out: the way of pushed lists (0.6 s at most, discovery.go backoffMost). Now the pause counts from when the call that failed began, and is 0.6 s at the most behind one that hung. What is refused at once is asked no more often (TestFailedListsAskNoMoreOften, unchanged).

--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -161,11 +161,11 @@
 	hidden      bool    // clients' repeats do not show what they have spent: see spent
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
 
-	endsAt     time.Duration // when this instance ends, where that is known,
-	succeeded  bool          // and that another one serves in its place
-	fetchAt    time.Duration // no fetch before
-	watchPause time.Duration
-	watchDue   bool // after it
+	endsAt              time.Duration // when this instance ends, where that is known,
+	succeeded           bool          // and that another one serves in its place
+	fetchAt             time.Duration // no fetch before
+	watchDue            bool          // after a pause,
+	watchPause, watchAt time.Duration // that counts from when the last watch began
 }
 
 // Timer tokens.
@@ -1105,7 +1105,7 @@
 		b.place(now)
 		b.arm()
 	case tokenWatch:
-		b.watchDue = false
+		b.watchDue, b.watchAt = false, now
 		b.host.Watch(true)
 	}
 }
@@ -1178,7 +1178,7 @@
 // Targets takes news of the endpoint list.
 func (b *Balancer) Targets(now time.Duration, l List) {
 	if l.Kind == Failed {
-		b.rewatch()
+		b.rewatch(now)
 		return
 	}
 	if l.Version < b.version && !l.Anew {
@@ -1205,7 +1205,7 @@
 		return len(e.calls)+e.coming == 0 && (crowd || now-e.left >= b.set.Cold)
 	})
 	if l.Kind == Cached {
-		b.rewatch()
+		b.rewatch(now)
 	} else {
 		b.watchPause = 0
 	}
@@ -1213,15 +1213,15 @@
 	b.arm()
 }
 
-// rewatch subscribes after a pause that grows with each failure, spread: many must not ask at once.
-func (b *Balancer) rewatch() {
+// rewatch subscribes after a pause that grows with each failure, spread; a call that hung has used it up.
+func (b *Balancer) rewatch(now time.Duration) {
 	if !b.set.MustAsk || b.watchDue {
 		return
 	}
 	b.watchDue = true
 	first := max(seconds(min(watchShare*b.set.AskEvery.Seconds(), watchMost/3)), b.tick)
 	b.watchPause = min(max(2*b.watchPause, first), max(min(b.set.AskEvery, seconds(watchMost)), first))
-	b.host.SetTimer(tokenWatch, b.watchPause-seconds(first.Seconds()*b.rng.Float64()))
+	b.host.SetTimer(tokenWatch, max(b.watchPause+b.watchAt-now, first)-seconds(first.Seconds()*b.rng.Float64()))
 }
 
 // entry takes one line of a list.
--- a/internal/decision/odd_test.go
+++ b/internal/decision/odd_test.go
@@ -336,6 +336,37 @@
 	}
 }
 
+// What changes counts as told 6 s after discovery could be reached, whatever became of the calls before. Two calls in a row
+// that hang for 2 s, the longest that a watch is waited for, leave time for the third; what is refused at once is asked no
+// more often for that.
+func TestHungListsAreAskedForAgainInTime(t *testing.T) {
+	const hangs = 2 * time.Second
+	for _, askEvery := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second, time.Minute} {
+		s := settings()
+		s.MustAsk, s.AskEvery = true, askEvery
+		d := start(t, s, 4)
+		d.pass(3 * time.Second)
+		d.b.Targets(d.now, List{Kind: Failed})
+		var began []time.Duration
+		for watches := d.watches; len(began) < 12; {
+			d.pass(20 * ms)
+			if d.watches > watches {
+				watches, began = d.watches, append(began, d.now)
+				d.pass(hangs)
+				d.b.Targets(d.now, List{Kind: Failed})
+			}
+			if len(began) > 0 && d.now-began[len(began)-1] > 4*hangs {
+				t.Fatalf("asked each %v: no further watch", askEvery)
+			}
+		}
+		for i := 2; i < len(began); i++ {
+			if third := began[i] - began[i-2]; third > 5300*ms {
+				t.Errorf("asked each %v: the third call began %v after the first, which had hung", askEvery, third)
+			}
+		}
+	}
+}
+
 // A server of which every answer is of no use, or that breaks off each connection it accepts, is isolated like one that
 // fails fast; where every server spoils some, or all do alike, none is.
 func TestServerThatSpoilsAll(t *testing.T) {
