A request whose client has gone is not sent, also where the loop is late to hear of it

Seen by asking of each pick and each repeat what happens if the client's close crosses it in a loop that is late (a stall, many events): the leave stands in the queue behind the pick, and the attempt goes out long after the close. Lines: upstream.go run, exchange. Now an attempt looks at its caller's socket itself before it uses a connection and before the first byte, has the call lapse, and leaves a resting connection as it is.

--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -222,8 +222,18 @@
 	if req.more != nil {
 		req.more.gift = s.giftOfUpload(r, w, req)
 	}
+	lapse := func() { s.loop.Lapse(req.Call) }
+	if req.more == nil { // else its body is read on, which shows it: see exchangeLong
+		req.deserted = func() bool {
+			gone := c.gone()
+			if gone {
+				lapse()
+			}
+			return gone
+		}
+	}
 	s.loop.Arrive(req.Call, received)
-	return s.await(c, r, w, req, func() { s.loop.Lapse(req.Call) })
+	return s.await(c, r, w, req, lapse)
 }
 
 // await carries the answer to a request back; lapse is called where nobody waits for it any more.
@@ -290,6 +300,9 @@
 
 // gone tells whether the caller has, whatever of it stands unread.
 func (c *caller) gone() (gone bool) {
+	if p, ok := c.Conn.(peeker); ok {
+		return p.Ended()
+	}
 	if sys, ok := c.Conn.(syscall.Conn); ok {
 		if raw, err := sys.SyscallConn(); err == nil {
 			return raw.Control(func(fd uintptr) { gone = hungUp(fd) }) != nil || gone
--- a/internal/http1/network.go
+++ b/internal/http1/network.go
@@ -75,8 +75,10 @@
 type peeker interface {
 	Peek() (n int, err error) // EAGAIN for nothing, 0 without an error for the end
 	Await() error
-	// AwaitEnd waits likewise for the peer to have gone, whatever it sent before that stands unread.
+	// AwaitEnd waits likewise for the peer to have gone, whatever it sent before that stands unread; Ended tells whether it
+	// has.
 	AwaitEnd() error
+	Ended() bool
 }
 
 // looks tells whether a connection can be looked at without being read.
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -52,6 +52,9 @@
 	header http.Header
 	body   []byte // all of it, or its beginning where there is more
 	more   *upload
+	// deserted tells whether its caller has gone, and has the call lapse then: the word of who watches the caller may stand
+	// behind others in a loop that is late. Nil where there is nobody to ask.
+	deserted func() bool
 }
 
 // request is a call with what goes on of it.
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,6 +73,12 @@
 
 // startWith runs a sidecar whose configuration is changed in some way.
 func startWith(t *testing.T, instances, sockets int, change func(*config.Config), targets ...target) *rig {
+	t.Helper()
+	return startOn(t, Kernel{}, instances, sockets, change, targets...)
+}
+
+// startOn runs one that stands on a network.
+func startOn(t *testing.T, n Network, instances, sockets int, change func(*config.Config), targets ...target) *rig {
 	t.Helper()
 	rg := &rig{t: t, lists: make(chan string, 16), signals: make(chan os.Signal, 1),
 		reloads: make(chan os.Signal, 1), ended: make(chan error, 1)}
@@ -104,7 +111,7 @@
 		t.Fatal(err)
 	}
 	change(c)
-	if rg.server, err = New(c, zap.NewNop()); err != nil {
+	if rg.server, err = NewOn(n, c, zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
 	listener, err := listen.Open(c.Listen, c.Accept)
@@ -351,6 +358,59 @@
 	}
 }
 
+// heldDials is a network whose next connection is handed over once it is let go.
+type heldDials struct {
+	Kernel
+	made, letGo chan bool
+}
+
+func (n heldDials) Dial(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+	c, err := n.Kernel.Dial(ctx, address, within)
+	select {
+	case n.made <- true:
+		<-n.letGo
+	default:
+	}
+	return c, err
+}
+
+// A client that goes while the connection for its request is being made is sent nothing for, also where the loop is late
+// and has not come to its leave: it is held until the endpoint has heard what there is to hear.
+func TestClientGoneBehindALateLoop(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n := heldDials{made: make(chan bool), letGo: make(chan bool)}
+	rg := startOn(t, n, 1, 1024, func(*config.Config) {}, target{UID: "s-1", Address: l.Addr().String(), State: "Ready", Weight: 1})
+	c := rg.dial()
+	rg.request("once", 9*time.Second).Write(c)
+	<-n.made
+	on := make(chan bool)
+	rg.server.loop.Post(func() { <-on })
+	c.Close()
+	rg.until("its client's end is here", func() bool {
+		rg.server.callers.mu.Lock()
+		defer rg.server.callers.mu.Unlock()
+		at := rg.server.callers.stages[busy].Front()
+		return at == nil || at.Value.(*caller).gone()
+	})
+	close(n.letGo)
+	e, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	e.SetDeadline(time.Now().Add(patience))
+	var b [1]byte
+	if got, err := e.Read(b[:]); got > 0 || err != io.EOF {
+		t.Errorf("its endpoint got a request (%v): its client had gone", err)
+	}
+	close(on)
+	rg.idle()
+}
+
 func TestBadInputNeverReachesAnEndpoint(t *testing.T) {
 	var came atomic.Int64
 	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { came.Add(1) }))
--- a/internal/http1/upstream.go
+++ b/internal/http1/upstream.go
@@ -198,6 +198,9 @@
 			c = nil
 		}
 	}
+	if a.in.gone() {
+		return result{status: decision.Moot, conn: c}
+	}
 	if c == nil {
 		var err error
 		if c, err = a.dial(a.inTime(connectTimeout)); err != nil {
@@ -274,8 +277,8 @@
 }
 
 func (a *attempt) exchange(c *conn, room *core.Memory) result {
-	// The dial may have outlasted the endpoint's welcome, or the window in which a repeat is dropped.
-	if !a.Endpoint.Open() || a.Ctx.Err() != nil || a.late() {
+	// The dial may have outlasted the endpoint's welcome, the window in which a repeat is dropped, or the caller's patience.
+	if !a.Endpoint.Open() || a.Ctx.Err() != nil || a.late() || a.in.gone() {
 		return result{status: decision.Moot}
 	}
 	c.SetWriteDeadline(a.OutBy)
@@ -701,6 +704,9 @@
 	return false, err
 }
 
+// gone tells whether nobody waits for the answer any more.
+func (in *inbound) gone() bool { return in.deserted != nil && in.deserted() }
+
 // worded are the headers that encode words itself.
 var worded = map[string]bool{"Content-Length": true, "X-Remaining": true}
 
--- a/internal/http1/upstream_test.go
+++ b/internal/http1/upstream_test.go
@@ -553,6 +553,25 @@
 	}
 }
 
+// A request whose caller has gone leaves the connection that it was to go out on to the next.
+func TestDesertedRequestLeavesItsConnection(t *testing.T) {
+	near, far := tcpPair(t)
+	asked := 0
+	a := attemptAt(inbound{method: http.MethodGet, target: "/api", host: "h", deserted: func() bool {
+		asked++
+		return true
+	}}, "127.0.0.1:1", true, patience, 0)
+	defer a.Close()
+	near.Since = time.Now()
+	if res := a.run(near, patience, roomy()); res.status != decision.Moot || res.conn != near || asked != 1 {
+		t.Errorf("%v, its connection kept: %v, asked %d times", res.status, res.conn == near, asked)
+	}
+	near.Close()
+	if got, err := io.ReadAll(far); len(got) > 0 || err != nil {
+		t.Errorf("the endpoint got %q, %v", got, err)
+	}
+}
+
 // A caller whose long body waited for its turn may have gone behind bytes that nobody has read: nothing is sent then,
 // and who awaits the answer is told.
 func TestLongBodyOfWhoHasGone(t *testing.T) {
--- a/internal/lab/netem/conn.go
+++ b/internal/lab/netem/conn.go
@@ -365,6 +365,13 @@
 	return err
 }
 
+// Ended tells whether it has, or this side has closed.
+func (c *Conn) Ended() bool {
+	closed, _, _, _ := c.state()
+	_, err, _, _ := c.end.in.ending()
+	return closed || err != syscall.EAGAIN
+}
+
 // Peek tells how many bytes of one are there; EAGAIN says none, and 0 without an error the end.
 func (c *Conn) Peek() (int, error) {
 	var b [1]byte
