--- a/internal/lab/netem/netem_test.go
+++ b/internal/lab/netem/netem_test.go
@@ -73,6 +73,18 @@
 			b.expect("read", err, nil)
 			b.took("1,000 bytes", began, 110*time.Millisecond)
 		}},
+		"an end behind unread bytes": {Options{Latency: 10 * time.Millisecond}, func(b *bench) {
+			near, far := b.pair()
+			near.Write(one)
+			near.Close()
+			if far.Ended() {
+				b.Error("it has ended before its end is here")
+			}
+			time.Sleep(11 * time.Millisecond)
+			if n, err := far.Peek(); !far.Ended() || n != 1 || err != nil {
+				b.Errorf("ended %v, %d bytes unread, %v", far.Ended(), n, err)
+			}
+		}},
 		"a buffer fills": {Options{Buffer: 100}, func(b *bench) {
 			near, far := b.pair()
 			near.SetWriteDeadline(time.Now().Add(time.Second))
