Requests read together with one whose answer is the last on its connection are answered too

Ruled out: what stands in the kernel unread (passed on or sent again by its client). Lines: away.go closes (the last branch, and the first one's late side), inbound.go answerOne (both refusals of who has been sent away).

--- a/internal/http1/away.go
+++ b/internal/http1/away.go
@@ -87,12 +87,17 @@
 	return away
 }
 
-// closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere.
-// Requests that have come behind the one that is answered are still served, for a while.
+// closes tells whether a connection is to end with the answer that is given now, as its caller is to go elsewhere or the
+// process ends. What has been read behind the request that is answered is still answered, for a while: to end the
+// connection would lose it.
 func (s *Server) closes(c *caller, buffered int) bool {
 	phase, since, _ := s.life.Now()
-	if s.away(phase) {
-		return time.Since(since) > s.awayAfter() || buffered == 0 && !c.waiting()
+	switch {
+	case s.away(phase):
+		late := time.Since(since) - s.awayAfter()
+		return late > readTimeout || buffered == 0 && (late > 0 || !c.waiting())
+	case buffered > 0 && time.Now().Before(s.life.Ends()):
+		return false
 	}
 	return s.life.Closing(lastAnswers)
 }
--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -119,8 +119,9 @@
 		}
 		return w.status(http.StatusOK, "")
 	}
-	if a, away := s.sentAway(); over || away && !(unread && s.moves()) {
-		w.lasts = false
+	whole := in.ContentLength > 0 && int64(r.Buffered()) >= in.ContentLength // and what stands behind it may be a request
+	if a, away := s.sentAway(); over || away && !(unread && (whole || s.moves())) {
+		w.lasts = w.lasts && !over && !unread && !s.closes(c, r.Buffered()+len(c.input))
 		return w.answer(a)
 	}
 	req, status, text := s.parse(in)
@@ -155,7 +156,7 @@
 		}
 	}
 	if a, away := s.sentAway(); away && req.more == nil {
-		w.lasts = false
+		w.lasts = w.lasts && !s.closes(c, r.Buffered()+len(c.input))
 		return w.answer(a) // its last byte came too late
 	}
 	return s.decide(c, r, w, req)
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -1129,6 +1130,51 @@
 	}
 }
 
+// Requests that have been read together with one whose answer is the last on its connection, as the process ends or callers
+// have been sent away for long, are answered too: to close behind the first would lose them.
+func TestRequestsReadBehindTheLastAnswer(t *testing.T) {
+	for name, turn := range map[string]func(*rig){
+		"stop": func(rg *rig) {
+			rg.signals <- syscall.SIGTERM
+			rg.until("answers are the last", func() bool { return rg.server.life.Closing(lastAnswers) })
+		},
+		"drain": func(rg *rig) {
+			rg.server.Drain()
+			rg.until("callers should be elsewhere", func() bool {
+				_, away := rg.server.sentAway()
+				return away
+			})
+		},
+	} {
+		came, serve := make(chan bool, 3), make(chan bool)
+		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+			came <- true
+			<-serve
+		}))
+		rg.server.linger, rg.server.heardFor = time.Second, 50*time.Millisecond
+		var all bytes.Buffer
+		for range 3 {
+			rg.request("once", 9*time.Second).Write(&all)
+		}
+		c := rg.dial()
+		c.Write(all.Bytes())
+		<-came
+		turn(rg)
+		close(serve)
+		r := bufio.NewReader(c)
+		for i := range 3 {
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Errorf("%s: answer %d: %v", name, i, err)
+				break
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close != (i == 2) {
+				t.Errorf("%s: answer %d: %v, the last %v", name, i, err, res.Close)
+			}
+		}
+	}
+}
+
 // A whole answer waits for a caller that takes nothing of it no longer than the caller would have waited for it.
 func TestAnswerThatNobodyTakes(t *testing.T) {
 	near, far := net.Pipe()
