An older list that comes twice in a short while is looked into once the pause is over

Seen on reading the ways of lists: where discovery counts its versions anew twice within 3 s, the second whole list was older than the first, discovery had been asked anew less than 3 s before, and the list was dropped with nothing to follow: changes below that version were passed over until the watch broke for another cause. Ruled out: the first time (asked at once), another discovery by SIGHUP (versions count anew there). Now what was put off is done when the pause is over, 3 s at first, doubled up to 30 s while a copy of discovery lags, and not if something newer has come.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -372,6 +372,46 @@
 	}
 }
 
+// A discovery that begins to count anew for a second time, shortly after the first, is asked again once the pause is over,
+// and not where something newer has come by then: what it says would be passed over without end.
+func TestOlderListsAreLookedIntoAgain(t *testing.T) {
+	for _, newer := range []bool{false, true} {
+		b := newBench(t, nil, ready("s-1", 0))
+		const pause = time.Second
+		tell := func(rev uint64, how Source) {
+			b.loop.Post(func() { b.loop.Listed(b.loop.discovery, List{Rev: rev, All: true, Targets: []Target{ready("s-1", 0)}}, how) })
+		}
+		asked := func() (n int) {
+			got := make(chan int)
+			b.loop.Post(func() { got <- len(b.asked) })
+			return <-got
+		}
+		tell(9, FromWatch)
+		tell(8, FromWatch)
+		tell(8, FromFetch) // what holds now
+		b.loop.Post(func() { b.loop.anewPause = pause })
+		before := asked()
+		tell(7, FromWatch)
+		if newer {
+			tell(10, FromWatch)
+		}
+		if asked() != before {
+			t.Error("asked anew at once, for the second time")
+		}
+		end := time.Now().Add(2 * pause)
+		if !newer {
+			end = end.Add(time.Minute) // it comes sooner
+		}
+		again := false
+		for ; !again && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			again = asked() > before
+		}
+		if again == newer {
+			t.Errorf("something newer came %v: asked anew %v", newer, again)
+		}
+	}
+}
+
 // A line of a whole list that cannot be acted on loses nothing that was there: its endpoint stays as it was, one that
 // drains too, and others are served on. One that is not named has gone.
 func TestMalformedLinesLoseNothing(t *testing.T) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -15,8 +15,10 @@
 	clockStart = 24 * time.Hour
 	eventQueue = 1024
 	sweepEvery = time.Second
-	// anewEvery is how often discovery is asked anew at most, as a watch has brought an older whole list.
+	// anewEvery is how long discovery is not asked anew once it was, as a watch has brought an older whole list; twice as
+	// long each time that this goes on, up to anewMost.
 	anewEvery = 3 * time.Second
+	anewMost  = 30 * time.Second
 )
 
 // Loop owns the Balancer and all state that goes with it: one goroutine runs the functions in events, and
@@ -32,11 +34,13 @@
 	discover Discover
 	life     *Lifecycle
 
-	ended     bool      // Close has been done: nothing more is
-	endsAt    time.Time // when all must be answered; zero unless this process was told to stop
-	rev       uint64    // version of the list that the Balancer has
-	anewAt    time.Time // when discovery was last asked anew, as a watch brought an older whole list
-	moved     bool      // that list is another discovery's than the one that is followed now
+	ended     bool          // Close has been done: nothing more is
+	endsAt    time.Time     // when all must be answered; zero unless this process was told to stop
+	rev       uint64        // version of the list that the Balancer has
+	anewAt    time.Time     // when discovery was last asked anew, as a watch brought an older whole list,
+	anewPause time.Duration // not again for so long after it,
+	anewDue   bool          // and then once more
+	moved     bool          // that list is another discovery's than the one that is followed now
 	balancer  *decision.Balancer
 	calls     map[decision.RequestID]*Call
 	past      past
@@ -55,7 +59,7 @@
 	l := &Loop{
 		events: make(chan func(), eventQueue), done: make(chan struct{}), origin: time.Now().Add(-clockStart), config: c, log: c.Log, upstream: up,
 		discover: discover, life: newLifecycle(c.Log), calls: map[decision.RequestID]*Call{},
-		adopted: map[*Attempt]bool{}, address: c.Discovery,
+		adopted: map[*Attempt]bool{}, address: c.Discovery, anewPause: anewEvery,
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin, c.Log)
 	l.pool = newPool(&c.Settings, c.Limits.Outbound())
@@ -428,11 +432,7 @@
 		return // older than what the Balancer has: an endpoint that left would come back
 	case from == FromWatch && got.Rev < l.rev:
 		// It was under way for longer than a fetch, or discovery has begun to count anew: what is asked for now tells.
-		// Where a copy of discovery lags it comes each time; it is passed over then, as older changes are.
-		if now := time.Now(); now.Sub(l.anewAt) >= anewEvery {
-			l.anewAt = now
-			l.follow(l.address)
-		}
+		l.askAnew()
 		return
 	}
 	l.rev = got.Rev
@@ -453,6 +453,32 @@
 	}
 }
 
+// askAnew asks discovery for its whole list, whatever its version: at once, or, where that was done a short while ago,
+// when the pause is over and nothing newer has come. Where a copy of discovery lags, an older list comes each time.
+func (l *Loop) askAnew() {
+	switch since := time.Since(l.anewAt); {
+	case l.anewDue:
+	case since < l.anewPause:
+		l.anewDue = true
+		from, rev := l.discovery, l.rev
+		time.AfterFunc(l.anewPause-since, func() {
+			l.Post(func() {
+				if l.anewDue = false; from == l.discovery && rev == l.rev {
+					l.anewPause = min(2*l.anewPause, anewMost)
+					l.anewAt = time.Now()
+					l.follow(l.address)
+				}
+			})
+		})
+	default:
+		if since > 2*anewMost {
+			l.anewPause = anewEvery
+		}
+		l.anewAt = time.Now()
+		l.follow(l.address)
+	}
+}
+
 // Adopt notes an attempt that the process before has begun, and Disown that it has ended. Its connection has a place
 // that was reserved.
 func (l *Loop) Adopt(a *Attempt) { l.Post(func() { l.adopted[a] = true }) }
