--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -379,7 +379,9 @@
 		b := newBench(t, nil, ready("s-1", 0))
 		const pause = time.Second
 		tell := func(rev uint64, how Source) {
-			b.loop.Post(func() { b.loop.Listed(b.loop.discovery, List{Rev: rev, All: true, Targets: []Target{ready("s-1", 0)}}, how) })
+			b.loop.Post(func() {
+				b.loop.Listed(b.loop.discovery, List{Rev: rev, All: true, Targets: []Target{ready("s-1", 0)}}, how)
+			})
 		}
 		asked := func() (n int) {
 			got := make(chan int)
