A connection that has had its last answer makes room for a new caller

Seen on going through who may fill the descriptors: a connection whose last answer is out is read on for up to 0.5 s, so that the close takes nothing back; in that time it counted as busy, and as many clients with malformed requests as there may be connections had every new caller refused (503) until then. Lines: callers.go linger and makeRoom. Ruled out: mute and idle ones (TestMuteCallersMakeRoom, TestIdleCallersMakeRoom). Now such a connection is a stage of its own, that makes room behind the mute ones and before the idle, where nothing of it stands unread. TestEndedCallersMakeRoom: the first new call refused before, all served now; tests of callers, stops and bad input twice under -race, green.

--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -25,6 +25,7 @@
 	reading               // some of a request has come
 	busy                  // a request has been read
 	relaying              // a long answer is on its way
+	leaving               // it has had its last answer, and is read until its caller closes it
 	stages
 )
 
@@ -106,9 +107,9 @@
 	}
 }
 
-// admit makes room for a connection. Those that have said nothing go first, then idle ones, whose clients may
-// send what crosses that on another, then those whose request takes long to come. If there are none, the new
-// one's request is turned away, for to cut it off would lose it.
+// admit makes room for a connection. Those that have said nothing go first, then those that are over, then idle ones,
+// whose clients may send what crosses that on another, then those whose request takes long to come. If there are none,
+// the new one's request is turned away, for to cut it off would lose it.
 func (cs *callers) admit(c *caller) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -140,16 +141,12 @@
 }
 
 func (cs *callers) makeRoom(now time.Time) bool {
-	for at := cs.stages[mute].Front(); at != nil; at = at.Next() {
-		if c := at.Value.(*caller); !c.waiting() {
-			cs.drop(c)
-			return true
-		}
-	}
-	for at := cs.stages[idle].Front(); at != nil; at = at.Next() {
-		if c := at.Value.(*caller); !c.waiting() {
-			cs.drop(c)
-			return true
+	for _, stage := range []stage{mute, leaving, idle} {
+		for at := cs.stages[stage].Front(); at != nil; at = at.Next() {
+			if c := at.Value.(*caller); !c.waiting() {
+				cs.drop(c)
+				return true
+			}
 		}
 	}
 	for at := cs.stages[reading].Front(); at != nil; at = at.Next() {
@@ -316,6 +313,9 @@
 // linger lets a caller that may still be sending read its answer: to close while something is unread would
 // take the answer from it.
 func (c *caller) linger() {
+	c.callers.mu.Lock()
+	c.callers.move(c, leaving)
+	c.callers.mu.Unlock()
 	tcp, ok := c.Conn.(tcpConn)
 	if !ok || tcp.CloseWrite() != nil {
 		return
@@ -363,11 +363,11 @@
 	}
 }
 
-// onlyAnswers tells whether nothing but answers is on its way.
+// onlyAnswers tells whether nothing but answers is on its way, or has just been.
 func (cs *callers) onlyAnswers() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.open == cs.stages[relaying].Len()+cs.stages[busy].Len()
+	return cs.open == cs.stages[relaying].Len()+cs.stages[busy].Len()+cs.stages[leaving].Len()
 }
 
 // quietFor tells whether no connection is open and none has come for a while.
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -1041,6 +1041,25 @@
 	})
 }
 
+// Who has been told that a connection is over, and keeps it, is in nobody's way.
+func TestEndedCallersMakeRoom(t *testing.T) {
+	rg := start(t, config.LeastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	http.DefaultClient.CloseIdleConnections()
+	rg.until("no connection is open", func() bool { return rg.server.callers.quietFor(0) })
+	for range rg.server.callers.most {
+		c := rg.dial()
+		io.WriteString(c, "no request\r\n\r\n")
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || !res.Close {
+			t.Fatalf("%+v, %v", res, err)
+		}
+	}
+	for i := range rg.server.callers.most {
+		if res := rg.once("once"); res == nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("call %d: %+v", i, res)
+		}
+	}
+}
+
 // When all connections are busy, the next caller gets an answer all the same: cutting it off would lose what
 // it has sent. Nothing of it has run, so it is refused.
 func TestCallerBeyondTheBoundIsAnswered(t *testing.T) {
