--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -50,7 +50,6 @@
 	bucketStart = 2.0  // and at the start
 	evenAtMost  = 1.17 // of all shares at an instance that is served where callers come evenly: all of capacity
 	shareGrowth = 1.5  // of the shares, over what is served beyond that
-	evenAmong   = 3    // instances, at most, that callers come to evenly
 	tenantBurst = 4.0  // seconds of its share that a tenant may save up
 
 	// Strain: what calls take, over what they should at most take on average. Above 1 calls are paced, for where
@@ -284,8 +283,8 @@
 // short tells whether capacity is short, by what this instance sees: requests wait, as many calls are out as
 // may be, or they take too long. While it is not, nobody is refused for what is beyond a share. It counts for
 // a rate window from then on, for else what is beyond fills each gap up to the limit, and endpoints choke;
-// for less where many instances share the callers, as an even part of shares tells less there, and a limit of
-// a few calls is reached by chance.
+// for less, the more instances share the callers, as an even part of shares tells less there, and a limit of a
+// few calls is reached by chance.
 func (b *Balancer) short(now time.Duration) bool {
 	b.refit(now)
 	most := 1.0
@@ -294,7 +293,7 @@
 	}
 	strained := b.strain > most && now-b.strainAt <= b.window // without answers it tells nothing of now
 	if len(b.held) > 0 || strained || float64(b.out-b.lost+b.elder.all(now))+1 > b.limit {
-		b.shortBy = now + b.window*evenAmong/time.Duration(max(b.set.Instances, evenAmong))
+		b.shortBy = now + b.window/time.Duration(b.set.Instances)
 		return true
 	}
 	return now < b.shortBy
