Laboratory: brokers that stand still, and the rule that nothing is sent for a client that has gone

Need: the operators' term on clients that have gone had no rule at the far ends, and nothing made a broker late. New: the trouble stall (SIGSTOP for processes, the loop held in virtual time), the checker's rule gone (no attempt that begins more than 0.1 s after its client has gone), what a process that stood still may be late by, and the explorer's fault late loop.

--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -99,6 +99,7 @@
 	{"handover", trouble("handover", 0, 0.5), 0},
 	{"SIGHUP", trouble("reload", 0, 1), 0},
 	{"killed", trouble("kill", 0, 0.5), 300 * time.Millisecond},
+	{"late loop", trouble("stall", 0, 0.5), 500 * time.Millisecond},
 }
 
 // Lives are the faults that are a turn in a broker's life: one of them is in most schedules.
--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -99,7 +99,7 @@
 				w.breakOff(in)
 			}
 			return
-		case "kill", "handover", "stop", "away", "reload", "stale", "again":
+		case "kill", "handover", "stop", "stall", "away", "reload", "stale", "again":
 			for i, x := range touched {
 				w.After(time.Duration(i)*time.Duration(t.Every), func() {
 					switch in := tier.Instances[x]; t.What {
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -50,7 +50,7 @@
 	// Kill ends an instance at once, and starts it again after a time; Handover has a successor take over from it.
 	Kill(in *Instance, lasts time.Duration)
 	Handover(in *Instance)
-	// Befall is what else a trouble does to an instance: stop, away, reload, stale or again.
+	// Befall is what else a trouble does to an instance: stop, stall, away, reload, stale or again.
 	Befall(in *Instance, what string, lasts time.Duration)
 }
 
--- a/internal/lab/real/http.go
+++ b/internal/lab/real/http.go
@@ -275,6 +275,9 @@
 			return
 		}
 		t.untold = t.untold[1:]
+		if t.left > 0 && !delayed {
+			st.w.Checker.Abandoned(a.sent(now), t.left, string(t.ID), a.Number)
+		}
 		if t.answered || delayed && a.ended { // it was on its way when its caller went, or was given up
 			continue
 		}
--- a/internal/lab/real/play.go
+++ b/internal/lab/real/play.go
@@ -440,7 +440,11 @@
 // oldPlacesFor is how long a discovery answers that brokers were told to leave.
 const oldPlacesFor = time.Second
 
-// Befall stops an instance, has its operators drain it for a time, moves its discovery, or has that say what is odd.
+// staller is a process that can be made to stand still for a while.
+type staller interface{ Stall(lasts time.Duration) }
+
+// Befall stops an instance, has it stand still, has its operators drain it for a time, moves its discovery, or has that
+// say what is odd.
 func (st *stage) Befall(in *model.Instance, what string, lasts time.Duration) {
 	i := st.of(in)
 	p := i.process
@@ -462,6 +466,11 @@
 				}
 			})
 		})
+	case what == "stall":
+		if p, ok := p.(staller); ok {
+			st.w.Checker.Stalled(st.Now(), lasts, in.N)
+			st.work.Go(func() { p.Stall(lasts) })
+		}
 	case what == "away":
 		drain := func(on bool) {
 			st.work.Go(func() {
@@ -518,8 +527,9 @@
 type try struct {
 	*model.Try
 	answered bool
-	excused  atomic.Bool // its instance was killed
-	number   int         // of attempts that have come to servers
+	excused  atomic.Bool   // its instance was killed
+	left     time.Duration // when its caller went; 0 for not
+	number   int           // of attempts that have come to servers
 	out      *attempt
 	untold   []*attempt // of which the checker does not know yet
 	telling  bool       // it will in a moment
@@ -573,7 +583,7 @@
 	if some("gone") {
 		st.After(time.Duration(1+st.manners.Int64N(int64(goneWithin))), func() {
 			if !t.answered && st.Now() < t.Until {
-				t.answered = true
+				t.answered, t.left = true, st.Now()
 				st.w.Checker.Lapsed(st.Now(), q.id)
 				t.cancel()
 				t.Asker.Hear(t.Try, model.Failed, 0)
--- a/internal/lab/real/process.go
+++ b/internal/lab/real/process.go
@@ -126,6 +126,18 @@
 // Reload has the process read its files again.
 func (p *Process) Reload() error { return p.Signal(syscall.SIGHUP) }
 
+// Stall has the process stand still for a while (SIGSTOP).
+func (p *Process) Stall(lasts time.Duration) {
+	if p.Signal(syscall.SIGSTOP) != nil {
+		return // it has ended
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(lasts):
+		p.Signal(syscall.SIGCONT) // it may have been killed
+	}
+}
+
 // Drain has the process send its callers away, or ends that.
 func (p *Process) Drain(on bool) error {
 	what := "resume"
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -65,3 +66,48 @@
 		}
 	}
 }
+
+// Who stands still is late by as much with its answers and with heeding a drain, and by no more; nothing else is excused.
+func TestStalled(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stall  time.Duration // of instance 1, from 0.5 s on
+		broken string
+		play   func(c *Checker, r Request)
+	}{
+		"late by less":   {time.Second, "map[]", func(c *Checker, r Request) { c.Answered(1900*time.Millisecond, r.ID, "refused") }},
+		"late by more":   {time.Second, "map[time:1]", func(c *Checker, r Request) { c.Answered(2100*time.Millisecond, r.ID, "served") }},
+		"late, and well": {0, "map[time:1]", func(c *Checker, r Request) { c.Answered(1100*time.Millisecond, r.ID, "served") }},
+		"of two, no sum": {time.Second, "map[time:1]", func(c *Checker, r Request) {
+			c.Stalled(time.Second, 500*time.Millisecond, 1)
+			c.Answered(2300*time.Millisecond, r.ID, "served")
+		}},
+		"another's": {0, "map[time:1]", func(c *Checker, r Request) { c.Stalled(0, time.Minute, 2); c.Answered(2*time.Second, r.ID, "served") }},
+		"never":     {time.Second, "map[answer:1]", func(c *Checker, r Request) { c.End(time.Minute) }},
+		"drain, meant to": {time.Second, "map[]", func(c *Checker, r Request) {
+			c.Listed(400*time.Millisecond, 1, 1, false)
+			c.Sent(1500*time.Millisecond, r.ID, 0, 1)
+		}},
+		"drain, too late": {time.Second, "map[drain:1]", func(c *Checker, r Request) {
+			c.Listed(400*time.Millisecond, 1, 1, false)
+			c.Sent(1800*time.Millisecond, r.ID, 0, 1)
+		}},
+		"twice": {time.Second, "map[effect:1]", func(c *Checker, r Request) {
+			c.Ran(600*time.Millisecond, r.ID, Place{})
+			c.Ran(700*time.Millisecond, r.ID, Place{})
+		}},
+		"client gone": {time.Second, "map[gone:1]", func(c *Checker, r Request) { c.Abandoned(1200*time.Millisecond, time.Second, r.ID, 0) }},
+		"just gone":   {0, "map[]", func(c *Checker, r Request) { c.Abandoned(1050*time.Millisecond, time.Second, r.ID, 0) }},
+	} {
+		c := New(Settings{DrainGrace: 250 * time.Millisecond, Held: true})
+		c.Listed(0, 1, 1, true)
+		r := Request{ID: "a/1", Origin: "a", Instance: 1, Deadline: time.Second, Effect: "unsafe"}
+		c.Taken(100*time.Millisecond, r)
+		if tc.stall > 0 {
+			c.Stalled(500*time.Millisecond, tc.stall, 1)
+		}
+		tc.play(c, r)
+		if got := fmt.Sprint(c.Counts()); got != tc.broken {
+			t.Errorf("%s: broken %s, want %s", name, got, tc.broken)
+		}
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -169,7 +169,7 @@
 //     for a share (factor) of tries they go before they are answered (gone), send bodies in pieces (dribble), send what
 //     is no request beside (junk), or use an id twice (twice).
 type Trouble struct {
-	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover stop away reload stale again gone dribble junk twice"`
+	What   string          `toml:"what" doc:"what happens" oneof:"crash drain replace vanish zone partition slow neighbour errors pause reset bytes flap burst flood discovery break kill handover stop stall away reload stale again gone dribble junk twice"`
 	Day    string          `toml:"day" doc:"the scenario's day on which it comes; empty for each"`
 	At     Times           `toml:"at" doc:"when it begins"`
 	Lasts  Times           `toml:"lasts" doc:"how long; of a drain, until the server is back"`
--- a/internal/lab/whole/whole.go
+++ b/internal/lab/whole/whole.go
@@ -480,6 +480,11 @@
 	<-b.ended
 }
 
+// Stall has the broker's loop stand still for a while. What its other goroutines do goes on meanwhile, and crosses it.
+func (b *broker) Stall(lasts time.Duration) {
+	b.server.Loop().Post(func() { time.Sleep(lasts) })
+}
+
 func (b *broker) Drain(on bool) error {
 	if on {
 		b.server.Drain()
