A test of the process: a crowd fills its descriptors while discovery is down

Need: the operators' term on idle clients that fill the descriptors while discovery is down had tests of its parts only. The process is started with the descriptors that its configuration names as its limit, 512 idle and mute clients and one more each millisecond; once discovery is back a request is served within 6 s, and accepting never fails for want of a descriptor. No fault of the program was found.

--- /dev/null
+++ b/cmd/dykering/crowd_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dykering/internal/lab/loopback"
+)
+
+// Idle and mute clients fill every descriptor that a process may have while discovery is down, and go on coming. It asks
+// discovery all the same, has what that says within the operators' 6 s, and serves who asks; it is never without a
+// descriptor to accept with.
+func TestCrowdWhileDiscoveryIsDown(t *testing.T) {
+	const sockets = 256 // as configure says
+	endpoint := loopbackServer(t, loopback.Address(), func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })
+	place := loopback.Address()
+	logs := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(os.Args[0], "run", "--config", configure(t, place))
+	cmd.Env = append(os.Environ(), "BE_DYKERING=1")
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: sockets, Max: sockets}, nil); err != nil {
+		t.Fatal(err)
+	}
+	told := func(word string) string {
+		text, _ := os.ReadFile(logs)
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, word) {
+				return line
+			}
+		}
+		return ""
+	}
+	address := ""
+	for end := time.Now().Add(patience); address == ""; time.Sleep(5 * time.Millisecond) {
+		if address = regexp.MustCompile(`127\.0\.0\.1:\d+`).FindString(told("process.serving")); time.Now().After(end) {
+			t.Fatal("it does not serve")
+		}
+	}
+	// The crowd: every second client says something once, all stay.
+	var conns []net.Conn
+	join := func(n int) {
+		c, err := net.DialTimeout("tcp", address, patience)
+		if err != nil {
+			t.Errorf("client %d: %v", n, err)
+			return
+		}
+		if n%2 == 0 {
+			io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+		conns = append(conns, c)
+	}
+	for n := range 2 * sockets {
+		join(n)
+	}
+	quit := make(chan bool)
+	var crowd sync.WaitGroup
+	crowd.Go(func() {
+		for n := 0; n < 20*sockets; n++ {
+			select {
+			case <-quit:
+				return
+			case <-time.After(time.Millisecond):
+				join(n)
+				conns[0].Close()
+				conns = conns[1:]
+			}
+		}
+	})
+	defer func() {
+		close(quit)
+		crowd.Wait()
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	loopbackServer(t, place, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"z","model":"m","state":"Ready","capacity_hint":1}]}`, endpoint)
+		fmt.Fprintln(w)
+		http.NewResponseController(w).Flush()
+		if r.URL.Query().Has("follow") {
+			<-r.Context().Done()
+		}
+	})
+	began := time.Now()
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 0; ; n++ {
+		r, _ := http.NewRequest("GET", "http://"+address+"/x", nil)
+		r.Header = http.Header{"X-Txn": {fmt.Sprint("a", n)}, "X-Lane": {"read"}, "X-Remaining": {"900m"}}
+		if res, err := client.Do(r); err == nil {
+			io.Copy(io.Discard, res.Body)
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Since(began) > 6*time.Second {
+			t.Fatalf("nothing is served %v after discovery is back", time.Since(began))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if line := told("accept_failed"); line != "" {
+		t.Error(line)
+	}
+	if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid)); err != nil || len(open) > sockets {
+		t.Errorf("%d descriptors, %v", len(open), err)
+	}
+}
+
+// loopbackServer serves at an address until the test ends, and returns that.
+func loopbackServer(t *testing.T, address string, serve http.HandlerFunc) string {
+	t.Helper()
+	l, err := loopback.ListenAgain(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: serve}
+	done := make(chan bool)
+	go func() {
+		s.Serve(l)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		s.Close()
+		<-done
+	})
+	return l.Addr().String()
+}
