A successor that stands still in the middle of a passage costs no request

Ruled out: the three steps (neither process ever served a connection that the other had), and what is declined. Lines: inbound.go serveFrom (the branch behind await), handover.go Alive, callers.go drop and end. Now what has come meanwhile is served or refused here, Alive never waits, and a connection that was offered and not taken is half-closed first.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -22,6 +22,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -266,7 +267,8 @@
 type Sender struct {
 	mu   sync.Mutex
 	conn *net.UnixConn
-	err  error // why nothing can be passed any more
+	err  error       // why nothing can be passed any more
+	over atomic.Bool // it is set: told without waiting for a step that is under way
 }
 
 // Dial finds the youngest other process that listens under a name. A file that nobody listens behind is one that a
@@ -353,6 +355,7 @@
 	if err != nil {
 		// Who has not heard the last word lets go when the way ends.
 		s.err = fmt.Errorf("handover: %w", err)
+		s.over.Store(true)
 		s.conn.Close()
 		return s.err
 	}
@@ -377,12 +380,8 @@
 	return err
 }
 
-// Alive tells whether anything can still be passed.
-func (s *Sender) Alive() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.err == nil
-}
+// Alive tells whether anything can still be passed. It never waits.
+func (s *Sender) Alive() bool { return !s.over.Load() }
 
 // Close ends the way.
 func (s *Sender) Close() error {
@@ -392,5 +391,6 @@
 		return nil
 	}
 	s.err = net.ErrClosed
+	s.over.Store(true)
 	return s.conn.Close()
 }
--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -47,6 +47,7 @@
 	stopped atomic.Bool   // nobody wants the rest of the body
 	asked   atomic.Bool   // the body's reading is to stop, and may go on
 	cut     atomic.Bool   // what has not come whole is waited for no longer
+	offered atomic.Bool   // to a successor that has not taken it, and may have a copy of the socket until it ends
 }
 
 // passing is what can be passed on to the successor while it is on its way.
@@ -194,10 +195,19 @@
 
 // drop ends a connection; its handler sees that when it next reads.
 func (cs *callers) drop(c *caller) {
-	c.Conn.Close()
+	c.shut()
 	cs.forget(c)
 }
 
+// shut closes a connection. Where another process may have a copy of its socket, that alone would tell the caller nothing,
+// which would go on to send where nobody reads.
+func (c *caller) shut() {
+	if tcp, ok := c.Conn.(tcpConn); ok && c.offered.Load() {
+		tcp.CloseWrite()
+	}
+	c.Conn.Close()
+}
+
 func (cs *callers) forget(c *caller) {
 	if c.at != nil {
 		cs.stages[c.stage].Remove(c.at)
@@ -256,7 +266,7 @@
 
 // end ends the connection.
 func (c *caller) end() {
-	c.Conn.Close()
+	c.shut()
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.callers.forget(c)
--- a/internal/http1/inbound.go
+++ b/internal/http1/inbound.go
@@ -59,10 +59,10 @@
 		}
 		if r == nil {
 			if c.await(until) != nil {
-				if s.handing() {
-					s.passIdle(c, r) // whether or not, it ends here
+				passed := s.handing() && s.passIdle(c, r)
+				if passed || !c.waiting() { // something may have come while a successor that does not take it was asked to
+					return
 				}
-				return
 			}
 			r = readers.Get().(*bufio.Reader)
 			r.Reset(c)
--- a/internal/http1/passage.go
+++ b/internal/http1/passage.go
@@ -92,13 +92,16 @@
 	return s.handing() && time.Since(since) > s.handsFor
 }
 
-// pass gives a caller's connection to the successor, and with it an endpoint's where there is one.
+// pass gives a caller's connection to the successor, and with it an endpoint's where there is one. One that does not take
+// it in time, or not any more, may have a copy of it.
 func (s *Server) pass(c *caller, p passage, upstream *conn) error {
 	raw := []net.Conn{c.Conn}
 	if upstream != nil {
 		raw = append(raw, upstream.Conn)
 	}
-	return s.hand(p, raw...)
+	err := s.hand(p, raw...)
+	c.offered.Store(err != nil && !errors.Is(err, handover.ErrDeclined))
+	return err
 }
 
 // hand gives a passage to the successor.
--- a/internal/http1/passage_test.go
+++ b/internal/http1/passage_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dykering/internal/config"
+	"dykering/internal/handover"
 )
 
 // handed is a sidecar and, from its succeed on, the process that serves in its place; both share a directory.
@@ -379,6 +380,50 @@
 	h.over()
 }
 
+// A successor that stands still, from the start or once it has been told the figures, keeps a copy of each connection that
+// it has been offered for as long as it does. What is not taken is served here, and ends here: its caller sees the end, and
+// sends nothing more where nobody reads.
+func TestSuccessorThatStandsStill(t *testing.T) {
+	for _, figures := range []bool{false, true} {
+		h := startHanded(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
+		resting, asking := h.dial(), h.dial()
+		for _, c := range []*net.TCPConn{resting, asking} {
+			if res := h.send(c, h.request("once", 9*time.Second)); res == nil || res.StatusCode != http.StatusOK || res.Close {
+				t.Fatalf("%+v", res)
+			}
+		}
+		still, err := handover.Listen(h.dir, h.server.heirName())
+		if err != nil {
+			t.Fatal(err)
+		}
+		over := make(chan bool)
+		t.Cleanup(func() {
+			close(over)
+			still.Close()
+		})
+		if figures {
+			go still.Serve(func(_ []byte, conns []net.Conn) (start, drop func(), ok bool) {
+				if len(conns) > 0 {
+					<-over
+				}
+				return func() {}, func() {}, true
+			})
+		}
+		h.stop()
+		h.until("it hands over", func() bool { return h.server.heir.Load() != nil })
+		if res := h.send(asking, h.request("once", 9*time.Second)); res == nil || res.StatusCode != http.StatusOK && res.Header.Get("Retry-After") == "" {
+			t.Errorf("figures %v: asked while it ends: %+v", figures, res)
+		}
+		for name, c := range map[string]*net.TCPConn{"resting": resting, "asking": asking} {
+			c.SetDeadline(time.Now().Add(patience / 4))
+			if n, err := c.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+				t.Errorf("figures %v, %s: %d bytes, %v: want the end", figures, name, n, err)
+			}
+		}
+		h.over()
+	}
+}
+
 // What cannot be a passage is declined, and leaves nothing behind.
 func TestMalformedPassages(t *testing.T) {
 	rg := start(t, 1024, peer(t, "s-1", func(http.ResponseWriter, *http.Request) {}))
