--- a/internal/http1/reload_test.go
+++ b/internal/http1/reload_test.go
@@ -3,13 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"dykering/internal/config"
 )
 
 func ready(uid string, bootMS int64) target {
@@ -88,3 +92,49 @@
 		t.Error("the old discovery was heard")
 	}
 }
+
+// Where discovery is asked, two calls in a row that hang, after others were refused, leave time for a third: what that tells
+// is known within the operators' 6 s of when the first of them began.
+func TestTwoHungCallsOfDiscovery(t *testing.T) {
+	t.Parallel() // it takes its time, and little else
+	const refused, hung = 4, 2
+	calls, over := make(chan time.Time, 16), make(chan bool)
+	var n atomic.Int64
+	discovery := serverAt(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has("follow") {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		switch k := n.Add(1); {
+		case k <= refused:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case k <= refused+hung:
+			calls <- time.Now()
+		default:
+			io.WriteString(w, `{"rev":2,"all":false,"targets":[{"uid":"s-1","az":"z","model":"m","state":"Gone"}]}`+"\n")
+			http.NewResponseController(w).Flush()
+		}
+		select {
+		case <-r.Context().Done():
+		case <-over:
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	rg := startWith(t, 1, 1024, func(c *config.Config) {
+		c.Settings.MustAsk, c.Settings.AskEvery = true, 10*time.Second
+		c.Discovery = discovery.Listener.Addr().String()
+	}, peer(t, "s-1", func(http.ResponseWriter, *http.Request) {}))
+	began := <-calls
+	rg.until("the list is heard", func() bool { return len(rg.stats().Endpoints) == 0 })
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("after %v", took)
+	}
+	if len(calls) != hung-1 {
+		t.Errorf("%d calls hung", len(calls)+1)
+	}
+}
