--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -68,7 +68,7 @@
 	show := &cobra.Command{Use: "config", Short: "Look at the configuration", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return errors.New("config: show or default is missing") }}
 	show.AddCommand(newShow(), newDefault())
-	root.AddCommand(newRun(), newCheck(), show, newVersion(), newFleet())
+	root.AddCommand(newRun(), newCheck(), show, newVersion(), newFleet(), newProxy(), newControl())
 	return root
 }
 
--- /dev/null
+++ b/internal/controlplane/process.go
@@ -0,0 +1,374 @@
+package controlplane
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/chain"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/nodefile"
+	"dykering/internal/peerlink"
+	"dykering/internal/ringlog"
+	"dykering/internal/sessions"
+)
+
+const commandQueue = 4096
+
+// Process is a running control sidecar. One goroutine owns its tables and works through the commands.
+type Process struct {
+	settings nodefile.Settings
+	timing   timing
+	log      *slog.Logger
+	origin   time.Time
+	commands chan func()
+	ctx      context.Context
+
+	node  *chain.Node
+	disk  *disk
+	table *sessions.Table
+	links map[string]*peerlink.Link
+
+	sessionClock time.Duration // advances while a majority is in touch
+	lastTick     time.Duration
+	signsDue     time.Duration
+	syncSince    time.Duration // since when this member is in touch without its peers' sessions; 0 before
+	synced       bool
+
+	calls       calls
+	writes      []pendingWrite
+	reads       []pendingRead
+	drains      map[uint64]*pendingDrain
+	subscribers map[*subscriber]bool
+	elsewhere   map[string]subscriberCount // by the address of a control sidecar
+	members     []string
+	placer      *placer
+}
+
+type subscriberCount struct {
+	count int
+	at    time.Duration
+}
+
+// Run serves until a signal arrives on stop.
+func Run(settings nodefile.Settings, log *slog.Logger, stop <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := &Process{
+		settings: settings, timing: timingOf(&settings), log: log, origin: time.Now(), ctx: ctx,
+		commands: make(chan func(), commandQueue), links: map[string]*peerlink.Link{},
+		drains: map[uint64]*pendingDrain{}, subscribers: map[*subscriber]bool{}, elsewhere: map[string]subscriberCount{},
+	}
+	p.calls = newCalls()
+	p.table = sessions.NewTable(p.timing.silentAfter)
+	p.placer = newPlacer(p)
+	if err := p.restore(); err != nil {
+		return err
+	}
+	go p.disk.run(ctx.Done())
+	internal, err := net.Listen("tcp", settings.InternalAddress(settings.IPAddress))
+	if err != nil {
+		return errors.Wrap(err, "internal address")
+	}
+	defer internal.Close()
+	go p.acceptPeers(internal)
+	external, err := net.Listen("tcp", settings.Listen.ControlPlane)
+	if err != nil {
+		return errors.Wrap(err, "control plane address")
+	}
+	server := &http.Server{Handler: p.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go server.Serve(external)
+	defer server.Close()
+	log.Info("process.serving", "role", settings.Role, "name", settings.NodeName, "view", p.node.View().Number)
+	p.loop(stop)
+	return nil
+}
+
+// restore reads what is on disk, or begins anew.
+func (p *Process) restore() error {
+	directory := p.settings.DataDirectory
+	if directory == "" {
+		return errors.New("data_directory is not set: the control plane keeps its state on disk")
+	}
+	options := ringOptions(directory, p.settings.Limits.DiskMB)
+	ring, records, err := openRing(options, p.log)
+	if err != nil {
+		return err
+	}
+	var size int64
+	for _, payload := range records {
+		size += ringlog.Size(payload)
+	}
+	p.disk = newDisk(ring, p.log, size, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
+	decoded, err := decodeRecords(records)
+	if err != nil {
+		return err
+	}
+	if len(decoded) > 0 {
+		p.node = chain.Restore(p.chainConfig(""), p.now(), decoded)
+		return nil
+	}
+	p.begin()
+	return nil
+}
+
+// openRing opens the ring, and makes it anew where what was stored cannot be read: the member then joins as a new one.
+func openRing(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, [][]byte, error) {
+	ring, records, err := ringlog.Open(options)
+	if errors.Is(err, ringlog.ErrDamaged) {
+		log.Error("disk.damaged", "action", "the copy is discarded, and the member joins as a new one")
+		if err := os.RemoveAll(options.Directory); err != nil {
+			return nil, nil, errors.Wrap(err, "damaged copy")
+		}
+		return ringlog.Open(options)
+	}
+	return ring, records, err
+}
+
+// begin makes a member that has nothing on disk: one of the first view where the whole system starts, else one that
+// joins.
+func (p *Process) begin() {
+	seeds := p.settings.SeedInternalAddresses()
+	own := p.settings.InternalAddress(p.settings.IPAddress)
+	var out chain.Output
+	if p.settings.InitialStart && slices.Contains(seeds, own) {
+		view := chain.View{Number: 1, Token: 1}
+		for _, seed := range seeds {
+			view.Voters = append(view.Voters, chain.Member{ID: genesisID(seed), Address: seed})
+			view.Chain = append(view.Chain, genesisID(seed))
+		}
+		view.Holder = view.Chain[0]
+		p.node, out = chain.NewGenesis(p.chainConfig(genesisID(own)), p.now(), view, &fleetconfig.State{})
+	} else {
+		p.node, out = chain.NewJoiner(p.chainConfig(freshID(own)), p.now(), &fleetconfig.State{})
+	}
+	p.store(out.Records, nil)
+}
+
+func genesisID(address string) chain.MemberID { return chain.MemberID(address + "/0") }
+
+func freshID(address string) chain.MemberID {
+	var b [8]byte
+	rand.Read(b[:])
+	return chain.MemberID(address + "/" + hex.EncodeToString(b[:]))
+}
+
+func (p *Process) chainConfig(id chain.MemberID) chain.Config {
+	return chain.Config{
+		Self: chain.Member{ID: id, Name: p.settings.NodeName, Address: p.settings.InternalAddress(p.settings.IPAddress),
+			ControlAddress: p.settings.Listen.ControlPlane, Zone: p.settings.Zone},
+		Apply:        applyOperation,
+		Seeds:        p.settings.SeedInternalAddresses(),
+		MostFailures: p.settings.Tolerance.MachineFailures,
+		PingEvery:    p.timing.pingEvery, SuspectAfter: p.timing.suspectAfter, ProposeTimeout: p.timing.proposeTimeout,
+		LeaseFor: p.timing.lease, HolderPause: p.timing.holderPause,
+		Jitter: func(d time.Duration) time.Duration { return mathrand.N(d + 1) },
+	}
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.origin) }
+
+// post hands a command to the owner. It blocks while the queue is full.
+func (p *Process) post(command func()) {
+	select {
+	case p.commands <- command:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *Process) loop(stop <-chan os.Signal) {
+	ticker := time.NewTicker(p.timing.tick)
+	defer ticker.Stop()
+	var leaveBy <-chan time.Time
+	for {
+		select {
+		case command := <-p.commands:
+			command()
+			p.drainCommands()
+		case <-ticker.C:
+			p.tick()
+		case sig := <-stop:
+			p.log.Info("process.stopping", "signal", sig.String())
+			p.node.Leave()
+			p.endStreams()
+			timer := time.NewTimer(p.timing.stopWithin)
+			defer timer.Stop()
+			leaveBy = timer.C
+		case <-leaveBy:
+			return
+		}
+		p.settle()
+		if leaveBy != nil && !p.node.InChain() {
+			return
+		}
+	}
+}
+
+// drainCommands works through what waits, so that one round of settling serves all.
+func (p *Process) drainCommands() {
+	for range commandQueue {
+		select {
+		case command := <-p.commands:
+			command()
+		default:
+			return
+		}
+	}
+}
+
+func (p *Process) tick() {
+	now := p.now()
+	gap := now - p.lastTick
+	p.lastTick = now
+	inTouch := p.node.InTouch(now)
+	if inTouch {
+		p.sessionClock += min(gap, 4*p.timing.tick)
+	}
+	p.node.SetHealthy(p.disk.behind() < p.timing.diskPatience)
+	p.act(p.node.Tick(now))
+	p.table.Expire(p.sessionClock)
+	p.synchronize(now, inTouch)
+	p.expireCalls(now)
+	p.placer.tick(now)
+}
+
+// act carries an output of the chain out.
+func (p *Process) act(out chain.Output) {
+	for _, envelope := range out.Urgent {
+		p.send(envelope.To, envelope.Message)
+	}
+	if len(out.Records) > 0 || len(out.Messages) > 0 {
+		p.store(out.Records, out.Messages)
+	}
+	if out.Installed {
+		p.onView()
+	}
+}
+
+// store hands records to the disk; the messages go out once they are stored.
+func (p *Process) store(records []any, messages []chain.Envelope) {
+	job := diskJob{messages: messages}
+	for _, record := range records {
+		payload, err := encodeRecord(record)
+		if err != nil {
+			p.log.Error("record.unencodable", "error", err)
+			continue
+		}
+		rotate := false
+		if _, snapshot := record.(chain.Snapshot); snapshot {
+			rotate = true
+		} else if p.disk.size+ringlog.Size(payload) > p.disk.ring.Capacity() {
+			// The snapshot holds what the record says, as the node has taken it already.
+			if payload, err = encodeRecord(p.node.Snapshot()); err != nil {
+				p.log.Error("record.unencodable", "error", err)
+				continue
+			}
+			rotate = true
+		}
+		if rotate {
+			p.disk.size = 0
+		}
+		p.disk.size += ringlog.Size(payload)
+		job.records = append(job.records, ringlog.Record{Payload: payload, Rotate: rotate})
+	}
+	select {
+	case p.disk.jobs <- job:
+	default:
+		p.log.Error("disk.queue_full") // the disk has stalled for long; the messages are sent again when it is back
+	}
+}
+
+// deliver sends messages whose records are stored.
+func (p *Process) deliver(messages []chain.Envelope) {
+	for _, envelope := range messages {
+		if envelope.To == p.node.Self().Address {
+			p.act(p.node.Receive(p.now(), envelope.Message))
+			continue
+		}
+		p.send(envelope.To, envelope.Message)
+	}
+}
+
+const mostLinks = 64
+
+func (p *Process) send(address string, message any) {
+	if address == "" || address == p.node.Self().Address {
+		return
+	}
+	link := p.links[address]
+	if link == nil {
+		if len(p.links) >= mostLinks {
+			for old, link := range p.links {
+				link.Close()
+				delete(p.links, old)
+			}
+		}
+		link = peerlink.NewLink(p.ctx, address)
+		p.links[address] = link
+	}
+	link.Send(message)
+}
+
+// peers are the addresses of the other voters.
+func (p *Process) peers() []string {
+	var addresses []string
+	view := p.node.View()
+	for _, voter := range view.Voters {
+		if voter.Address != p.node.Self().Address {
+			addresses = append(addresses, voter.Address)
+		}
+	}
+	return addresses
+}
+
+func (p *Process) onView() {
+	view := p.node.View()
+	p.log.Info("chain.view", "number", view.Number, "voters", len(view.Voters), "chain", len(view.Chain),
+		"head", string(view.Head()), "holder", string(view.Holder), "token", view.Token)
+	p.members = p.members[:0:0]
+	for _, voter := range view.Voters {
+		p.members = append(p.members, voter.Address)
+	}
+	p.synced, p.syncSince = false, 0
+}
+
+// settle does what follows from the commands that were worked through.
+func (p *Process) settle() {
+	now := p.now()
+	p.settleCalls(now)
+	p.tellPeers(now)
+	p.tellSubscribers(now)
+	p.placer.settle(now)
+}
+
+// DataDirectoryOf is where a process keeps its state.
+func DataDirectoryOf(s *nodefile.Settings) string { return filepath.Join(s.DataDirectory, "chain") }
+
+// operations are stored and sent as gob.
+func encodeOperation(change fleetconfig.Change) ([]byte, error) { return encodeRecord(change) }
+
+func applyOperation(value any, operation []byte) any {
+	state, ok := value.(*fleetconfig.State)
+	if !ok {
+		return value
+	}
+	records, err := decodeRecords([][]byte{operation})
+	if err != nil {
+		return value
+	}
+	change, ok := records[0].(fleetconfig.Change)
+	if !ok {
+		return value
+	}
+	return state.Apply(&change)
+}
--- /dev/null
+++ b/internal/controlplane/subscribers.go
@@ -0,0 +1,150 @@
+package controlplane
+
+import (
+	"time"
+
+	"dykering/internal/feed"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/peerlink"
+)
+
+const (
+	streamQueue    = 64
+	mostSubscriber = 2048
+	// quietSubscriber is how long a subscriber may be quiet; it acknowledges each message.
+	quietSubscriber = 5 * time.Second
+	streamWrite     = time.Second
+)
+
+// subscriber is a sidecar that this one streams updates to.
+type subscriber struct {
+	name      string
+	zone      string
+	conn      *peerlink.Conn
+	updates   chan feed.Update
+	revision  uint64 // sent
+	configSeq uint64 // sent
+	members   int    // how many members it was told of
+	sentAt    time.Duration
+	begun     bool
+	acked     feed.Ack
+}
+
+// serveSubscriber streams updates to a sidecar until either side ends it.
+func (p *Process) serveSubscriber(conn *peerlink.Conn, hello feed.Subscribe) {
+	s := &subscriber{name: hello.Name, zone: hello.Zone, conn: conn, configSeq: hello.ConfigSeq, updates: make(chan feed.Update, streamQueue)}
+	p.post(func() { p.addSubscriber(s) })
+	go s.write()
+	for {
+		message, err := conn.Receive(quietSubscriber)
+		if err != nil {
+			break
+		}
+		p.post(func() { p.onSubscriber(s, message) })
+	}
+	p.post(func() { p.dropSubscriber(s) })
+}
+
+// write sends the updates. It ends when the queue is closed, and closes the connection.
+func (s *subscriber) write() {
+	defer s.conn.Close()
+	for update := range s.updates {
+		if s.conn.Send(update, streamWrite) != nil {
+			s.conn.Close()
+			for range s.updates { // until the owner has dropped it
+			}
+			return
+		}
+	}
+}
+
+func (p *Process) addSubscriber(s *subscriber) {
+	p.subscribers[s] = true
+	if len(p.subscribers) > mostSubscriber || !p.streams(p.now()) || !p.synced {
+		p.endStream(s)
+	}
+}
+
+func (p *Process) dropSubscriber(s *subscriber) {
+	if p.subscribers[s] {
+		delete(p.subscribers, s)
+		close(s.updates)
+	}
+}
+
+// endStream sends a subscriber to another control sidecar.
+func (p *Process) endStream(s *subscriber) {
+	select {
+	case s.updates <- feed.Update{Leaving: true, Members: p.members}:
+	default:
+	}
+	p.dropSubscriber(s)
+}
+
+func (p *Process) endStreams() {
+	for s := range p.subscribers {
+		p.endStream(s)
+	}
+}
+
+func (p *Process) onSubscriber(s *subscriber, message any) {
+	switch m := message.(type) {
+	case feed.Ack:
+		s.acked = m
+	case feed.DemandReport:
+		p.placer.forward(m)
+	}
+}
+
+// streams tells whether this member may serve streams: it is in the chain and a majority has confirmed its view.
+func (p *Process) streams(now time.Duration) bool {
+	return p.node.InChain() && now-p.node.Confirmed(now) < p.timing.streamSilence
+}
+
+// tellSubscribers sends what is new to those who have not got it.
+func (p *Process) tellSubscribers(now time.Duration) {
+	if !p.streams(now) {
+		if p.node.Sealed() && p.node.InTouch(now) {
+			return // the next view is under way
+		}
+		p.endStreams()
+		return
+	}
+	committed := p.node.CommittedState()
+	count := p.subscriberCount(now)
+	for s := range p.subscribers {
+		fresh := !s.begun
+		due := now-s.sentAt >= feed.Keepalive
+		if !fresh && !due && s.revision >= p.table.Revision() && s.configSeq >= committed.Seq {
+			continue
+		}
+		update := feed.Update{Revision: p.table.Revision(), Subscribers: count, Whole: fresh}
+		if fresh || s.revision < update.Revision {
+			update.Endpoints = p.table.Since(s.revision)
+		}
+		if s.configSeq < committed.Seq {
+			document := committed.Value.(*fleetconfig.State).Document
+			update.Configuration = &feed.Configuration{Seq: committed.Seq, Document: document}
+		}
+		if fresh || due {
+			update.Members = p.members
+		}
+		select {
+		case s.updates <- update:
+			s.begun, s.revision, s.configSeq, s.sentAt = true, update.Revision, max(s.configSeq, committed.Seq), now
+		default:
+			p.endStream(s) // it does not keep up; it begins anew elsewhere
+		}
+	}
+}
+
+// subscriberCount is how many sidecars carry traffic, as far as is known.
+func (p *Process) subscriberCount(now time.Duration) int {
+	count := len(p.subscribers)
+	for _, other := range p.elsewhere {
+		if now-other.at < quietSubscriber {
+			count += other.count
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/dataplane/attempt.go
@@ -0,0 +1,260 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dykering/internal/errkind"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/http1"
+	"dykering/internal/routing"
+)
+
+const (
+	connectWithin = 1 * time.Second
+	// keepShare is the part of an endpoint's own idle time for which a connection to it is kept.
+	keepShare = 0.6
+	// wholeBody is the longest answer that is held until it is whole, so that one that breaks off fails as a whole.
+	wholeBody  = 256 << 10
+	copyBuffer = 16 << 10
+)
+
+// outcome is how one sending ended.
+type outcome struct {
+	answered   bool // the client has its answer
+	mayHaveRun bool
+	result     routing.Result
+	kind       errkind.Kind
+	detail     string
+	load       *routing.Load
+}
+
+// attempt sends the request to an endpoint once, and passes the answer on.
+func (c *carrying) attempt(endpoint *routing.Endpoint) outcome {
+	p, q := c.process, c.request
+	conn, fresh, err := p.connect(c.ctx, endpoint)
+	if err != nil {
+		if c.ctx.Err() != nil {
+			return outcome{result: routing.Withdrawn, kind: errkind.DeadlineExceeded}
+		}
+		return outcome{result: routing.Unreachable, kind: errkind.NoEndpoint, detail: "no connection"}
+	}
+	release := context.AfterFunc(c.ctx, func() { conn.Close() })
+	defer release()
+	c.sent++
+	whole, err := conn.Write(c.head(endpoint), q.body, q.deadline)
+	if !whole {
+		conn.Close()
+		if c.ctx.Err() != nil {
+			return outcome{result: routing.Withdrawn, kind: errkind.DeadlineExceeded}
+		}
+		result := routing.Broken
+		if !fresh {
+			result = routing.Withdrawn // an idle connection that its endpoint has just closed
+		}
+		return outcome{result: result, kind: errkind.EndpointFailed, detail: errText(err)}
+	}
+	answer, err := conn.Answer(headerRequestID, q.id)
+	if err != nil {
+		conn.Close()
+		return c.broken(err)
+	}
+	out := c.pass(conn, answer)
+	if answer.Reusable() && release() {
+		p.connections.give(endpoint.ID, conn, keepFor(answer.Header))
+	} else {
+		conn.Close()
+	}
+	return out
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// broken is the outcome of a request that was written and whose answer did not come.
+func (c *carrying) broken(err error) outcome {
+	if c.ctx.Err() != nil {
+		result := routing.TimedOut
+		if errors.Is(c.ctx.Err(), context.Canceled) {
+			result = routing.Withdrawn
+		}
+		return outcome{mayHaveRun: true, result: result, kind: errkind.EndpointTimeout}
+	}
+	return outcome{mayHaveRun: true, result: routing.Broken, kind: errkind.EndpointFailed, detail: errText(err)}
+}
+
+// connect takes an idle connection to an endpoint, or makes one.
+func (p *Process) connect(ctx context.Context, endpoint *routing.Endpoint) (conn *http1.EndpointConn, fresh bool, err error) {
+	if conn = p.connections.take(endpoint.ID); conn != nil {
+		return conn, false, nil
+	}
+	conn, err = http1.DialEndpoint(ctx, p.connections.endpoint(endpoint.ID, endpoint.Address), connectWithin)
+	return conn, true, err
+}
+
+// head is the head of the request as it goes to an endpoint.
+func (c *carrying) head(endpoint *routing.Endpoint) []byte {
+	q := c.request
+	header := q.header.Clone()
+	http1.EndToEnd(header)
+	header.Set(headerExpected, endpoint.ID)
+	header.Set(headerDeadline, strconv.FormatInt(max(q.left().Milliseconds(), 1), 10))
+	if q.engine != nil {
+		header.Set(headerPriority, strconv.Itoa(priorityOf(q.route)))
+	}
+	return http1.RequestHead(q.method, q.target, q.host, header, len(q.body))
+}
+
+// priorityOf is the rank of a route's requests at an endpoint.
+func priorityOf(route *fleetconfig.Route) int {
+	const least = 9
+	return int(math.Min(math.Max(route.Priority, 0), least))
+}
+
+// pass passes an endpoint's answer on, or says why not.
+func (c *carrying) pass(conn *http1.EndpointConn, answer *http1.EndpointAnswer) outcome {
+	load := parseLoad(answer.Header.Get(headerLoad))
+	if answer.Header.Get(headerNotRun) != "" || answer.Status == http.StatusMisdirectedRequest {
+		io.Copy(io.Discard, io.LimitReader(answer, wholeBody))
+		out := outcome{result: routing.Full, kind: errkind.Overloaded, detail: "turned away", load: load}
+		if answer.Status == http.StatusMisdirectedRequest {
+			out.result, out.kind = routing.Missing, errkind.NoEndpoint
+		}
+		return out
+	}
+	stamped := answer.Header.Get(headerStamp) != ""
+	success := answer.Status >= 200 && answer.Status < 300
+	if !stamped && success || promises(answer.Status) {
+		return outcome{mayHaveRun: true, result: routing.Served, kind: errkind.EndpointFailed, detail: "an answer of no use", load: load}
+	}
+	var out outcome
+	if c.request.route.Kind == fleetconfig.Streaming && success {
+		out = c.relay(answer)
+	} else {
+		out = c.passWhole(answer)
+	}
+	out.load = load
+	return out
+}
+
+// promises tells whether a status says that a request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// passWhole reads an answer to its end before any of it is passed on, where it is short enough.
+func (c *carrying) passWhole(answer *http1.EndpointAnswer) outcome {
+	if answer.Length > wholeBody {
+		return c.relay(answer)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, wholeBody))
+	if err != nil {
+		return c.broken(err)
+	}
+	c.writeHead(answer, int64(len(body)))
+	if !answer.Ended() {
+		c.writer.Write(body)
+		return c.copyRest(answer)
+	}
+	c.writer.Write(body)
+	return outcome{answered: true, result: routing.Served}
+}
+
+// writeHead passes the head of an answer on. A length below 0 is unknown.
+func (c *carrying) writeHead(answer *http1.EndpointAnswer, length int64) {
+	header := c.writer.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	http1.EndToEnd(header)
+	header.Del("Content-Length")
+	if answer.Ended() && length >= 0 || answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(max(length, answer.Length), 10))
+	}
+	if c.process.stopping.Load() {
+		header.Set("Connection", "close")
+	}
+	c.writer.WriteHeader(answer.Status)
+	c.begun = true
+}
+
+// relay passes an answer on as it comes.
+func (c *carrying) relay(answer *http1.EndpointAnswer) outcome {
+	c.writeHead(answer, -1)
+	return c.copyRest(answer)
+}
+
+// copyRest passes the rest of a body on, each piece at once. One that is cut ends the client's connection.
+func (c *carrying) copyRest(answer *http1.EndpointAnswer) outcome {
+	control := http.NewResponseController(c.writer)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if _, err := c.writer.Write(buffer[:n]); err != nil {
+				return outcome{answered: true, result: routing.Withdrawn}
+			}
+			if err := control.Flush(); err != nil {
+				return outcome{answered: true, result: routing.Withdrawn}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return outcome{answered: true, result: routing.Served}
+		}
+		if err != nil {
+			return c.broken(err)
+		}
+	}
+}
+
+// keepFor is how long an idle connection may be kept.
+func keepFor(header http.Header) time.Duration {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(keepShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return idleFor
+}
+
+func parseLoad(text string) *routing.Load {
+	fields := strings.Split(text, ",")
+	if len(fields) != 3 {
+		return nil
+	}
+	var numbers [3]int
+	for i, field := range fields {
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil {
+			return nil
+		}
+		numbers[i] = n
+	}
+	return &routing.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+}
+
+// finish tells the owner how a sending ended.
+func (p *Process) finish(endpoint *routing.Endpoint, q routing.Query, out outcome) {
+	p.post(func() {
+		now := p.now()
+		p.pool.End(now, endpoint, q, out.result)
+		if out.load != nil {
+			p.pool.Report(now, endpoint, *out.load)
+		}
+	})
+}
--- /dev/null
+++ b/internal/dataplane/demand.go
@@ -0,0 +1,94 @@
+package dataplane
+
+import (
+	"time"
+
+	"dykering/internal/feed"
+)
+
+const (
+	reportEvery = 250 * time.Millisecond
+	// urgentAfter is how long a report of requests that found no endpoint may wait for others of its kind.
+	urgentAfter = 5 * time.Millisecond
+	mostDemands = 4096
+)
+
+type demandKey struct{ service, model, adapter string }
+
+// demandTable counts what is asked for, between two reports. The owner of the tables owns it.
+type demandTable struct {
+	counts  map[demandKey]*feed.Demand
+	urgent  chan struct{}
+	reports chan feed.DemandReport
+}
+
+func newDemandTable() *demandTable {
+	return &demandTable{counts: map[demandKey]*feed.Demand{}, urgent: make(chan struct{}, 1), reports: make(chan feed.DemandReport, 4)}
+}
+
+// subscribe gives the reports.
+func (d *demandTable) subscribe() <-chan feed.DemandReport { return d.reports }
+
+func (d *demandTable) count(key demandKey) *feed.Demand {
+	c := d.counts[key]
+	if c == nil {
+		if len(d.counts) >= mostDemands {
+			return &feed.Demand{}
+		}
+		c = &feed.Demand{Service: key.service, Model: key.model, Adapter: key.adapter}
+		d.counts[key] = c
+	}
+	return c
+}
+
+// request counts a request and its work.
+func (d *demandTable) request(key demandKey, tokens float64) {
+	if key.model == "" {
+		return
+	}
+	c := d.count(key)
+	c.Requests++
+	c.Tokens += tokens
+}
+
+// unplaced counts a request that found no endpoint with its model or adapter.
+func (d *demandTable) unplaced(key demandKey) {
+	d.count(key).Unplaced++
+	select {
+	case d.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// take gives what was counted.
+func (d *demandTable) take() []feed.Demand {
+	var out []feed.Demand
+	for _, c := range d.counts {
+		out = append(out, *c)
+	}
+	d.counts = map[demandKey]*feed.Demand{}
+	return out
+}
+
+// reportDemand sends reports, soon where a request has found no endpoint.
+func (p *Process) reportDemand() {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.demand.urgent:
+			time.Sleep(urgentAfter)
+		case <-ticker.C:
+		}
+		demands := ask(p, p.demand.take)
+		if len(demands) == 0 {
+			continue
+		}
+		select {
+		case p.demand.reports <- feed.DemandReport{From: p.settings.NodeName, Demands: demands}:
+		default: // no stream takes them now
+		}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/follow.go
@@ -0,0 +1,158 @@
+package dataplane
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dykering/internal/feed"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/nodefile"
+	"dykering/internal/peerlink"
+	"dykering/internal/routing"
+)
+
+const (
+	dialWithin  = 300 * time.Millisecond
+	sendWithin  = time.Second
+	firstPause  = 30 * time.Millisecond
+	mostPause   = 300 * time.Millisecond
+	rereadEvery = 8 // failed rounds before the settings file is read again
+	mostMembers = 64
+)
+
+// follow keeps a stream of updates from a control sidecar.
+func (p *Process) follow() {
+	members := p.settings.SeedInternalAddresses()
+	pause, failures := firstPause, 0
+	for p.ctx.Err() == nil {
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		served := false
+		for _, member := range slices.Clone(members) {
+			learnt, ok := p.stream(member)
+			served = served || ok
+			if len(learnt) > 0 {
+				members = learnt
+			}
+			if ok {
+				break
+			}
+		}
+		if served {
+			pause, failures = firstPause, 0
+			continue
+		}
+		failures++
+		if failures%rereadEvery == 0 {
+			members = p.withSeeds(members)
+		}
+		time.Sleep(pause/2 + rand.N(pause))
+		pause = min(2*pause, mostPause)
+	}
+}
+
+// withSeeds adds the seeds that the settings file names now.
+func (p *Process) withSeeds(members []string) []string {
+	settings, err := nodefile.LoadFromEnvironment()
+	if err != nil {
+		p.log.Warn("settings.unreadable", "error", err)
+		return members
+	}
+	for _, seed := range settings.SeedInternalAddresses() {
+		if !slices.Contains(members, seed) && len(members) < mostMembers {
+			members = append(members, seed)
+		}
+	}
+	return members
+}
+
+// stream takes updates from one control sidecar until they end. It tells the control sidecars that were named, and
+// whether any update came.
+func (p *Process) stream(member string) (members []string, ok bool) {
+	conn, err := peerlink.Dial(member, dialWithin)
+	if err != nil {
+		return nil, false
+	}
+	defer conn.Close()
+	hello := feed.Subscribe{Name: p.settings.NodeName, Zone: p.settings.Zone, ConfigSeq: ask(p, func() uint64 { return p.configSeq })}
+	if conn.Send(hello, sendWithin) != nil {
+		return nil, false
+	}
+	done := make(chan struct{})
+	defer close(done)
+	reports := p.demand.subscribe()
+	outbound := make(chan any, 16)
+	go sendAll(conn, outbound, reports, done)
+	patience := nodefile.Milliseconds(p.settings.Bounds.ContactMs) / 4
+	for {
+		message, err := conn.Receive(max(patience, 3*feed.Keepalive/2))
+		if err != nil {
+			return members, ok
+		}
+		update, isUpdate := message.(feed.Update)
+		if !isUpdate {
+			continue
+		}
+		if len(update.Members) > 0 {
+			members = update.Members
+		}
+		if update.Leaving {
+			return members, ok
+		}
+		ok = true
+		ack := ask(p, func() feed.Ack { return p.take(update) })
+		select {
+		case outbound <- ack:
+		default:
+		}
+	}
+}
+
+// sendAll sends acknowledgements and reports on a stream until it ends.
+func sendAll(conn *peerlink.Conn, outbound <-chan any, reports <-chan feed.DemandReport, done <-chan struct{}) {
+	for {
+		var message any
+		select {
+		case <-done:
+			return
+		case message = <-outbound:
+		case message = <-reports:
+		}
+		if conn.Send(message, sendWithin) != nil {
+			conn.Close()
+			return
+		}
+	}
+}
+
+// take puts an update in force.
+func (p *Process) take(update feed.Update) feed.Ack {
+	now := p.now()
+	if len(update.Endpoints) > 0 || update.Whole {
+		p.pool.Update(now, update.Endpoints, update.Whole)
+		p.revision = update.Revision
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+	if update.Subscribers > 0 {
+		p.budget.SetSidecars(update.Subscribers)
+	}
+	if c := update.Configuration; c != nil && c.Seq > p.configSeq {
+		p.takeConfiguration(c)
+	}
+	return feed.Ack{Revision: p.revision, ConfigSeq: p.configSeq}
+}
+
+func (p *Process) takeConfiguration(c *feed.Configuration) {
+	parsed, err := fleetconfig.Parse(&c.Document)
+	if err != nil {
+		p.log.Error("configuration.unusable", "version", c.Document.Version, "error", err)
+		return
+	}
+	p.configSeq = c.Seq
+	if c.Document.Version == 0 {
+		return // none has been taken yet
+	}
+	p.config.Store(&activeConfig{parsed: parsed, routes: routing.NewRoutes(parsed)})
+	p.log.Info("configuration.in_force", "version", c.Document.Version, "routes", len(parsed.Routes))
+}
--- /dev/null
+++ b/internal/dataplane/process.go
@@ -0,0 +1,154 @@
+// Package dataplane is the process that carries traffic: it follows the control plane's updates, and sends each request
+// of a client to an endpoint. The connections to endpoints are those of internal/http1; what is sent where is decided
+// by internal/routing.
+package dataplane
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/fleetconfig"
+	"dykering/internal/nodefile"
+	"dykering/internal/routing"
+)
+
+const (
+	commandQueue  = 4096
+	ageEvery      = 500 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	mostHeader    = 64 << 10
+)
+
+// Process is a running sidecar that carries traffic. One goroutine owns its tables.
+type Process struct {
+	settings nodefile.Settings
+	log      *slog.Logger
+	origin   time.Time
+	ctx      context.Context
+	commands chan func()
+
+	// Of the owner.
+	pool      *routing.Pool
+	budget    *routing.Budget
+	demand    *demandTable
+	configSeq uint64
+	revision  uint64
+	changed   chan struct{} // closed when the endpoints change
+
+	config      atomic.Pointer[activeConfig]
+	connections *connections
+	stopping    atomic.Bool
+	underWay    atomic.Int64 // requests
+	memory      chan struct{}
+}
+
+// activeConfig is a configuration that is in force here.
+type activeConfig struct {
+	parsed *fleetconfig.Parsed
+	routes *routing.Routes
+}
+
+// Run serves until a signal arrives on stop.
+func Run(settings nodefile.Settings, log *slog.Logger, stop <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	bounds := settings.Bounds
+	p := &Process{
+		settings: settings, log: log, origin: time.Now(), ctx: ctx, commands: make(chan func(), commandQueue),
+		pool:   routing.NewPool(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		budget: routing.NewBudget(nodefile.Seconds(bounds.BudgetWindowS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack),
+		demand: newDemandTable(), changed: make(chan struct{}),
+	}
+	p.connections = newConnections(settings.Limits.FileDescriptors)
+	frontend, err := net.Listen("tcp", settings.Listen.Frontend)
+	if err != nil {
+		return errors.Wrap(err, "frontend address")
+	}
+	readiness, err := net.Listen("tcp", settings.Listen.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "readiness address")
+	}
+	front := &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: mostHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	health := &http.Server{Handler: http.HandlerFunc(p.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	go health.Serve(readiness)
+	go front.Serve(frontend)
+	go p.own()
+	go p.follow()
+	go p.reportDemand()
+	log.Info("process.serving", "role", settings.Role, "name", settings.NodeName)
+	sig := <-stop
+	log.Info("process.stopping", "signal", sig.String())
+	p.stop(front, health)
+	return nil
+}
+
+// stop has the platform send no new connections, serves those that are there, and ends.
+func (p *Process) stop(front, health *http.Server) {
+	p.stopping.Store(true)
+	const missedChecks = 2500 * time.Millisecond // the platform looks every second, and twice
+	grace := nodefile.Seconds(p.settings.Bounds.GracePeriodS)
+	began := time.Now()
+	for time.Since(began) < grace*9/10 {
+		if time.Since(began) > min(missedChecks, grace/2) && p.underWay.Load() == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace*19/20-time.Since(began), time.Millisecond))
+	defer cancel()
+	front.Shutdown(ctx)
+	health.Close()
+}
+
+func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if p.stopping.Load() || p.config.Load() == nil {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
+
+func (p *Process) now() time.Duration { return time.Since(p.origin) }
+
+// own works through the commands to the owner of the tables.
+func (p *Process) own() {
+	ticker := time.NewTicker(ageEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case command := <-p.commands:
+			command()
+		case <-ticker.C:
+			p.pool.Age(p.now())
+		}
+	}
+}
+
+// post hands a command to the owner. It blocks while the queue is full.
+func (p *Process) post(command func()) {
+	select {
+	case p.commands <- command:
+	case <-p.ctx.Done():
+	}
+}
+
+// ask has the owner tell something.
+func ask[T any](p *Process, tell func() T) (told T) {
+	answer := make(chan T, 1)
+	p.post(func() { answer <- tell() })
+	select {
+	case told = <-answer:
+	case <-p.ctx.Done():
+	}
+	return told
+}
--- /dev/null
+++ b/internal/dataplane/request.go
@@ -0,0 +1,154 @@
+package dataplane
+
+import (
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dykering/internal/errkind"
+	"dykering/internal/fleetconfig"
+)
+
+// Headers of the protocol with clients and endpoints.
+const (
+	headerRequestID = "X-Request-Id"
+	headerDeadline  = "X-Deadline-Ms"
+	headerModel     = "X-Model"
+	headerUsage     = "X-Token-Usage"
+	headerPrefix    = "X-Prompt-Prefix"
+	headerExpected  = "X-Expected-Instance"
+	headerNotRun    = "X-Not-Executed"
+	headerStamp     = "X-Response-Signature"
+	headerLoad      = "X-Instance-Load"
+	headerLastEvent = "Last-Event-Id"
+	headerPriority  = "Priority"
+)
+
+const (
+	mostBody        = 8 << 20
+	defaultDeadline = 30 * time.Second
+)
+
+// request is a client's request, read whole.
+type request struct {
+	id       string
+	route    *fleetconfig.Route
+	service  string
+	engine   *fleetconfig.Engine
+	method   string
+	target   string
+	host     string
+	header   http.Header // end to end
+	body     []byte
+	model    string
+	adapter  string
+	usage    usage
+	prefix   []part
+	arrived  time.Time
+	deadline time.Time // when the client, or the operator's time-out, gives it up
+}
+
+// usage is the size of a generation.
+type usage struct{ prompt, output float64 }
+
+// work is a generation's size as it is weighed: a token out counts as ten in.
+func (u usage) work() float64 { return u.prompt + 10*u.output }
+
+// part is a part of a prompt that requests may share.
+type part struct {
+	id     string
+	tokens float64
+}
+
+// left is the time that a request has.
+func (r *request) left() time.Duration { return time.Until(r.deadline) }
+
+// key is what the demand for its model is counted under.
+func (r *request) key() demandKey {
+	return demandKey{service: r.service, model: r.model, adapter: r.adapter}
+}
+
+// affinity tells apart requests that share the beginning of their prompts. Its last part is the request's own.
+func (r *request) affinity() uint64 {
+	if !r.route.StickySessions || len(r.prefix) == 0 {
+		return 0
+	}
+	hash := fnv.New64a()
+	io.WriteString(hash, r.model+"/"+r.adapter)
+	io.WriteString(hash, r.prefix[0].id)
+	return max(hash.Sum64(), 1)
+}
+
+// readRequest reads a request whose route is known.
+func readRequest(r *http.Request, route *fleetconfig.Route, limits fleetconfig.Limits) (*request, error) {
+	q := &request{
+		id: r.Header.Get(headerRequestID), route: route, method: r.Method, target: r.RequestURI, host: r.Host,
+		header: r.Header, arrived: time.Now(),
+	}
+	q.deadline = q.arrived.Add(patience(r, route))
+	q.model, q.adapter, _ = strings.Cut(r.Header.Get(headerModel), "/")
+	q.usage = parseUsage(r.Header.Get(headerUsage))
+	q.prefix = parsePrefix(r.Header.Get(headerPrefix))
+	most := int64(mostBody)
+	if limits.MaxBodyBytes > 0 {
+		most = min(most, int64(limits.MaxBodyBytes))
+	}
+	if r.ContentLength > most {
+		return nil, errkind.New(errkind.TooLarge, "")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err != nil {
+		return nil, errkind.New(errkind.Malformed, "the body was cut short")
+	}
+	if int64(len(body)) > most {
+		return nil, errkind.New(errkind.TooLarge, "")
+	}
+	q.body = body
+	return q, nil
+}
+
+// patience is how long a request is waited for: by its client, and by the operator.
+func patience(r *http.Request, route *fleetconfig.Route) time.Duration {
+	wait := defaultDeadline
+	if ms, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64); err == nil && ms >= 0 {
+		wait = min(time.Duration(ms*float64(time.Millisecond)), time.Hour)
+	}
+	if timeout := route.Timeout(); timeout > 0 {
+		wait = min(wait, timeout)
+	}
+	return wait
+}
+
+func parseUsage(text string) usage {
+	in, out, _ := strings.Cut(text, ",")
+	prompt, err := strconv.ParseFloat(strings.TrimSpace(in), 64)
+	if err != nil {
+		return usage{}
+	}
+	output, err := strconv.ParseFloat(strings.TrimSpace(out), 64)
+	if err != nil {
+		output = 0
+	}
+	return usage{prompt: prompt, output: output}
+}
+
+const mostParts = 64
+
+func parsePrefix(text string) []part {
+	var parts []part
+	for piece := range strings.SplitSeq(text, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(piece), ":")
+		if !ok || len(parts) >= mostParts {
+			continue
+		}
+		tokens, err := strconv.ParseFloat(count, 64)
+		if err != nil {
+			continue
+		}
+		parts = append(parts, part{id: id, tokens: tokens})
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/dataplane/serve.go
@@ -0,0 +1,251 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"dykering/internal/errkind"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/routing"
+)
+
+const (
+	// comeBack is when a client should try again that was turned away for want of room.
+	comeBack = 250 * time.Millisecond
+	// patienceShare is the part of a route's target for which a request may wait for an endpoint.
+	patienceShare = 5
+	// loadMargin is what a load of weights takes beside the load itself, until every sidecar knows.
+	loadMargin = 250 * time.Millisecond
+)
+
+// refusal is an answer of our own.
+type refusal struct {
+	kind       errkind.Kind
+	detail     string
+	retryAfter time.Duration // 0 for none
+}
+
+func (f *refusal) Error() string { return errkind.AnswerOf(f.kind).Text + ": " + f.detail }
+
+// answer writes a refusal.
+func (f *refusal) answer(w http.ResponseWriter) {
+	answer := errkind.AnswerOf(f.kind)
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", fmt.Sprintf("%.3f", f.retryAfter.Seconds()))
+	}
+	http.Error(w, f.Error(), answer.Status)
+}
+
+// serve answers one request of a client.
+func (p *Process) serve(w http.ResponseWriter, r *http.Request) {
+	p.underWay.Add(1)
+	defer p.underWay.Add(-1)
+	if p.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	config := p.config.Load()
+	if config == nil {
+		(&refusal{kind: errkind.NotReady, retryAfter: comeBack}).answer(w)
+		return
+	}
+	route, ok := config.routes.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		(&refusal{kind: errkind.NoRoute}).answer(w)
+		return
+	}
+	q, err := readRequest(r, route, config.parsed.Limits)
+	if err != nil {
+		(&refusal{kind: errkind.KindOf(err), detail: err.Error()}).answer(w)
+		return
+	}
+	q.service = routing.ChooseService(route, rand.Float64())
+	if service, ok := config.parsed.Service(q.service); ok {
+		q.engine = service.Engine
+	}
+	p.carry(w, r.Context(), q)
+}
+
+// carry sends a request to endpoints until one answers, and passes the answer on.
+func (p *Process) carry(w http.ResponseWriter, ctx context.Context, q *request) {
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	c := &carrying{process: p, request: q, ctx: ctx, writer: w, exclude: map[string]bool{}}
+	p.post(func() {
+		p.budget.Request(p.now(), q.service)
+		p.demand.request(q.key(), q.usage.work())
+	})
+	if refused := c.run(); refused != nil {
+		refused.answer(w)
+	}
+}
+
+// carrying is one request on its way.
+type carrying struct {
+	process *Process
+	request *request
+	ctx     context.Context
+	writer  http.ResponseWriter
+	exclude map[string]bool
+	sent    int  // how often it was sent
+	ran     int  // how many sendings may have run
+	begun   bool // the head of an answer has gone to the client
+}
+
+// run sends the request until it is answered. A refusal is still to be written.
+func (c *carrying) run() *refusal {
+	for {
+		endpoint, refused := c.choose()
+		if refused != nil {
+			return c.final(refused)
+		}
+		outcome := c.attempt(endpoint)
+		c.process.finish(endpoint, c.query(), outcome)
+		if outcome.answered {
+			return nil
+		}
+		if refused := c.after(endpoint, outcome); refused != nil {
+			return c.final(refused)
+		}
+	}
+}
+
+// final makes a refusal true to what has happened: nothing is promised of what may have run.
+func (c *carrying) final(refused *refusal) *refusal {
+	if c.begun {
+		panic(http.ErrAbortHandler) // the answer was cut: it must not look whole
+	}
+	if c.ran > 0 && errkind.AnswerOf(refused.kind).NotExecuted {
+		return &refusal{kind: errkind.EndpointFailed, detail: refused.detail}
+	}
+	return refused
+}
+
+func (c *carrying) query() routing.Query {
+	q := c.request
+	return routing.Query{Service: q.service, Model: q.model, Adapter: q.adapter, Affinity: q.affinity(), Exclude: c.exclude}
+}
+
+// after decides whether a request that was not answered is sent again. A refusal ends it.
+func (c *carrying) after(endpoint *routing.Endpoint, outcome outcome) *refusal {
+	q := c.request
+	if c.begun {
+		return &refusal{kind: outcome.kind}
+	}
+	if c.ctx.Err() != nil {
+		return c.expired()
+	}
+	if outcome.mayHaveRun {
+		c.ran++
+		if !q.route.Repeatable() || c.ran >= max(int(q.route.MaxAttempts), 1) {
+			return &refusal{kind: outcome.kind, detail: outcome.detail}
+		}
+	}
+	if outcome.result != routing.Full {
+		c.exclude[endpoint.ID] = true
+	}
+	if c.sent > 0 && !c.mayRepeat() {
+		return &refusal{kind: errkind.Overloaded, detail: "no further sending is allowed", retryAfter: c.comeBack()}
+	}
+	return nil
+}
+
+func (c *carrying) mayRepeat() bool {
+	const mostSendings = 6
+	if c.sent >= mostSendings {
+		return false
+	}
+	p := c.process
+	return ask(p, func() bool { return p.budget.Repeat(p.now(), c.request.service) })
+}
+
+// expired is the answer to a request whose time is over.
+func (c *carrying) expired() *refusal {
+	if c.ran == 0 {
+		return &refusal{kind: errkind.DeadlineExceeded}
+	}
+	return &refusal{kind: errkind.EndpointTimeout}
+}
+
+func (c *carrying) comeBack() time.Duration {
+	return comeBack + rand.N(comeBack)
+}
+
+// pickResult is what the owner says of a pick.
+type pickResult struct {
+	endpoint *routing.Endpoint
+	verdict  routing.Verdict
+	changed  <-chan struct{}
+}
+
+// choose finds an endpoint, and waits for one where that is worth while.
+func (c *carrying) choose() (*routing.Endpoint, *refusal) {
+	p, q := c.process, c.request
+	began := time.Now()
+	for {
+		got := ask(p, func() pickResult {
+			now := p.now()
+			e, verdict := p.pool.Pick(now, c.query())
+			if verdict == routing.Picked {
+				p.pool.Begin(e)
+			}
+			if verdict == routing.NotHeld || verdict == routing.ModelOnly {
+				p.demand.unplaced(q.key())
+			}
+			return pickResult{endpoint: e, verdict: verdict, changed: p.changed}
+		})
+		if got.verdict == routing.Picked {
+			return got.endpoint, nil
+		}
+		wait, refused := c.patience(got.verdict, time.Since(began))
+		if refused != nil {
+			return nil, refused
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-c.ctx.Done():
+			timer.Stop()
+			return nil, c.expired()
+		case <-got.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// patience is how long a request waits for an endpoint, or why it does not.
+func (c *carrying) patience(verdict routing.Verdict, waited time.Duration) (time.Duration, *refusal) {
+	const look = 20 * time.Millisecond
+	q := c.request
+	most := q.route.Target() / patienceShare
+	refused := &refusal{kind: errkind.NoEndpoint, retryAfter: c.comeBack()}
+	switch verdict {
+	case routing.AllBusy:
+		refused.kind = errkind.Overloaded
+	case routing.NotHeld:
+		load := loadTime(q.engine, q.model) + loadMargin
+		if load < q.route.Target()/2 {
+			most = q.route.Target() / 2
+		}
+		refused.retryAfter = load
+	}
+	if waited >= min(most, q.left()/2) {
+		return 0, refused
+	}
+	return min(look, max(most-waited, time.Millisecond)), nil
+}
+
+// loadTime is how long the weights of a model take to load.
+func loadTime(engine *fleetconfig.Engine, model string) time.Duration {
+	if engine == nil {
+		return 0
+	}
+	for _, m := range engine.Models {
+		if m.Name == model {
+			return time.Duration(m.LoadTimeS * float64(time.Second))
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,127 @@
+// Package feed has the messages between processes of the system beside those of the chain: what control sidecars tell
+// the sidecars that carry traffic and one another, and what those report.
+package feed
+
+import (
+	"encoding/gob"
+	"time"
+
+	"dykering/internal/chain"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/sessions"
+)
+
+// Subscribe opens a stream of updates.
+type Subscribe struct {
+	Name      string
+	Zone      string
+	ConfigSeq uint64 // what the subscriber has
+}
+
+// Configuration is a committed configuration.
+type Configuration struct {
+	Seq      uint64 // rises with every committed change
+	Document fleetconfig.Document
+}
+
+// Update is one message of the stream. What has not changed is left out.
+type Update struct {
+	Revision      uint64 // of the endpoints
+	Whole         bool   // the endpoints are all there are
+	Endpoints     []sessions.Endpoint
+	Configuration *Configuration
+	Members       []string // addresses of control sidecars, where they have changed
+	Subscribers   int      // sidecars that carry traffic, over all control sidecars
+	Leaving       bool     // this control sidecar cannot serve the stream: go to another
+}
+
+// Ack tells what of the stream is in force at the subscriber.
+type Ack struct {
+	Revision  uint64
+	ConfigSeq uint64
+}
+
+// Demand is what was asked for since the last report.
+type Demand struct {
+	Service  string
+	Model    string
+	Adapter  string
+	Requests int
+	Tokens   float64 // work, in tokens
+	Unplaced int     // requests that found no endpoint with the model or adapter
+	InFlight int     // requests under way now
+}
+
+// DemandReport is a sidecar's demand.
+type DemandReport struct {
+	From    string
+	Demands []Demand
+}
+
+// SessionUpdate tells another control sidecar of sessions. Ask is answered by a SessionAck where it is not 0.
+type SessionUpdate struct {
+	From    string // address
+	Ask     uint64
+	Records []sessions.Record
+	Signs   []sessions.Sign
+}
+
+// SessionAck tells that a SessionUpdate is in the table.
+type SessionAck struct {
+	From string
+	Ask  uint64
+}
+
+// SessionPull asks for all sessions.
+type SessionPull struct{ From string }
+
+// SessionWhole answers a SessionPull.
+type SessionWhole struct {
+	From    string
+	Records []sessions.Record
+}
+
+// Subscribers tells how many sidecars a control sidecar streams to.
+type Subscribers struct {
+	From  string
+	Count int
+}
+
+// Write asks the head for a change of the configuration.
+type Write struct {
+	From   string
+	ID     uint64
+	Change fleetconfig.Change
+}
+
+// Read asks the tail for the configuration.
+type Read struct {
+	From string
+	ID   uint64
+}
+
+// Reply answers a Write or a Read.
+type Reply struct {
+	ID       uint64
+	Failed   bool
+	Kind     int // of error
+	Detail   string
+	Document fleetconfig.Document
+}
+
+// Keepalive is the least time between two messages of a stream.
+const Keepalive = 400 * time.Millisecond
+
+// Register makes the messages known to gob.
+func Register() {
+	for _, message := range []any{
+		chain.Ping{}, chain.Pong{}, chain.Prepare{}, chain.Promise{}, chain.Reject{}, chain.Accept{}, chain.AcceptedReply{},
+		chain.Install{}, chain.Append{}, chain.Committed{},
+		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
+		Subscribers{}, Write{}, Read{}, Reply{},
+		&fleetconfig.State{}, fleetconfig.Change{},
+		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.InstallRecord{},
+	} {
+		gob.Register(message)
+	}
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,346 @@
+package routing
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"dykering/internal/sessions"
+)
+
+// Mark is what a sidecar makes of an endpoint.
+type Mark int
+
+// The marks.
+const (
+	Usable   Mark = iota
+	Ramping       // new, or back from isolation: drawn less often
+	Isolated      // its connections broke: it gets one trial call at a time
+	Leaving       // it gets no new calls
+)
+
+const (
+	// rampFor is how long a newcomer is drawn less often.
+	rampFor = 2 * time.Second
+	// rampFrom is the share of draws with which a newcomer begins.
+	rampFrom = 0.25
+	// firstIsolation doubles with each failed trial up to mostIsolation.
+	firstIsolation = 250 * time.Millisecond
+	mostIsolation  = 4 * time.Second
+	// missingFor is how long the word of an endpoint that it has no such model counts against the table.
+	missingFor = 400 * time.Millisecond
+	// fullFor is how long an endpoint that was full is passed over.
+	fullFor = 80 * time.Millisecond
+	// departFor is how long an endpoint is kept that a new stream of updates does not name.
+	departFor = 6 * time.Second
+	// spotMargin is left of an endpoint's remaining time at the end of a call.
+	spotMargin = 300 * time.Millisecond
+	// reportFor is how long an endpoint's own load report counts.
+	reportFor = 2 * time.Second
+)
+
+// Load is what an endpoint reports of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Endpoint is what a sidecar knows of one incarnation of an endpoint.
+type Endpoint struct {
+	ID       string
+	Address  string
+	Service  string
+	Zone     string
+	Slots    int
+	told     sessions.Endpoint
+	mark     Mark
+	inFlight int // own calls
+
+	rampFrom   time.Duration // when its ramp began
+	isolations int           // in a row
+	trialAt    time.Duration // when an isolated endpoint may be tried
+	trying     bool
+	fullUntil  time.Duration
+	endsAt     time.Duration // when it is taken away; 0 for unknown
+	absentAt   time.Duration // since when updates do not name it; 0 while they do
+	missing    map[string]time.Duration
+	load       Load
+	loadAt     time.Duration
+	loadOwn    int // own calls when the load was reported
+}
+
+// Pool is the endpoints that a sidecar knows.
+type Pool struct {
+	byID     map[string]*Endpoint
+	services map[string][]*Endpoint
+	random   *rand.Rand
+	begun    time.Duration // when the first endpoints were told; those are no newcomers
+	told     bool
+}
+
+// NewPool makes an empty pool.
+func NewPool(random *rand.Rand) *Pool {
+	return &Pool{byID: map[string]*Endpoint{}, services: map[string][]*Endpoint{}, random: random}
+}
+
+// Update takes what control sidecars say. Whole tells that endpoints which are not named are not known there.
+func (p *Pool) Update(now time.Duration, told []sessions.Endpoint, whole bool) {
+	named := map[string]bool{}
+	for i := range told {
+		named[told[i].ID] = true
+		p.take(now, &told[i])
+	}
+	if whole {
+		for id, e := range p.byID {
+			if !named[id] && e.absentAt == 0 {
+				e.absentAt = now
+			}
+		}
+	}
+	if len(told) > 0 && !p.told {
+		p.told, p.begun = true, now
+	}
+}
+
+func (p *Pool) take(now time.Duration, told *sessions.Endpoint) {
+	e := p.byID[told.ID]
+	if e == nil {
+		if told.State == sessions.Gone {
+			return
+		}
+		e = &Endpoint{ID: told.ID, Address: told.Heartbeat.Address, Service: told.Heartbeat.Service, missing: map[string]time.Duration{}}
+		if p.told && now-p.begun > rampFor {
+			e.mark, e.rampFrom = Ramping, now
+		}
+		p.byID[e.ID] = e
+		p.services[e.Service] = append(p.services[e.Service], e)
+	}
+	e.told, e.absentAt = *told, 0
+	e.Zone, e.Slots = told.Heartbeat.Zone, told.Heartbeat.Slots
+	switch told.State {
+	case sessions.Gone:
+		p.remove(e)
+	case sessions.Draining:
+		if remaining := told.Heartbeat.RemainingMs; remaining != nil && e.endsAt == 0 {
+			e.endsAt = now + time.Duration(*remaining*float64(time.Millisecond))
+		}
+		e.mark = Leaving
+	}
+}
+
+func (p *Pool) remove(e *Endpoint) {
+	e.mark = Leaving
+	delete(p.byID, e.ID)
+	kept := p.services[e.Service][:0:0]
+	for _, other := range p.services[e.Service] {
+		if other != e {
+			kept = append(kept, other)
+		}
+	}
+	p.services[e.Service] = kept
+}
+
+// Age forgets endpoints that have not been named for long.
+func (p *Pool) Age(now time.Duration) {
+	for _, e := range p.byID {
+		if e.absentAt != 0 && now-e.absentAt > departFor {
+			p.remove(e)
+		}
+	}
+}
+
+// Query is what an endpoint is looked for.
+type Query struct {
+	Service string
+	Model   string
+	Adapter string
+	// Affinity tells requests apart that share a beginning: those with the same one go to the same endpoints. 0 is none.
+	Affinity uint64
+	Exclude  map[string]bool
+}
+
+// Verdict is the result of a pick.
+type Verdict int
+
+// The verdicts.
+const (
+	Picked     Verdict = iota
+	NoEndpoint         // the service has none that may be called
+	NotHeld            // none holds the model or the adapter
+	ModelOnly          // some hold the model, none the adapter
+	AllBusy            // those that hold it are full or isolated
+)
+
+// Pick draws two random usable endpoints that hold what is asked for, and takes the one with fewer own calls in flight.
+func (p *Pool) Pick(now time.Duration, q Query) (*Endpoint, Verdict) {
+	var holders, usable, trials []*Endpoint
+	alive, modelHeld := false, false
+	for _, e := range p.services[q.Service] {
+		if e.mark == Leaving || e.told.State == sessions.Silent && e.mark == Isolated {
+			continue
+		}
+		alive = true
+		if !e.holds(now, q) {
+			modelHeld = modelHeld || q.Adapter != "" && e.told.Holds(q.Model, "")
+			continue
+		}
+		holders = append(holders, e)
+		switch {
+		case q.Exclude[e.ID] || now < e.fullUntil:
+		case e.mark == Isolated:
+			if !e.trying && now >= e.trialAt {
+				trials = append(trials, e)
+			}
+		default:
+			usable = append(usable, e)
+		}
+	}
+	switch {
+	case !alive:
+		return nil, NoEndpoint
+	case len(holders) == 0 && modelHeld:
+		return nil, ModelOnly
+	case len(holders) == 0:
+		return nil, NotHeld
+	}
+	if e := p.trial(trials, len(usable)); e != nil {
+		e.trying = true
+		return e, Picked
+	}
+	if len(usable) == 0 {
+		return nil, AllBusy
+	}
+	return p.draw(now, usable, q.Affinity), Picked
+}
+
+// trial chooses an isolated endpoint that is due a trial call: always where nothing else is usable, else now and then.
+func (p *Pool) trial(due []*Endpoint, usable int) *Endpoint {
+	if len(due) == 0 || usable > 0 && p.random.IntN(usable+1) != 0 {
+		return nil
+	}
+	return due[p.random.IntN(len(due))]
+}
+
+func (e *Endpoint) holds(now time.Duration, q Query) bool {
+	if q.Model == "" {
+		return true
+	}
+	if until, ok := e.missing[missingKey(q.Model, q.Adapter)]; ok && now < until {
+		return false
+	}
+	return e.told.Holds(q.Model, q.Adapter)
+}
+
+func missingKey(model, adapter string) string { return model + "/" + adapter }
+
+// draw takes two candidates and returns the one with less to do. Those with the same affinity draw the same two, as long
+// as these are not much busier than the rest.
+func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
+	if affinity != 0 && len(usable) > 2 {
+		if first, second := p.pair(now, usable, affinity); first != nil {
+			chosen := p.fewer(now, first, second)
+			if !p.crowded(now, chosen, usable) {
+				return chosen
+			}
+		}
+	}
+	return p.fewer(now, p.random1(now, usable), p.random1(now, usable))
+}
+
+// pair are the two endpoints that an affinity ranks highest, of those past their ramp.
+func (p *Pool) pair(now time.Duration, usable []*Endpoint, affinity uint64) (first, second *Endpoint) {
+	ranked := append([]*Endpoint(nil), usable...)
+	sort.Slice(ranked, func(i, j int) bool { return rendezvous(affinity, ranked[i].ID) > rendezvous(affinity, ranked[j].ID) })
+	for _, e := range ranked {
+		if p.random.Float64() > e.share(now) {
+			continue
+		}
+		if first == nil {
+			first = e
+		} else {
+			return first, e
+		}
+	}
+	return first, first
+}
+
+func rendezvous(affinity uint64, id string) uint64 {
+	hash := fnv.New64a()
+	var key [8]byte
+	for i := range key {
+		key[i] = byte(affinity >> (8 * i))
+	}
+	hash.Write(key[:])
+	hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
+// crowded tells whether an endpoint has much more to do than the usual one.
+func (p *Pool) crowded(now time.Duration, e *Endpoint, usable []*Endpoint) bool {
+	const crowdedBy = 4
+	var sum float64
+	for _, other := range usable {
+		sum += other.work(now)
+	}
+	return e.work(now) > crowdedBy+2*sum/float64(len(usable))
+}
+
+// random1 draws one endpoint, ramping ones less often.
+func (p *Pool) random1(now time.Duration, usable []*Endpoint) *Endpoint {
+	const tries = 8
+	for range tries {
+		e := usable[p.random.IntN(len(usable))]
+		if p.random.Float64() <= e.share(now) {
+			return e
+		}
+	}
+	return usable[p.random.IntN(len(usable))]
+}
+
+// share is the part of draws that an endpoint takes.
+func (e *Endpoint) share(now time.Duration) float64 {
+	if e.mark != Ramping {
+		return 1
+	}
+	done := float64(now-e.rampFrom) / float64(rampFor)
+	if done >= 1 {
+		e.mark = Usable
+		return 1
+	}
+	return rampFrom + (1-rampFrom)*max(done, 0)
+}
+
+func (p *Pool) fewer(now time.Duration, a, b *Endpoint) *Endpoint {
+	x, y := a.work(now), b.work(now)
+	switch {
+	case x < y:
+		return a
+	case y < x:
+		return b
+	case p.random.IntN(2) == 0:
+		return a
+	}
+	return b
+}
+
+// work is an endpoint's own calls in flight, with what it has lately said that others have it do.
+func (e *Endpoint) work(now time.Duration) float64 {
+	work := float64(e.inFlight)
+	if now-e.loadAt < reportFor && e.loadAt > 0 {
+		others := max(float64(e.load.Running+e.load.Waiting-e.loadOwn), 0)
+		work += others * (1 - float64(now-e.loadAt)/float64(reportFor))
+	}
+	return work
+}
+
+// InFlight is the own calls to an endpoint.
+func (e *Endpoint) InFlight() int { return e.inFlight }
+
+// Mark is what the sidecar makes of an endpoint.
+func (e *Endpoint) Mark() Mark { return e.mark }
+
+// Find finds an endpoint.
+func (p *Pool) Find(id string) *Endpoint { return p.byID[id] }
+
+// Services lists how many endpoints of a service there are.
+func (p *Pool) Count(service string) int { return len(p.services[service]) }
--- /dev/null
+++ b/internal/routing/routes.go
@@ -0,0 +1,64 @@
+// Package routing decides where a request goes: which route it has, which endpoint of a service it is sent to, and
+// whether it may be sent again. It does no input or output and reads no clock: the process that embeds it hands over
+// the time, counted from an arbitrary start.
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+
+	"dykering/internal/fleetconfig"
+)
+
+// Routes finds the route of a request. It is never changed once it is made.
+type Routes struct {
+	byHost map[string][]*fleetconfig.Route // longest prefix first
+}
+
+// NewRoutes makes the route table of a configuration.
+func NewRoutes(p *fleetconfig.Parsed) *Routes {
+	r := &Routes{byHost: map[string][]*fleetconfig.Route{}}
+	for i := range p.Routes {
+		route := &p.Routes[i]
+		host := strings.ToLower(route.Host)
+		r.byHost[host] = append(r.byHost[host], route)
+	}
+	for _, routes := range r.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return r
+}
+
+// Match finds the route of a host and a path: the one with the longest prefix that begins the path.
+func (r *Routes) Match(host, path string) (*fleetconfig.Route, bool) {
+	host = strings.ToLower(host)
+	routes, ok := r.byHost[host]
+	if !ok {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			routes = r.byHost[name]
+		}
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// ChooseService picks one of a route's services by weight; chance is drawn from [0, 1).
+func ChooseService(route *fleetconfig.Route, chance float64) string {
+	shares := route.Shares()
+	var sum float64
+	for _, share := range shares {
+		sum += share.Weight
+	}
+	at := chance * sum
+	for _, share := range shares {
+		if at -= share.Weight; at < 0 {
+			return share.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
--- /dev/null
+++ b/internal/sessions/table.go
@@ -0,0 +1,336 @@
+// Package sessions is the table of endpoint sessions: what endpoints say of themselves in heartbeats, and what orders
+// have made of them since. Control sidecars replicate it among themselves. It does no input or output and reads no clock.
+package sessions
+
+import (
+	"sort"
+	"time"
+)
+
+// State is how far an endpoint is in its life.
+type State string
+
+// The states. They only move down this list, but for an endpoint that was silent and is heard again.
+const (
+	Ready    State = "ready"
+	Silent   State = "silent" // no heartbeat for a while
+	Draining State = "draining"
+	Gone     State = "gone" // deregistered
+)
+
+// LoadedModel is a model that an endpoint holds.
+type LoadedModel struct {
+	Name     string   `json:"name"`
+	Version  int64    `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// Heartbeat is what an endpoint says of itself.
+type Heartbeat struct {
+	Service         string        `json:"service"`
+	Address         string        `json:"address"`
+	Zone            string        `json:"zone"`
+	Version         string        `json:"version"`
+	Slots           int           `json:"slots"`
+	State           State         `json:"state"`
+	ColdRemainingMs float64       `json:"cold_remaining_ms"`
+	RemainingMs     *float64      `json:"remaining_ms"`
+	Stage           string        `json:"stage"`
+	Models          []LoadedModel `json:"models"`
+	Sequence        uint64        `json:"sequence"`
+}
+
+// Holding is what orders have made of one model or adapter at an endpoint, ahead of its heartbeats.
+type Holding struct {
+	Model   string
+	Adapter string // empty for the model itself
+	Present bool
+}
+
+// Overlay is what orders have made of an endpoint. A higher version takes the place of a lower one.
+type Overlay struct {
+	Version  uint64
+	Holdings []Holding
+}
+
+// Endpoint is one incarnation of an endpoint.
+type Endpoint struct {
+	ID        string
+	Heartbeat Heartbeat
+	State     State
+	Overlay   Overlay
+}
+
+// Holds tells whether an endpoint holds a model, and, where one is named, its adapter.
+func (e *Endpoint) Holds(model, adapter string) bool {
+	if adapter != "" && !e.holds(model, "") {
+		return false
+	}
+	return e.holds(model, adapter)
+}
+
+func (e *Endpoint) holds(model, adapter string) bool {
+	for _, holding := range e.Overlay.Holdings {
+		if holding.Model == model && holding.Adapter == adapter {
+			return holding.Present
+		}
+	}
+	for _, loaded := range e.Heartbeat.Models {
+		if loaded.Name != model {
+			continue
+		}
+		if adapter == "" {
+			return true
+		}
+		for _, name := range loaded.Adapters {
+			if name == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Record is an endpoint as control sidecars tell one another of it.
+type Record struct {
+	Endpoint Endpoint
+	Age      time.Duration // since it was last heard of
+}
+
+// entry is a row of the table.
+type entry struct {
+	endpoint Endpoint
+	heardAt  time.Duration
+	revision uint64 // of the table, when what subscribers see last changed
+}
+
+const (
+	mostEntries = 16384
+	// keepGone is how long an endpoint that has gone is remembered, so that late heartbeats do not bring it back.
+	keepGone = 60 * time.Second
+)
+
+// Table is the table of sessions.
+type Table struct {
+	entries     map[string]*entry
+	revision    uint64
+	silentAfter time.Duration
+	changed     []string // what other control sidecars have not been told in full
+	alive       map[string]bool
+}
+
+// NewTable makes a table in which an endpoint without a heartbeat for a time counts as silent.
+func NewTable(silentAfter time.Duration) *Table {
+	return &Table{entries: map[string]*entry{}, silentAfter: silentAfter, alive: map[string]bool{}}
+}
+
+// Revision rises with every change that subscribers see.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Heard takes a heartbeat. It is false for one that is older than what is known.
+func (t *Table) Heard(now time.Duration, id string, beat Heartbeat) bool {
+	known := t.entries[id]
+	if known != nil && beat.Sequence <= known.endpoint.Heartbeat.Sequence && beat.Sequence != 0 {
+		return false
+	}
+	t.merge(now, Endpoint{ID: id, Heartbeat: beat, State: beat.State})
+	return true
+}
+
+// Deregister notes that an endpoint has gone.
+func (t *Table) Deregister(now time.Duration, id string) {
+	known := t.entries[id]
+	if known == nil {
+		return
+	}
+	gone := known.endpoint
+	gone.State = Gone
+	t.merge(now, gone)
+}
+
+// SetOverlay notes what orders have made of an endpoint.
+func (t *Table) SetOverlay(now time.Duration, id string, overlay Overlay) {
+	known := t.entries[id]
+	if known == nil || overlay.Version <= known.endpoint.Overlay.Version {
+		return
+	}
+	next := known.endpoint
+	next.Overlay = overlay
+	t.update(known, next, true)
+}
+
+// Merge takes what another control sidecar says. It reports whether anything was news.
+func (t *Table) Merge(now time.Duration, record Record) bool {
+	before := t.revision
+	t.merge(now-record.Age, record.Endpoint)
+	return t.revision != before
+}
+
+// Alive notes that an endpoint was heard of elsewhere. It is false for one that is not known.
+func (t *Table) Alive(now time.Duration, id string, sequence uint64, age time.Duration) bool {
+	known := t.entries[id]
+	if known == nil {
+		return false
+	}
+	known.heardAt = max(known.heardAt, now-age)
+	if sequence > known.endpoint.Heartbeat.Sequence {
+		known.endpoint.Heartbeat.Sequence = sequence
+	}
+	if known.endpoint.State == Silent && now-known.heardAt < t.silentAfter {
+		next := known.endpoint
+		next.State = Ready
+		t.update(known, next, false)
+	}
+	return true
+}
+
+var ranks = map[State]int{Ready: 0, Silent: 0, Draining: 1, Gone: 2}
+
+func (t *Table) merge(heardAt time.Duration, told Endpoint) {
+	known := t.entries[told.ID]
+	if known == nil {
+		if len(t.entries) >= mostEntries {
+			return
+		}
+		known = &entry{heardAt: heardAt}
+		t.entries[told.ID] = known
+		t.update(known, told, true)
+		return
+	}
+	next := known.endpoint
+	if told.Heartbeat.Sequence >= next.Heartbeat.Sequence {
+		next.Heartbeat = told.Heartbeat
+	}
+	if told.Overlay.Version > next.Overlay.Version {
+		next.Overlay = told.Overlay
+	}
+	if ranks[told.State] >= ranks[next.State] {
+		next.State = told.State
+	}
+	known.heardAt = max(known.heardAt, heardAt)
+	t.update(known, next, !sameToSubscribers(&known.endpoint, &next))
+}
+
+// update puts a new endpoint into a row, and notes whom it is news to.
+func (t *Table) update(row *entry, next Endpoint, peersToo bool) {
+	if row.endpoint.ID == "" || !sameToSubscribers(&row.endpoint, &next) {
+		t.revision++
+		row.revision = t.revision
+	}
+	row.endpoint = next
+	if peersToo {
+		t.changed = append(t.changed, next.ID)
+	} else {
+		t.alive[next.ID] = true
+	}
+}
+
+// sameToSubscribers compares what matters to those who send requests.
+func sameToSubscribers(a, b *Endpoint) bool {
+	x, y := &a.Heartbeat, &b.Heartbeat
+	return a.State == b.State && a.Overlay.Version == b.Overlay.Version && x.Service == y.Service && x.Address == y.Address &&
+		x.Zone == y.Zone && x.Version == y.Version && x.Slots == y.Slots && (x.RemainingMs == nil) == (y.RemainingMs == nil) &&
+		sameModels(x.Models, y.Models)
+}
+
+func sameModels(a, b []LoadedModel) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Version != b[i].Version || len(a[i].Adapters) != len(b[i].Adapters) {
+			return false
+		}
+		for j := range a[i].Adapters {
+			if a[i].Adapters[j] != b[i].Adapters[j] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Expire notes which endpoints have fallen silent, and forgets those that have long gone.
+func (t *Table) Expire(now time.Duration) {
+	for id, row := range t.entries {
+		quiet := now - row.heardAt
+		switch {
+		case quiet > keepGone:
+			delete(t.entries, id)
+		case quiet > t.silentAfter && row.endpoint.State == Ready:
+			next := row.endpoint
+			next.State = Silent
+			t.update(row, next, false)
+		case quiet > 2*t.silentAfter && row.endpoint.State == Draining:
+			next := row.endpoint
+			next.State = Gone
+			t.update(row, next, false)
+		}
+	}
+}
+
+// Since lists the endpoints that have changed after a revision.
+func (t *Table) Since(revision uint64) []Endpoint {
+	var out []Endpoint
+	for _, row := range t.entries {
+		if row.revision > revision {
+			out = append(out, row.endpoint)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Get finds an endpoint.
+func (t *Table) Get(id string) (Endpoint, bool) {
+	row := t.entries[id]
+	if row == nil {
+		return Endpoint{}, false
+	}
+	return row.endpoint, true
+}
+
+// All lists every record, as other control sidecars are told of them.
+func (t *Table) All(now time.Duration) []Record {
+	out := make([]Record, 0, len(t.entries))
+	for _, row := range t.entries {
+		out = append(out, Record{Endpoint: row.endpoint, Age: now - row.heardAt})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint.ID < out[j].Endpoint.ID })
+	return out
+}
+
+// TakeChanged gives the records that others must be told of in full, and forgets that they must.
+func (t *Table) TakeChanged(now time.Duration) []Record {
+	var out []Record
+	seen := map[string]bool{}
+	for _, id := range t.changed {
+		if row := t.entries[id]; row != nil && !seen[id] {
+			seen[id] = true
+			out = append(out, Record{Endpoint: row.endpoint, Age: now - row.heardAt})
+			delete(t.alive, id)
+		}
+	}
+	t.changed = nil
+	return out
+}
+
+// Sign is a sign of life of an endpoint.
+type Sign struct {
+	ID       string
+	Sequence uint64
+	Age      time.Duration
+}
+
+// TakeAlive gives the signs of life that others were not told of.
+func (t *Table) TakeAlive(now time.Duration) []Sign {
+	var out []Sign
+	for id := range t.alive {
+		if row := t.entries[id]; row != nil && row.endpoint.State != Silent {
+			out = append(out, Sign{ID: id, Sequence: row.endpoint.Heartbeat.Sequence, Age: now - row.heardAt})
+		}
+	}
+	t.alive = map[string]bool{}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
