--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -10,10 +10,10 @@
 	self   Member
 
 	view     View
-	base     State   // with which the view began, or a later committed state of it
+	base     State    // with which the view began, or a later committed state of it
 	log      []logged // of the view, after base
 	state    State    // base with all of the log
-	promised Ballot  // for the view after this one; zero for none
+	promised Ballot   // for the view after this one; zero for none
 	accepted *Accepted
 
 	committed uint64
@@ -46,7 +46,7 @@
 	askedAt   time.Duration // when the ping was sent that it answered last
 	asked     map[uint64]time.Duration
 	installAt time.Duration // when it was last sent the view
-	joining   bool // it has asked and is in no view
+	joining   bool          // it has asked and is in no view
 }
 
 const mostAsked = 64
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -4,16 +4,192 @@
 	"time"
 
 	"dykering/internal/feed"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/nodefile"
+	"dykering/internal/placement"
+	"dykering/internal/sessions"
 )
 
-// placer places models while this member holds the role.
+const (
+	// planEvery is the time between two plans where nothing urgent has been reported.
+	planEvery = 250 * time.Millisecond
+	// overlayBeats is how many heartbeats an overlay outlives, so that an endpoint's own word is back by then.
+	overlayBeats = 2
+	// unloadNotice is the time that the sidecars have to hear that a model is unloaded before the order goes out.
+	unloadNotice = 100 * time.Millisecond
+)
+
+// placer places models while this member holds the role. The owner of the process owns it.
 type placer struct {
-	process *Process
+	process   *Process
+	client    *orderClient
+	demand    *placement.Demand
+	ledger    *placement.Ledger
+	holding   bool
+	token     uint64
+	counter   uint64
+	planAt    time.Duration
+	underWay  map[string]*orderUnderWay // by endpoint
+	overlays  map[string]overlay        // by endpoint
+	states    map[string]*endpointState // by endpoint
+	parsed    *fleetconfig.Parsed
+	parsedSeq uint64
+}
+
+// orderUnderWay is an order that was begun and has not ended.
+type orderUnderWay struct {
+	order   placement.Order
+	service string
+	until   time.Duration // when it counts as ended whatever is heard
+}
+
+// overlay is what this member has said of an endpoint ahead of its heartbeats.
+type overlay struct {
+	holdings []sessions.Holding
+	setAt    time.Duration
+}
+
+func newPlacer(p *Process) *placer {
+	return &placer{
+		process: p, client: newOrderClient(), demand: placement.NewDemand(),
+		ledger:   placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS)),
+		underWay: map[string]*orderUnderWay{}, overlays: map[string]overlay{}, states: map[string]*endpointState{},
+	}
+}
+
+// forward passes a report on to the member that places models.
+func (pl *placer) forward(report feed.DemandReport) {
+	p := pl.process
+	view := p.node.View()
+	if view.Holder == p.node.Self().ID {
+		pl.report(report)
+		return
+	}
+	if holder, ok := view.Voter(view.Holder); ok {
+		p.send(holder.Address, report)
+	}
+}
+
+// report takes a sidecar's demand.
+func (pl *placer) report(report feed.DemandReport) {
+	samples := make([]placement.Sample, 0, len(report.Demands))
+	urgent := false
+	for _, d := range report.Demands {
+		urgent = urgent || d.Unplaced > 0
+		samples = append(samples, placement.Sample{
+			Key:      placement.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter},
+			Requests: d.Requests, Unplaced: d.Unplaced, InFlight: d.InFlight,
+		})
+	}
+	pl.demand.Report(pl.process.now(), report.From, samples)
+	if urgent {
+		pl.planAt = 0
+	}
+}
+
+func (pl *placer) tick(now time.Duration) {
+	token, holds := pl.process.node.Holds(now)
+	if holds && (!pl.holding || token != pl.token) {
+		pl.take(now, token)
+	}
+	pl.holding = holds
+	if !holds {
+		return
+	}
+	pl.demand.Forget(now)
+	for id, u := range pl.underWay {
+		if now > u.until {
+			delete(pl.underWay, id)
+		}
+	}
+	pl.retireOverlays(now)
 }
 
-func newPlacer(p *Process) *placer { return &placer{process: p} }
+// take begins to hold the role. What a predecessor may have begun counts.
+func (pl *placer) take(now time.Duration, token uint64) {
+	p := pl.process
+	p.log.Info("placement.held", "token", token)
+	pl.token = token
+	pl.underWay, pl.overlays = map[string]*orderUnderWay{}, map[string]overlay{}
+	pl.states = map[string]*endpointState{}
+	pl.ledger = placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS))
+	if token > 1 {
+		for _, service := range pl.services() {
+			pl.ledger.Assume(now-p.timing.holderPause, service.Engine.LoadsPerS)
+		}
+	}
+}
+
+// services are those with model endpoints, as the committed configuration has them.
+func (pl *placer) services() []fleetconfig.Service {
+	state := pl.process.node.CommittedState()
+	if pl.parsed == nil || pl.parsedSeq != state.Seq {
+		value, ok := state.Value.(*fleetconfig.State)
+		if !ok {
+			return nil
+		}
+		parsed, err := fleetconfig.Parse(&value.Document)
+		if err != nil {
+			return nil
+		}
+		pl.parsed, pl.parsedSeq = parsed, state.Seq
+	}
+	var services []fleetconfig.Service
+	for _, s := range pl.parsed.Services {
+		if s.Engine != nil {
+			services = append(services, s)
+		}
+	}
+	return services
+}
 
-func (pl *placer) tick(time.Duration)          {}
-func (pl *placer) settle(time.Duration)        {}
-func (pl *placer) report(feed.DemandReport)    {}
-func (pl *placer) forward(r feed.DemandReport) {}
+// settle plans where it is due, and begins the orders.
+func (pl *placer) settle(now time.Duration) {
+	if !pl.holding || now < pl.planAt {
+		return
+	}
+	pl.planAt = now + planEvery
+	for _, service := range pl.services() {
+		input := placement.Input{Service: service.Name, Engine: service.Engine, Demand: pl.demand,
+			Endpoints: pl.endpoints(service.Name), Loads: pl.loads(now, service.Engine)}
+		for _, order := range placement.Plan(now, input) {
+			pl.begin(now, service, order)
+		}
+	}
+}
+
+// loads is how many loads of weights may begin now.
+func (pl *placer) loads(now time.Duration, engine *fleetconfig.Engine) int {
+	running := 0
+	for _, u := range pl.underWay {
+		if u.order.Operation == placement.Loading && u.order.Adapter == "" {
+			running++
+		}
+	}
+	var longest float64
+	for _, m := range engine.Models {
+		longest = max(longest, m.LoadTimeS)
+	}
+	return min(placement.AtOnce(engine.LoadsPerS, longest)-running, pl.ledger.Room(now, engine.LoadsPerS))
+}
+
+// endpoints are those of a service, as the planner sees them.
+func (pl *placer) endpoints(service string) []placement.Endpoint {
+	var out []placement.Endpoint
+	for _, e := range pl.process.table.Since(0) {
+		if e.Heartbeat.Service != service || e.State == sessions.Gone {
+			continue
+		}
+		seen := placement.Endpoint{ID: e.ID, Models: modelsOf(e.Heartbeat.Models), Leaving: e.State != sessions.Ready}
+		if state := pl.states[e.ID]; state != nil && state.known {
+			seen.Models = state.models
+		}
+		if u := pl.underWay[e.ID]; u != nil {
+			seen.Busy = true
+			seen.Apply(u.order)
+			seen.For = u.order.For
+		}
+		out = append(out, seen)
+	}
+	return out
+}
--- a/internal/dataplane/demand.go
+++ b/internal/dataplane/demand.go
@@ -18,12 +18,13 @@
 // demandTable counts what is asked for, between two reports. The owner of the tables owns it.
 type demandTable struct {
 	counts  map[demandKey]*feed.Demand
+	flights map[demandKey]int // requests under way
 	urgent  chan struct{}
 	reports chan feed.DemandReport
 }
 
 func newDemandTable() *demandTable {
-	return &demandTable{counts: map[demandKey]*feed.Demand{}, urgent: make(chan struct{}, 1), reports: make(chan feed.DemandReport, 4)}
+	return &demandTable{counts: map[demandKey]*feed.Demand{}, flights: map[demandKey]int{}, urgent: make(chan struct{}, 1), reports: make(chan feed.DemandReport, 4)}
 }
 
 // subscribe gives the reports.
@@ -49,6 +50,17 @@
 	c := d.count(key)
 	c.Requests++
 	c.Tokens += tokens
+	d.flights[key]++
+}
+
+// ended counts the end of a request.
+func (d *demandTable) ended(key demandKey) {
+	if key.model == "" {
+		return
+	}
+	if d.flights[key]--; d.flights[key] <= 0 {
+		delete(d.flights, key)
+	}
 }
 
 // unplaced counts a request that found no endpoint with its model or adapter.
@@ -62,6 +74,9 @@
 
 // take gives what was counted.
 func (d *demandTable) take() []feed.Demand {
+	for key, n := range d.flights {
+		d.count(key).InFlight = n
+	}
 	var out []feed.Demand
 	for _, c := range d.counts {
 		out = append(out, *c)
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -77,6 +77,7 @@
 		p.budget.Request(p.now(), q.service)
 		p.demand.request(q.key(), q.usage.work())
 	})
+	defer p.post(func() { p.demand.ended(q.key()) })
 	if refused := c.run(); refused != nil {
 		refused.answer(w)
 	}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,377 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"dykering/internal/fleetconfig"
+)
+
+// Operation of an order.
+type Operation string
+
+// The operations.
+const (
+	Loading   Operation = "loading"
+	Unloading Operation = "unloading"
+)
+
+// Order has an endpoint load or unload a model, or an adapter of a model that it holds.
+type Order struct {
+	Endpoint  string
+	Operation Operation
+	Model     string
+	Adapter   string
+	// For is the model that an unloading makes room for.
+	For string
+}
+
+// Endpoint is an endpoint as the planner sees it, with the order that is under way counted as done.
+type Endpoint struct {
+	ID      string
+	Models  map[string][]string // adapters by model
+	Leaving bool                // it gets no orders, and what it holds does not count
+	Busy    bool                // an order is under way
+	For     string              // the model that room is being made for
+}
+
+// Input is what a plan is made of.
+type Input struct {
+	Service   string
+	Engine    *fleetconfig.Engine
+	Endpoints []Endpoint
+	Demand    *Demand
+	Loads     int // of weights, that may begin now
+}
+
+const (
+	// crowded is how many requests under way for each copy of a model ask for a further one.
+	crowded = 6
+	// idleRate is the rate below which a model counts as not asked for.
+	idleRate = 0.05
+	// secondCopyRate is the rate from which a model deserves a second copy on room that is free.
+	secondCopyRate = 0.5
+	// adapterCrowded is how many requests under way for each copy of an adapter ask for a further one.
+	adapterCrowded = 12
+	// mostOrders bounds the orders of one plan.
+	mostOrders = 64
+)
+
+// planner makes one plan.
+type planner struct {
+	Input
+	now     time.Duration
+	models  map[string]fleetconfig.Model
+	holders map[string]int
+	taken   map[string]bool // endpoints that have an order already
+	orders  []Order
+}
+
+// Plan gives the orders that should be given now.
+func Plan(now time.Duration, in Input) []Order {
+	p := &planner{Input: in, now: now, models: map[string]fleetconfig.Model{}, holders: map[string]int{}, taken: map[string]bool{}}
+	for _, model := range in.Engine.Models {
+		p.models[model.Name] = model
+	}
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.Leaving {
+			continue
+		}
+		p.taken[e.ID] = e.Busy
+		for name := range e.Models {
+			p.holders[name]++
+		}
+		if e.For != "" {
+			p.holders[e.For]++
+			p.Loads--
+		}
+	}
+	p.placeAdapters()
+	p.placeMissing()
+	p.addCopies()
+	return p.orders
+}
+
+func (p *planner) key(model, adapter string) Key {
+	return Key{Service: p.Service, Model: model, Adapter: adapter}
+}
+
+// demanded lists the models that are asked for, the most wanted first.
+func (p *planner) demanded() []string {
+	var names []string
+	for name := range p.models {
+		key := p.key(name, "")
+		if p.Demand.Unplaced(p.now, key) || p.Demand.Rate(p.now, key) > idleRate {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		x, y := p.Demand.Rate(p.now, p.key(names[i], "")), p.Demand.Rate(p.now, p.key(names[j], ""))
+		if x != y {
+			return x > y
+		}
+		return names[i] < names[j]
+	})
+	return names
+}
+
+// placeMissing loads models that are asked for and that no endpoint holds.
+func (p *planner) placeMissing() {
+	for _, name := range p.demanded() {
+		if p.holders[name] == 0 {
+			p.place(name, math.Inf(1))
+		}
+	}
+}
+
+// place has one more endpoint hold a model, where making room costs no more than a bound.
+func (p *planner) place(name string, most float64) {
+	model := p.models[name]
+	var best *Endpoint
+	victim, bestCost := "", math.Inf(1)
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if e.Leaving || p.taken[e.ID] || e.Models[name] != nil {
+			continue
+		}
+		candidate, cost, ok := p.room(e, model)
+		if ok && cost <= most && cost < bestCost {
+			best, victim, bestCost = e, candidate, cost
+		}
+	}
+	if best == nil || p.Loads <= 0 || len(p.orders) >= mostOrders {
+		return
+	}
+	p.Loads--
+	p.holders[name]++
+	if victim != "" {
+		p.order(best, Order{Endpoint: best.ID, Operation: Unloading, Model: victim, For: name})
+		p.holders[victim]--
+		return
+	}
+	p.order(best, Order{Endpoint: best.ID, Operation: Loading, Model: name})
+}
+
+func (p *planner) order(e *Endpoint, order Order) {
+	p.taken[e.ID] = true
+	p.orders = append(p.orders, order)
+}
+
+// room tells what an endpoint would have to give up for a model, and what that costs.
+func (p *planner) room(e *Endpoint, model fleetconfig.Model) (victim string, cost float64, ok bool) {
+	free := p.Engine.WeightsSizeMB - p.used(e)
+	if free >= model.WeightsSizeMB {
+		return "", p.load(e) / 1000, true
+	}
+	cost = math.Inf(1)
+	for name, adapters := range e.Models {
+		if free+p.size(name, len(adapters)) < model.WeightsSizeMB {
+			continue
+		}
+		if c := p.worth(name, model.Name); c < cost || c == cost && name < victim {
+			victim, cost, ok = name, c, true
+		}
+	}
+	return victim, cost, ok && !math.IsInf(cost, 1)
+}
+
+// worth is what a copy of a model is worth where it stands, against one of another model. It is without bound for one
+// that must stay.
+func (p *planner) worth(name, instead string) float64 {
+	key := p.key(name, "")
+	rate, inFlight, copies := p.Demand.Rate(p.now, key), p.Demand.InFlight(p.now, key), p.holders[name]
+	idleFor := (p.now - p.Demand.AskedAt(key)).Seconds()
+	switch {
+	case rate <= idleRate && inFlight == 0 && !p.Demand.Unplaced(p.now, key):
+		cost := 1 / (1 + idleFor) // the longest idle goes first
+		if copies <= 1 {
+			cost++
+		}
+		return cost
+	case copies > 1:
+		return 2 + float64(inFlight)/float64(copies-1)
+	case p.Demand.Rate(p.now, p.key(instead, "")) > 2*rate:
+		return 1000 + rate
+	}
+	return math.Inf(1)
+}
+
+// load is how much of the requests under way an endpoint's models have.
+func (p *planner) load(e *Endpoint) float64 {
+	var load float64
+	for name := range e.Models {
+		load += float64(p.Demand.InFlight(p.now, p.key(name, ""))) / math.Max(float64(p.holders[name]), 1)
+	}
+	return load
+}
+
+func (p *planner) size(model string, adapters int) float64 {
+	m := p.models[model]
+	return m.WeightsSizeMB + float64(adapters)*m.AdapterSizeMB
+}
+
+func (p *planner) used(e *Endpoint) float64 {
+	var used float64
+	for name, adapters := range e.Models {
+		used += p.size(name, len(adapters))
+	}
+	return used
+}
+
+// addCopies gives models that are much asked for further copies, on room that is free or worth less.
+func (p *planner) addCopies() {
+	for _, name := range p.demanded() {
+		copies := p.holders[name]
+		if copies == 0 {
+			continue
+		}
+		key := p.key(name, "")
+		pressure := float64(p.Demand.InFlight(p.now, key)) / float64(copies)
+		switch {
+		case pressure > crowded:
+			p.place(name, 2+pressure/2)
+		case copies == 1 && p.Demand.Rate(p.now, key) > secondCopyRate:
+			p.place(name, 0.5)
+		}
+	}
+}
+
+// placeAdapters loads adapters that are asked for beside their models.
+func (p *planner) placeAdapters() {
+	keys := p.Demand.Keys(p.Service)
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].Model != keys[j].Model {
+			return keys[i].Model < keys[j].Model
+		}
+		return keys[i].Adapter < keys[j].Adapter
+	})
+	for _, key := range keys {
+		if _, known := p.models[key.Model]; !known || key.Adapter == "" {
+			continue
+		}
+		copies := p.adapterCopies(key)
+		unplaced := p.Demand.Unplaced(p.now, key) || p.Demand.Rate(p.now, key) > idleRate
+		crowded := copies > 0 && p.Demand.InFlight(p.now, key) > adapterCrowded*copies
+		if copies == 0 && unplaced || crowded {
+			p.placeAdapter(key)
+		}
+	}
+}
+
+func (p *planner) adapterCopies(key Key) int {
+	copies := 0
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		if !e.Leaving && contains(e.Models[key.Model], key.Adapter) {
+			copies++
+		}
+	}
+	return copies
+}
+
+func contains(list []string, x string) bool {
+	for _, y := range list {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
+
+// placeAdapter loads an adapter on the endpoint with its model that has the most places for adapters left.
+func (p *planner) placeAdapter(key Key) {
+	var best *Endpoint
+	bestCount := math.MaxInt
+	for i := range p.Endpoints {
+		e := &p.Endpoints[i]
+		adapters, held := e.Models[key.Model]
+		if e.Leaving || p.taken[e.ID] || !held || contains(adapters, key.Adapter) {
+			continue
+		}
+		if count := adapterCount(e); count < bestCount {
+			best, bestCount = e, count
+		}
+	}
+	if best == nil || len(p.orders) >= mostOrders {
+		return
+	}
+	size := p.models[key.Model].AdapterSizeMB
+	if bestCount < int(p.Engine.AdapterSlots) && p.used(best)+size <= p.Engine.WeightsSizeMB {
+		p.order(best, Order{Endpoint: best.ID, Operation: Loading, Model: key.Model, Adapter: key.Adapter})
+		return
+	}
+	if model, adapter, ok := p.idleAdapter(best); ok {
+		p.order(best, Order{Endpoint: best.ID, Operation: Unloading, Model: model, Adapter: adapter})
+	}
+}
+
+func adapterCount(e *Endpoint) int {
+	count := 0
+	for _, adapters := range e.Models {
+		count += len(adapters)
+	}
+	return count
+}
+
+// idleAdapter is the adapter of an endpoint that was not asked for for the longest time.
+func (p *planner) idleAdapter(e *Endpoint) (model, adapter string, ok bool) {
+	oldest := time.Duration(math.MaxInt64)
+	for name, adapters := range e.Models {
+		for _, a := range adapters {
+			if at := p.Demand.AskedAt(p.key(name, a)); at < oldest || at == oldest && a < adapter {
+				model, adapter, oldest, ok = name, a, at, true
+			}
+		}
+	}
+	return model, adapter, ok
+}
+
+// Apply counts an order as done.
+func (e *Endpoint) Apply(order Order) {
+	models := map[string][]string{}
+	for name, adapters := range e.Models {
+		models[name] = adapters
+	}
+	switch {
+	case order.Operation == Loading && order.Adapter == "":
+		if models[order.Model] == nil {
+			models[order.Model] = []string{}
+		}
+	case order.Operation == Loading:
+		if !contains(models[order.Model], order.Adapter) {
+			models[order.Model] = append(append([]string{}, models[order.Model]...), order.Adapter)
+		}
+	case order.Adapter == "":
+		delete(models, order.Model)
+	default:
+		kept := []string{}
+		for _, adapter := range models[order.Model] {
+			if adapter != order.Adapter {
+				kept = append(kept, adapter)
+			}
+		}
+		models[order.Model] = kept
+	}
+	e.Models = models
+}
+
+// Fits tells whether an endpoint has room for what an order loads.
+func (e *Endpoint) Fits(order Order, engine *fleetconfig.Engine) bool {
+	if order.Operation != Loading {
+		return true
+	}
+	after := Endpoint{Models: e.Models}
+	after.Apply(order)
+	p := &planner{Input: Input{Engine: engine}, models: map[string]fleetconfig.Model{}}
+	for _, model := range engine.Models {
+		p.models[model.Name] = model
+	}
+	for name := range after.Models {
+		if _, known := p.models[name]; !known {
+			return false // what it takes is not known
+		}
+	}
+	return p.used(&after) <= engine.WeightsSizeMB && adapterCount(&after) <= int(engine.AdapterSlots)
+}
