Copies of models follow the requests that wait for their first event

Cause: requests wait seconds at one endpoint for their prefill while others are idle. Change: demand reports tell waiting requests; the planner adds copies by them.

--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -78,7 +78,7 @@
 		urgent = urgent || d.Unplaced > 0
 		samples = append(samples, placement.Sample{
 			Key:      placement.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter},
-			Requests: d.Requests, Unplaced: d.Unplaced, InFlight: d.InFlight,
+			Requests: d.Requests, Unplaced: d.Unplaced, InFlight: d.InFlight, Waiting: d.Waiting,
 		})
 	}
 	pl.demand.Report(pl.process.now(), report.From, samples)
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -190,6 +190,8 @@
 	}
 	c.writer.WriteHeader(answer.Status)
 	c.begun = true
+	p, key := c.process, c.request.key()
+	p.post(func() { p.demand.begun(key) })
 }
 
 // relay passes an answer on as it comes.
--- a/internal/dataplane/demand.go
+++ b/internal/dataplane/demand.go
@@ -19,12 +19,13 @@
 type demandTable struct {
 	counts  map[demandKey]*feed.Demand
 	flights map[demandKey]int // requests under way
+	waiting map[demandKey]int // of them, those whose answer has not begun
 	urgent  chan struct{}
 	reports chan feed.DemandReport
 }
 
 func newDemandTable() *demandTable {
-	return &demandTable{counts: map[demandKey]*feed.Demand{}, flights: map[demandKey]int{}, urgent: make(chan struct{}, 1), reports: make(chan feed.DemandReport, 4)}
+	return &demandTable{counts: map[demandKey]*feed.Demand{}, flights: map[demandKey]int{}, waiting: map[demandKey]int{}, urgent: make(chan struct{}, 1), reports: make(chan feed.DemandReport, 4)}
 }
 
 // subscribe gives the reports.
@@ -51,15 +52,18 @@
 	c.Requests++
 	c.Tokens += tokens
 	d.flights[key]++
+	d.waiting[key]++
 }
 
+// begun counts the beginning of an answer.
+func (d *demandTable) begun(key demandKey) { less(d.waiting, key) }
+
 // ended counts the end of a request.
-func (d *demandTable) ended(key demandKey) {
-	if key.model == "" {
-		return
-	}
-	if d.flights[key]--; d.flights[key] <= 0 {
-		delete(d.flights, key)
+func (d *demandTable) ended(key demandKey) { less(d.flights, key) }
+
+func less(counts map[demandKey]int, key demandKey) {
+	if counts[key]--; counts[key] <= 0 {
+		delete(counts, key)
 	}
 }
 
@@ -75,7 +79,8 @@
 // take gives what was counted.
 func (d *demandTable) take() []feed.Demand {
 	for key, n := range d.flights {
-		d.count(key).InFlight = n
+		c := d.count(key)
+		c.InFlight, c.Waiting = n, d.waiting[key]
 	}
 	var out []feed.Demand
 	for _, c := range d.counts {
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -77,12 +77,23 @@
 		p.budget.Request(p.now(), q.service)
 		p.demand.request(q.key(), q.usage.work())
 	})
-	defer p.post(func() { p.demand.ended(q.key()) })
+	defer c.ended()
 	if refused := c.run(); refused != nil {
 		refused.answer(w)
 	}
 }
 
+// ended tells the owner that the request is over.
+func (c *carrying) ended() {
+	p, key, begun := c.process, c.request.key(), c.begun
+	p.post(func() {
+		if !begun {
+			p.demand.begun(key)
+		}
+		p.demand.ended(key)
+	})
+}
+
 // carrying is one request on its way.
 type carrying struct {
 	process *Process
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,7 @@
 	Tokens   float64 // work, in tokens
 	Unplaced int     // requests that found no endpoint with the model or adapter
 	InFlight int     // requests under way now
+	Waiting  int     // of them, those whose answer has not begun
 }
 
 // DemandReport is a sidecar's demand.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -31,6 +31,7 @@
 	Requests int
 	Unplaced int
 	InFlight int
+	Waiting  int // of them, those whose answer has not begun
 }
 
 // wanted is the demand for a key.
@@ -43,8 +44,8 @@
 }
 
 type flight struct {
-	n  int
-	at time.Duration
+	n, waiting int
+	at         time.Duration
 }
 
 // Demand is what is asked for, over all sidecars.
@@ -63,6 +64,7 @@
 		sum := perModel[s.Key.ModelKey()]
 		sum.Requests += s.Requests
 		sum.InFlight += s.InFlight
+		sum.Waiting += s.Waiting
 		if s.Key.Adapter == "" {
 			sum.Unplaced += s.Unplaced
 		}
@@ -91,7 +93,7 @@
 	if s.Unplaced > 0 {
 		w.unplacedAt = now
 	}
-	w.inFlight[from] = flight{n: s.InFlight, at: now}
+	w.inFlight[from] = flight{n: s.InFlight, waiting: s.Waiting, at: now}
 }
 
 func (w *wanted) decayed(now time.Duration) float64 {
@@ -122,6 +124,21 @@
 	return sum
 }
 
+// Waiting is how many requests for a key wait for the beginning of their answer.
+func (d *Demand) Waiting(now time.Duration, key Key) int {
+	w := d.keys[key]
+	if w == nil {
+		return 0
+	}
+	sum := 0
+	for _, f := range w.inFlight {
+		if now-f.at < inFlightFor {
+			sum += f.waiting
+		}
+	}
+	return sum
+}
+
 // Unplaced tells whether a request for a key has lately found no endpoint.
 func (d *Demand) Unplaced(now time.Duration, key Key) bool {
 	w := d.keys[key]
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -46,12 +46,16 @@
 }
 
 const (
-	// crowded is how many requests under way for each copy of a model ask for a further one.
-	crowded = 6
+	// crowded is how many requests that wait for their answer to begin, for each copy of a model, ask for a further one.
+	crowded = 1.5
+	// full is how many requests under way for each copy do.
+	full = 24
 	// idleRate is the rate below which a model counts as not asked for.
 	idleRate = 0.05
 	// secondCopyRate is the rate from which a model deserves a second copy on room that is free.
 	secondCopyRate = 0.5
+	// idleLongEnough is what the last copy of a model that was idle for some seconds is worth.
+	idleLongEnough = 1.25
 	// adapterCrowded is how many requests under way for each copy of an adapter ask for a further one.
 	adapterCrowded = 12
 	// mostOrders bounds the orders of one plan.
@@ -191,7 +195,7 @@
 		}
 		return cost
 	case copies > 1:
-		return 2 + float64(inFlight)/float64(copies-1)
+		return 2 + float64(p.Demand.Waiting(p.now, key)+inFlight/8)/float64(copies-1)
 	case p.Demand.Rate(p.now, p.key(instead, "")) > 2*rate:
 		return 1000 + rate
 	}
@@ -228,12 +232,13 @@
 			continue
 		}
 		key := p.key(name, "")
-		pressure := float64(p.Demand.InFlight(p.now, key)) / float64(copies)
+		waiting := float64(p.Demand.Waiting(p.now, key)) / float64(copies)
+		underWay := float64(p.Demand.InFlight(p.now, key)) / float64(copies)
 		switch {
-		case pressure > crowded:
-			p.place(name, 2+pressure/2)
+		case waiting > crowded || underWay > full:
+			p.place(name, 2+waiting)
 		case copies == 1 && p.Demand.Rate(p.now, key) > secondCopyRate:
-			p.place(name, 0.5)
+			p.place(name, idleLongEnough)
 		}
 	}
 }
