Copies by urgency, unloading waits for runs

Cause: loads of rare models went before copies of crowded ones; orders behind an unloading that waits for runs were refused. Change: wishes sorted by waiting requests for each copy; copies in use are worth what waits for them.

--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -22,6 +22,9 @@
 	orderLook   = 100 * time.Millisecond
 	// orderPause is how long an endpoint is left alone after an order that it did not take.
 	orderPause = 300 * time.Millisecond
+	// conflictTries is how often an order is given again that another one stands in the way of.
+	conflictTries = 5
+	conflictPause = 60 * time.Millisecond
 	// orderPatience is how much longer than expected an order may take.
 	orderPatience = 5 * time.Second
 )
@@ -117,6 +120,7 @@
 	token   uint64
 	state   endpointState // as it was when the order was begun
 	takes   time.Duration // how long it is expected to take
+	busy    bool          // requests for what it concerns are under way
 }
 
 // begin begins an order.
@@ -127,7 +131,8 @@
 		return
 	}
 	run := &orderRun{placer: pl, order: order, engine: service.Engine, address: endpoint.Heartbeat.Address, token: pl.token,
-		takes: duration(service.Engine, order)}
+		takes: duration(service.Engine, order),
+		busy:  pl.demand.InFlight(now, placement.Key{Service: service.Name, Model: order.Model, Adapter: order.Adapter}) > 0}
 	if state := pl.states[order.Endpoint]; state != nil {
 		run.state = *state
 	}
@@ -179,10 +184,13 @@
 	if !r.permitted() {
 		return orderNotGiven
 	}
-	status, err := p.placer.client.order(ctx, r.address, orderBody{
-		Operation: r.order.Operation, Model: r.order.Model, Adapter: r.order.Adapter, IfRevision: r.state.sequence,
-		LeaseHolder: p.settings.NodeName, FencingToken: r.token,
-	})
+	status, err := r.post(ctx)
+	for range conflictTries {
+		if err != nil || status != http.StatusConflict || !r.pause(ctx) || !r.permitted() {
+			break
+		}
+		status, err = r.post(ctx) // the order before this one may just be ending
+	}
 	switch {
 	case err != nil:
 		time.Sleep(r.takes + reportLag)
@@ -197,6 +205,20 @@
 	return r.await(ctx)
 }
 
+func (r *orderRun) post(ctx context.Context) (status int, err error) {
+	p := r.placer.process
+	return p.placer.client.order(ctx, r.address, orderBody{
+		Operation: r.order.Operation, Model: r.order.Model, Adapter: r.order.Adapter, IfRevision: r.state.sequence,
+		LeaseHolder: p.settings.NodeName, FencingToken: r.token,
+	})
+}
+
+// pause waits before an order is given again.
+func (r *orderRun) pause(ctx context.Context) bool {
+	time.Sleep(conflictPause)
+	return ctx.Err() == nil
+}
+
 // permitted asks whether this member still holds the role, just before an order goes out.
 func (r *orderRun) permitted() bool {
 	p := r.placer.process
@@ -230,8 +252,8 @@
 // await waits until an order that was taken is done.
 func (r *orderRun) await(ctx context.Context) orderResult {
 	time.Sleep(r.takes)
-	if r.order.Adapter != "" {
-		return orderDone
+	if r.order.Adapter != "" || r.order.Operation == placement.Unloading && !r.busy {
+		return orderDone // the next order finds out where it takes longer
 	}
 	for ctx.Err() == nil {
 		report, err := r.placer.process.placer.client.report(ctx, r.address)
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -16,7 +16,7 @@
 	// overlayBeats is how many heartbeats an overlay outlives, so that an endpoint's own word is back by then.
 	overlayBeats = 2
 	// unloadNotice is the time that the sidecars have to hear that a model is unloaded before the order goes out.
-	unloadNotice = 100 * time.Millisecond
+	unloadNotice = 30 * time.Millisecond
 )
 
 // placer places models while this member holds the role. The owner of the process owns it.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -16,6 +16,12 @@
 const (
 	// rateOver is the time over which rates are averaged.
 	rateOver = 3 * time.Second
+	// fastOver is the time over which the rates are averaged that tell growth.
+	fastOver = time.Second
+	// pressureOver is the time over which waiting requests are averaged.
+	pressureOver = 500 * time.Millisecond
+	// mostGrowth bounds how much a growing rate counts for more.
+	mostGrowth = 2
 	// recently is how long a request that found no endpoint asks for its model.
 	recently = 2 * time.Second
 	// inFlightFor is how long a sidecar's word of its requests under way counts.
@@ -41,6 +47,9 @@
 	askedAt    time.Duration
 	unplacedAt time.Duration
 	inFlight   map[string]flight // by sidecar
+	fast       float64           // like count, over a shorter time
+	pressure   float64           // averaged waiting requests
+	pressureAt time.Duration
 }
 
 type flight struct {
@@ -82,9 +91,10 @@
 		if len(d.keys) >= mostKeys {
 			return
 		}
-		w = &wanted{askedAt: -time.Hour, unplacedAt: -time.Hour, inFlight: map[string]flight{}}
+		w = &wanted{askedAt: -time.Hour, unplacedAt: -time.Hour, pressureAt: now, inFlight: map[string]flight{}}
 		d.keys[s.Key] = w
 	}
+	w.fast = w.fast*math.Exp(-float64(now-w.countedAt)/float64(fastOver)) + float64(s.Requests)
 	w.count = w.decayed(now) + float64(s.Requests)
 	w.countedAt = now
 	if s.Requests > 0 || s.Unplaced > 0 || s.InFlight > 0 {
@@ -139,6 +149,29 @@
 	return sum
 }
 
+// Pressure is how many requests for a key wait for the beginning of their answer, averaged, and ahead of a rate that
+// grows.
+func (d *Demand) Pressure(now time.Duration, key Key) float64 {
+	w := d.keys[key]
+	if w == nil {
+		return 0
+	}
+	waiting := float64(d.Waiting(now, key))
+	w.pressure += (waiting - w.pressure) * (1 - math.Exp(-float64(now-w.pressureAt)/float64(pressureOver)))
+	w.pressureAt = now
+	return w.pressure * w.growth(now)
+}
+
+// growth is by how much the rate of the last moments exceeds that of the last seconds.
+func (w *wanted) growth(now time.Duration) float64 {
+	slow := w.decayed(now) / rateOver.Seconds()
+	fast := w.fast * math.Exp(-float64(now-w.countedAt)/float64(fastOver)) / fastOver.Seconds()
+	if slow <= 0 {
+		return 1
+	}
+	return min(max(fast/slow, 1), mostGrowth)
+}
+
 // Unplaced tells whether a request for a key has lately found no endpoint.
 func (d *Demand) Unplaced(now time.Duration, key Key) bool {
 	w := d.keys[key]
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -47,15 +47,28 @@
 
 const (
 	// crowded is how many requests that wait for their answer to begin, for each copy of a model, ask for a further one.
-	crowded = 1.5
+	crowded = 0.8
+	// crowdedAbove is how many waiting requests ask for nothing.
+	crowdedAbove = 0.8
+	// mostNewCopies bounds the copies that one plan adds to a model.
+	mostNewCopies = 3
 	// full is how many requests under way for each copy do.
 	full = 24
 	// idleRate is the rate below which a model counts as not asked for.
 	idleRate = 0.05
 	// secondCopyRate is the rate from which a model deserves a second copy on room that is free.
 	secondCopyRate = 0.5
-	// idleLongEnough is what the last copy of a model that was idle for some seconds is worth.
-	idleLongEnough = 1.25
+	// secondCopyUrgency is that of a second copy which nobody waits for yet.
+	secondCopyUrgency = 0.6
+	// spareWorth is what a copy is worth that is not asked for, lastWorth what the last copy is worth beside it, and
+	// missingWorth what the last copy of a model that is asked for is.
+	spareWorth   = 0.3
+	lastWorth    = 1
+	missingWorth = 2
+	// rateWorth is what each request a second for a copy adds to its worth.
+	rateWorth = 0.1
+	// keepFactor is how much more urgent a copy must be than what stands in its place.
+	keepFactor = 2
 	// adapterCrowded is how many requests under way for each copy of an adapter ask for a further one.
 	adapterCrowded = 12
 	// mostOrders bounds the orders of one plan.
@@ -93,8 +106,7 @@
 		}
 	}
 	p.placeAdapters()
-	p.placeMissing()
-	p.addCopies()
+	p.placeModels()
 	return p.orders
 }
 
@@ -121,17 +133,53 @@
 	return names
 }
 
-// placeMissing loads models that are asked for and that no endpoint holds.
-func (p *planner) placeMissing() {
+// want is a wish for further copies of a model.
+type want struct {
+	model  string
+	copies int
+	// urgency is how many requests wait for each copy there is.
+	urgency float64
+}
+
+// placeModels gives models further copies, the most urgent first.
+func (p *planner) placeModels() {
+	var wants []want
 	for _, name := range p.demanded() {
-		if p.holders[name] == 0 {
-			p.place(name, math.Inf(1))
+		if w := p.want(name); w.copies > 0 {
+			wants = append(wants, w)
 		}
 	}
+	sort.SliceStable(wants, func(i, j int) bool { return wants[i].urgency > wants[j].urgency })
+	for _, w := range wants {
+		for range w.copies {
+			p.place(w.model, w.urgency)
+		}
+	}
+}
+
+// want tells how many copies a model should have beyond those that it has.
+func (p *planner) want(name string) want {
+	const missingUrgency = 2 // a request for a model that is nowhere, against those that wait at a copy
+	key := p.key(name, "")
+	copies := float64(p.holders[name])
+	pressure := p.Demand.Pressure(p.now, key)
+	if copies == 0 {
+		return want{model: name, copies: 1, urgency: missingUrgency * math.Max(pressure, 1)}
+	}
+	underWay := float64(p.Demand.InFlight(p.now, key))
+	needed := math.Max((pressure-crowdedAbove)/crowded, underWay/full)
+	if needed > copies {
+		return want{model: name, copies: int(math.Min(math.Ceil(needed-copies), mostNewCopies)),
+			urgency: math.Max(pressure, underWay/full) / copies}
+	}
+	if copies == 1 && p.Demand.Rate(p.now, key) > secondCopyRate {
+		return want{model: name, copies: 1, urgency: secondCopyUrgency}
+	}
+	return want{}
 }
 
-// place has one more endpoint hold a model, where making room costs no more than a bound.
-func (p *planner) place(name string, most float64) {
+// place has one more endpoint hold a model, where the room is worth less than the copy.
+func (p *planner) place(name string, urgency float64) {
 	model := p.models[name]
 	var best *Endpoint
 	victim, bestCost := "", math.Inf(1)
@@ -141,7 +189,7 @@
 			continue
 		}
 		candidate, cost, ok := p.room(e, model)
-		if ok && cost <= most && cost < bestCost {
+		if ok && cost <= urgency && cost < bestCost {
 			best, victim, bestCost = e, candidate, cost
 		}
 	}
@@ -174,32 +222,30 @@
 		if free+p.size(name, len(adapters)) < model.WeightsSizeMB {
 			continue
 		}
-		if c := p.worth(name, model.Name); c < cost || c == cost && name < victim {
+		if c := p.worth(name); c < cost || c == cost && name < victim {
 			victim, cost, ok = name, c, true
 		}
 	}
 	return victim, cost, ok && !math.IsInf(cost, 1)
 }
 
-// worth is what a copy of a model is worth where it stands, against one of another model. It is without bound for one
-// that must stay.
-func (p *planner) worth(name, instead string) float64 {
+// worth is what a copy of a model is worth where it stands, in the terms of urgency: what waits for it, or would wait at
+// the copies that are left.
+func (p *planner) worth(name string) float64 {
 	key := p.key(name, "")
-	rate, inFlight, copies := p.Demand.Rate(p.now, key), p.Demand.InFlight(p.now, key), p.holders[name]
+	inFlight, copies := float64(p.Demand.InFlight(p.now, key)), float64(p.holders[name])
+	idle := p.Demand.Rate(p.now, key) <= idleRate && inFlight == 0 && !p.Demand.Unplaced(p.now, key)
 	idleFor := (p.now - p.Demand.AskedAt(key)).Seconds()
 	switch {
-	case rate <= idleRate && inFlight == 0 && !p.Demand.Unplaced(p.now, key):
-		cost := 1 / (1 + idleFor) // the longest idle goes first
-		if copies <= 1 {
-			cost++
-		}
-		return cost
+	case idle && copies > 1:
+		return spareWorth / (1 + idleFor)
+	case idle:
+		return spareWorth + lastWorth/(1+idleFor)
 	case copies > 1:
-		return 2 + float64(p.Demand.Waiting(p.now, key)+inFlight/8)/float64(copies-1)
-	case p.Demand.Rate(p.now, p.key(instead, "")) > 2*rate:
-		return 1000 + rate
+		waiting := math.Max(p.Demand.Pressure(p.now, key), inFlight/full)
+		return spareWorth + (keepFactor*waiting+rateWorth*p.Demand.Rate(p.now, key))/(copies-1)
 	}
-	return math.Inf(1)
+	return keepFactor*missingWorth + p.Demand.Rate(p.now, key)
 }
 
 // load is how much of the requests under way an endpoint's models have.
@@ -224,25 +270,6 @@
 	return used
 }
 
-// addCopies gives models that are much asked for further copies, on room that is free or worth less.
-func (p *planner) addCopies() {
-	for _, name := range p.demanded() {
-		copies := p.holders[name]
-		if copies == 0 {
-			continue
-		}
-		key := p.key(name, "")
-		waiting := float64(p.Demand.Waiting(p.now, key)) / float64(copies)
-		underWay := float64(p.Demand.InFlight(p.now, key)) / float64(copies)
-		switch {
-		case waiting > crowded || underWay > full:
-			p.place(name, 2+waiting)
-		case copies == 1 && p.Demand.Rate(p.now, key) > secondCopyRate:
-			p.place(name, idleLongEnough)
-		}
-	}
-}
-
 // placeAdapters loads adapters that are asked for beside their models.
 func (p *planner) placeAdapters() {
 	keys := p.Demand.Keys(p.Service)
