Two random candidates; a shared beginning only breaks ties

Cause: the two endpoints that a shared beginning ranked highest got its requests until they were much busier than the rest as each sidecar saw it, which with nine sidecars is a long queue. Change: both candidates are random; a tie in own calls goes to the one that the beginning ranks higher.

--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -2,8 +2,8 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"dykering/internal/sessions"
@@ -233,37 +233,23 @@
 
 func missingKey(model, adapter string) string { return model + "/" + adapter }
 
-// draw takes two candidates and returns the one with less to do. Those with the same affinity draw the same two, as long
-// as these are not much busier than the rest.
-func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
-	if affinity != 0 && len(usable) > 2 {
-		if first, second := p.pair(now, usable, affinity); first != nil {
-			chosen := p.fewer(now, first, second)
-			if !p.crowded(now, chosen, usable) {
-				return chosen
-			}
-		}
-	}
-	return p.fewer(now, p.random1(now, usable), p.random1(now, usable))
-}
+// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
+const sameWork = 2
 
-// pair are the two endpoints that an affinity ranks highest, of those past their ramp.
-func (p *Pool) pair(now time.Duration, usable []*Endpoint, affinity uint64) (first, second *Endpoint) {
-	ranked := append([]*Endpoint(nil), usable...)
-	sort.Slice(ranked, func(i, j int) bool { return rendezvous(affinity, ranked[i].ID) > rendezvous(affinity, ranked[j].ID) })
-	for _, e := range ranked {
-		if p.random.Float64() > e.share(now) {
-			continue
-		}
-		if first == nil {
-			first = e
-		} else {
-			return first, e
+// draw takes two random candidates and returns the one with fewer own calls in flight. A tie goes to the one that ranks
+// higher for the affinity, so that requests which share a beginning tend to meet where it is kept; without one, to either.
+func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
+	a, b := p.random1(now, usable), p.random1(now, usable)
+	if affinity != 0 && a.inFlight == b.inFlight && math.Abs(a.work(now)-b.work(now)) <= sameWork {
+		if rendezvous(affinity, a.ID) > rendezvous(affinity, b.ID) {
+			return a
 		}
+		return b
 	}
-	return first, first
+	return p.fewer(now, a, b)
 }
 
+// rendezvous ranks endpoints for an affinity, alike at every sidecar.
 func rendezvous(affinity uint64, id string) uint64 {
 	hash := fnv.New64a()
 	var key [8]byte
@@ -275,16 +261,6 @@
 	return hash.Sum64()
 }
 
-// crowded tells whether an endpoint has much more to do than the usual one.
-func (p *Pool) crowded(now time.Duration, e *Endpoint, usable []*Endpoint) bool {
-	const crowdedBy = 4
-	var sum float64
-	for _, other := range usable {
-		sum += other.work(now)
-	}
-	return e.work(now) > crowdedBy+2*sum/float64(len(usable))
-}
-
 // random1 draws one endpoint, ramping ones less often.
 func (p *Pool) random1(now time.Duration, usable []*Endpoint) *Endpoint {
 	const tries = 8
