--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -47,6 +47,9 @@
 	config      atomic.Pointer[activeConfig]
 	connections *connections
 	stopping    atomic.Bool
+	closing     atomic.Bool     // too late to take on requests
+	ending      context.Context // ends when all that is under way must be answered
+	end         context.CancelFunc
 	underWay    atomic.Int64 // requests
 	memory      chan struct{}
 }
@@ -69,6 +72,7 @@
 		demand: newDemandTable(), changed: make(chan struct{}),
 	}
 	p.connections = newConnections(settings.Limits.FileDescriptors)
+	p.ending, p.end = context.WithCancel(ctx)
 	frontend, err := net.Listen("tcp", settings.Listen.Frontend)
 	if err != nil {
 		return errors.Wrap(err, "frontend address")
@@ -92,19 +96,33 @@
 	return nil
 }
 
+const (
+	// missedChecks is how long the platform takes to send no more connections: it looks every second, and twice.
+	missedChecks = 2500 * time.Millisecond
+	stopLook     = 20 * time.Millisecond
+	// takeShare, answerShare and closeShare are the parts of the grace period until which a stopping process takes requests
+	// on, waits for the answers of endpoints, and has its connections closed.
+	takeShare   = 0.7
+	answerShare = 0.85
+	closeShare  = 0.95
+)
+
 // stop has the platform send no new connections, serves those that are there, and ends.
 func (p *Process) stop(front, health *http.Server) {
-	p.stopping.Store(true)
-	const missedChecks = 2500 * time.Millisecond // the platform looks every second, and twice
-	grace := nodefile.Seconds(p.settings.Bounds.GracePeriodS)
 	began := time.Now()
-	for time.Since(began) < grace*9/10 {
-		if time.Since(began) > min(missedChecks, grace/2) && p.underWay.Load() == 0 {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
+	grace := nodefile.Seconds(p.settings.Bounds.GracePeriodS)
+	until := func(share float64) time.Duration { return time.Duration(share*float64(grace)) - time.Since(began) }
+	p.stopping.Store(true)
+	idleFrom := min(missedChecks, grace/2)
+	for until(takeShare) > 0 && (time.Since(began) < idleFrom || p.underWay.Load() > 0) {
+		time.Sleep(stopLook)
+	}
+	p.closing.Store(true)
+	for until(answerShare) > 0 && p.underWay.Load() > 0 {
+		time.Sleep(stopLook)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace*19/20-time.Since(began), time.Millisecond))
+	p.end()
+	ctx, cancel := context.WithTimeout(context.Background(), max(until(closeShare), stopLook))
 	defer cancel()
 	front.Shutdown(ctx)
 	health.Close()
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -47,7 +47,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	config := p.config.Load()
-	if config == nil {
+	if config == nil || p.closing.Load() {
 		(&refusal{kind: errkind.NotReady, retryAfter: comeBack}).answer(w)
 		return
 	}
@@ -72,6 +72,8 @@
 func (p *Process) carry(w http.ResponseWriter, ctx context.Context, q *request) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	release := context.AfterFunc(p.ending, cancel)
+	defer release()
 	c := &carrying{process: p, request: q, ctx: ctx, writer: w, exclude: map[string]bool{}}
 	p.post(func() {
 		p.budget.Request(p.now(), q.service)
