--- /dev/null
+++ b/internal/lab/coresim/machine.go
@@ -0,0 +1,225 @@
+package coresim
+
+import (
+	"fmt"
+	"time"
+
+	"dykering/internal/chain"
+)
+
+// machine is one machine of the core with its process and its disk.
+type machine struct {
+	world   *World
+	address string
+	node    *chain.Node
+	life    int // of the process; what an earlier one has begun does not count
+	lost    int // how often the disk was lost
+	up      bool
+	removed bool
+
+	frozenUntil time.Duration
+	inbox       []any // that came while it was frozen
+
+	disk         []any // records that are stored
+	jobs         []job
+	writing      bool
+	writingSince time.Duration
+	stalledUntil time.Duration
+}
+
+// job is records to store, and messages that go out once they are.
+type job struct {
+	records  []any
+	messages []chain.Envelope
+}
+
+func (m *machine) config() chain.Config {
+	pause := leaseFor + leaseDuration + thawSlack
+	if m.world.options.Flaw == NoHolderPause {
+		pause = 0
+	}
+	return chain.Config{
+		Self:  chain.Member{ID: m.id(), Name: m.address, Address: m.address},
+		Apply: apply, Seeds: m.world.seeds, MostFailures: m.world.options.MostFailures,
+		PingEvery: pingEvery, SuspectAfter: suspectAfter, ProposeTimeout: proposeTimeout,
+		LeaseFor: leaseFor, HolderPause: pause,
+		Jitter: func(d time.Duration) time.Duration { return time.Duration(m.world.random.Int64N(int64(d) + 1)) },
+	}
+}
+
+func (m *machine) id() chain.MemberID {
+	if m.world.options.Flaw == VoteAfterWipe {
+		return chain.MemberID(m.address + "/0")
+	}
+	return chain.MemberID(fmt.Sprintf("%s/%d", m.address, m.lost))
+}
+
+// start starts the process. First tells that the whole system starts for the first time.
+func (m *machine) start(first bool) {
+	m.life++
+	m.up, m.writing, m.jobs, m.inbox = true, false, nil, nil
+	now := m.world.now
+	var out chain.Output
+	genesis := first && contains(m.world.seeds, m.address) || m.world.options.Flaw == VoteAfterWipe && contains(m.world.seeds, m.address)
+	switch {
+	case len(m.disk) > 0:
+		m.node = chain.Restore(m.config(), now, m.disk)
+	case genesis:
+		view := chain.View{Number: 1, Token: 1}
+		for _, seed := range m.world.seeds {
+			id := chain.MemberID(seed + "/0")
+			view.Voters = append(view.Voters, chain.Member{ID: id, Address: seed})
+			view.Chain = append(view.Chain, id)
+		}
+		view.Holder = view.Chain[0]
+		m.node, out = chain.NewGenesis(m.config(), now, view, log{})
+	default:
+		m.node, out = chain.NewJoiner(m.config(), now, log{})
+	}
+	m.act(out)
+	m.tick(m.life)
+}
+
+func contains(list []string, x string) bool {
+	for _, y := range list {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
+
+// runs tells whether the process runs.
+func (m *machine) runs() bool { return m.up && m.world.now >= m.frozenUntil }
+
+func (m *machine) tick(life int) {
+	if m.life != life || !m.up {
+		return
+	}
+	if !m.runs() {
+		m.world.at(m.frozenUntil, func() { m.thaw(life) })
+		return
+	}
+	behind := m.writing && m.world.now-m.writingSince > diskPatience
+	m.node.SetHealthy(!behind)
+	m.act(m.node.Tick(m.world.now))
+	m.world.checker.watch(m)
+	m.world.after(tickEvery, func() { m.tick(life) })
+}
+
+func (m *machine) thaw(life int) {
+	if m.life != life || !m.up {
+		return
+	}
+	inbox := m.inbox
+	m.inbox = nil
+	for _, message := range inbox {
+		m.hear(message)
+	}
+	m.tick(life)
+}
+
+func (m *machine) hear(message any) {
+	if !m.up {
+		return
+	}
+	if !m.runs() {
+		m.inbox = append(m.inbox, message)
+		return
+	}
+	m.act(m.node.Receive(m.world.now, message))
+	m.world.checker.watch(m)
+}
+
+// act carries an output out.
+func (m *machine) act(out chain.Output) {
+	for _, envelope := range out.Urgent {
+		m.world.send(m, envelope)
+	}
+	if len(out.Records) == 0 && len(out.Messages) == 0 {
+		return
+	}
+	if m.world.options.Flaw == AckBeforeSync {
+		m.deliver(out.Messages)
+		out.Messages = nil
+	}
+	m.jobs = append(m.jobs, job{records: out.Records, messages: out.Messages})
+	m.write(m.life)
+}
+
+// write stores what waits, with one sync.
+func (m *machine) write(life int) {
+	if m.life != life || m.writing || len(m.jobs) == 0 {
+		return
+	}
+	jobs := m.jobs
+	m.jobs = nil
+	m.writing, m.writingSince = true, m.world.now
+	takes := syncTime
+	if m.world.now < m.stalledUntil {
+		takes += m.stalledUntil - m.world.now
+	}
+	m.world.after(takes, func() { m.written(life, jobs) })
+}
+
+func (m *machine) written(life int, jobs []job) {
+	if m.life != life || !m.up {
+		return
+	}
+	if !m.runs() {
+		m.world.at(m.frozenUntil, func() { m.written(life, jobs) })
+		return
+	}
+	m.writing = false
+	for _, j := range jobs {
+		m.disk = append(m.disk, j.records...)
+	}
+	for _, j := range jobs {
+		m.deliver(j.messages)
+	}
+	m.write(life)
+}
+
+func (m *machine) deliver(messages []chain.Envelope) {
+	for _, envelope := range messages {
+		if envelope.To == m.address {
+			m.act(m.node.Receive(m.world.now, envelope.Message))
+			continue
+		}
+		m.world.send(m, envelope)
+	}
+	m.world.checker.watch(m)
+}
+
+// kill ends the process; what is not stored is lost.
+func (m *machine) kill() {
+	m.life++
+	m.up = false
+	m.jobs, m.inbox, m.writing = nil, nil, false
+	switch m.world.options.Flaw {
+	case ForgetPromise:
+		m.disk = withoutPromises(m.disk)
+	case RestartBehind:
+		if len(m.disk) > 1 {
+			m.disk = m.disk[:len(m.disk)-1]
+		}
+	}
+}
+
+func withoutPromises(records []any) []any {
+	var kept []any
+	for _, record := range records {
+		switch record.(type) {
+		case chain.PromiseRecord, chain.AcceptRecord:
+		default:
+			kept = append(kept, record)
+		}
+	}
+	return kept
+}
+
+// wipe loses the disk of a process that does not run.
+func (m *machine) wipe() {
+	m.disk = nil
+	m.lost++
+}
