--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/fleetconfig"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+const now = time.Minute
+
+var engine = &fleetconfig.Engine{WeightsSizeMB: 220, AdapterSlots: 2, LoadsPerS: 3, Models: []fleetconfig.Model{
+	{Name: "hot", WeightsSizeMB: 70, AdapterSizeMB: 1, Adapters: 9}, {Name: "warm", WeightsSizeMB: 70}, {Name: "rare", WeightsSizeMB: 70},
+	{Name: "idle1", WeightsSizeMB: 70}, {Name: "idle2", WeightsSizeMB: 70}, {Name: "large", WeightsSizeMB: 200},
+}}
+
+func holding(id string, models ...string) Endpoint {
+	e := Endpoint{ID: id, Models: map[string][]string{}}
+	for _, m := range models {
+		e.Models[m] = nil
+	}
+	return e
+}
+
+func key(model, adapter string) Key { return Key{Service: "s", Model: model, Adapter: adapter} }
+
+func plan(demand *Demand, endpoints ...Endpoint) []Order {
+	return Plan(now, Input{Service: "s", Engine: engine, Endpoints: endpoints, Demand: demand, Loads: 4})
+}
+
+var _ = Describe("a plan", func() {
+	var demand *Demand
+	BeforeEach(func() { demand = NewDemand() })
+	ask := func(sample Sample) { demand.Report(now, "proxy", []Sample{sample}) }
+
+	It("orders nothing where nothing is asked for", func() {
+		Expect(plan(demand, holding("a", "hot"), holding("b"))).To(BeEmpty())
+	})
+
+	It("loads a model that is asked for and stands nowhere, where there is room", func() {
+		ask(Sample{Key: key("rare", ""), Unplaced: 1})
+		Expect(plan(demand, holding("a", "hot", "warm", "idle1"), holding("b", "idle1"))).To(
+			Equal([]Order{{Endpoint: "b", Operation: Loading, Model: "rare"}}))
+	})
+
+	It("makes room by what is idle, copies that are not the last first", func() {
+		ask(Sample{Key: key("rare", ""), Unplaced: 1})
+		ask(Sample{Key: key("hot", ""), Requests: 10, InFlight: 5})
+		Expect(plan(demand, holding("a", "hot", "idle1", "idle2"), holding("b", "hot", "warm", "idle2"))).To(
+			Equal([]Order{{Endpoint: "a", Operation: Unloading, Model: "idle2", For: "rare"}}))
+	})
+
+	It("does not order twice what is on its way", func() {
+		ask(Sample{Key: key("rare", ""), Unplaced: 1})
+		making := holding("a", "hot", "idle1")
+		making.Busy, making.For = true, "rare"
+		Expect(plan(demand, making, holding("b", "hot", "warm", "idle1"))).To(BeEmpty())
+		loading := holding("a", "hot", "rare")
+		loading.Busy = true
+		Expect(plan(demand, loading, holding("b"))).To(BeEmpty())
+	})
+
+	It("does not count what stands on a leaving endpoint, and gives it no orders", func() {
+		ask(Sample{Key: key("hot", ""), Requests: 5})
+		leaving := holding("a", "hot")
+		leaving.Leaving = true
+		Expect(plan(demand, leaving, holding("b"))).To(Equal([]Order{{Endpoint: "b", Operation: Loading, Model: "hot"}}))
+	})
+
+	It("gives a crowded model copies before a rare one is loaded", func() {
+		ask(Sample{Key: key("rare", ""), Requests: 1, Unplaced: 1})
+		for i := range 5 {
+			demand.Report(now+time.Duration(i)*time.Second, "proxy", []Sample{{Key: key("hot", ""), Requests: 40, InFlight: 30, Waiting: 30}})
+		}
+		orders := Plan(now+4500*time.Millisecond, Input{Service: "s", Engine: engine, Demand: demand, Loads: 1,
+			Endpoints: []Endpoint{holding("a", "hot"), holding("b"), holding("c")}})
+		Expect(orders).NotTo(BeEmpty())
+		Expect(orders[0].Model).To(Equal("hot"))
+	})
+
+	It("loads an adapter beside its model, on the endpoint with the most places", func() {
+		ask(Sample{Key: key("hot", "a1"), Requests: 1, Unplaced: 1})
+		full := holding("a", "hot")
+		full.Models["hot"] = []string{"a2"}
+		Expect(plan(demand, full, holding("b", "hot"), holding("c"))).To(
+			ContainElement(Order{Endpoint: "b", Operation: Loading, Model: "hot", Adapter: "a1"}))
+	})
+
+	It("unloads the adapter that was not asked for for the longest time where all places are taken", func() {
+		demand.Report(now-time.Second, "proxy", []Sample{{Key: key("hot", "a2"), Requests: 1}})
+		demand.Report(now-2*time.Second, "proxy", []Sample{{Key: key("hot", "a3"), Requests: 1}})
+		ask(Sample{Key: key("hot", "a1"), Requests: 1, Unplaced: 1})
+		full := holding("a", "hot")
+		full.Models["hot"] = []string{"a2", "a3"}
+		Expect(plan(demand, full)).To(ContainElement(Order{Endpoint: "a", Operation: Unloading, Model: "hot", Adapter: "a3"}))
+	})
+
+	It("never loads beyond what an endpoint holds, whatever is asked for", func() {
+		random := rand.New(rand.NewPCG(5, 6))
+		names := []string{"hot", "warm", "rare", "idle1", "idle2", "large"}
+		endpoints := []Endpoint{holding("a"), holding("b"), holding("c")}
+		for step := range 3000 {
+			at := now + time.Duration(step)*100*time.Millisecond
+			model := names[random.IntN(len(names))]
+			adapter := ""
+			if model == "hot" && random.IntN(2) == 0 {
+				adapter = []string{"a1", "a2", "a3", "a4"}[random.IntN(4)]
+			}
+			demand.Report(at, "proxy", []Sample{{Key: key(model, adapter), Requests: random.IntN(9), Unplaced: random.IntN(2),
+				InFlight: random.IntN(60), Waiting: random.IntN(30)}})
+			for _, order := range Plan(at, Input{Service: "s", Engine: engine, Endpoints: endpoints, Demand: demand, Loads: random.IntN(4)}) {
+				for i := range endpoints {
+					if endpoints[i].ID == order.Endpoint {
+						Expect(endpoints[i].Fits(order, engine)).To(BeTrue(), "%+v on %+v", order, endpoints[i])
+						endpoints[i].Apply(order)
+					}
+				}
+			}
+		}
+	})
+})
+
+var _ = Describe("the ledger of loads", func() {
+	It("allows no more than the ceiling in any window", func() {
+		ledger := NewLedger(5 * time.Second)
+		var begun []time.Duration
+		for at := time.Duration(0); at < time.Minute; at += 50 * time.Millisecond {
+			if ledger.Room(at, 2.8) > 0 {
+				ledger.Begin(at)
+				begun = append(begun, at)
+			}
+		}
+		for i := range begun {
+			within := 0
+			for _, other := range begun[i:] {
+				if other-begun[i] <= 5*time.Second {
+					within++
+				}
+			}
+			Expect(within).To(BeNumerically("<=", 14))
+		}
+		Expect(len(begun)).To(BeNumerically(">", 100))
+	})
+
+	It("counts what a predecessor may have begun", func() {
+		ledger := NewLedger(5 * time.Second)
+		ledger.Assume(0, 2.8)
+		Expect(ledger.Room(4*time.Second, 2.8)).To(Equal(0))
+		Expect(ledger.Room(6*time.Second, 2.8)).To(BeNumerically(">", 0))
+	})
+})
+
+var _ = Describe("demand", func() {
+	It("counts an adapter's requests for its model too, but not as ones that lack the model", func() {
+		demand := NewDemand()
+		demand.Report(now, "p1", []Sample{{Key: key("hot", "a1"), Requests: 3, Unplaced: 1, InFlight: 2, Waiting: 1}})
+		demand.Report(now, "p2", []Sample{{Key: key("hot", ""), Requests: 3, InFlight: 4, Waiting: 4}})
+		Expect(demand.InFlight(now, key("hot", ""))).To(Equal(6))
+		Expect(demand.Waiting(now, key("hot", ""))).To(Equal(5))
+		Expect(demand.Unplaced(now, key("hot", ""))).To(BeFalse())
+		Expect(demand.Unplaced(now, key("hot", "a1"))).To(BeTrue())
+		Expect(demand.Rate(now, key("hot", ""))).To(BeNumerically("~", 2, 0.01))
+	})
+
+	It("does not count a sidecar that has gone quiet as busy", func() {
+		demand := NewDemand()
+		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), InFlight: 2}})
+		Expect(demand.InFlight(now+2*inFlightFor, key("hot", ""))).To(Equal(0))
+	})
+
+	It("forgets what nobody asks for", func() {
+		demand := NewDemand()
+		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), Requests: 1}})
+		demand.Forget(now + forgetAfter + 1)
+		Expect(demand.Keys("s")).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/sessions/table_test.go
@@ -0,0 +1,121 @@
+package sessions
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSessions(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "the table of sessions")
+}
+
+const silentAfter = 4 * time.Second
+
+func beat(sequence uint64, state State) Heartbeat {
+	return Heartbeat{Service: "s", Address: "10.0.0.1:80", Sequence: sequence, State: state,
+		Models: []LoadedModel{{Name: "m", Version: 1, Adapters: []string{"a1"}}}}
+}
+
+var _ = Describe("the table", func() {
+	var table *Table
+	BeforeEach(func() { table = NewTable(silentAfter) })
+	state := func(id string) State {
+		e, ok := table.Get(id)
+		Expect(ok).To(BeTrue())
+		return e.State
+	}
+
+	It("takes no heartbeat that is older than one it has", func() {
+		Expect(table.Heard(0, "i", beat(5, Draining))).To(BeTrue())
+		Expect(table.Heard(1, "i", beat(4, Ready))).To(BeFalse())
+		Expect(state("i")).To(Equal(Draining))
+	})
+
+	It("never takes a leaving endpoint for one that is ready", func() {
+		table.Heard(0, "i", beat(5, Draining))
+		table.Heard(1, "i", beat(6, Ready))
+		Expect(state("i")).To(Equal(Draining))
+		table.Deregister(2, "i")
+		table.Heard(3, "i", beat(7, Draining))
+		Expect(state("i")).To(Equal(Gone))
+	})
+
+	It("tells subscribers only of what matters to them", func() {
+		table.Heard(0, "i", beat(1, Ready))
+		revision := table.Revision()
+		table.Heard(time.Second, "i", beat(2, Ready))
+		Expect(table.Revision()).To(Equal(revision))
+		table.Heard(2*time.Second, "i", beat(3, Draining))
+		Expect(table.Since(revision)).To(HaveLen(1))
+	})
+
+	It("holds a silent endpoint back until it is heard of again", func() {
+		table.Heard(0, "i", beat(1, Ready))
+		table.Expire(silentAfter + 1)
+		Expect(state("i")).To(Equal(Silent))
+		table.Heard(silentAfter+2, "i", beat(2, Ready))
+		Expect(state("i")).To(Equal(Ready))
+	})
+
+	It("counts a sign of life that was heard elsewhere", func() {
+		table.Heard(0, "i", beat(1, Ready))
+		Expect(table.Alive(5*time.Second, "i", 4, time.Second)).To(BeTrue())
+		table.Expire(6 * time.Second)
+		Expect(state("i")).To(Equal(Ready))
+		Expect(table.Alive(0, "unknown", 1, 0)).To(BeFalse())
+	})
+
+	It("merges alike in any order", func() {
+		records := []Record{
+			{Endpoint: Endpoint{ID: "i", Heartbeat: beat(1, Ready), State: Ready}},
+			{Endpoint: Endpoint{ID: "i", Heartbeat: beat(3, Draining), State: Draining}},
+			{Endpoint: Endpoint{ID: "i", Heartbeat: beat(2, Ready), State: Ready, Overlay: Overlay{Version: 7}}},
+		}
+		orders := [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}}
+		var results []Endpoint
+		for _, order := range orders {
+			other := NewTable(silentAfter)
+			for _, i := range order {
+				other.Merge(time.Second, records[i])
+			}
+			e, _ := other.Get("i")
+			results = append(results, e)
+		}
+		for _, e := range results {
+			Expect(e).To(Equal(results[0]))
+		}
+		Expect(results[0].State).To(Equal(Draining))
+		Expect(results[0].Overlay.Version).To(Equal(uint64(7)))
+	})
+
+	It("forgets what has long gone", func() {
+		table.Heard(0, "i", beat(1, Ready))
+		table.Deregister(0, "i")
+		table.Expire(keepGone + 1)
+		_, ok := table.Get("i")
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("what an endpoint holds", func() {
+	holds := func(overlay ...Holding) *Endpoint {
+		return &Endpoint{Heartbeat: beat(1, Ready), Overlay: Overlay{Holdings: overlay}}
+	}
+	DescribeTable("is what it says, and what orders have made of it since",
+		func(e *Endpoint, model, adapter string, expected bool) {
+			Expect(e.Holds(model, adapter)).To(Equal(expected))
+		},
+		Entry("its model", holds(), "m", "", true),
+		Entry("another model", holds(), "n", "", false),
+		Entry("its adapter", holds(), "m", "a1", true),
+		Entry("another adapter", holds(), "m", "a2", false),
+		Entry("a model that was loaded", holds(Holding{Model: "n", Present: true}), "n", "", true),
+		Entry("an adapter that was loaded", holds(Holding{Model: "m", Adapter: "a2", Present: true}), "m", "a2", true),
+		Entry("a model that was unloaded", holds(Holding{Model: "m"}), "m", "", false),
+		Entry("an adapter of a model that was unloaded", holds(Holding{Model: "m"}), "m", "a1", false),
+	)
+})
