--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -161,6 +161,8 @@
 	}
 }
 
+// killAll ends all processes. A member that was lost before, or loses its disk now, counts as lost until it is back and
+// has had its time.
 func (l *losses) killAll(step Step) {
 	w := l.world
 	for i, m := range w.machines {
@@ -168,11 +170,15 @@
 			continue
 		}
 		m.kill()
-		if step.Kind == WipeOfAll && i == step.Member {
+		down := step.For/2 + time.Duration(w.random.Int64N(int64(step.For)))
+		wiped := step.Kind == WipeOfAll && i == step.Member
+		if wiped {
 			m.wipe()
-			l.until[i] = w.now + step.For + catchUp
 		}
-		w.after(step.For/2+time.Duration(w.random.Int64N(int64(step.For))), func() { m.restart() })
+		if wiped || l.until[i] > w.now {
+			l.until[i] = w.now + down + catchUp
+		}
+		w.after(down, func() { m.restart() })
 	}
 }
 
