--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -24,7 +24,6 @@
 	updates   chan feed.Update
 	revision  uint64 // sent
 	configSeq uint64 // sent
-	members   int    // how many members it was told of
 	sentAt    time.Duration
 	begun     bool
 	acked     feed.Ack
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -153,6 +153,7 @@
 			command()
 		case <-ticker.C:
 			p.pool.Age(p.now())
+			p.connections.sweep()
 		}
 	}
 }
--- a/internal/decision/balancer_test.go
+++ b/internal/decision/balancer_test.go
@@ -444,7 +444,7 @@
 
 func TestKeyedStaysInItsCellAndWindow(t *testing.T) {
 	d := start(t, settings(), 6)
-	id := d.ask(book)
+	d.ask(book)
 	first := d.last()
 	d.end(first, Error, ms)
 	if again := d.last(); again.attempt != 1 || (again.to-1)/2 != (first.to-1)/2 {
@@ -455,7 +455,7 @@
 	s := settings()
 	s.Classes[book].Window = 100 * ms
 	d = start(t, s, 6)
-	id = d.ask(book)
+	id := d.ask(book)
 	d.pass(200 * ms)
 	d.end(d.last(), Error, 200*ms)
 	d.pass(3 * time.Second)
--- a/internal/fleet/budget/explore_test.go
+++ b/internal/fleet/budget/explore_test.go
@@ -61,7 +61,6 @@
 	stall  time.Duration
 	cut    time.Duration
 	life   int
-	dead   bool
 }
 
 type copyOf struct {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -365,7 +365,7 @@
 func (g *Gossip) rumour(view *membership.View, r rumour) {
 	m, known := view.Member(r.Node)
 	s, suspected := g.suspects[r.Node]
-	state := m.State
+	var state membership.State
 	now := time.Now()
 	switch {
 	case !known:
--- a/internal/http1/sidecar_test.go
+++ b/internal/http1/sidecar_test.go
@@ -539,11 +539,10 @@
 func TestAnswerIsOutBeforeTheDeadline(t *testing.T) {
 	const left = 1500 * time.Millisecond
 	mute := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { gone(r) })
-	rg := start(t, 1024, mute)
 	draining := mute
 	draining.State = "Terminating"
 	for want, targets := range map[int][]target{502: {mute}, 503: {draining}} {
-		rg = start(t, 1024, targets...)
+		rg := start(t, 1024, targets...)
 		sent := time.Now()
 		if status, body := rg.ask(rg.request("once", left)); status != want {
 			t.Errorf("got %d %q, want %d", status, body, want)
--- a/internal/lab/netem/conn.go
+++ b/internal/lab/netem/conn.go
@@ -183,12 +183,12 @@
 
 // look reads what has come into b, or only looks where take is false. With nothing there it tells when to look again;
 // next is zero where only a change can bring anything.
-func (s *stream) look(b []byte, take bool) (n int, err error, next time.Time, changed <-chan struct{}) {
+func (s *stream) look(b []byte, take bool) (n int, next time.Time, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A reset is seen at once when it comes, whatever has not been read before it.
 	if k := len(s.segs); k > 0 && s.segs[k-1].what == rst && s.come(s.segs[k-1]) {
-		return 0, os.NewSyscallError("read", syscall.ECONNRESET), time.Time{}, nil
+		return 0, time.Time{}, nil, os.NewSyscallError("read", syscall.ECONNRESET)
 	}
 	for len(s.segs) > 0 && n < len(b) {
 		g := &s.segs[0]
@@ -197,7 +197,7 @@
 		}
 		if g.what == finished {
 			if n == 0 {
-				return 0, io.EOF, time.Time{}, nil
+				return 0, time.Time{}, nil, io.EOF
 			}
 			break
 		}
@@ -206,7 +206,7 @@
 		}
 		k := copy(b[n:], g.b)
 		if n += k; !take {
-			return n, nil, time.Time{}, nil
+			return n, time.Time{}, nil, nil
 		}
 		if s.held -= k; k < len(g.b) {
 			g.b = g.b[k:]
@@ -216,7 +216,7 @@
 	}
 	if n > 0 {
 		s.change() // there is room
-		return n, nil, time.Time{}, nil
+		return n, time.Time{}, nil, nil
 	}
 	if len(s.segs) > 0 && !s.segs[0].lost {
 		next = s.segs[0].at
@@ -224,11 +224,11 @@
 	if k := len(s.segs); k > 0 && s.segs[k-1].what == rst && !s.segs[k-1].lost && (next.IsZero() || s.segs[k-1].at.Before(next)) {
 		next = s.segs[k-1].at
 	}
-	return 0, syscall.EAGAIN, next, s.changed
+	return 0, next, s.changed, syscall.EAGAIN
 }
 
 // ending tells whether the stream's end has come, whatever stands unread before it, and else when it will.
-func (s *stream) ending() (n int, err error, next time.Time, changed <-chan struct{}) {
+func (s *stream) ending() (n int, next time.Time, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if k := len(s.segs); k > 0 && s.segs[k-1].what != data {
@@ -238,12 +238,12 @@
 			next = last.at
 		case !s.come(last):
 		case last.what == rst:
-			return 0, os.NewSyscallError("read", syscall.ECONNRESET), time.Time{}, nil
+			return 0, time.Time{}, nil, os.NewSyscallError("read", syscall.ECONNRESET)
 		default:
-			return 0, io.EOF, time.Time{}, nil
+			return 0, time.Time{}, nil, io.EOF
 		}
 	}
-	return 0, syscall.EAGAIN, next, s.changed
+	return 0, next, s.changed, syscall.EAGAIN
 }
 
 // Conn is a process's handle of a connection's end.
@@ -319,11 +319,11 @@
 
 // take reads, or waits until something can be read.
 func (c *Conn) take(b []byte, take bool) (int, error) {
-	return c.wait(func() (int, error, time.Time, <-chan struct{}) { return c.end.in.look(b, take) })
+	return c.wait(func() (int, time.Time, <-chan struct{}, error) { return c.end.in.look(b, take) })
 }
 
 // wait waits until a look at the stream tells something.
-func (c *Conn) wait(look func() (n int, err error, next time.Time, changed <-chan struct{})) (int, error) {
+func (c *Conn) wait(look func() (n int, next time.Time, changed <-chan struct{}, err error)) (int, error) {
 	for {
 		closed, deadline, _, mine := c.state()
 		if closed {
@@ -332,7 +332,7 @@
 		if _, over := passed(deadline, time.Time{}); over {
 			return 0, c.fault("read", os.ErrDeadlineExceeded)
 		}
-		n, err, next, changed := look()
+		n, next, changed, err := look()
 		if err != syscall.EAGAIN {
 			if err != nil {
 				err = c.fault("read", err)
@@ -368,7 +368,7 @@
 // Ended tells whether it has, or this side has closed.
 func (c *Conn) Ended() bool {
 	closed, _, _, _ := c.state()
-	_, err, _, _ := c.end.in.ending()
+	_, _, _, err := c.end.in.ending()
 	return closed || err != syscall.EAGAIN
 }
 
@@ -379,7 +379,7 @@
 	if closed {
 		return -1, net.ErrClosed
 	}
-	n, err, _, _ := c.end.in.look(b[:], false)
+	n, _, _, err := c.end.in.look(b[:], false)
 	if err == io.EOF {
 		return 0, nil
 	}
@@ -403,7 +403,7 @@
 		if _, over := passed(deadline, time.Time{}); over {
 			return n, c.fault("write", os.ErrDeadlineExceeded)
 		}
-		if k, err, _, _ := c.end.in.look(make([]byte, 1), false); k == 0 && err != nil && err != io.EOF && err != syscall.EAGAIN {
+		if k, _, _, err := c.end.in.look(make([]byte, 1), false); k == 0 && err != nil && err != io.EOF && err != syscall.EAGAIN {
 			return n, c.fault("write", os.NewSyscallError("write", syscall.ECONNRESET))
 		}
 		room, changed := to.in.room()
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -34,8 +34,6 @@
 	fullFor = 80 * time.Millisecond
 	// departFor is how long an endpoint is kept that a new stream of updates does not name.
 	departFor = 6 * time.Second
-	// spotMargin is left of an endpoint's remaining time at the end of a call.
-	spotMargin = 300 * time.Millisecond
 	// reportFor is how long an endpoint's own load report counts.
 	reportFor = 2 * time.Second
 )
@@ -61,7 +59,6 @@
 	trialAt    time.Duration // when an isolated endpoint may be tried
 	trying     bool
 	fullUntil  time.Duration
-	endsAt     time.Duration // when it is taken away; 0 for unknown
 	absentAt   time.Duration // since when updates do not name it; 0 while they do
 	missing    map[string]time.Duration
 	load       Load
@@ -121,9 +118,6 @@
 	case sessions.Gone:
 		p.remove(e)
 	case sessions.Draining:
-		if remaining := told.Heartbeat.RemainingMs; remaining != nil && e.endsAt == 0 {
-			e.endsAt = now + time.Duration(*remaining*float64(time.Millisecond))
-		}
 		e.mark = Leaving
 	}
 }
@@ -318,5 +312,5 @@
 // Find finds an endpoint.
 func (p *Pool) Find(id string) *Endpoint { return p.byID[id] }
 
-// Services lists how many endpoints of a service there are.
+// Count tells how many endpoints of a service there are.
 func (p *Pool) Count(service string) int { return len(p.services[service]) }
