--- a/internal/lab/coresim/clients.go
+++ b/internal/lab/coresim/clients.go
@@ -17,23 +17,35 @@
 func (w *World) clients() {
 	var write, read func()
 	write = func() {
-		w.write(w.pick())
+		w.write(w.pick(func(m *machine) bool { return m.node.IsHead() }))
 		w.after(writeEvery/2+time.Duration(w.random.Int64N(int64(writeEvery))), write)
 	}
 	read = func() {
-		w.read(w.pick())
+		w.read(w.pick(func(m *machine) bool { return m.node.IsTail() }))
 		w.after(readEvery/2+time.Duration(w.random.Int64N(int64(readEvery))), read)
 	}
 	w.after(writeEvery, write)
 	w.after(readEvery, read)
 }
 
-func (w *World) pick() *machine { return w.machines[w.random.IntN(len(w.machines))] }
+// pick draws one of the members that take themselves for something; nil for none.
+func (w *World) pick(is func(*machine) bool) *machine {
+	var fit []*machine
+	for _, m := range w.machines {
+		if m.runs() && is(m) {
+			fit = append(fit, m)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return fit[w.random.IntN(len(fit))]
+}
 
-// write proposes an operation at a member, if that takes itself for the head, and acknowledges it as a control sidecar
+// write proposes an operation at a member that takes itself for the head, and acknowledges it as a control sidecar
 // does: once it is committed.
 func (w *World) write(m *machine) {
-	if !m.runs() || !m.node.IsHead() {
+	if m == nil {
 		return
 	}
 	w.nextOp++
@@ -52,9 +64,9 @@
 	})
 }
 
-// read reads at a member, if that takes itself for the tail.
+// read reads at a member that takes itself for the tail.
 func (w *World) read(m *machine) {
-	if !m.runs() || !m.node.IsTail() {
+	if m == nil {
 		return
 	}
 	since, acked, view := w.now, len(w.checker.acked), m.node.View().Number
