Plans count demand once, look at holders alone and take a tenth of the time at the most

Change: sums kept by report, needs looked up once a plan, adapters placed by their model's holders, pause of ten times a plan's length.

--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -132,7 +132,7 @@
 	}
 	run := &orderRun{placer: pl, order: order, engine: service.Engine, address: endpoint.Heartbeat.Address, token: pl.token,
 		takes: duration(service.Engine, order),
-		busy:  pl.demand.InFlight(now, placement.Key{Service: service.Name, Model: order.Model, Adapter: order.Adapter}) > 0}
+		busy:  pl.demand.Need(now, placement.Key{Service: service.Name, Model: order.Model, Adapter: order.Adapter}).InFlight > 0}
 	if state := pl.states[order.Endpoint]; state != nil {
 		run.state = *state
 	}
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -13,6 +13,9 @@
 const (
 	// planEvery is the time between two plans where nothing urgent has been reported.
 	planEvery = 250 * time.Millisecond
+	// planPause is the least time between two plans, planShare the part of the time that plans may take.
+	planPause = 15 * time.Millisecond
+	planShare = 0.1
 	// overlayBeats is how many heartbeats an overlay outlives, so that an endpoint's own word is back by then.
 	overlayBeats = 2
 	// unloadNotice is the time that the sidecars have to hear that a model is unloaded before the order goes out.
@@ -29,6 +32,8 @@
 	token     uint64
 	counter   uint64
 	planAt    time.Duration
+	pauseTill time.Duration // no plan is made before
+	tidyAt    time.Duration
 	underWay  map[string]*orderUnderWay // by endpoint
 	overlays  map[string]overlay        // by endpoint
 	states    map[string]*endpointState // by endpoint
@@ -96,13 +101,16 @@
 	if !holds {
 		return
 	}
-	pl.demand.Forget(now)
 	for id, u := range pl.underWay {
 		if now > u.until {
 			delete(pl.underWay, id)
 		}
 	}
-	pl.retireOverlays(now)
+	if now >= pl.tidyAt {
+		pl.tidyAt = now + planEvery
+		pl.demand.Expire(now)
+		pl.retireOverlays(now)
+	}
 }
 
 // take begins to hold the role. What a predecessor may have begun counts.
@@ -145,10 +153,14 @@
 
 // settle plans where it is due, and begins the orders.
 func (pl *placer) settle(now time.Duration) {
-	if !pl.holding || now < pl.planAt {
+	if !pl.holding || now < pl.planAt || now < pl.pauseTill {
 		return
 	}
 	pl.planAt = now + planEvery
+	defer func() {
+		ended := pl.process.now()
+		pl.pauseTill = ended + max(planPause, time.Duration(float64(ended-now)/planShare))
+	}()
 	for _, service := range pl.services() {
 		input := placement.Input{Service: service.Name, Engine: service.Engine, Demand: pl.demand,
 			Endpoints: pl.endpoints(service.Name), Loads: pl.loads(now, service.Engine)}
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -165,6 +165,11 @@
 // has had its time.
 func (l *losses) killAll(step Step) {
 	w := l.world
+	for member, until := range l.until {
+		if until > w.now { // it, or who takes its place, catches up only once all are back
+			l.until[member] = max(until, w.now+step.For*3/2+catchUp)
+		}
+	}
 	for i, m := range w.machines {
 		if m.removed || !m.up {
 			continue
@@ -175,7 +180,7 @@
 		if wiped {
 			m.wipe()
 		}
-		if wiped || l.until[i] > w.now {
+		if wiped {
 			l.until[i] = w.now + down + catchUp
 		}
 		w.after(down, func() { m.restart() })
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -27,8 +27,9 @@
 	// inFlightFor is how long a sidecar's word of its requests under way counts.
 	inFlightFor = time.Second
 	// forgetAfter is when a key that nobody asks for is forgotten.
-	forgetAfter = 5 * time.Minute
-	mostKeys    = 65536
+	forgetAfter  = 5 * time.Minute
+	mostKeys     = 65536
+	mostSidecars = 8192
 )
 
 // Sample is what one sidecar reports of a key.
@@ -40,59 +41,77 @@
 	Waiting  int // of them, those whose answer has not begun
 }
 
-// wanted is the demand for a key.
+// wanted is the demand for a key, over all sidecars.
 type wanted struct {
 	count      float64 // decays
+	fast       float64 // like count, over a shorter time
 	countedAt  time.Duration
 	askedAt    time.Duration
 	unplacedAt time.Duration
-	inFlight   map[string]flight // by sidecar
-	fast       float64           // like count, over a shorter time
-	pressure   float64           // averaged waiting requests
+	inFlight   int
+	waiting    int
+	pressure   float64 // averaged waiting requests
 	pressureAt time.Duration
 }
 
-type flight struct {
-	n, waiting int
-	at         time.Duration
+// flights are a sidecar's requests under way, by its last report.
+type flights struct {
+	at    time.Duration
+	byKey map[Key]flight
 }
 
+type flight struct{ inFlight, waiting int }
+
 // Demand is what is asked for, over all sidecars.
-type Demand struct{ keys map[Key]*wanted }
+type Demand struct {
+	keys     map[Key]*wanted
+	sidecars map[string]*flights
+}
 
 // NewDemand makes an empty table.
-func NewDemand() *Demand { return &Demand{keys: map[Key]*wanted{}} }
+func NewDemand() *Demand {
+	return &Demand{keys: map[Key]*wanted{}, sidecars: map[string]*flights{}}
+}
 
 // Report takes a sidecar's report. What an adapter is asked for counts for its model too.
 func (d *Demand) Report(now time.Duration, from string, samples []Sample) {
-	perModel := map[Key]Sample{}
+	merged := map[Key]Sample{}
 	for _, s := range samples {
+		add(merged, s.Key, s)
 		if s.Key.Adapter != "" {
-			d.add(now, from, s)
+			s.Unplaced = 0 // the model may stand all the same
+			add(merged, s.Key.ModelKey(), s)
 		}
-		sum := perModel[s.Key.ModelKey()]
-		sum.Requests += s.Requests
-		sum.InFlight += s.InFlight
-		sum.Waiting += s.Waiting
-		if s.Key.Adapter == "" {
-			sum.Unplaced += s.Unplaced
+	}
+	fresh := &flights{at: now, byKey: map[Key]flight{}}
+	for key, s := range merged {
+		if d.count(now, key, s) && (s.InFlight > 0 || s.Waiting > 0) {
+			fresh.byKey[key] = flight{inFlight: s.InFlight, waiting: s.Waiting}
 		}
-		perModel[s.Key.ModelKey()] = sum
 	}
-	for key, s := range perModel {
-		s.Key = key
-		d.add(now, from, s)
+	if len(d.sidecars) < mostSidecars || d.sidecars[from] != nil {
+		d.replace(from, fresh)
 	}
 }
 
-func (d *Demand) add(now time.Duration, from string, s Sample) {
-	w := d.keys[s.Key]
+func add(merged map[Key]Sample, key Key, s Sample) {
+	sum := merged[key]
+	sum.Requests += s.Requests
+	sum.Unplaced += s.Unplaced
+	sum.InFlight += s.InFlight
+	sum.Waiting += s.Waiting
+	merged[key] = sum
+}
+
+// count notes requests for a key. It is false where there are too many keys.
+func (d *Demand) count(now time.Duration, key Key, s Sample) bool {
+	w := d.keys[key]
 	if w == nil {
 		if len(d.keys) >= mostKeys {
-			return
+			return false
 		}
-		w = &wanted{askedAt: -time.Hour, unplacedAt: -time.Hour, pressureAt: now, inFlight: map[string]flight{}}
-		d.keys[s.Key] = w
+		w = &wanted{askedAt: -time.Hour, unplacedAt: -time.Hour, pressureAt: now}
+		d.keys[key] = w
 	}
 	w.fast = w.fast*math.Exp(-float64(now-w.countedAt)/float64(fastOver)) + float64(s.Requests)
 	w.count = w.decayed(now) + float64(s.Requests)
@@ -103,63 +122,46 @@
 	if s.Unplaced > 0 {
 		w.unplacedAt = now
 	}
-	w.inFlight[from] = flight{n: s.InFlight, waiting: s.Waiting, at: now}
-}
-
-func (w *wanted) decayed(now time.Duration) float64 {
-	return w.count * math.Exp(-float64(now-w.countedAt)/float64(rateOver))
+	return true
 }
 
-// Rate is how many requests a second ask for a key.
-func (d *Demand) Rate(now time.Duration, key Key) float64 {
-	w := d.keys[key]
-	if w == nil {
-		return 0
+// replace puts a sidecar's requests under way in the place of those it had before.
+func (d *Demand) replace(from string, fresh *flights) {
+	if old := d.sidecars[from]; old != nil {
+		for key, f := range old.byKey {
+			if w := d.keys[key]; w != nil {
+				w.inFlight -= f.inFlight
+				w.waiting -= f.waiting
+			}
+		}
 	}
-	return w.decayed(now) / rateOver.Seconds()
-}
-
-// InFlight is how many requests for a key are under way.
-func (d *Demand) InFlight(now time.Duration, key Key) int {
-	w := d.keys[key]
-	if w == nil {
-		return 0
+	if fresh == nil {
+		delete(d.sidecars, from)
+		return
 	}
-	sum := 0
-	for _, f := range w.inFlight {
-		if now-f.at < inFlightFor {
-			sum += f.n
-		}
+	for key, f := range fresh.byKey {
+		d.keys[key].inFlight += f.inFlight
+		d.keys[key].waiting += f.waiting
 	}
-	return sum
+	d.sidecars[from] = fresh
 }
 
-// Waiting is how many requests for a key wait for the beginning of their answer.
-func (d *Demand) Waiting(now time.Duration, key Key) int {
-	w := d.keys[key]
-	if w == nil {
-		return 0
+// Expire drops what sidecars have said that have been quiet since, and keys that nobody has asked for in a long time.
+func (d *Demand) Expire(now time.Duration) {
+	for from, f := range d.sidecars {
+		if now-f.at >= inFlightFor {
+			d.replace(from, nil)
+		}
 	}
-	sum := 0
-	for _, f := range w.inFlight {
-		if now-f.at < inFlightFor {
-			sum += f.waiting
+	for key, w := range d.keys {
+		if now-w.askedAt > forgetAfter && w.inFlight == 0 {
+			delete(d.keys, key)
 		}
 	}
-	return sum
 }
 
-// Pressure is how many requests for a key wait for the beginning of their answer, averaged, and ahead of a rate that
-// grows.
-func (d *Demand) Pressure(now time.Duration, key Key) float64 {
-	w := d.keys[key]
-	if w == nil {
-		return 0
-	}
-	waiting := float64(d.Waiting(now, key))
-	w.pressure += (waiting - w.pressure) * (1 - math.Exp(-float64(now-w.pressureAt)/float64(pressureOver)))
-	w.pressureAt = now
-	return w.pressure * w.growth(now)
+func (w *wanted) decayed(now time.Duration) float64 {
+	return w.count * math.Exp(-float64(now-w.countedAt)/float64(rateOver))
 }
 
 // growth is by how much the rate of the last moments exceeds that of the last seconds.
@@ -172,18 +174,29 @@
 	return min(max(fast/slow, 1), mostGrowth)
 }
 
-// Unplaced tells whether a request for a key has lately found no endpoint.
-func (d *Demand) Unplaced(now time.Duration, key Key) bool {
-	w := d.keys[key]
-	return w != nil && now-w.unplacedAt < recently
+// Need is the demand for one key at a moment.
+type Need struct {
+	Rate     float64 // requests a second
+	InFlight int     // requests under way
+	Waiting  int     // of them, those whose answer has not begun
+	// Pressure is how many requests wait for the beginning of their answer, averaged, and ahead of a rate that grows.
+	Pressure float64
+	Unplaced bool          // a request has lately found no endpoint
+	AskedAt  time.Duration // the last request; long ago for none
 }
 
-// AskedAt is when a key was last asked for; long ago for never.
-func (d *Demand) AskedAt(key Key) time.Duration {
-	if w := d.keys[key]; w != nil {
-		return w.askedAt
+// Need tells the demand for a key now.
+func (d *Demand) Need(now time.Duration, key Key) Need {
+	w := d.keys[key]
+	if w == nil {
+		return Need{AskedAt: -time.Hour}
+	}
+	w.pressure += (float64(w.waiting) - w.pressure) * (1 - math.Exp(-float64(now-w.pressureAt)/float64(pressureOver)))
+	w.pressureAt = now
+	return Need{
+		Rate: w.decayed(now) / rateOver.Seconds(), InFlight: w.inFlight, Waiting: w.waiting,
+		Pressure: w.pressure * w.growth(now), Unplaced: now-w.unplacedAt < recently, AskedAt: w.askedAt,
 	}
-	return -time.Hour
 }
 
 // Keys lists the keys of a service that have been asked for.
@@ -196,12 +209,3 @@
 	}
 	return keys
 }
-
-// Forget drops keys that nobody has asked for in a long time.
-func (d *Demand) Forget(now time.Duration) {
-	for key, w := range d.keys {
-		if now-w.askedAt > forgetAfter {
-			delete(d.keys, key)
-		}
-	}
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -164,23 +165,61 @@
 		demand := NewDemand()
 		demand.Report(now, "p1", []Sample{{Key: key("hot", "a1"), Requests: 3, Unplaced: 1, InFlight: 2, Waiting: 1}})
 		demand.Report(now, "p2", []Sample{{Key: key("hot", ""), Requests: 3, InFlight: 4, Waiting: 4}})
-		Expect(demand.InFlight(now, key("hot", ""))).To(Equal(6))
-		Expect(demand.Waiting(now, key("hot", ""))).To(Equal(5))
-		Expect(demand.Unplaced(now, key("hot", ""))).To(BeFalse())
-		Expect(demand.Unplaced(now, key("hot", "a1"))).To(BeTrue())
-		Expect(demand.Rate(now, key("hot", ""))).To(BeNumerically("~", 2, 0.01))
+		need := demand.Need(now, key("hot", ""))
+		Expect(need.InFlight).To(Equal(6))
+		Expect(need.Waiting).To(Equal(5))
+		Expect(need.Unplaced).To(BeFalse())
+		Expect(need.Rate).To(BeNumerically("~", 2, 0.01))
+		Expect(demand.Need(now, key("hot", "a1")).Unplaced).To(BeTrue())
 	})
 
 	It("does not count a sidecar that has gone quiet as busy", func() {
 		demand := NewDemand()
 		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), InFlight: 2}})
-		Expect(demand.InFlight(now+2*inFlightFor, key("hot", ""))).To(Equal(0))
+		demand.Expire(now + inFlightFor)
+		Expect(demand.Need(now+inFlightFor, key("hot", "")).InFlight).To(Equal(0))
+	})
+
+	It("counts a sidecar's last report alone", func() {
+		demand := NewDemand()
+		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), InFlight: 2}, {Key: key("warm", ""), InFlight: 1}})
+		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), InFlight: 3}})
+		Expect(demand.Need(now, key("hot", "")).InFlight).To(Equal(3))
+		Expect(demand.Need(now, key("warm", "")).InFlight).To(Equal(0))
 	})
 
 	It("forgets what nobody asks for", func() {
 		demand := NewDemand()
 		demand.Report(now, "p1", []Sample{{Key: key("hot", ""), Requests: 1}})
-		demand.Forget(now + forgetAfter + 1)
+		demand.Expire(now + forgetAfter + 1)
 		Expect(demand.Keys("s")).To(BeEmpty())
 	})
 })
+
+// The time of one plan at the size of two years from now.
+func BenchmarkPlan(b *testing.B) {
+	const endpoints, models, adapters, sidecars = 620, 52, 1800, 340
+	large := &fleetconfig.Engine{WeightsSizeMB: 220, AdapterSlots: 8, LoadsPerS: 3}
+	demand, random := NewDemand(), rand.New(rand.NewPCG(1, 2))
+	var all []Endpoint
+	for i := range models {
+		large.Models = append(large.Models, fleetconfig.Model{Name: fmt.Sprint("m", i), WeightsSizeMB: 70, AdapterSizeMB: 0.1, Adapters: adapters / models})
+	}
+	for i := range endpoints {
+		e := holding(fmt.Sprint("e", i))
+		for range 3 {
+			e.Models[fmt.Sprint("m", random.IntN(models))] = []string{fmt.Sprint("a", random.IntN(adapters/models))}
+		}
+		all = append(all, e)
+	}
+	for i := range sidecars {
+		var samples []Sample
+		for range 20 {
+			samples = append(samples, Sample{Key: key(fmt.Sprint("m", random.IntN(models)), fmt.Sprint("a", random.IntN(adapters/models))), Requests: 1, InFlight: 1})
+		}
+		demand.Report(now, fmt.Sprint("p", i), samples)
+	}
+	for b.Loop() {
+		Plan(now, Input{Service: "s", Engine: large, Endpoints: all, Demand: demand, Loads: 4})
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -78,38 +78,67 @@
 // planner makes one plan.
 type planner struct {
 	Input
-	now     time.Duration
-	models  map[string]fleetconfig.Model
-	holders map[string]int
-	taken   map[string]bool // endpoints that have an order already
-	orders  []Order
+	now      time.Duration
+	models   map[string]fleetconfig.Model
+	needs    map[Key]Need
+	holders  map[string]int
+	byModel  map[string][]*Endpoint // that hold it and may get orders
+	adapters map[Key]int            // copies
+	taken    map[string]bool        // endpoints that have an order already
+	orders   []Order
 }
 
 // Plan gives the orders that should be given now.
 func Plan(now time.Duration, in Input) []Order {
-	p := &planner{Input: in, now: now, models: map[string]fleetconfig.Model{}, holders: map[string]int{}, taken: map[string]bool{}}
-	for _, model := range in.Engine.Models {
-		p.models[model.Name] = model
-	}
+	p := &planner{Input: in, now: now, models: modelsByName(in.Engine), needs: map[Key]Need{}, holders: map[string]int{},
+		byModel: map[string][]*Endpoint{}, adapters: map[Key]int{}, taken: map[string]bool{}}
 	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
-		if e.Leaving {
-			continue
-		}
-		p.taken[e.ID] = e.Busy
-		for name := range e.Models {
-			p.holders[name]++
-		}
-		if e.For != "" {
-			p.holders[e.For]++
-			p.Loads--
-		}
+		p.count(&p.Endpoints[i])
 	}
 	p.placeAdapters()
 	p.placeModels()
 	return p.orders
 }
 
+func modelsByName(engine *fleetconfig.Engine) map[string]fleetconfig.Model {
+	models := make(map[string]fleetconfig.Model, len(engine.Models))
+	for _, model := range engine.Models {
+		models[model.Name] = model
+	}
+	return models
+}
+
+// count counts what an endpoint holds.
+func (p *planner) count(e *Endpoint) {
+	if e.Leaving {
+		return
+	}
+	p.taken[e.ID] = e.Busy
+	for name, adapters := range e.Models {
+		p.holders[name]++
+		if !e.Busy {
+			p.byModel[name] = append(p.byModel[name], e)
+		}
+		for _, adapter := range adapters {
+			p.adapters[p.key(name, adapter)]++
+		}
+	}
+	if e.For != "" {
+		p.holders[e.For]++
+		p.Loads--
+	}
+}
+
+// need is the demand for a key, looked up once.
+func (p *planner) need(key Key) Need {
+	need, ok := p.needs[key]
+	if !ok {
+		need = p.Demand.Need(p.now, key)
+		p.needs[key] = need
+	}
+	return need
+}
+
 func (p *planner) key(model, adapter string) Key {
 	return Key{Service: p.Service, Model: model, Adapter: adapter}
 }
@@ -118,13 +147,12 @@
 func (p *planner) demanded() []string {
 	var names []string
 	for name := range p.models {
-		key := p.key(name, "")
-		if p.Demand.Unplaced(p.now, key) || p.Demand.Rate(p.now, key) > idleRate {
+		if need := p.need(p.key(name, "")); need.Unplaced || need.Rate > idleRate {
 			names = append(names, name)
 		}
 	}
 	sort.Slice(names, func(i, j int) bool {
-		x, y := p.Demand.Rate(p.now, p.key(names[i], "")), p.Demand.Rate(p.now, p.key(names[j], ""))
+		x, y := p.need(p.key(names[i], "")).Rate, p.need(p.key(names[j], "")).Rate
 		if x != y {
 			return x > y
 		}
@@ -160,19 +188,19 @@
 // want tells how many copies a model should have beyond those that it has.
 func (p *planner) want(name string) want {
 	const missingUrgency = 2 // a request for a model that is nowhere, against those that wait at a copy
-	key := p.key(name, "")
+	need := p.need(p.key(name, ""))
 	copies := float64(p.holders[name])
-	pressure := p.Demand.Pressure(p.now, key)
+	pressure := need.Pressure
 	if copies == 0 {
 		return want{model: name, copies: 1, urgency: missingUrgency * math.Max(pressure, 1)}
 	}
-	underWay := float64(p.Demand.InFlight(p.now, key))
+	underWay := float64(need.InFlight)
 	needed := math.Max((pressure-crowdedAbove)/crowded, underWay/full)
 	if needed > copies {
 		return want{model: name, copies: int(math.Min(math.Ceil(needed-copies), mostNewCopies)),
 			urgency: math.Max(pressure, underWay/full) / copies}
 	}
-	if copies == 1 && p.Demand.Rate(p.now, key) > secondCopyRate {
+	if copies == 1 && need.Rate > secondCopyRate {
 		return want{model: name, copies: 1, urgency: secondCopyUrgency}
 	}
 	return want{}
@@ -180,6 +208,9 @@
 
 // place has one more endpoint hold a model, where the room is worth less than the copy.
 func (p *planner) place(name string, urgency float64) {
+	if p.Loads <= 0 || len(p.orders) >= mostOrders {
+		return
+	}
 	model := p.models[name]
 	var best *Endpoint
 	victim, bestCost := "", math.Inf(1)
@@ -193,7 +224,7 @@
 			best, victim, bestCost = e, candidate, cost
 		}
 	}
-	if best == nil || p.Loads <= 0 || len(p.orders) >= mostOrders {
+	if best == nil {
 		return
 	}
 	p.Loads--
@@ -232,27 +263,27 @@
 // worth is what a copy of a model is worth where it stands, in the terms of urgency: what waits for it, or would wait at
 // the copies that are left.
 func (p *planner) worth(name string) float64 {
-	key := p.key(name, "")
-	inFlight, copies := float64(p.Demand.InFlight(p.now, key)), float64(p.holders[name])
-	idle := p.Demand.Rate(p.now, key) <= idleRate && inFlight == 0 && !p.Demand.Unplaced(p.now, key)
-	idleFor := (p.now - p.Demand.AskedAt(key)).Seconds()
+	need := p.need(p.key(name, ""))
+	inFlight, copies := float64(need.InFlight), float64(p.holders[name])
+	idle := need.Rate <= idleRate && need.InFlight == 0 && !need.Unplaced
+	idleFor := (p.now - need.AskedAt).Seconds()
 	switch {
 	case idle && copies > 1:
 		return spareWorth / (1 + idleFor)
 	case idle:
 		return spareWorth + lastWorth/(1+idleFor)
 	case copies > 1:
-		waiting := math.Max(p.Demand.Pressure(p.now, key), inFlight/full)
-		return spareWorth + (keepFactor*waiting+rateWorth*p.Demand.Rate(p.now, key))/(copies-1)
+		waiting := math.Max(need.Pressure, inFlight/full)
+		return spareWorth + (keepFactor*waiting+rateWorth*need.Rate)/(copies-1)
 	}
-	return keepFactor*missingWorth + p.Demand.Rate(p.now, key)
+	return keepFactor*missingWorth + need.Rate
 }
 
 // load is how much of the requests under way an endpoint's models have.
 func (p *planner) load(e *Endpoint) float64 {
 	var load float64
 	for name := range e.Models {
-		load += float64(p.Demand.InFlight(p.now, p.key(name, ""))) / math.Max(float64(p.holders[name]), 1)
+		load += float64(p.need(p.key(name, "")).InFlight) / math.Max(float64(p.holders[name]), 1)
 	}
 	return load
 }
@@ -272,35 +303,30 @@
 
 // placeAdapters loads adapters that are asked for beside their models.
 func (p *planner) placeAdapters() {
-	keys := p.Demand.Keys(p.Service)
-	sort.Slice(keys, func(i, j int) bool {
-		if keys[i].Model != keys[j].Model {
-			return keys[i].Model < keys[j].Model
-		}
-		return keys[i].Adapter < keys[j].Adapter
-	})
-	for _, key := range keys {
-		if _, known := p.models[key.Model]; !known || key.Adapter == "" {
-			continue
+	var lacking []Key
+	for _, key := range p.Demand.Keys(p.Service) {
+		if _, known := p.models[key.Model]; known && key.Adapter != "" && p.lacks(key) {
+			lacking = append(lacking, key)
 		}
-		copies := p.adapterCopies(key)
-		unplaced := p.Demand.Unplaced(p.now, key) || p.Demand.Rate(p.now, key) > idleRate
-		crowded := copies > 0 && p.Demand.InFlight(p.now, key) > adapterCrowded*copies
-		if copies == 0 && unplaced || crowded {
-			p.placeAdapter(key)
+	}
+	sort.Slice(lacking, func(i, j int) bool {
+		if lacking[i].Model != lacking[j].Model {
+			return lacking[i].Model < lacking[j].Model
 		}
+		return lacking[i].Adapter < lacking[j].Adapter
+	})
+	for _, key := range lacking {
+		p.placeAdapter(key)
 	}
 }
 
-func (p *planner) adapterCopies(key Key) int {
-	copies := 0
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
-		if !e.Leaving && contains(e.Models[key.Model], key.Adapter) {
-			copies++
-		}
+// lacks tells whether an adapter should have one more copy.
+func (p *planner) lacks(key Key) bool {
+	need, copies := p.need(key), p.adapters[key]
+	if copies == 0 {
+		return need.Unplaced || need.Rate > idleRate
 	}
-	return copies
+	return need.InFlight > adapterCrowded*copies
 }
 
 func contains(list []string, x string) bool {
@@ -316,17 +342,18 @@
 func (p *planner) placeAdapter(key Key) {
 	var best *Endpoint
 	bestCount := math.MaxInt
-	for i := range p.Endpoints {
-		e := &p.Endpoints[i]
-		adapters, held := e.Models[key.Model]
-		if e.Leaving || p.taken[e.ID] || !held || contains(adapters, key.Adapter) {
+	if len(p.orders) >= mostOrders {
+		return
+	}
+	for _, e := range p.byModel[key.Model] {
+		if p.taken[e.ID] || contains(e.Models[key.Model], key.Adapter) {
 			continue
 		}
 		if count := adapterCount(e); count < bestCount {
 			best, bestCount = e, count
 		}
 	}
-	if best == nil || len(p.orders) >= mostOrders {
+	if best == nil {
 		return
 	}
 	size := p.models[key.Model].AdapterSizeMB
@@ -352,7 +379,7 @@
 	oldest := time.Duration(math.MaxInt64)
 	for name, adapters := range e.Models {
 		for _, a := range adapters {
-			if at := p.Demand.AskedAt(p.key(name, a)); at < oldest || at == oldest && a < adapter {
+			if at := p.need(p.key(name, a)).AskedAt; at < oldest || at == oldest && a < adapter {
 				model, adapter, oldest, ok = name, a, at, true
 			}
 		}
@@ -396,10 +423,7 @@
 	}
 	after := Endpoint{Models: e.Models}
 	after.Apply(order)
-	p := &planner{Input: Input{Engine: engine}, models: map[string]fleetconfig.Model{}}
-	for _, model := range engine.Models {
-		p.models[model.Name] = model
-	}
+	p := &planner{Input: Input{Engine: engine}, models: modelsByName(engine)}
 	for name := range after.Models {
 		if _, known := p.models[name]; !known {
 			return false // what it takes is not known
