Sessions on disk, a holder that starts again acts at once, a start reads little

Cause: after a loss of all power proxies had no endpoints until the next heartbeats, control sidecars waited 750 ms for peers' sessions, and the holder 4 s. Change: a copy of the sessions on disk; peers' sessions count as heard when all that can be reached have sent them; who still holds the role by the view in force waits for nothing; a ring's file is begun anew after 64 records; the ledger of a successor leaves room for what a predecessor may have used, also after a restart.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -134,6 +134,16 @@
 	return p != nil && p.member.ID == member.ID && now-p.askedAt < n.config.SuspectAfter
 }
 
+// Reaches tells whether the voter at an address answers.
+func (n *Node) Reaches(now time.Duration, address string) bool {
+	for _, voter := range n.view.Voters {
+		if voter.Address == address {
+			return n.reachable(now, voter)
+		}
+	}
+	return false
+}
+
 // able tells whether a voter can be in the chain.
 func (n *Node) able(now time.Duration, member Member) bool {
 	if member.ID == n.self.ID {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -75,6 +75,9 @@
 		n.replay(record)
 	}
 	n.committed = n.base.Seq
+	if n.view.Holder == n.self.ID {
+		n.holderSince = now - config.HolderPause // while this view is in force nobody else has held the role
+	}
 	return n
 }
 
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -65,6 +65,15 @@
 	busySince atomic.Int64 // Unix nanoseconds of the steady clock's reading; 0 while nothing is written
 	origin    time.Time
 	size      int64 // of the current file, as jobs were handed over; the owner's
+	records   int   // in it; the owner's
+}
+
+// mostRecords is how many records a file holds before the next one is begun: so many are read at a start.
+const mostRecords = 64
+
+// full tells whether a record is to begin a new file.
+func (d *disk) full(size int64) bool {
+	return d.records >= mostRecords || d.size+size > d.ring.Capacity()
 }
 
 func newDisk(ring *ringlog.Ring, log *slog.Logger, size int64, stored func([]chain.Envelope)) *disk {
--- a/internal/controlplane/endpoints.go
+++ b/internal/controlplane/endpoints.go
@@ -107,6 +107,7 @@
 		p.table.Merge(p.sessionClock, record)
 	}
 	p.table.TakeChanged(p.sessionClock)
+	delete(p.unheard, m.From)
 }
 
 // tellPeers passes on what endpoints have said here.
@@ -131,11 +132,22 @@
 		p.synced, p.syncSince = false, 0
 	case p.synced:
 	case p.syncSince == 0:
-		p.syncSince = now
+		p.syncSince, p.unheard = now, map[string]bool{}
 		for _, peer := range p.peers() {
+			p.unheard[peer] = true
 			p.send(peer, feed.SessionPull{From: p.node.Self().Address})
 		}
-	case now-p.syncSince > p.timing.syncWithin:
+	case now-p.syncSince > p.timing.syncWithin || p.heardAll(now):
 		p.synced = true
 	}
 }
+
+// heardAll tells whether all peers that can be reached have sent their sessions.
+func (p *Process) heardAll(now time.Duration) bool {
+	for peer := range p.unheard {
+		if p.node.Reaches(now, peer) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -57,7 +57,7 @@
 func newPlacer(p *Process) *placer {
 	return &placer{
 		process: p, client: newOrderClient(), demand: placement.NewDemand(),
-		ledger:   placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS)),
+		ledger:   newLedger(p),
 		underWay: map[string]*orderUnderWay{}, overlays: map[string]overlay{}, states: map[string]*endpointState{},
 	}
 }
@@ -120,14 +120,18 @@
 	pl.token = token
 	pl.underWay, pl.overlays = map[string]*orderUnderWay{}, map[string]overlay{}
 	pl.states = map[string]*endpointState{}
-	pl.ledger = placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS))
-	if token > 1 {
+	pl.ledger = newLedger(p)
+	if p.restored || token > 1 {
 		for _, service := range pl.services() {
-			pl.ledger.Assume(now-p.timing.holderPause, service.Engine.LoadsPerS)
+			pl.ledger.Assume(now, service.Engine.LoadsPerS)
 		}
 	}
 }
 
+func newLedger(p *Process) *placement.Ledger {
+	return placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS), p.settings.Bounds.OriginRateOvershoot)
+}
+
 // services are those with model endpoints, as the committed configuration has them.
 func (pl *placer) services() []fleetconfig.Service {
 	state := pl.process.node.CommittedState()
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -34,16 +34,19 @@
 	commands chan func()
 	ctx      context.Context
 
-	node  *chain.Node
-	disk  *disk
-	table *sessions.Table
-	links map[string]*peerlink.Link
+	node     *chain.Node
+	restored bool // from its disk
+	disk     *disk
+	saver    *sessionSaver
+	table    *sessions.Table
+	links    map[string]*peerlink.Link
 
 	sessionClock time.Duration // advances while a majority is in touch
 	lastTick     time.Duration
 	signsDue     time.Duration
 	syncSince    time.Duration // since when this member is in touch without its peers' sessions; 0 before
 	synced       bool
+	unheard      map[string]bool // peers whose sessions have not come since
 
 	calls       calls
 	writes      []pendingWrite
@@ -75,6 +78,8 @@
 	if err := p.restore(); err != nil {
 		return err
 	}
+	p.saver = p.restoreSessions()
+	go p.saver.run(ctx.Done())
 	go p.disk.run(ctx.Done())
 	internal, err := net.Listen("tcp", settings.InternalAddress(settings.IPAddress))
 	if err != nil {
@@ -114,11 +119,12 @@
 	if err != nil {
 		return err
 	}
-	if len(decoded) > 0 {
-		p.node = chain.Restore(p.chainConfig(""), p.now(), decoded)
+	p.disk.records = len(decoded)
+	if len(decoded) == 0 {
+		p.begin()
 		return nil
 	}
-	p.begin()
+	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), decoded), true
 	return nil
 }
 
@@ -267,7 +273,7 @@
 		rotate := false
 		if _, snapshot := record.(chain.Snapshot); snapshot {
 			rotate = true
-		} else if p.disk.size+ringlog.Size(payload) > p.disk.ring.Capacity() {
+		} else if p.disk.full(ringlog.Size(payload)) {
 			// The snapshot holds what the record says, as the node has taken it already.
 			if payload, err = encodeRecord(p.node.Snapshot()); err != nil {
 				p.log.Error("record.unencodable", "error", err)
@@ -276,8 +282,9 @@
 			rotate = true
 		}
 		if rotate {
-			p.disk.size = 0
+			p.disk.size, p.disk.records = 0, 0
 		}
+		p.disk.records++
 		p.disk.size += ringlog.Size(payload)
 		job.records = append(job.records, ringlog.Record{Payload: payload, Rotate: rotate})
 	}
@@ -349,6 +356,7 @@
 	p.tellPeers(now)
 	p.tellSubscribers(now)
 	p.placer.settle(now)
+	p.saveSessions(now)
 }
 
 // DataDirectoryOf is where a process keeps its state.
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -8,23 +8,32 @@
 // Ledger keeps account of the loads of weights that have begun, so that they stay below the store's ceiling in every
 // window.
 type Ledger struct {
-	window time.Duration
-	begun  []time.Duration
+	window    time.Duration
+	overshoot float64 // by which the ceiling may be passed
+	begun     []time.Duration
 }
 
-// ceilingShare is the part of the ceiling that is used: what an order that was not answered has begun is counted as well,
-// but not when it did.
-const ceilingShare = 0.9
+const (
+	// ceilingShare is the part of the ceiling that is used: what an order that was not answered has begun is counted as
+	// well, but not when it did.
+	ceilingShare = 0.9
+	// ceilingSlack is how many loads any window may have beyond the ceiling.
+	ceilingSlack = 3
+)
 
 // NewLedger makes a ledger for a window.
-func NewLedger(window time.Duration) *Ledger { return &Ledger{window: window} }
+func NewLedger(window time.Duration, overshoot float64) *Ledger {
+	return &Ledger{window: window, overshoot: overshoot}
+}
 
 // Begin notes a load.
 func (l *Ledger) Begin(now time.Duration) { l.begun = append(l.begun, now) }
 
-// Assume notes loads that a predecessor may have begun until a time.
+// Assume notes as many loads as a predecessor may have begun until a time, less those that the ceiling leaves beyond
+// what it used.
 func (l *Ledger) Assume(until time.Duration, perS float64) {
-	for range l.most(perS) {
+	most := l.most(perS)
+	for range max(2*most-l.ceiling(perS), 0) {
 		l.begun = append(l.begun, until)
 	}
 }
@@ -33,6 +42,10 @@
 	return int(math.Max(math.Floor(perS*l.window.Seconds()*ceilingShare), 1))
 }
 
+func (l *Ledger) ceiling(perS float64) int {
+	return int(math.Floor(perS*l.window.Seconds()*l.overshoot)) + ceilingSlack
+}
+
 // Room is how many loads may begin now.
 func (l *Ledger) Room(now time.Duration, perS float64) int {
 	kept := l.begun[:0]
--- a/internal/ringlog/ringlog.go
+++ b/internal/ringlog/ringlog.go
@@ -249,9 +249,10 @@
 	if err != nil {
 		return nil, err
 	}
+	ahead := &readAhead{file: file}
 	var records [][]byte
 	for {
-		record, ok := readRecord(file, r.offset, limit)
+		record, ok := readRecord(ahead, r.offset, limit)
 		if !ok || len(records) > 0 && record.seq != r.seq+1 {
 			break
 		}
@@ -265,6 +266,30 @@
 	return records, nil
 }
 
+// readAhead reads a file in larger pieces than it is asked for.
+type readAhead struct {
+	file  io.ReaderAt
+	at    int64 // where the piece begins
+	piece []byte
+}
+
+const readAheadSize = 64 << 10
+
+func (r *readAhead) ReadAt(b []byte, offset int64) (int, error) {
+	if offset < r.at || offset+int64(len(b)) > r.at+int64(len(r.piece)) {
+		if len(b) > readAheadSize {
+			return r.file.ReadAt(b, offset)
+		}
+		piece := make([]byte, readAheadSize)
+		n, err := r.file.ReadAt(piece, offset)
+		r.at, r.piece = offset, piece[:n]
+		if n < len(b) {
+			return copy(b, r.piece), err
+		}
+	}
+	return copy(b, r.piece[offset-r.at:]), nil
+}
+
 // provesDamage looks behind the end of the log for a record that was written when a lost one was stored already.
 func provesDamage(file io.ReaderAt, offset, limit int64, last uint64) bool {
 	ahead := make([]byte, min(scanAhead, max(limit-offset, 0)))
