Four candidates, ties by reports and shared beginnings; a holder's pause is remembered

Cause: with few calls a sidecar, two candidates mostly tie, and prompts are read again where they are not kept. Change: candidates compare own calls, reports, then the shared beginning; the end of a pause is a record.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -17,6 +17,10 @@
 		out.Urgent = n.pings(now)
 	}
 	out.Messages = append(out.Messages, n.resend(now)...)
+	if token, holds := n.Holds(now); holds && n.held != token {
+		n.held = token
+		out.Records = append(out.Records, HeldRecord{Token: token})
+	}
 	proposal := n.consider(now)
 	out.Records = append(out.Records, proposal.Records...)
 	out.Messages = append(out.Messages, proposal.Messages...)
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -28,6 +28,7 @@
 	wantSince    time.Duration // since when the view should be another one; 0 for it should not
 	installedAt  time.Duration
 	holderSince  time.Duration // when this member became the holder
+	held         uint64        // the token with which it has waited out its pause
 	nextProposal time.Duration
 	resentAt     time.Duration
 }
@@ -75,8 +76,8 @@
 		n.replay(record)
 	}
 	n.committed = n.base.Seq
-	if n.view.Holder == n.self.ID {
-		n.holderSince = now - config.HolderPause // while this view is in force nobody else has held the role
+	if n.view.Holder == n.self.ID && n.held == n.view.Token {
+		n.holderSince = now - config.HolderPause // nobody else can have held the role since
 	}
 	return n
 }
@@ -90,7 +91,7 @@
 	switch r := record.(type) {
 	case Snapshot:
 		n.self, n.view, n.base = r.Self, r.View, r.Base
-		n.promised, n.accepted = r.Promised, r.Accepted
+		n.promised, n.accepted, n.held = r.Promised, r.Accepted, r.Held
 		n.log, n.state = nil, r.Base
 		for _, entry := range r.Entries {
 			n.add(entry)
@@ -102,6 +103,8 @@
 	case AcceptRecord:
 		accepted := r.Accepted
 		n.accepted, n.promised = &accepted, accepted.Ballot
+	case HeldRecord:
+		n.held = r.Token
 	case InstallRecord:
 		n.enter(r.Proposal)
 	}
@@ -119,7 +122,8 @@
 }
 
 func (n *Node) snapshot() Snapshot {
-	return Snapshot{Self: n.self, View: n.view, Base: n.base, Entries: n.after(0), Promised: n.promised, Accepted: n.accepted}
+	return Snapshot{Self: n.self, View: n.view, Base: n.base, Entries: n.after(0), Promised: n.promised, Accepted: n.accepted,
+		Held: n.held}
 }
 
 // Snapshot is all that must not be forgotten, with what is committed folded into the base.
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -121,6 +121,7 @@
 		Entries  []Entry
 		Promised Ballot
 		Accepted *Accepted
+		Held     uint64
 	}
 	// EntryRecord is an entry added to the log.
 	EntryRecord struct{ Entry Entry }
@@ -128,6 +129,8 @@
 	PromiseRecord struct{ Ballot Ballot }
 	// AcceptRecord is an accepted proposal.
 	AcceptRecord struct{ Accepted Accepted }
+	// HeldRecord tells that this member has waited out its pause as the holder with a token.
+	HeldRecord struct{ Token uint64 }
 	// InstallRecord is a view that was decided; it ends the log and the promises of the one before.
 	InstallRecord struct{ Proposal Proposal }
 )
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -121,7 +121,8 @@
 		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
 		Subscribers{}, Write{}, Read{}, Reply{},
 		&fleetconfig.State{}, fleetconfig.Change{},
-		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.InstallRecord{},
+		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.HeldRecord{},
+		chain.InstallRecord{},
 	} {
 		gob.Register(message)
 	}
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -181,7 +181,7 @@
 			m.wipe()
 		}
 		if wiped {
-			l.until[i] = w.now + down + catchUp
+			l.until[i] = w.now + step.For*3/2 + catchUp // a majority is back by then
 		}
 		w.after(down, func() { m.restart() })
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -227,20 +227,40 @@
 
 func missingKey(model, adapter string) string { return model + "/" + adapter }
 
-// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
-const sameWork = 2
+const (
+	// candidates is how many random endpoints a pick compares.
+	candidates = 4
+	// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
+	sameWork = 2
+)
 
-// draw takes two random candidates and returns the one with fewer own calls in flight. A tie goes to the one that ranks
-// higher for the affinity, so that requests which share a beginning tend to meet where it is kept; without one, to either.
+// draw compares random candidates and returns the one with the fewest own calls in flight.
 func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
-	a, b := p.random1(now, usable), p.random1(now, usable)
-	if affinity != 0 && a.inFlight == b.inFlight && math.Abs(a.work(now)-b.work(now)) <= sameWork {
-		if rendezvous(affinity, a.ID) > rendezvous(affinity, b.ID) {
-			return a
+	best := p.random1(now, usable)
+	for range candidates - 1 {
+		if other := p.random1(now, usable); other != best && p.better(now, other, best, affinity) {
+			best = other
 		}
-		return b
 	}
-	return p.fewer(now, a, b)
+	return best
+}
+
+// better compares two candidates: by own calls in flight, then by what the endpoints say that they have to do. A tie goes
+// to the one that ranks higher for the affinity, so that requests which share a beginning tend to meet where it is kept;
+// without one, to either.
+func (p *Pool) better(now time.Duration, a, b *Endpoint, affinity uint64) bool {
+	x, y := a.work(now), b.work(now)
+	switch {
+	case a.inFlight != b.inFlight:
+		return a.inFlight < b.inFlight
+	case math.Abs(x-y) > sameWork:
+		return x < y
+	case affinity != 0:
+		return rendezvous(affinity, a.ID) > rendezvous(affinity, b.ID)
+	case x != y:
+		return x < y
+	}
+	return p.random.IntN(2) == 0
 }
 
 // rendezvous ranks endpoints for an affinity, alike at every sidecar.
@@ -280,19 +300,6 @@
 	return rampFrom + (1-rampFrom)*max(done, 0)
 }
 
-func (p *Pool) fewer(now time.Duration, a, b *Endpoint) *Endpoint {
-	x, y := a.work(now), b.work(now)
-	switch {
-	case x < y:
-		return a
-	case y < x:
-		return b
-	case p.random.IntN(2) == 0:
-		return a
-	}
-	return b
-}
-
 // work is an endpoint's own calls in flight, with what it has lately said that others have it do.
 func (e *Endpoint) work(now time.Duration) float64 {
 	work := float64(e.inFlight)
