Links wake when a peer is heard of; a returning member is brought up first

Cause: after a head came back, it took 1.2 s until changes were taken: links to it were in a dial that hung or in their pause, it took changes by its old view, and the proposal waited for its promise. Change: a ping wakes the link; who no majority confirms takes no change; only members with the view in force join its chain.

--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -89,7 +89,9 @@
 		}
 	}
 	for _, voter := range wanted.Voters {
-		add(voter)
+		if n.upToDate(voter) {
+			add(voter)
+		}
 	}
 	if len(wanted.Chain) < wanted.Majority() {
 		return View{}, false
@@ -101,6 +103,15 @@
 	return wanted, true
 }
 
+// upToDate tells whether a member has the view in force, or is to join with the next one.
+func (n *Node) upToDate(member Member) bool {
+	if _, voter := n.view.Voter(member.ID); !voter || member.ID == n.self.ID {
+		return true
+	}
+	p := n.peers[member.Address]
+	return p != nil && p.status.View == n.view.Number
+}
+
 // wantedVoters are the voters with joining members added, and those that cannot be reached left out where others
 // take their place.
 func (n *Node) wantedVoters(now time.Duration) []Member {
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -74,8 +74,8 @@
 	}
 	view := p.node.View()
 	head, ok := view.Voter(view.Head())
-	if !ok {
-		answer(unavailable("no head is known"))
+	if !ok || !p.node.Reaches(p.now(), head.Address) {
+		answer(unavailable("no head can be reached"))
 		return
 	}
 	p.forward(head.Address, func(id uint64) any {
@@ -84,7 +84,7 @@
 }
 
 func (p *Process) writeHere(change fleetconfig.Change, answer func(feed.Reply)) {
-	if !p.node.IsHead() || len(p.writes) >= mostWaiting {
+	if !p.node.IsHead() || !p.inForce() || len(p.writes) >= mostWaiting {
 		answer(unavailable("this member is not the head"))
 		return
 	}
@@ -108,6 +108,12 @@
 	}
 }
 
+// inForce tells whether a majority has lately confirmed the view: who was left behind sends callers elsewhere at once.
+func (p *Process) inForce() bool {
+	now := p.now()
+	return now-p.node.Confirmed(now) < p.timing.suspectAfter
+}
+
 func (p *Process) propose(change fleetconfig.Change) bool {
 	operation, err := encodeOperation(change)
 	if err != nil {
@@ -128,8 +134,8 @@
 	}
 	view := p.node.View()
 	tail, ok := view.Voter(view.Tail())
-	if !ok {
-		answer(unavailable("no tail is known"))
+	if !ok || !p.node.Reaches(p.now(), tail.Address) {
+		answer(unavailable("no tail can be reached"))
 		return
 	}
 	p.forward(tail.Address, func(id uint64) any { return feed.Read{From: p.node.Self().Address, ID: id} }, answer)
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -71,7 +71,12 @@
 		p.onReply(m)
 	case feed.DemandReport:
 		p.placer.report(m)
-	case chain.Ping, chain.Pong, chain.Prepare, chain.Promise, chain.Reject, chain.Accept, chain.AcceptedReply, chain.Install,
+	case chain.Ping:
+		if link := p.links[m.From.Address]; link != nil && !p.node.Reaches(now, m.From.Address) {
+			link.Wake()
+		}
+		p.act(p.node.Receive(now, m))
+	case chain.Pong, chain.Prepare, chain.Promise, chain.Reject, chain.Accept, chain.AcceptedReply, chain.Install,
 		chain.Append, chain.Committed:
 		p.act(p.node.Receive(now, m))
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/gob"
 	"io"
@@ -43,8 +44,14 @@
 
 // Dial makes a connection to another process within a time.
 func Dial(address string, within time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: within, Control: control}
-	raw, err := dialer.Dial("tcp", address)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return dialContext(ctx, address)
+}
+
+func dialContext(ctx context.Context, address string) (*Conn, error) {
+	dialer := net.Dialer{Control: control}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
