--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -43,7 +43,7 @@
 	root := &cobra.Command{Use: "dykering-lab", Short: "The laboratory of the broker", Args: cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
 		RunE: func(c *cobra.Command, _ []string) error { return errors.New("a command is missing") }}
-	root.AddCommand(newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(), newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch())
+	root.AddCommand(newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(), newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newScale())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- a/internal/controlplane/endpoints.go
+++ b/internal/controlplane/endpoints.go
@@ -88,12 +88,10 @@
 	for _, record := range m.Records {
 		p.table.Merge(p.sessionClock, record)
 	}
-	p.table.TakeChanged(p.sessionClock) // peers tell one another directly: what one says is not passed on
 	unknown := false
 	for _, sign := range m.Signs {
 		unknown = !p.table.Alive(p.sessionClock, sign.ID, sign.Sequence, sign.Age) || unknown
 	}
-	p.table.TakeAlive(p.sessionClock)
 	if unknown {
 		p.send(m.From, feed.SessionPull{From: p.node.Self().Address})
 	}
@@ -106,7 +104,6 @@
 	for _, record := range m.Records {
 		p.table.Merge(p.sessionClock, record)
 	}
-	p.table.TakeChanged(p.sessionClock)
 	delete(p.unheard, m.From)
 }
 
--- a/internal/controlplane/savesessions.go
+++ b/internal/controlplane/savesessions.go
@@ -52,7 +52,6 @@
 		record.Age = 0 // how long this process was away is not known
 		p.table.Merge(p.sessionClock, record)
 	}
-	p.table.TakeChanged(p.sessionClock)
 	return s
 }
 
--- a/internal/sessions/table.go
+++ b/internal/sessions/table.go
@@ -133,7 +133,7 @@
 	if known != nil && beat.Sequence <= known.endpoint.Heartbeat.Sequence && beat.Sequence != 0 {
 		return false
 	}
-	t.merge(now, Endpoint{ID: id, Heartbeat: beat, State: beat.State})
+	t.tell(id, t.merge(now, Endpoint{ID: id, Heartbeat: beat, State: beat.State}))
 	return true
 }
 
@@ -145,7 +145,7 @@
 	}
 	gone := known.endpoint
 	gone.State = Gone
-	t.merge(now, gone)
+	t.tell(id, t.merge(now, gone))
 }
 
 // SetOverlay notes what orders have made of an endpoint.
@@ -156,14 +156,12 @@
 	}
 	next := known.endpoint
 	next.Overlay = overlay
-	t.update(known, next, true)
+	t.tell(id, t.update(known, next))
 }
 
-// Merge takes what another control sidecar says. It reports whether anything was news.
+// Merge takes what another control sidecar says: it tells all others itself. It reports whether anything was news.
 func (t *Table) Merge(now time.Duration, record Record) bool {
-	before := t.revision
-	t.merge(now-record.Age, record.Endpoint)
-	return t.revision != before
+	return t.merge(now-record.Age, record.Endpoint)
 }
 
 // Alive notes that an endpoint was heard of elsewhere. It is false for one that is not known.
@@ -179,23 +177,23 @@
 	if known.endpoint.State == Silent && now-known.heardAt < t.silentAfter {
 		next := known.endpoint
 		next.State = Ready
-		t.update(known, next, false)
+		t.update(known, next)
 	}
 	return true
 }
 
 var ranks = map[State]int{Ready: 0, Silent: 0, Draining: 1, Gone: 2}
 
-func (t *Table) merge(heardAt time.Duration, told Endpoint) {
+// merge takes what is said of an endpoint. It reports whether that is news to subscribers.
+func (t *Table) merge(heardAt time.Duration, told Endpoint) bool {
 	known := t.entries[told.ID]
 	if known == nil {
 		if len(t.entries) >= mostEntries {
-			return
+			return false
 		}
 		known = &entry{heardAt: heardAt}
 		t.entries[told.ID] = known
-		t.update(known, told, true)
-		return
+		return t.update(known, told)
 	}
 	next := known.endpoint
 	if told.Heartbeat.Sequence >= next.Heartbeat.Sequence {
@@ -208,21 +206,27 @@
 		next.State = told.State
 	}
 	known.heardAt = max(known.heardAt, heardAt)
-	t.update(known, next, !sameToSubscribers(&known.endpoint, &next))
+	return t.update(known, next)
 }
 
-// update puts a new endpoint into a row, and notes whom it is news to.
-func (t *Table) update(row *entry, next Endpoint, peersToo bool) {
-	if row.endpoint.ID == "" || !sameToSubscribers(&row.endpoint, &next) {
+// update puts a new endpoint into a row. It reports whether that is news to subscribers.
+func (t *Table) update(row *entry, next Endpoint) bool {
+	news := row.endpoint.ID == "" || !sameToSubscribers(&row.endpoint, &next)
+	if news {
 		t.revision++
 		row.revision = t.revision
 	}
 	row.endpoint = next
-	if peersToo {
-		t.changed = append(t.changed, next.ID)
-	} else {
-		t.alive[next.ID] = true
+	return news
+}
+
+// tell notes that other control sidecars are to hear of an endpoint: in full where there is news, else as a sign of life.
+func (t *Table) tell(id string, news bool) {
+	if news {
+		t.changed = append(t.changed, id)
+		return
 	}
+	t.alive[id] = true
 }
 
 // sameToSubscribers compares what matters to those who send requests.
@@ -260,11 +264,11 @@
 		case quiet > t.silentAfter && row.endpoint.State == Ready:
 			next := row.endpoint
 			next.State = Silent
-			t.update(row, next, false)
+			t.update(row, next)
 		case quiet > 2*t.silentAfter && row.endpoint.State == Draining:
 			next := row.endpoint
 			next.State = Gone
-			t.update(row, next, false)
+			t.update(row, next)
 		}
 	}
 }
--- a/internal/sessions/table_test.go
+++ b/internal/sessions/table_test.go
@@ -69,6 +69,16 @@
 		Expect(table.Alive(0, "unknown", 1, 0)).To(BeFalse())
 	})
 
+	It("tells others what was heard here, whatever others say meanwhile, and nothing that they said", func() {
+		table.Heard(0, "mine", beat(1, Ready))
+		table.TakeChanged(0)
+		table.Heard(time.Second, "mine", beat(2, Ready))
+		table.Merge(time.Second, Record{Endpoint: Endpoint{ID: "theirs", Heartbeat: beat(1, Ready), State: Ready}})
+		table.Alive(time.Second, "theirs", 2, 0)
+		Expect(table.TakeChanged(time.Second)).To(BeEmpty())
+		Expect(table.TakeAlive(time.Second)).To(Equal([]Sign{{ID: "mine", Sequence: 2}}))
+	})
+
 	It("merges alike in any order", func() {
 		records := []Record{
 			{Endpoint: Endpoint{ID: "i", Heartbeat: beat(1, Ready), State: Ready}},
