--- a/cmd/dykering/fleet.go
+++ b/cmd/dykering/fleet.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -11,7 +11,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
 
 	"dykering/internal/fleet/budgets"
 	"dykering/internal/fleet/gossip"
@@ -22,37 +23,22 @@
 // askTimeout bounds a call to the second address.
 const askTimeout = 5 * time.Second
 
-func newFleet() *cobra.Command {
-	fleet := &cobra.Command{Use: "fleet", Short: "Look at the view of the fleet of a running process", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: members, state or budgets is missing") }}
+func newFleet() *cli.Command {
 	var control string
-	state := &cobra.Command{Use: "state", Short: "The facts that a process holds of servers: origin, what it says, how much longer it holds",
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := showState(c.OutOrStdout(), control); err != nil {
-				return faulty{err}
-			}
-			return nil
-		}}
-	budget := &cobra.Command{Use: "budgets", Short: "What a process may spend of each whole, by which lease; at a voter, what all may",
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := showBudgets(c.OutOrStdout(), control); err != nil {
-				return faulty{err}
-			}
-			return nil
-		}}
-	members := &cobra.Command{Use: "members", Short: "The members that a process holds: id, state, incarnation, zone, since",
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := showMembers(c.OutOrStdout(), control); err != nil {
-				return faulty{err}
-			}
-			return nil
+	look := func(name, usage string, show func(out io.Writer, control string) error) *cli.Command {
+		return &cli.Command{Name: name, Usage: usage,
+			Action: action(func(c *cli.Command) error { return show(c.Root().Writer, control) })}
+	}
+	return &cli.Command{Name: "fleet", Usage: "Look at the view of the fleet of a running process",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "control", Value: "127.0.0.1:9901", Usage: "the process's second address", Destination: &control}},
+		Action: func(context.Context, *cli.Command) error {
+			return errors.New("fleet: members, state or budgets is missing")
+		},
+		Commands: []*cli.Command{
+			look("members", "The members that a process holds: id, state, incarnation, zone, since", showMembers),
+			look("state", "The facts that a process holds of servers: origin, what it says, how much longer it holds", showState),
+			look("budgets", "What a process may spend of each whole, by which lease; at a voter, what all may", showBudgets),
 		}}
-	fleet.PersistentFlags().StringVar(&control, "control", "127.0.0.1:9901", "the process's second address")
-	fleet.AddCommand(members, state, budget)
-	return fleet
 }
 
 // askFleet asks a process for a part of what it keeps of the fleet.
--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -3,7 +3,8 @@
 package main
 
 import (
-	"errors"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -11,10 +12,13 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/spf13/cobra"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
 
 	"dykering/internal/config"
 	"dykering/internal/faults"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/nodefile"
 	"dykering/internal/operator"
 	"dykering/internal/sidecar"
 )
@@ -36,10 +40,8 @@
 // execute runs a command line, and returns the exit code.
 func execute(args []string, out, errOut io.Writer) int {
 	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	err := root.Execute()
+	root.Writer, root.ErrWriter = out, errOut
+	err := root.Run(context.Background(), append([]string{root.Name}, args...))
 	if err == nil {
 		return exitOK
 	}
@@ -53,33 +55,85 @@
 	return exitUsage
 }
 
-func newRoot() *cobra.Command {
-	root := &cobra.Command{
-		Use: "dykering", Short: "A broker between services: it picks a server for each request and keeps strict rules.",
-		Long: "A broker between services: it picks a server for each request and keeps strict rules.\n\n" +
-			"Exit codes: 0 well, 1 a fault in what it was given or in the running, 2 a wrong command line.",
-		SilenceErrors: true, SilenceUsage: true, Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			c.SetOut(c.ErrOrStderr())
-			c.Help()
+const about = "A broker between services, and the router and placer of many models: it picks a server for each request and keeps " +
+	"strict rules."
+
+func newRoot() *cli.Command {
+	root := &cli.Command{
+		Name: "dykering", Usage: about,
+		Description:           "Exit codes: 0 well, 1 a fault in what it was given or in the running, 2 a wrong command line.",
+		EnableShellCompletion: true, HideVersion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
+		ExitErrHandler:                  func(context.Context, *cli.Command, error) {}, // execute tells of errors
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return fmt.Errorf("unknown command %q", c.Args().First())
+			}
+			c.Root().Writer = c.Root().ErrWriter
+			if err := cli.ShowAppHelp(c); err != nil {
+				return err
+			}
 			return errors.New("a command is missing")
 		},
+		Commands: []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl()},
 	}
-	show := &cobra.Command{Use: "config", Short: "Look at the configuration", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return errors.New("config: show or default is missing") }}
-	show.AddCommand(newShow(), newDefault())
-	root.AddCommand(newRun(), newCheck(), show, newVersion(), newFleet(), newProxy(), newControl())
+	everyCommand(root, func(c *cli.Command) { c.OnUsageError = usageError })
 	return root
 }
 
+// everyCommand does something to a command and those below it.
+func everyCommand(c *cli.Command, do func(*cli.Command)) {
+	do(c)
+	for _, sub := range c.Commands {
+		everyCommand(sub, do)
+	}
+}
+
+// usageError names a flag as it is written.
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return errors.New(strings.Replace(err.Error(), "not defined: -", "not defined: --", 1))
+}
+
+// action does a command's work. A command that takes no arguments refuses them; errors of the work are no errors of the
+// command line.
+func action(work func(c *cli.Command) error) cli.ActionFunc {
+	return func(_ context.Context, c *cli.Command) error {
+		if c.Args().Present() {
+			return fmt.Errorf("%s: unknown argument %q", c.Name, c.Args().First())
+		}
+		return faultOf(work(c))
+	}
+}
+
+// joined is several errors as one; nil for none.
+func joined(all []error) error {
+	var lines []string
+	for _, err := range all {
+		if err != nil {
+			lines = append(lines, err.Error())
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// faultOf marks an error as one of the work.
+func faultOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	return faulty{err}
+}
+
 // files are the flags that name what a process is told.
 type files struct{ platform, operator string }
 
-func (f *files) flags(c *cobra.Command) {
-	c.Flags().StringVar(&f.platform, "config", "", "the platform's JSON file, in place of BALANCER_CONFIG")
-	c.Flags().StringVar(&f.operator, "operator", "", "the operator's TOML file; without it the defaults hold")
-	if err := errors.Join(c.MarkFlagFilename("config", "json"), c.MarkFlagFilename("operator", "toml")); err != nil {
-		panic(err) // a flag that is not there: a fault of this program's, that any test of it finds
+func (f *files) flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "config", Usage: "the platform's JSON file, in place of BALANCER_CONFIG", Destination: &f.platform, TakesFile: true},
+		&cli.StringFlag{Name: "operator", Usage: "the operator's TOML file; without it the defaults hold", Destination: &f.operator, TakesFile: true},
 	}
 }
 
@@ -91,62 +145,73 @@
 	return os.Getenv(name)
 }
 
-func newRun() *cobra.Command {
+func newRun() *cli.Command {
 	var f files
-	c := &cobra.Command{Use: "run", Short: "Serve until SIGTERM", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			if err := f.run(); err != nil {
-				return faulty{err}
-			}
-			return nil
-		}}
-	f.flags(c)
-	return c
+	return &cli.Command{Name: "run", Usage: "Serve until SIGTERM", Flags: f.flags(),
+		Action: action(func(*cli.Command) error { return f.run() })}
 }
 
 func (f *files) run() error { return sidecar.Main(f.getenv, f.operator) }
 
-func newCheck() *cobra.Command {
-	return &cobra.Command{Use: "check FILE...", Short: "Check platform's JSON and operator's TOML files, and start nothing",
-		Args: cobra.MinimumNArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
+func newCheck() *cli.Command {
+	return &cli.Command{Name: "check", ArgsUsage: "FILE...",
+		Usage: "Check files and start nothing: the platform's JSON, the operator's TOML, a role's settings, a configuration of the system",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if !c.Args().Present() {
+				return errors.New("check: requires at least 1 arg: a file")
+			}
 			var wrong []error
-			for _, path := range args {
+			for _, path := range c.Args().Slice() {
 				wrong = append(wrong, check(path))
 			}
-			if err := errors.Join(wrong...); err != nil {
-				return faulty{err}
-			}
-			return nil
+			return faultOf(joined(wrong))
 		}}
 }
 
-// check finds what is wrong with one file. The platform's are JSON, by their name.
+// check finds what is wrong with one file. The platform's are JSON, by their name; a configuration of the system is JSON
+// with routes, and a role's settings are TOML with a node's name.
 func check(path string) error {
-	if !strings.HasSuffix(path, ".json") {
-		_, wrong := operator.Load(path, os.LookupEnv)
-		return faults.Join(wrong)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
 	}
-	_, err := config.Load(func(name string) string {
-		if name == "BALANCER_CONFIG" {
-			return path
-		}
-		return "" // the file alone, not what this environment makes of it
-	})
-	return err
+	isJSON := strings.HasSuffix(path, ".json")
+	switch {
+	case isJSON && isConfiguration(text):
+		change := &fleetconfig.Change{Operation: fleetconfig.Replace, Body: text}
+		_, err := (&fleetconfig.State{}).Next(change)
+		return errors.Wrap(err, path)
+	case isJSON:
+		_, err := config.Load(func(name string) string {
+			if name == "BALANCER_CONFIG" {
+				return path
+			}
+			return "" // the file alone, not what this environment makes of it
+		})
+		return err
+	case strings.Contains(string(text), "node_name"):
+		_, err := nodefile.Load(path)
+		return err
+	}
+	_, wrong := operator.Load(path, os.LookupEnv)
+	return faults.Join(wrong)
 }
 
-func newShow() *cobra.Command {
+// isConfiguration tells whether JSON is a configuration of the system.
+func isConfiguration(text []byte) bool {
+	var document map[string]json.RawMessage
+	return json.Unmarshal(text, &document) == nil && document["routes"] != nil
+}
+
+func newConfig() *cli.Command {
+	return &cli.Command{Name: "config", Usage: "Look at the configuration", Commands: []*cli.Command{newShow(), newDefault()},
+		Action: func(context.Context, *cli.Command) error { return errors.New("config: show or default is missing") }}
+}
+
+func newShow() *cli.Command {
 	var f files
-	c := &cobra.Command{Use: "show", Short: "Show what holds, and where each value comes from", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := f.show(c.OutOrStdout()); err != nil {
-				return faulty{err}
-			}
-			return nil
-		}}
-	f.flags(c)
-	return c
+	return &cli.Command{Name: "show", Usage: "Show what holds, and where each value comes from", Flags: f.flags(),
+		Action: action(func(c *cli.Command) error { return f.show(c.Root().Writer) })}
 }
 
 func (f *files) show(out io.Writer) error {
@@ -173,14 +238,17 @@
 	return t.Flush()
 }
 
-func newDefault() *cobra.Command {
-	return &cobra.Command{Use: "default", Short: "Print an operator's file with every key and its default", Args: cobra.NoArgs,
-		Run: func(c *cobra.Command, _ []string) { fmt.Fprint(c.OutOrStdout(), operator.Example()) }}
+func newDefault() *cli.Command {
+	return &cli.Command{Name: "default", Usage: "Print an operator's file with every key and its default",
+		Action: action(func(c *cli.Command) error {
+			_, err := fmt.Fprint(c.Root().Writer, operator.Example())
+			return err
+		})}
 }
 
-func newVersion() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(c *cobra.Command, _ []string) {
+func newVersion() *cli.Command {
+	return &cli.Command{Name: "version", Usage: "Print the version",
+		Action: action(func(c *cli.Command) error {
 			version, revision := "unknown", ""
 			if info, ok := debug.ReadBuildInfo(); ok {
 				version = info.Main.Version
@@ -191,6 +259,7 @@
 				}
 				revision += " " + info.GoVersion
 			}
-			fmt.Fprintf(c.OutOrStdout(), "dykering %s%s, operator's file version %d\n", version, revision, operator.Version)
-		}}
+			_, err := fmt.Fprintf(c.Root().Writer, "dykering %s%s, operator's file version %d\n", version, revision, operator.Version)
+			return err
+		})}
 }
--- a/cmd/dykering/system.go
+++ b/cmd/dykering/system.go
@@ -9,7 +9,7 @@
 	"syscall"
 
 	charm "github.com/charmbracelet/log"
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"dykering/internal/controlplane"
 	"dykering/internal/dataplane"
@@ -23,22 +23,16 @@
 // role runs one role of the system.
 type role func(settings nodefile.Settings, log *slog.Logger, stop <-chan os.Signal) error
 
-func newProxy() *cobra.Command {
+func newProxy() *cli.Command {
 	return newRole("proxy", "Carry the traffic of clients, as the settings file says", dataplane.Run)
 }
 
-func newControl() *cobra.Command {
+func newControl() *cli.Command {
 	return newRole("control", "Serve the control plane, as the settings file says", controlplane.Run)
 }
 
-func newRole(name, short string, run role) *cobra.Command {
-	return &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			if err := runRole(run); err != nil {
-				return faulty{err}
-			}
-			return nil
-		}}
+func newRole(name, usage string, run role) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: action(func(*cli.Command) error { return runRole(run) })}
 }
 
 // runRole runs a role until SIGTERM or SIGINT.
