--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -78,6 +78,19 @@
 		Expect(wait).To(BeNumerically(">", 0))
 	})
 
+	It("waits for longer where it comes after another try", func() {
+		s := newSidecar(route("non_idempotent", ""), newStandIn("i-1", says(200, "hello", stamped)))
+		began := time.Now()
+		_, _, err := s.ask("/p/", "X-Model: n", "X-Deadline-Ms: 1000")
+		Expect(err).NotTo(HaveOccurred())
+		first := time.Since(began)
+		Expect(first).To(BeNumerically(">=", 100*time.Millisecond), "a fifth of the target")
+		response, _, err := s.ask("/p/", "X-Model: n", "X-Deadline-Ms: 700")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(503))
+		Expect(time.Since(began) - first).To(BeNumerically(">=", 350*time.Millisecond), "half of its time")
+	})
+
 	It("is not taken before there is a configuration", func() {
 		s := newSidecar(route("non_idempotent", ""))
 		s.process.config.Store(nil)
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -46,6 +46,7 @@
 
 	config      atomic.Pointer[activeConfig]
 	connections *connections
+	deadlines   deadlines
 	stopping    atomic.Bool
 	closing     atomic.Bool     // too late to take on requests
 	ending      context.Context // ends when all that is under way must be answered
--- a/internal/dataplane/request.go
+++ b/internal/dataplane/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"dykering/internal/errkind"
@@ -52,6 +53,7 @@
 	prefix   []part
 	arrived  time.Time
 	deadline time.Time // when the client, or the operator's time-out, gives it up
+	again    bool      // it seems to come after another try
 }
 
 // usage is the size of a generation.
@@ -155,3 +157,31 @@
 	}
 	return parts
 }
+
+// deadlines are the longest times that clients have given requests, by route. A request with a good deal less has used
+// some of its client's time: it comes after another try.
+type deadlines struct {
+	mu      sync.Mutex
+	longest map[string]float64
+}
+
+const (
+	mostRoutes = 4096
+	// usedShare is the part of the longest time below which a request's own tells that some of it was used.
+	usedShare = 0.95
+)
+
+// shorter notes a request's time, in milliseconds, and tells whether some of it was used before.
+func (d *deadlines) shorter(route, text string) bool {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.longest == nil || len(d.longest) > mostRoutes {
+		d.longest = map[string]float64{}
+	}
+	d.longest[route] = max(d.longest[route], ms)
+	return ms < usedShare*d.longest[route]
+}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -15,8 +15,12 @@
 const (
 	// comeBack is when a client should try again that was turned away for want of room.
 	comeBack = 250 * time.Millisecond
-	// patienceShare is the part of a route's target for which a request may wait for an endpoint.
-	patienceShare = 5
+	// firstShare is the part of a route's target for which a request's first try may wait for an endpoint: refused by then,
+	// it is still worth something when it comes back. loadShare is that for which it waits where a load ends within it.
+	firstShare = 0.2
+	loadShare  = 0.6
+	// lastShare is the part of its time for which a try waits that comes after another, as there may be no further one.
+	lastShare = 0.5
 	// loadMargin is what a load of weights takes beside the load itself, until every sidecar knows.
 	loadMargin = 250 * time.Millisecond
 )
@@ -61,6 +65,7 @@
 		(&refusal{kind: errkind.KindOf(err), detail: err.Error()}).answer(w)
 		return
 	}
+	q.again = p.deadlines.shorter(route.Name, r.Header.Get(headerDeadline))
 	q.service = routing.ChooseService(route, rand.Float64())
 	if service, ok := config.parsed.Service(q.service); ok {
 		q.engine = service.Engine
@@ -238,24 +243,29 @@
 func (c *carrying) patience(verdict routing.Verdict, waited time.Duration) (time.Duration, *refusal) {
 	const look = 20 * time.Millisecond
 	q := c.request
-	most := q.route.Target() / patienceShare
 	refused := &refusal{kind: errkind.NoEndpoint, retryAfter: c.comeBack()}
+	most := share(q.route.Target(), firstShare)
 	switch verdict {
 	case routing.AllBusy:
 		refused.kind = errkind.Overloaded
 	case routing.NotHeld:
 		load := loadTime(q.engine, q.model) + loadMargin
-		if load < q.route.Target()/2 {
-			most = q.route.Target() / 2
-		}
 		refused.retryAfter = load
+		if load < share(q.route.Target(), loadShare) {
+			most = share(q.route.Target(), loadShare)
+		}
 	}
-	if waited >= min(most, q.left()/2) {
+	if q.again {
+		most = max(most, share(q.deadline.Sub(q.arrived), lastShare))
+	}
+	if waited >= min(most, q.left()*4/5) {
 		return 0, refused
 	}
 	return min(look, max(most-waited, time.Millisecond)), nil
 }
 
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
 // loadTime is how long the weights of a model take to load.
 func loadTime(engine *fleetconfig.Engine, model string) time.Duration {
 	if engine == nil {
