Nothing is streamed before the tail's word; records of a file share their types

Change: who starts again waits for the tail, and the tail knows that all it has stored is committed.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -101,7 +101,7 @@
 		p.joining = false
 	}
 	out.Messages = n.bringUp(now, m.From, m.Status)
-	n.onCommitted(m.Status.View, m.Status.Committed)
+	n.onCommitted(m.From.ID, m.Status.View, m.Status.Committed)
 	return out
 }
 
@@ -125,7 +125,7 @@
 	delete(p.asked, m.Nonce)
 	p.member, p.status, p.heardAt = m.From, m.Status, now
 	p.askedAt = max(p.askedAt, asked)
-	n.onCommitted(m.Status.View, m.Status.Committed)
+	n.onCommitted(m.From.ID, m.Status.View, m.Status.Committed)
 	return Output{Messages: n.bringUp(now, m.From, m.Status)}
 }
 
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -17,6 +17,7 @@
 	accepted *Accepted
 
 	committed uint64
+	known     bool             // committed is the tail's word in this life
 	peers     map[string]*peer // by address
 	proposing *proposing
 	healthy   bool
@@ -56,7 +57,7 @@
 func NewGenesis(config Config, now time.Duration, view View, value any) (*Node, Output) {
 	n := newNode(config, now)
 	n.view, n.base = view, State{Value: value}
-	n.state = n.base
+	n.state, n.known = n.base, true
 	n.holderSince = now - config.HolderPause // nobody has held the role before
 	return n, Output{Records: []any{n.snapshot()}}
 }
@@ -76,6 +77,9 @@
 		n.replay(record)
 	}
 	n.committed = n.base.Seq
+	if n.IsTail() {
+		n.committed, n.known = n.state.Seq, true // what the tail has stored, all others have
+	}
 	if n.view.Holder == n.self.ID && n.held == n.view.Token {
 		n.holderSince = now - config.HolderPause // nobody else can have held the role since
 	}
@@ -257,7 +261,7 @@
 	case Append:
 		return n.onAppend(m)
 	case Committed:
-		n.onCommitted(m.View, m.Seq)
+		n.onCommitted(m.From, m.View, m.Seq)
 	}
 	return Output{}
 }
@@ -295,12 +299,17 @@
 	return Output{Messages: n.passOn(had)}
 }
 
-func (n *Node) onCommitted(view, seq uint64) {
-	if view == n.view.Number && n.InChain() {
-		n.committed = max(n.committed, min(seq, n.state.Seq))
+func (n *Node) onCommitted(from MemberID, view, seq uint64) {
+	if view != n.view.Number || !n.InChain() {
+		return
 	}
+	n.committed = max(n.committed, min(seq, n.state.Seq))
+	n.known = n.known || from == n.view.Tail()
 }
 
+// CommittedKnown tells whether this member has heard, since it started, how far the log is committed.
+func (n *Node) CommittedKnown() bool { return n.known }
+
 func (n *Node) onInstall(now time.Duration, m Install) Output {
 	if m.Proposal.View.Number <= n.view.Number {
 		return Output{}
@@ -311,7 +320,7 @@
 func (n *Node) install(now time.Duration, p Proposal) Output {
 	wasHolder := n.view.Holder == n.self.ID && n.view.Token == p.View.Token
 	n.enter(p)
-	n.proposing = nil
+	n.proposing, n.known = nil, true
 	n.installedAt, n.wantSince, n.sealedAt = now, 0, 0
 	if !wasHolder {
 		n.holderSince = now
--- a/internal/controlplane/disk.go
+++ b/internal/controlplane/disk.go
@@ -32,17 +32,34 @@
 // recordBox is how a record is stored: gob needs a struct around an interface value.
 type recordBox struct{ Record any }
 
-func encodeRecord(record any) ([]byte, error) {
-	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(recordBox{record})
-	return buffer.Bytes(), errors.Wrap(err, "record")
+// recordEncoder encodes the records of one file. A record rests on those before it in its file: what types there are is
+// written once.
+type recordEncoder struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
 }
 
+func newRecordEncoder() *recordEncoder {
+	e := &recordEncoder{}
+	e.encoder = gob.NewEncoder(&e.buffer)
+	return e
+}
+
+func (e *recordEncoder) encode(record any) ([]byte, error) {
+	e.buffer.Reset()
+	if err := e.encoder.Encode(recordBox{record}); err != nil {
+		return nil, errors.Wrap(err, "record")
+	}
+	return bytes.Clone(e.buffer.Bytes()), nil
+}
+
+// decodeRecords reads the records of one file.
 func decodeRecords(payloads [][]byte) ([]any, error) {
+	decoder := gob.NewDecoder(bytes.NewReader(bytes.Join(payloads, nil)))
 	var records []any
-	for _, payload := range payloads {
+	for range payloads {
 		var box recordBox
-		if err := gob.NewDecoder(bytes.NewReader(payload)).Decode(&box); err != nil {
+		if err := decoder.Decode(&box); err != nil {
 			return nil, errors.Wrap(err, "record")
 		}
 		records = append(records, box.Record)
@@ -66,18 +83,35 @@
 	origin    time.Time
 	size      int64 // of the current file, as jobs were handed over; the owner's
 	records   int   // in it; the owner's
+	encoder   *recordEncoder
 }
 
 // mostRecords is how many records a file holds before the next one is begun: so many are read at a start.
 const mostRecords = 64
 
-// full tells whether a record is to begin a new file.
-func (d *disk) full(size int64) bool {
-	return d.records >= mostRecords || d.size+size > d.ring.Capacity()
+// encode makes what is written of a record. Where the file is full, or was begun by another process, the snapshot, that
+// stands for the record too, begins the next one.
+func (d *disk) encode(record any, snapshot func() chain.Snapshot) (ringlog.Record, error) {
+	_, begins := record.(chain.Snapshot)
+	if !begins && d.encoder != nil && d.records < mostRecords {
+		payload, err := d.encoder.encode(record)
+		if err != nil || d.size+ringlog.Size(payload) <= d.ring.Capacity() {
+			d.records++
+			d.size += ringlog.Size(payload)
+			return ringlog.Record{Payload: payload}, err
+		}
+	}
+	if !begins {
+		record = snapshot()
+	}
+	d.encoder = newRecordEncoder()
+	payload, err := d.encoder.encode(record)
+	d.records, d.size = 1, ringlog.Size(payload)
+	return ringlog.Record{Payload: payload, Rotate: true}, err
 }
 
-func newDisk(ring *ringlog.Ring, log *slog.Logger, size int64, stored func([]chain.Envelope)) *disk {
-	return &disk{ring: ring, log: log, jobs: make(chan diskJob, diskQueue), stored: stored, origin: time.Now(), size: size}
+func newDisk(ring *ringlog.Ring, log *slog.Logger, stored func([]chain.Envelope)) *disk {
+	return &disk{ring: ring, log: log, jobs: make(chan diskJob, diskQueue), stored: stored, origin: time.Now()}
 }
 
 // run stores what is handed over until done is closed.
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -110,16 +110,11 @@
 	if err != nil {
 		return err
 	}
-	var size int64
-	for _, payload := range records {
-		size += ringlog.Size(payload)
-	}
-	p.disk = newDisk(ring, p.log, size, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
+	p.disk = newDisk(ring, p.log, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
 	decoded, err := decodeRecords(records)
 	if err != nil {
 		return err
 	}
-	p.disk.records = len(decoded)
 	if len(decoded) == 0 {
 		p.begin()
 		return nil
@@ -265,28 +260,12 @@
 func (p *Process) store(records []any, messages []chain.Envelope) {
 	job := diskJob{messages: messages}
 	for _, record := range records {
-		payload, err := encodeRecord(record)
+		encoded, err := p.disk.encode(record, p.node.Snapshot)
 		if err != nil {
 			p.log.Error("record.unencodable", "error", err)
 			continue
 		}
-		rotate := false
-		if _, snapshot := record.(chain.Snapshot); snapshot {
-			rotate = true
-		} else if p.disk.full(ringlog.Size(payload)) {
-			// The snapshot holds what the record says, as the node has taken it already.
-			if payload, err = encodeRecord(p.node.Snapshot()); err != nil {
-				p.log.Error("record.unencodable", "error", err)
-				continue
-			}
-			rotate = true
-		}
-		if rotate {
-			p.disk.size, p.disk.records = 0, 0
-		}
-		p.disk.records++
-		p.disk.size += ringlog.Size(payload)
-		job.records = append(job.records, ringlog.Record{Payload: payload, Rotate: rotate})
+		job.records = append(job.records, encoded)
 	}
 	select {
 	case p.disk.jobs <- job:
@@ -363,7 +342,9 @@
 func DataDirectoryOf(s *nodefile.Settings) string { return filepath.Join(s.DataDirectory, "chain") }
 
 // operations are stored and sent as gob.
-func encodeOperation(change fleetconfig.Change) ([]byte, error) { return encodeRecord(change) }
+func encodeOperation(change fleetconfig.Change) ([]byte, error) {
+	return newRecordEncoder().encode(change)
+}
 
 func applyOperation(value any, operation []byte) any {
 	state, ok := value.(*fleetconfig.State)
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -97,7 +97,7 @@
 
 // streams tells whether this member may serve streams: it is in the chain and a majority has confirmed its view.
 func (p *Process) streams(now time.Duration) bool {
-	return p.node.InChain() && now-p.node.Confirmed(now) < p.timing.streamSilence
+	return p.node.InChain() && p.node.CommittedKnown() && now-p.node.Confirmed(now) < p.timing.streamSilence
 }
 
 // tellSubscribers sends what is new to those who have not got it.
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -88,7 +88,7 @@
 		response, _, err := s.ask("/p/", "X-Model: n", "X-Deadline-Ms: 700")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(503))
-		Expect(time.Since(began) - first).To(BeNumerically(">=", 300*time.Millisecond), "nearly half of its time, of which some is left to be served in")
+		Expect(time.Since(began)-first).To(BeNumerically(">=", 300*time.Millisecond), "nearly half of its time, of which some is left to be served in")
 	})
 
 	It("is not taken before there is a configuration", func() {
