Sessions repaired by digests of ranges; dykering status; sidecars counted over all

Cause of the count: no sidecar told its peers how many streams it has, so that each proxy's part of the budget's slack was two to three times too large. Change: counts go with the comparison of the copies, once a heartbeat interval; until then each voter counts as one with as many. Tests: copies that are alike say one message, 1000 rows that differ in two at most three.

--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -75,7 +75,7 @@
 			}
 			return errors.New("a command is missing")
 		},
-		Commands: []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl()},
+		Commands: []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl(), newStatus()},
 	}
 	everyCommand(root, func(c *cli.Command) { c.OnUsageError = usageError })
 	return root
--- /dev/null
+++ b/cmd/dykering/status.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"dykering/internal/controlplane"
+	"dykering/internal/feed"
+	"dykering/internal/sessions"
+)
+
+func newStatus() *cli.Command {
+	var address string
+	return &cli.Command{Name: "status", Usage: "How a control sidecar sees the system: view, chain, holder, sidecars, endpoints",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "address", Usage: "the control sidecar's internal address, HOST:PORT", Destination: &address, Required: true}},
+		Action: action(func(c *cli.Command) error {
+			feed.Register()
+			status, err := controlplane.AskStatus(address)
+			if err != nil {
+				return err
+			}
+			return showStatus(c.Root().Writer, status)
+		})}
+}
+
+func showStatus(out io.Writer, s feed.Status) error {
+	fmt.Fprintf(out, "%s, view %d%s, configuration %d, entry %d of %d committed, disk behind by %v\n", s.Self.ID, s.View.Number,
+		inForce(s), s.Version, s.Committed, s.Seq, s.DiskBehind)
+	fmt.Fprintf(out, "the placement is held by %s with token %d%s\n", s.View.Holder, s.View.Token, holds(s))
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "member\treachable\tin the chain")
+	for _, m := range s.Members {
+		fmt.Fprintf(t, "%s\t%v\t%v\n", m.ID, m.Reachable, m.InChain)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, state := range []sessions.State{sessions.Ready, sessions.Silent, sessions.Draining, sessions.Gone} {
+		if n := s.Endpoints[state]; n > 0 {
+			fmt.Fprintf(out, "endpoints %s: %d\n", state, n)
+		}
+	}
+	slices.SortFunc(s.Subscribers, func(a, b feed.SubscriberStatus) int { return strings.Compare(a.Name, b.Name) })
+	t = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "sidecar\tchanges behind\trevision")
+	for _, sub := range s.Subscribers {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", sub.Name, sub.Behind, sub.Ack.Revision)
+	}
+	return t.Flush()
+}
+
+func inForce(s feed.Status) string {
+	switch {
+	case s.Sealed:
+		return " (the next one is being agreed on)"
+	case !s.InForce:
+		return " (no majority confirms it)"
+	}
+	return ""
+}
+
+func holds(s feed.Status) string {
+	if s.Holds {
+		return ", which is this one"
+	}
+	return ""
+}
--- a/internal/controlplane/controlplane_test.go
+++ b/internal/controlplane/controlplane_test.go
@@ -271,6 +271,23 @@
 	})
 })
 
+var _ = Describe("the status", func() {
+	It("tells the view, the members, the sidecars and the endpoints", func() {
+		members := started(3)
+		taken(members[0], 3, 0)
+		Eventually(func() int { return beat(members[0], "i-1", 1, sessions.Ready) }, patience).Should(Equal(http.StatusOK))
+		address := members[1].settings.InternalAddress(members[1].settings.IPAddress)
+		Eventually(func(g Gomega) {
+			status, err := AskStatus(address)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status.Version).To(Equal(int64(3)))
+			g.Expect(status.Members).To(HaveLen(3))
+			g.Expect(status.InForce).To(BeTrue())
+			g.Expect(status.Endpoints).To(HaveKeyWithValue(sessions.Ready, 1))
+		}, patience).Should(Succeed())
+	})
+})
+
 var _ = Describe("a heartbeat", func() {
 	DescribeTable("that cannot be read is refused",
 		func(body string) {
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -42,6 +42,10 @@
 		p.serveSubscriber(conn, subscribe)
 		return
 	}
+	if _, ok := message.(feed.StatusAsk); ok {
+		p.serveStatus(conn)
+		return
+	}
 	for err == nil {
 		received := message
 		p.post(func() { p.receive(received) })
@@ -61,6 +65,10 @@
 		p.send(m.From, feed.SessionWhole{From: p.node.Self().Address, Records: p.table.All(p.sessionClock)})
 	case feed.SessionWhole:
 		p.onSessionWhole(m)
+	case feed.SessionDigest:
+		p.onSessionDigest(m)
+	case feed.SessionRange:
+		p.onSessionRange(m)
 	case feed.Subscribers:
 		p.elsewhere[m.From] = subscriberCount{count: m.Count, at: now}
 	case feed.Write:
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -44,6 +44,7 @@
 	sessionClock time.Duration // advances while a majority is in touch
 	lastTick     time.Duration
 	signsDue     time.Duration
+	repairDue    time.Duration
 	syncSince    time.Duration // since when this member is in touch without its peers' sessions; 0 before
 	synced       bool
 	unheard      map[string]bool // peers whose sessions have not come since
@@ -239,6 +240,7 @@
 	p.act(p.node.Tick(now))
 	p.table.Expire(p.sessionClock)
 	p.synchronize(now, inTouch)
+	p.repair(now)
 	p.expireCalls(now)
 	p.placer.tick(now)
 }
--- /dev/null
+++ b/internal/controlplane/repair.go
@@ -0,0 +1,53 @@
+package controlplane
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"dykering/internal/feed"
+	"dykering/internal/sessions"
+)
+
+// repair compares this copy of the sessions with a peer's now and then, and tells peers how many sidecars follow a stream
+// here.
+func (p *Process) repair(now time.Duration) {
+	peers := p.peers()
+	if len(peers) == 0 || now < p.repairDue {
+		return
+	}
+	p.repairDue = now + p.timing.repairEvery
+	self := p.node.Self().Address
+	p.send(peers[rand.IntN(len(peers))], feed.SessionDigest{From: self, Digests: p.table.Digests(nil)})
+	for _, peer := range peers {
+		p.send(peer, feed.Subscribers{From: self, Count: len(p.subscribers)})
+	}
+}
+
+// onSessionDigest looks into the parts of a range that differ: their parts are told in turn, and the sessions themselves
+// once they cannot be divided any further.
+func (p *Process) onSessionDigest(m feed.SessionDigest) {
+	if !m.Range.Valid() || len(m.Range) >= sessions.Depth {
+		return
+	}
+	self := p.node.Self().Address
+	for _, part := range p.table.Differing(m.Range, m.Digests) {
+		if len(part) < sessions.Depth {
+			p.send(m.From, feed.SessionDigest{From: self, Range: part, Digests: p.table.Digests(part)})
+			continue
+		}
+		p.send(m.From, feed.SessionRange{From: self, Range: part, Records: p.table.Of(p.sessionClock, p.table.In(part)), Ask: true})
+	}
+}
+
+func (p *Process) onSessionRange(m feed.SessionRange) {
+	if !m.Range.Valid() || len(m.Range) != sessions.Depth {
+		return
+	}
+	if m.Ask {
+		own := p.table.Of(p.sessionClock, p.table.In(m.Range))
+		p.send(m.From, feed.SessionRange{From: p.node.Self().Address, Range: m.Range, Records: own})
+	}
+	for _, record := range m.Records {
+		p.table.Merge(p.sessionClock, record)
+	}
+}
--- /dev/null
+++ b/internal/controlplane/status.go
@@ -0,0 +1,73 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/feed"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/peerlink"
+	"dykering/internal/sessions"
+)
+
+const statusWithin = 2 * time.Second
+
+// AskStatus asks the control sidecar at an internal address how it sees the system.
+func AskStatus(address string) (feed.Status, error) {
+	conn, err := peerlink.Dial(address, statusWithin)
+	if err != nil {
+		return feed.Status{}, errors.Wrap(err, "status")
+	}
+	defer conn.Close()
+	if err := conn.Send(feed.StatusAsk{}, statusWithin); err != nil {
+		return feed.Status{}, errors.Wrap(err, "status")
+	}
+	message, err := conn.Receive(statusWithin)
+	if err != nil {
+		return feed.Status{}, errors.Wrap(err, "status")
+	}
+	status, ok := message.(feed.Status)
+	if !ok {
+		return feed.Status{}, errors.Errorf("status: %s answers with a %T", address, message)
+	}
+	return status, nil
+}
+
+// serveStatus answers one call for the status.
+func (p *Process) serveStatus(conn *peerlink.Conn) {
+	told := make(chan feed.Status, 1)
+	p.post(func() { told <- p.status() })
+	select {
+	case status := <-told:
+		if err := conn.Send(status, statusWithin); err != nil {
+			p.log.Debug("status.not_sent", "error", err)
+		}
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *Process) status() feed.Status {
+	now := p.now()
+	committed := p.node.CommittedState()
+	_, holds := p.node.Holds(now)
+	status := feed.Status{
+		Self: p.node.Self(), View: p.node.View(), InForce: p.inForce(), Sealed: p.node.Sealed(), Seq: p.node.Latest().Seq,
+		Committed: committed.Seq, Holds: holds, Endpoints: map[sessions.State]int{}, DiskBehind: p.disk.behind(),
+	}
+	if value, ok := committed.Value.(*fleetconfig.State); ok {
+		status.Version = value.Document.Version
+	}
+	for _, voter := range status.View.Voters {
+		status.Members = append(status.Members, feed.MemberStatus{ID: voter.ID, Reachable: p.node.Reaches(now, voter.Address),
+			InChain: status.View.Position(voter.ID) >= 0})
+	}
+	for s := range p.subscribers {
+		behind := committed.Seq - min(s.acked.ConfigSeq, committed.Seq)
+		status.Subscribers = append(status.Subscribers, feed.SubscriberStatus{Name: s.name, Ack: s.acked, Behind: behind})
+	}
+	for _, e := range p.table.Since(0) {
+		status.Endpoints[e.State]++
+	}
+	return status
+}
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -137,7 +137,8 @@
 	}
 }
 
-// subscriberCount is how many sidecars carry traffic, as far as is known.
+// subscriberCount is how many sidecars carry traffic, as far as is known: at least as many as if each voter had this
+// one's. Too many only makes the budget of repeats smaller.
 func (p *Process) subscriberCount(now time.Duration) int {
 	count := len(p.subscribers)
 	for _, other := range p.elsewhere {
@@ -145,5 +146,6 @@
 			count += other.count
 		}
 	}
-	return count
+	view := p.node.View()
+	return max(count, len(p.subscribers)*len(view.Voters))
 }
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -21,6 +21,7 @@
 	syncWithin     time.Duration // a started member has its peers' sessions
 	silentAfter    time.Duration // an endpoint without heartbeat is no longer offered
 	signsEvery     time.Duration // signs of life are passed on
+	repairEvery    time.Duration // copies of the sessions are compared with a peer's
 	lease          time.Duration // a majority's word counts for the holder of the placement
 	holderPause    time.Duration // a new holder waits before it acts
 	streamSilence  time.Duration // a member that no majority confirms ends its streams
@@ -41,6 +42,7 @@
 		syncWithin:     contact / 4,
 		silentAfter:    3*s.HeartbeatInterval() + time.Second,
 		signsEvery:     s.HeartbeatInterval() / 4,
+		repairEvery:    s.HeartbeatInterval(),
 		lease:          lease,
 		holderPause: lease + nodefile.Milliseconds(s.Bounds.LeaseDurationMs) +
 			nodefile.Milliseconds(s.Bounds.ThawSlackMs),
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -82,6 +82,55 @@
 	Records []sessions.Record
 }
 
+// SessionDigest tells the digests of the parts of a range of the sessions.
+type SessionDigest struct {
+	From    string
+	Range   sessions.Range
+	Digests [sessions.Fanout]uint64
+}
+
+// SessionRange gives the sessions of a range; an answer in kind is asked for where Ask is set.
+type SessionRange struct {
+	From    string
+	Range   sessions.Range
+	Records []sessions.Record
+	Ask     bool
+}
+
+// StatusAsk asks a control sidecar for its status.
+type StatusAsk struct{}
+
+// Status is how a control sidecar sees the system.
+type Status struct {
+	Self        chain.Member
+	View        chain.View
+	InForce     bool // a majority has lately confirmed the view
+	Sealed      bool
+	Seq         uint64
+	Committed   uint64
+	Version     int64 // of the configuration that is committed
+	Holds       bool  // the placement's role
+	Members     []MemberStatus
+	Subscribers []SubscriberStatus
+	Endpoints   map[sessions.State]int
+	DiskBehind  time.Duration
+}
+
+// MemberStatus is what a control sidecar knows of a voter.
+type MemberStatus struct {
+	ID        chain.MemberID
+	Reachable bool
+	InChain   bool
+}
+
+// SubscriberStatus is how far a sidecar is that follows a stream.
+type SubscriberStatus struct {
+	Name string
+	Ack  Ack
+	// Behind is how many of the committed changes it has not acknowledged.
+	Behind uint64
+}
+
 // Subscribers tells how many sidecars a control sidecar streams to.
 type Subscribers struct {
 	From  string
@@ -119,6 +168,7 @@
 		chain.Ping{}, chain.Pong{}, chain.Prepare{}, chain.Promise{}, chain.Reject{}, chain.Accept{}, chain.AcceptedReply{},
 		chain.Install{}, chain.Append{}, chain.Committed{},
 		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
+		SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
 		Subscribers{}, Write{}, Read{}, Reply{},
 		&fleetconfig.State{}, fleetconfig.Change{},
 		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.HeldRecord{},
--- a/internal/sessions/table.go
+++ b/internal/sessions/table.go
@@ -304,6 +304,17 @@
 	return out
 }
 
+// Of lists the records of some ids.
+func (t *Table) Of(now time.Duration, ids []string) []Record {
+	var out []Record
+	for _, id := range ids {
+		if row := t.entries[id]; row != nil {
+			out = append(out, Record{Endpoint: row.endpoint, Age: now - row.heardAt})
+		}
+	}
+	return out
+}
+
 // TakeChanged gives the records that others must be told of in full, and forgets that they must.
 func (t *Table) TakeChanged(now time.Duration) []Record {
 	var out []Record
--- a/internal/sessions/table_test.go
+++ b/internal/sessions/table_test.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,3 +130,56 @@
 		Entry("an adapter of a model that was unloaded", holds(Holding{Model: "m"}), "m", "a1", false),
 	)
 })
+
+var _ = Describe("two copies", func() {
+	// compare finds the records that differ, and counts the digests that were told.
+	compare := func(a, b *Table) (found map[string]bool, told int) {
+		found = map[string]bool{}
+		ranges := []Range{{}}
+		for len(ranges) > 0 {
+			at := ranges[0]
+			ranges = ranges[1:]
+			if len(at) == Depth {
+				for _, id := range a.In(at) {
+					found[id] = true
+				}
+				continue
+			}
+			told++
+			ranges = append(ranges, b.Differing(at, a.Digests(at))...)
+		}
+		return found, told
+	}
+	fill := func() *Table {
+		t := NewTable(silentAfter)
+		for i := range 1000 {
+			t.Heard(0, fmt.Sprint("i-", i), beat(1, Ready))
+		}
+		return t
+	}
+
+	It("that are alike say one message", func() {
+		a, b := fill(), fill()
+		b.Heard(0, "i-5", beat(9, Ready)) // a newer sign of life is no difference
+		found, told := compare(a, b)
+		Expect(found).To(BeEmpty())
+		Expect(told).To(Equal(1))
+	})
+
+	It("find what differs with few messages", func() {
+		a, b := fill(), fill()
+		a.Heard(0, "i-7", beat(2, Draining))
+		a.Heard(0, "new", beat(1, Ready))
+		found, told := compare(a, b)
+		Expect(found).To(HaveKey("i-7"))
+		Expect(found).To(HaveKey("new"))
+		Expect(told).To(BeNumerically("<=", 3))
+		Expect(len(found)).To(BeNumerically("<", 30))
+	})
+
+	It("know no ranges but the tree's", func() {
+		Expect(Range{Fanout}.Valid()).To(BeFalse())
+		Expect(Range{1, 2, 3}.Valid()).To(BeFalse())
+		Expect(Range{1, 2}.Valid()).To(BeTrue())
+	})
+})
