An order that was given up is not delivered late; a new holder waits for it too

Cause: found by reading: an order could arrive a second after it was permitted, 2.3 s before a successor's. Change: half a second for an order, its connection is reset when it is given up, and the pause of a new holder includes that time.

--- a/internal/controlplane/orders.go
+++ b/internal/controlplane/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,7 +15,7 @@
 )
 
 const (
-	orderTimeout = time.Second
+	orderTimeout = 500 * time.Millisecond
 	// reportLag is how old an endpoint's report may be.
 	reportLag = 300 * time.Millisecond
 	// adapterLoad is how long an adapter takes to load, and unloadWait how often the end of an order is looked for.
@@ -51,7 +52,23 @@
 
 func newOrderClient() *orderClient {
 	return &orderClient{http: &http.Client{Timeout: orderTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}}
+		Transport: &http.Transport{DialContext: dialAbortive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}}
+}
+
+// dialAbortive makes a connection that is reset when it is closed: an order that was given up is not delivered late.
+func dialAbortive(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			conn.Close()
+			return nil, errors.Wrap(err, "linger")
+		}
+	}
+	return conn, nil
 }
 
 // report asks an endpoint what it holds.
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -44,7 +44,7 @@
 		signsEvery:     s.HeartbeatInterval() / 4,
 		repairEvery:    s.HeartbeatInterval(),
 		lease:          lease,
-		holderPause: lease + nodefile.Milliseconds(s.Bounds.LeaseDurationMs) +
+		holderPause: lease + orderTimeout + nodefile.Milliseconds(s.Bounds.LeaseDurationMs) +
 			nodefile.Milliseconds(s.Bounds.ThawSlackMs),
 		streamSilence: contact / 4,
 		stopWithin:    min(nodefile.Seconds(s.Bounds.GracePeriodS)/4, contact),
