--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -47,9 +47,9 @@
 
 const (
 	// crowded is how many requests that wait for their answer to begin, for each copy of a model, ask for a further one.
-	crowded = 0.8
+	crowded = 1.2
 	// crowdedAbove is how many waiting requests ask for nothing.
-	crowdedAbove = 0.8
+	crowdedAbove = 1.2
 	// mostNewCopies bounds the copies that one plan adds to a model.
 	mostNewCopies = 3
 	// full is how many requests under way for each copy do.
