--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -4,8 +4,8 @@
 //
 // This file is the interface: the settings a Balancer is started with, the
 // values its events carry, and the actions it takes through a Host. All
-// decisions are in balancer.go. The package does no input or output, reads no
-// clock and starts no goroutine: the program that embeds it hands over each
+// decisions are in admit.go, pick.go, outcome.go and lists.go. The package
+// does no input or output, reads no clock and starts no goroutine: the program that embeds it hands over each
 // event with the time, counted from an arbitrary start, and carries out the
 // actions in the order they are asked for.
 package decision
--- a/internal/decision/state.go
+++ b/internal/decision/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -403,3 +404,63 @@
 	}
 	return a
 }
+
+// Balancer decides for one instance. It is not safe for concurrent use.
+type Balancer struct {
+	set     Settings
+	host    Host
+	rng     *rand.Rand
+	window  time.Duration // over which rates are smoothed
+	tick    time.Duration
+	ticking bool
+
+	roster
+	weighted bool   // the listed weights tell endpoints apart
+	version  uint64 // of the last list
+	requests map[RequestID]*request
+	classes  []class
+	kinds    []pace // by machine kind
+	services []pace // by machine kind: seconds of service that its endpoints report
+	tenants  []bucket
+	shortBy  time.Duration // capacity counts as short until then
+	quota    float64       // requests a second within all shares, at this instance
+	held     []*request
+	scratch  []*endpoint
+
+	out      int // attempts in flight
+	elder    predecessor
+	lost     int     // those of them that no answer is expected for
+	answered int     // answers of any kind
+	rate     flow    // base latencies answered a second: the calls in flight at little load
+	limit    float64 // on calls in flight
+	countAt  time.Duration
+	seat     int     // this instance's place on the ring: not its number, see scatter
+	subset   float64 // endpoints in this instance's subset,
+	wide     float64 // and how many its own calls ask for
+	spare    flow    // the same for the time from base latency to the aim
+	served   flow    // answers a second
+	asked    flow    // requests a second,
+	long     average // and over a longer time
+	strain   float64 // smoothed latency over what it should at most be on average
+	pace     float64 // calls a second that may be sent
+	paced    bool    // the strain was above 1, and has not let go
+	strainAt time.Duration
+	credit   float64
+	creditAt time.Duration
+	warm     flow    // sends a second to warm endpoints, for their odds
+	errors   float64 // smoothed share of answers that are errors
+	strays   float64 // and of overdue calls that stay away for longer
+	budget   float64 // further attempts that may be made
+	retries  *bucket // that the fleet leaves to this instance; nil where answers earn them
+
+	hidden      bool    // clients' repeats do not show what they have spent: see spent
+	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
+
+	endsAt              time.Duration // when this instance ends, where that is known,
+	succeeded           bool          // and that another one serves in its place
+	fetchAt             time.Duration // no fetch before
+	watchDue            bool          // after a pause,
+	watchPause, watchAt time.Duration // that counts from when the last watch began
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
