Tests that fail soon: the pause of a watch that failed, and a call whose client has gone

Change: the pause is a function that a test bounds (two hung calls and the longest pause are under 6 s); a test of core's loop waits 2 s for the attempt to be called off.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -262,6 +262,28 @@
 	}
 }
 
+// A call whose client has gone is called off, at once, and forgotten.
+func TestLapse(t *testing.T) {
+	out, calledOff := make(chan bool, 1), make(chan bool, 1)
+	b := newBench(t, func(a *Attempt, n int) Result {
+		out <- true
+		select {
+		case <-a.Ctx.Done():
+			calledOff <- true
+		case <-time.After(2 * time.Second):
+			calledOff <- false
+		}
+		return Result{Status: decision.Cancelled}
+	}, ready("s-1", 0))
+	c := b.ask("1", once)
+	<-out
+	b.loop.Lapse(c)
+	if !<-calledOff {
+		t.Error("its client has gone, and the attempt goes on")
+	}
+	b.until("the call is forgotten", func(s Stats) bool { return s.Calls == 0 })
+}
+
 // At the end of its process a call is answered, and what is out is called off.
 func TestLeave(t *testing.T) {
 	b := newBench(t, nil, ready("s-1", 0))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -95,8 +95,7 @@
 
 // run watches until it is stopped, or, where discovery must be asked, until the watch ends.
 func (w *watcher) run(ctx context.Context, since *uint64) {
-	pause := backoffLeast
-	told := ""
+	failures, told := 0, ""
 	for {
 		reached, got, err := w.watch(ctx, since)
 		if ctx.Err() != nil {
@@ -111,7 +110,7 @@
 			return
 		}
 		if got {
-			pause, told = backoffLeast, ""
+			failures, told = 0, ""
 		}
 		if text := err.Error(); text != told {
 			w.log.Warn("discovery.watch_failed", zap.String("error", text))
@@ -120,12 +119,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause/2 + rand.N(pause)):
+		case <-time.After(backoff(failures, rand.Float64())):
 		}
-		pause = min(2*pause, backoffMost)
+		failures++
 	}
 }
 
+// backoff is the pause after so many failed watches in a row; spread, from 0 to 1, is where it lies between half of the
+// usual pause and half as much again.
+func backoff(failures int, spread float64) time.Duration {
+	usual := backoffMost
+	if doublings := failures; doublings < 16 {
+		usual = min(backoffLeast<<doublings, backoffMost)
+	}
+	return usual/2 + time.Duration(spread*float64(usual))
+}
+
 // errSilent is a watch that stands and brings nothing, not even an empty line.
 var errSilent = errors.New("watch: silent")
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -104,6 +104,20 @@
 	}
 }
 
+// A change is told within 6 s also where a call hung, the longest pause follows, and the watch after it hangs too.
+func TestNoPauseOutlastsAChange(t *testing.T) {
+	const told = 6 * time.Second
+	for failures := range 100 {
+		least, most := backoff(failures, 0), backoff(failures, 1)
+		if least <= 0 || least > most {
+			t.Fatalf("after %d failures: %v to %v", failures, least, most)
+		}
+		if late := 2*answerSilence + most; late >= told {
+			t.Fatalf("after %d failures a change may be told %v late", failures, late)
+		}
+	}
+}
+
 // A watch may fall silent and stay open. Another one is taken up before what changed meanwhile counts as told.
 func TestSilentWatchIsReplaced(t *testing.T) {
 	const told = 6 * time.Second
