--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -65,6 +65,8 @@
 		p.send(m.From, feed.SessionWhole{From: p.node.Self().Address, Records: p.table.All(p.sessionClock)})
 	case feed.SessionWhole:
 		p.onSessionWhole(m)
+	case feed.LoadShare:
+		p.loads.share(now, m)
 	case feed.SessionDigest:
 		p.onSessionDigest(m)
 	case feed.SessionRange:
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -56,6 +56,7 @@
 	subscribers map[*subscriber]bool
 	elsewhere   map[string]subscriberCount // by the address of a control sidecar
 	members     []string
+	loads       *loadTable
 	placer      *placer
 }
 
@@ -73,7 +74,7 @@
 		commands: make(chan func(), commandQueue), links: map[string]*peerlink.Link{},
 		drains: map[uint64]*pendingDrain{}, subscribers: map[*subscriber]bool{}, elsewhere: map[string]subscriberCount{},
 	}
-	p.calls = newCalls()
+	p.calls, p.loads = newCalls(), newLoadTable()
 	p.table = sessions.NewTable(p.timing.silentAfter)
 	p.placer = newPlacer(p)
 	if err := p.restore(); err != nil {
@@ -335,6 +336,7 @@
 	now := p.now()
 	p.settleCalls(now)
 	p.tellPeers(now)
+	p.shareLoads(now)
 	p.tellSubscribers(now)
 	p.placer.settle(now)
 	p.saveSessions(now)
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -67,6 +67,7 @@
 func (p *Process) dropSubscriber(s *subscriber) {
 	if p.subscribers[s] {
 		delete(p.subscribers, s)
+		p.loads.report(s.name, nil)
 		close(s.updates)
 	}
 }
@@ -91,6 +92,8 @@
 	case feed.Ack:
 		s.acked = m
 	case feed.DemandReport:
+		p.loads.report(s.name, m.Loads)
+		m.Loads = nil
 		p.placer.forward(m)
 	}
 }
@@ -111,10 +114,11 @@
 	}
 	committed := p.node.CommittedState()
 	count := p.subscriberCount(now)
+	loads, loadsDue := p.loads.due(now)
 	for s := range p.subscribers {
 		fresh := !s.begun
 		due := now-s.sentAt >= feed.Keepalive
-		if !fresh && !due && s.revision >= p.table.Revision() && s.configSeq >= committed.Seq {
+		if !fresh && !due && !loadsDue && s.revision >= p.table.Revision() && s.configSeq >= committed.Seq {
 			continue
 		}
 		update := feed.Update{Revision: p.table.Revision(), Subscribers: count, Whole: fresh}
@@ -128,6 +132,7 @@
 		if fresh || due {
 			update.Members = p.members
 		}
+		update.HasLoads, update.Loads = loadsDue, loads
 		select {
 		case s.updates <- update:
 			s.begun, s.revision, s.configSeq, s.sentAt = true, update.Revision, max(s.configSeq, committed.Seq), now
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -32,6 +32,7 @@
 	kind       errkind.Kind
 	detail     string
 	load       *routing.Load
+	answering  bool // the head of an answer came
 }
 
 // attempt sends the request to an endpoint once, and passes the answer on.
@@ -64,7 +65,9 @@
 		conn.Close()
 		return c.broken(err)
 	}
+	p.post(func() { p.pool.Answering(endpoint) })
 	out := c.pass(conn, answer)
+	out.answering = true
 	if answer.Reusable() && release() {
 		p.connections.give(endpoint.ID, conn, keepFor(answer.Header))
 	} else {
@@ -239,7 +242,7 @@
 func (p *Process) finish(endpoint *routing.Endpoint, q routing.Query, out outcome) {
 	p.post(func() {
 		now := p.now()
-		p.pool.End(now, endpoint, q, out.result)
+		p.pool.End(now, endpoint, q, out.result, out.answering)
 		if out.load != nil {
 			p.pool.Report(now, endpoint, *out.load)
 		}
--- a/internal/dataplane/demand.go
+++ b/internal/dataplane/demand.go
@@ -94,6 +94,7 @@
 func (p *Process) reportDemand() {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
+	told := false // the last report told of calls
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -102,13 +103,24 @@
 			time.Sleep(urgentAfter)
 		case <-ticker.C:
 		}
-		demands := ask(p, p.demand.take)
-		if len(demands) == 0 {
+		report := ask(p, p.report)
+		busy := len(report.Loads) > 0
+		if len(report.Demands) == 0 && !busy && !told {
 			continue
 		}
+		told = busy
 		select {
-		case p.demand.reports <- feed.DemandReport{From: p.settings.NodeName, Demands: demands}:
+		case p.demand.reports <- report:
 		default: // no stream takes them now
 		}
 	}
 }
+
+// report is what was counted since the last one, and the own calls.
+func (p *Process) report() feed.DemandReport {
+	report := feed.DemandReport{From: p.settings.NodeName, Demands: p.demand.take()}
+	for id, calls := range p.pool.Calls() {
+		report.Loads = append(report.Loads, feed.EndpointLoad{ID: id, InFlight: calls.InFlight, Waiting: calls.Waiting})
+	}
+	return report
+}
--- a/internal/dataplane/follow.go
+++ b/internal/dataplane/follow.go
@@ -134,6 +134,13 @@
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
+	if update.HasLoads {
+		loads := map[string]routing.FleetLoad{}
+		for _, load := range update.Loads {
+			loads[load.ID] = routing.FleetLoad{InFlight: load.InFlight, Waiting: load.Waiting}
+		}
+		p.pool.SetFleetLoads(now, loads)
+	}
 	if update.Subscribers > 0 {
 		p.budget.SetSidecars(update.Subscribers)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -32,7 +32,9 @@
 	Configuration *Configuration
 	Members       []string // addresses of control sidecars, where they have changed
 	Subscribers   int      // sidecars that carry traffic, over all control sidecars
-	Leaving       bool     // this control sidecar cannot serve the stream: go to another
+	HasLoads      bool
+	Loads         []EndpointLoad // of all sidecars; an endpoint that is not named has none
+	Leaving       bool           // this control sidecar cannot serve the stream: go to another
 }
 
 // Ack tells what of the stream is in force at the subscriber.
@@ -53,10 +55,24 @@
 	Waiting  int     // of them, those whose answer has not begun
 }
 
-// DemandReport is a sidecar's demand.
+// EndpointLoad is the calls to an endpoint.
+type EndpointLoad struct {
+	ID       string
+	InFlight int
+	Waiting  int // of them, those whose answer has not begun
+}
+
+// DemandReport is a sidecar's demand, and its calls to endpoints.
 type DemandReport struct {
 	From    string
 	Demands []Demand
+	Loads   []EndpointLoad
+}
+
+// LoadShare tells another control sidecar of the calls of all sidecars that follow a stream here.
+type LoadShare struct {
+	From  string
+	Loads []EndpointLoad
 }
 
 // SessionUpdate tells another control sidecar of sessions. Ask is answered by a SessionAck where it is not 0.
@@ -168,7 +184,7 @@
 		chain.Ping{}, chain.Pong{}, chain.Prepare{}, chain.Promise{}, chain.Reject{}, chain.Accept{}, chain.AcceptedReply{},
 		chain.Install{}, chain.Append{}, chain.Committed{},
 		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
-		SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
+		LoadShare{}, SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
 		Subscribers{}, Write{}, Read{}, Reply{},
 		&fleetconfig.State{}, fleetconfig.Change{},
 		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.HeldRecord{},
--- a/internal/lab/fleetscale/hollow.go
+++ b/internal/lab/fleetscale/hollow.go
@@ -106,6 +106,9 @@
 	for range 5 {
 		report.Demands = append(report.Demands, feed.Demand{Service: "s", Model: fmt.Sprintf("m%d", rand.IntN(52)), Requests: 1, InFlight: 1, Tokens: 3000})
 	}
+	for range 20 {
+		report.Loads = append(report.Loads, feed.EndpointLoad{ID: fmt.Sprintf("i-%d", rand.IntN(620)), InFlight: 1, Waiting: rand.IntN(2)})
+	}
 	return report
 }
 
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -19,11 +19,20 @@
 )
 
 // Begin counts a call to an endpoint.
-func (p *Pool) Begin(e *Endpoint) { e.inFlight++ }
+func (p *Pool) Begin(e *Endpoint) {
+	e.inFlight++
+	e.waiting++
+}
+
+// Answering notes that the answer to a call has begun.
+func (p *Pool) Answering(e *Endpoint) { e.waiting-- }
 
-// End takes the end of a call.
-func (p *Pool) End(now time.Duration, e *Endpoint, q Query, result Result) {
+// End takes the end of a call. Answered tells whether its answer had begun.
+func (p *Pool) End(now time.Duration, e *Endpoint, q Query, result Result, answered bool) {
 	e.inFlight--
+	if !answered {
+		e.waiting--
+	}
 	tried := e.trying
 	e.trying = false
 	switch result {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -36,6 +36,8 @@
 	departFor = 6 * time.Second
 	// reportFor is how long an endpoint's own load report counts.
 	reportFor = 2 * time.Second
+	// othersFor is how long the word of control sidecars on the calls of others does.
+	othersFor = 3 * time.Second
 )
 
 // Load is what an endpoint reports of itself.
@@ -53,6 +55,7 @@
 	told     sessions.Endpoint
 	mark     Mark
 	inFlight int // own calls
+	waiting  int // of them, those whose answer has not begun
 
 	rampFrom   time.Duration // when its ramp began
 	isolations int           // in a row
@@ -63,7 +66,9 @@
 	missing    map[string]time.Duration
 	load       Load
 	loadAt     time.Duration
-	loadOwn    int // own calls when the load was reported
+	loadOwn    int     // own calls when the load was reported
+	others     float64 // what other sidecars have it do, as control sidecars say
+	othersAt   time.Duration
 }
 
 // Pool is the endpoints that a sidecar knows.
@@ -231,7 +236,7 @@
 	// candidates is how many random endpoints a pick compares.
 	candidates = 4
 	// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
-	sameWork = 2
+	sameWork = 1
 )
 
 // draw compares random candidates and returns the one with the fewest own calls in flight.
@@ -300,16 +305,47 @@
 	return rampFrom + (1-rampFrom)*max(done, 0)
 }
 
-// work is an endpoint's own calls in flight, with what it has lately said that others have it do.
+// work is an endpoint's own calls in flight, with what others have it do: as control sidecars say, or as it has lately
+// said itself.
 func (e *Endpoint) work(now time.Duration) float64 {
 	work := float64(e.inFlight)
-	if now-e.loadAt < reportFor && e.loadAt > 0 {
+	switch {
+	case e.othersAt > 0 && now-e.othersAt < othersFor:
+		work += e.others
+	case e.loadAt > 0 && now-e.loadAt < reportFor:
 		others := max(float64(e.load.Running+e.load.Waiting-e.loadOwn), 0)
 		work += others * (1 - float64(now-e.loadAt)/float64(reportFor))
 	}
 	return work
 }
 
+// streamingWork is what a call whose answer has begun counts for, against one that waits.
+const streamingWork = 0.2
+
+// FleetLoad is the calls of all sidecars to an endpoint.
+type FleetLoad struct{ InFlight, Waiting int }
+
+// SetFleetLoads takes the calls of all sidecars. An endpoint that is not named has none.
+func (p *Pool) SetFleetLoads(now time.Duration, loads map[string]FleetLoad) {
+	for id, e := range p.byID {
+		total := loads[id]
+		waiting := max(total.Waiting-e.waiting, 0)
+		streaming := max(total.InFlight-total.Waiting-(e.inFlight-e.waiting), 0)
+		e.others, e.othersAt = float64(waiting)+streamingWork*float64(streaming), now
+	}
+}
+
+// Calls lists the own calls, by endpoint.
+func (p *Pool) Calls() map[string]FleetLoad {
+	calls := map[string]FleetLoad{}
+	for id, e := range p.byID {
+		if e.inFlight > 0 {
+			calls[id] = FleetLoad{InFlight: e.inFlight, Waiting: e.waiting}
+		}
+	}
+	return calls
+}
+
 // InFlight is the own calls to an endpoint.
 func (e *Endpoint) InFlight() int { return e.inFlight }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -137,7 +137,7 @@
 	It("isolates an endpoint whose connections break, tries it once, and ramps it up", func() {
 		a := pool.Find("a")
 		pool.Begin(a)
-		pool.End(start, a, query, Broken)
+		pool.End(start, a, query, Broken, false)
 		Expect(a.Mark()).To(Equal(Isolated))
 		Expect(picks(start, query)).NotTo(HaveKey("a"))
 		later := start + 2*mostIsolation
@@ -152,7 +152,7 @@
 			Expect(e).NotTo(Equal(a), "one trial at a time")
 		}
 		pool.Begin(a)
-		pool.End(later, a, query, Served)
+		pool.End(later, a, query, Served, false)
 		Expect(a.Mark()).To(Equal(Ramping))
 	})
 
@@ -160,7 +160,7 @@
 		a := pool.Find("a")
 		for range 20 {
 			pool.Begin(a)
-			pool.End(start, a, query, Broken)
+			pool.End(start, a, query, Broken, false)
 		}
 		Expect(a.trialAt - start).To(BeNumerically("<=", 2*mostIsolation))
 		Expect(a.trialAt - start).To(BeNumerically(">=", mostIsolation/2))
@@ -169,9 +169,9 @@
 	It("passes over a full endpoint for a moment, and one that lacks the model", func() {
 		a, b := pool.Find("a"), pool.Find("b")
 		pool.Begin(a)
-		pool.End(start, a, query, Full)
+		pool.End(start, a, query, Full, false)
 		pool.Begin(b)
-		pool.End(start, b, query, Missing)
+		pool.End(start, b, query, Missing, false)
 		_, verdict := pool.Pick(start, query)
 		Expect(verdict).To(Equal(AllBusy))
 		Expect(picks(start+fullFor, query)).To(HaveKey("a"))
@@ -187,6 +187,21 @@
 		Expect(pool.Find("a")).NotTo(BeNil())
 	})
 
+	It("counts what others have an endpoint do, as control sidecars say, less its own calls", func() {
+		a := pool.Find("a")
+		pool.Begin(a)
+		pool.Begin(pool.Find("b"))
+		pool.SetFleetLoads(start, map[string]FleetLoad{"a": {InFlight: 1, Waiting: 1}, "b": {InFlight: 9, Waiting: 9}})
+		Expect(a.others).To(BeZero())
+		counts := picks(start, query)
+		Expect(counts["a"]).To(BeNumerically("~", 375, 20))
+		Expect(pool.Calls()).To(Equal(map[string]FleetLoad{"a": {1, 1}, "b": {1, 1}}))
+		pool.Answering(a)
+		Expect(pool.Calls()["a"]).To(Equal(FleetLoad{InFlight: 1}))
+		pool.End(start, a, query, Served, true)
+		Expect(pool.Calls()).NotTo(HaveKey("a"))
+	})
+
 	It("counts what an endpoint says that others have it do", func() {
 		pool.Report(start, pool.Find("a"), Load{Running: 9})
 		counts := picks(start, query)
