The bodies of requests under way are bounded by the memory limit

Cause: found by reading: fifty bodies of 4 MB, which a configuration may allow, are more than a sidecar's 184 MB. Change: core's budget of bodies (a quarter of the limit); beyond it 503 at once, as not run, with when to come back. Test: the data plane's.

--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -91,6 +91,23 @@
 		Expect(time.Since(began)-first).To(BeNumerically(">=", 300*time.Millisecond), "nearly half of its time, of which some is left to be served in")
 	})
 
+	It("is refused, as not run, where there is no memory for its body, and gives back what it took", func() {
+		e := newStandIn("i-1", says(200, "hello", stamped))
+		s := newSidecar(route("non_idempotent", ""), e)
+		all := int(s.process.memory.Bodies.Left())
+		s.process.memory.Bodies.Force(all)
+		response, _, err := s.ask("/p/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(503))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(e.seen()).To(BeEmpty())
+		s.process.memory.Bodies.Give(all)
+		response, _, err = s.ask("/p/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(200))
+		Eventually(func() int { return int(s.process.memory.Bodies.Left()) }, patienceOfTest).Should(Equal(all))
+	})
+
 	It("is not taken before there is a configuration", func() {
 		s := newSidecar(route("non_idempotent", ""))
 		s.process.config.Store(nil)
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"dykering/internal/core"
 	"dykering/internal/fleetconfig"
 	"dykering/internal/nodefile"
 	"dykering/internal/routing"
@@ -26,6 +27,8 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
 	mostHeader    = 64 << 10
+	// leastMemoryMB is what is taken for the limit where the settings name less, or none.
+	leastMemoryMB = 64
 )
 
 // Process is a running sidecar that carries traffic. One goroutine owns its tables.
@@ -46,6 +49,7 @@
 
 	config      atomic.Pointer[activeConfig]
 	connections *connections
+	memory      *core.Memory
 	deadlines   deadlines
 	stopping    atomic.Bool
 	closing     atomic.Bool     // too late to take on requests
@@ -96,6 +100,7 @@
 		budget: routing.NewBudget(nodefile.Seconds(bounds.BudgetWindowS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack),
 		demand: newDemandTable(), changed: make(chan struct{}),
 		connections: newConnections(settings.Limits.FileDescriptors),
+		memory:      core.NewMemory(core.Limits{MemoryMB: int64(max(settings.Limits.MemoryMB, leastMemoryMB)), Sockets: max(settings.Limits.FileDescriptors, 1)}),
 	}
 	p.ending, p.end = context.WithCancel(ctx)
 	go p.own()
--- a/internal/dataplane/request.go
+++ b/internal/dataplane/request.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"errors"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dykering/internal/core"
 	"dykering/internal/errkind"
 	"dykering/internal/fleetconfig"
 )
@@ -47,6 +49,7 @@
 	host     string
 	header   http.Header // end to end
 	body     []byte
+	held     int // bytes of the memory for bodies
 	model    string
 	adapter  string
 	usage    usage
@@ -87,8 +90,9 @@
 	return max(hash.Sum64(), 1)
 }
 
-// readRequest reads a request whose route is known.
-func readRequest(r *http.Request, route *fleetconfig.Route, limits fleetconfig.Limits) (*request, error) {
+// readRequest reads a request whose route is known. What it holds of the memory for bodies is to be given back, also after
+// an error.
+func readRequest(r *http.Request, route *fleetconfig.Route, limits fleetconfig.Limits, memory *core.Budget) (*request, error) {
 	q := &request{
 		id: r.Header.Get(headerRequestID), route: route, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: r.Header, arrived: time.Now(),
@@ -102,17 +106,35 @@
 		most = min(most, int64(limits.MaxBodyBytes))
 	}
 	if r.ContentLength > most {
-		return nil, errkind.New(errkind.TooLarge, "")
+		return q, errkind.New(errkind.TooLarge, "")
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	if err != nil {
-		return nil, errkind.New(errkind.Malformed, "the body was cut short")
-	}
-	if int64(len(body)) > most {
-		return nil, errkind.New(errkind.TooLarge, "")
+	return q, q.readBody(r.Body, most, memory)
+}
+
+const bodyPiece = 16 << 10
+
+// readBody reads a body of bounded length. Memory is taken as it comes: a length is only a word.
+func (q *request) readBody(from io.Reader, most int64, memory *core.Budget) error {
+	for {
+		if len(q.body) == cap(q.body) {
+			more := max(bodyPiece, len(q.body))
+			if !memory.Take(more) {
+				return errkind.New(errkind.Overloaded, "no memory for the body")
+			}
+			q.held += more
+			q.body = append(make([]byte, 0, len(q.body)+more), q.body...)
+		}
+		n, err := from.Read(q.body[len(q.body):cap(q.body)])
+		q.body = q.body[:len(q.body)+n]
+		switch {
+		case int64(len(q.body)) > most:
+			return errkind.New(errkind.TooLarge, "")
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return errkind.New(errkind.Malformed, "the body was cut short")
+		}
 	}
-	q.body = body
-	return q, nil
 }
 
 // patience is how long a request is waited for: by its client, and by the operator.
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -60,9 +60,14 @@
 		(&refusal{kind: errkind.NoRoute}).answer(w)
 		return
 	}
-	q, err := readRequest(r, route, config.parsed.Limits)
+	q, err := readRequest(r, route, config.parsed.Limits, &p.memory.Bodies)
+	defer func() { p.memory.Bodies.Give(q.held) }()
 	if err != nil {
-		(&refusal{kind: errkind.KindOf(err), detail: err.Error()}).answer(w)
+		refused := &refusal{kind: errkind.KindOf(err), detail: err.Error()}
+		if refused.kind == errkind.Overloaded {
+			refused.retryAfter = comeBack
+		}
+		refused.answer(w)
 		return
 	}
 	q.again = p.deadlines.shorter(route.Name, r.Header.Get(headerDeadline))
