--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -27,7 +27,6 @@
 	nextPing     time.Duration
 	sealedAt     time.Duration
 	wantSince    time.Duration // since when the view should be another one; 0 for it should not
-	installedAt  time.Duration
 	holderSince  time.Duration // when this member became the holder
 	held         uint64        // the token with which it has waited out its pause
 	nextProposal time.Duration
@@ -87,7 +86,7 @@
 }
 
 func newNode(config Config, now time.Duration) *Node {
-	return &Node{config: config, self: config.Self, peers: map[string]*peer{}, healthy: true, installedAt: now, holderSince: now,
+	return &Node{config: config, self: config.Self, peers: map[string]*peer{}, healthy: true, holderSince: now,
 		nextProposal: now + 2*config.SuspectAfter}
 }
 
@@ -321,7 +320,7 @@
 	wasHolder := n.view.Holder == n.self.ID && n.view.Token == p.View.Token
 	n.enter(p)
 	n.proposing, n.known = nil, true
-	n.installedAt, n.wantSince, n.sealedAt = now, 0, 0
+	n.wantSince, n.sealedAt = 0, 0
 	if !wasHolder {
 		n.holderSince = now
 	}
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
@@ -342,9 +341,6 @@
 	p.saveSessions(now)
 }
 
-// DataDirectoryOf is where a process keeps its state.
-func DataDirectoryOf(s *nodefile.Settings) string { return filepath.Join(s.DataDirectory, "chain") }
-
 // operations are stored and sent as gob.
 func encodeOperation(change fleetconfig.Change) ([]byte, error) {
 	return newRecordEncoder().encode(change)
