--- a/internal/decision/balancer.go
+++ b/internal/decision/balancer.go
@@ -1,5 +1,5 @@
-// Interface: api.go (settings, events, actions). What is tuned, and the beginning; the decisions are in admit.go, pick.go,
-// outcome.go and lists.go.
+// Interface: api.go (settings, events, actions). What is tuned, and the beginning; the decisions are in
+// admit.go, pick.go, outcome.go and lists.go.
 
 package decision
 
