The search of the emulated core is tested alone, the control plane after the others

The search uses all processors with the race detector beside tests that go by the wall's clock. Change: it runs first and by itself; the control plane's tests run with the others of the wall's clock. Not weakened: nothing is left out.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 POLICY := $(addprefix internal/decision/,balancer.go admit.go pick.go outcome.go lists.go)
 
 # Tests that start processes and go by the wall's clock: they run once the others are done, which would crowd them out.
-ON_THE_WALLS_CLOCK := internal/lab/real cmd/dykering
+ON_THE_WALLS_CLOCK := internal/lab/real cmd/dykering internal/controlplane
+# Tests that search with all processors: they run first and alone, as they would crowd out all others.
+SEARCHES := internal/lab/coresim
 
 .PHONY: test demo
 test:
@@ -15,7 +17,8 @@
 	go vet ./...
 	go tool staticcheck ./...
 	CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
-	go test -race -count=1 -timeout 300s $$(go list ./... | grep -v $(foreach x,$(ON_THE_WALLS_CLOCK),-e '/$(x)$$'))
+	go test -race -count=1 -timeout 300s $(addprefix ./,$(SEARCHES))
+	go test -race -count=1 -timeout 300s $$(go list ./... | grep -v $(foreach x,$(ON_THE_WALLS_CLOCK) $(SEARCHES),-e '/$(x)$$'))
 	go test -race -count=1 -timeout 300s $(addprefix ./,$(ON_THE_WALLS_CLOCK))
 
 demo:
