A full disk queue loses no record; an ended stream's reports are not heard

Cause, both found by reading the change once more. (1) Where the disk's queue was full, Process.store dropped a job with its records, and later ones were stored behind the gap: after a restart entries were missing. (2) A report that came after its stream was ended put the sidecar's calls back into the load table, where nothing took them out again: endpoints seemed busy for good, and the table was not bounded by the subscribers.

--- /dev/null
+++ b/internal/controlplane/losses_test.go
@@ -0,0 +1,77 @@
+package controlplane
+
+import (
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/chain"
+	"dykering/internal/feed"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/ringlog"
+)
+
+// count is a value that tells how many operations it has seen.
+func count(value any, _ []byte) any {
+	seen := value.(*fleetconfig.State).Document.Version
+	return &fleetconfig.State{Document: fleetconfig.Document{Version: seen + 1}}
+}
+
+// alone makes the state of a process that is the only member of its core, and that runs nothing.
+func alone() (*Process, chain.Config, chain.Output) {
+	view := chain.View{Number: 1, Voters: []chain.Member{{ID: "a", Address: "a"}}, Chain: []chain.MemberID{"a"}}
+	config := chain.Config{Self: view.Voters[0], Apply: count, Jitter: func(d time.Duration) time.Duration { return d }}
+	p := &Process{log: slog.New(slog.DiscardHandler), loads: newLoadTable(), subscribers: map[*subscriber]bool{}}
+	p.placer = newPlacer(p)
+	var out chain.Output
+	p.node, out = chain.NewGenesis(config, 0, view, &fleetconfig.State{})
+	return p, config, out
+}
+
+var _ = Describe("a disk that has stalled for long", func() {
+	It("loses no record: the next that is taken stands for those that were not", func() {
+		ring, _, err := ringlog.Open(ringlog.Options{Directory: GinkgoT().TempDir(), Files: 3, FileSize: 1 << 16})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ring.Close)
+		p, config, out := alone()
+		p.disk = newDisk(ring, p.log, nil)
+		p.disk.jobs = make(chan diskJob, 2)
+		p.store(out.Records, nil)
+		for range 5 { // more than the queue takes
+			_, out, ok := p.node.Propose([]byte("x"))
+			Expect(ok).To(BeTrue())
+			p.store(out.Records, nil)
+		}
+		var payloads [][]byte
+		drain := func() {
+			for len(p.disk.jobs) > 0 {
+				for _, record := range (<-p.disk.jobs).records {
+					if record.Rotate {
+						payloads = nil
+					}
+					payloads = append(payloads, record.Payload)
+				}
+			}
+		}
+		drain()
+		_, out, _ = p.node.Propose([]byte("x"))
+		p.store(out.Records, nil)
+		drain()
+		records, err := decodeRecords(payloads)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(chain.Restore(config, 0, records).Latest().Value).To(HaveField("Document.Version", int64(6)))
+	})
+})
+
+var _ = Describe("a sidecar whose stream has ended", func() {
+	It("is not heard any more: it tells another control sidecar of its calls", func() {
+		p, _, _ := alone()
+		s := &subscriber{name: "p1", updates: make(chan feed.Update, 1)}
+		p.subscribers[s] = true
+		p.dropSubscriber(s)
+		p.onSubscriber(s, feed.DemandReport{From: "p1", Loads: []feed.EndpointLoad{{ID: "a", InFlight: 1}}})
+		Expect(p.loads.here()).To(BeEmpty())
+	})
+})
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -265,6 +265,7 @@
 		encoded, err := p.disk.encode(record, p.node.Snapshot)
 		if err != nil {
 			p.log.Error("record.unencodable", "error", err)
+			p.disk.encoder = nil // the next record is a snapshot, that stands for this one too
 			continue
 		}
 		job.records = append(job.records, encoded)
@@ -272,7 +273,10 @@
 	select {
 	case p.disk.jobs <- job:
 	default:
-		p.log.Error("disk.queue_full") // the disk has stalled for long; the messages are sent again when it is back
+		// The disk has stalled for long. The messages are sent again when it is back; the records are in the snapshot with which
+		// the next one begins a new file.
+		p.log.Error("disk.queue_full")
+		p.disk.encoder = nil
 	}
 }
 
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -88,6 +88,9 @@
 }
 
 func (p *Process) onSubscriber(s *subscriber, message any) {
+	if !p.subscribers[s] {
+		return // what was under way when its stream ended: it tells another control sidecar from now on
+	}
 	switch m := message.(type) {
 	case feed.Ack:
 		s.acked = m
