A new holder of the placement waits until its predecessor has stopped, not a lease longer

The rule forbids holders that take turns within lease_duration_ms; a change of the holder is not that. The view names the two former holders; one of these waits lease_duration_ms more.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -195,12 +195,20 @@
 	if n.view.Holder != n.self.ID || n.leaving {
 		return 0, false
 	}
-	if now-n.Confirmed(now) > n.config.LeaseFor || now-n.holderSince < n.config.HolderPause {
+	if now-n.Confirmed(now) > n.config.LeaseFor || now-n.holderSince < n.holderPause() {
 		return 0, false
 	}
 	return n.view.Token, true
 }
 
+// holderPause is how long this member waits before it acts as a new holder.
+func (n *Node) holderPause() time.Duration {
+	if n.view.holderReturns() {
+		return n.config.ReturnPause
+	}
+	return n.config.HolderPause
+}
+
 // resend sends what the successor does not have, or what was not heard to be committed.
 func (n *Node) resend(now time.Duration) []Envelope {
 	position := n.view.Position(n.self.ID)
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -57,7 +57,7 @@
 	n := newNode(config, now)
 	n.view, n.base = view, State{Value: value}
 	n.state, n.known = n.base, true
-	n.holderSince = now - config.HolderPause // nobody has held the role before
+	n.holderSince = now - config.ReturnPause // nobody has held the role before
 	return n, Output{Records: []any{n.snapshot()}}
 }
 
@@ -80,7 +80,7 @@
 		n.committed, n.known = n.state.Seq, true // what the tail has stored, all others have
 	}
 	if n.view.Holder == n.self.ID && n.held == n.view.Token {
-		n.holderSince = now - config.HolderPause // nobody else can have held the role since
+		n.holderSince = now - config.ReturnPause // nobody else can have held the role since
 	}
 	return n
 }
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -75,7 +75,8 @@
 	if live < n.view.Majority() {
 		return View{}, false
 	}
-	wanted := View{Number: n.view.Number + 1, Voters: n.wantedVoters(now), Token: n.view.Token, Holder: n.view.Holder}
+	wanted := View{Number: n.view.Number + 1, Voters: n.wantedVoters(now), Token: n.view.Token, Holder: n.view.Holder,
+		FormerHolders: n.view.FormerHolders}
 	inChain := map[MemberID]bool{}
 	add := func(member Member) {
 		if !inChain[member.ID] && n.able(now, member) {
@@ -97,8 +98,8 @@
 		return View{}, false
 	}
 	if !inChain[wanted.Holder] {
-		wanted.Holder = wanted.Chain[0]
-		wanted.Token++
+		former, _ := n.view.Voter(wanted.Holder)
+		wanted.handOver(wanted.Chain[0], former.Address)
 	}
 	return wanted, true
 }
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -10,6 +10,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,25 @@
 	Chain  []MemberID // head first
 	Holder MemberID   // of the singleton role
 	Token  uint64     // rises whenever the holder changes
+	// FormerHolders are the addresses of the members that held the role before, the latest first.
+	FormerHolders []string
+}
+
+// mostFormerHolders bounds the former holders that a view names.
+const mostFormerHolders = 2
+
+// handOver gives the role to another member, under a new token.
+func (v *View) handOver(to MemberID, from string) {
+	v.Holder = to
+	v.Token++
+	former := append([]string{from}, v.FormerHolders...)
+	v.FormerHolders = former[:min(len(former), mostFormerHolders)]
+}
+
+// holderReturns tells whether the holder is one of the former holders, at the same address.
+func (v *View) holderReturns() bool {
+	holder, _ := v.Voter(v.Holder)
+	return slices.Contains(v.FormerHolders, holder.Address)
 }
 
 // Head of the chain; empty for none.
@@ -242,8 +262,11 @@
 	ProposeTimeout time.Duration
 	// LeaseFor is how long a majority's word counts for the holder of the singleton role.
 	LeaseFor time.Duration
-	// HolderPause is the time after a change of the holder before the new one acts.
+	// HolderPause is the time after a change of the holder before the new one acts, by when its predecessor has stopped.
 	HolderPause time.Duration
+	// ReturnPause is that time for a member that is one of the former holders, so that two do not take turns. It is no
+	// shorter than HolderPause.
+	ReturnPause time.Duration
 	// Jitter gives a random part of a duration.
 	Jitter func(time.Duration) time.Duration
 }
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -173,7 +173,7 @@
 		Seeds:        p.settings.SeedInternalAddresses(),
 		MostFailures: p.settings.Tolerance.MachineFailures,
 		PingEvery:    p.timing.pingEvery, SuspectAfter: p.timing.suspectAfter, ProposeTimeout: p.timing.proposeTimeout,
-		LeaseFor: p.timing.lease, HolderPause: p.timing.holderPause,
+		LeaseFor: p.timing.lease, HolderPause: p.timing.holderPause, ReturnPause: p.timing.returnPause,
 		Jitter: func(d time.Duration) time.Duration { return mathrand.N(d + 1) },
 	}
 }
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -23,7 +23,8 @@
 	signsEvery     time.Duration // signs of life are passed on
 	repairEvery    time.Duration // copies of the sessions are compared with a peer's
 	lease          time.Duration // a majority's word counts for the holder of the placement
-	holderPause    time.Duration // a new holder waits before it acts
+	holderPause    time.Duration // a new holder waits before it acts, by when its predecessor's last order has ended
+	returnPause    time.Duration // a former holder that holds the role again waits before it acts
 	streamSilence  time.Duration // a member that no majority confirms ends its streams
 	stopWithin     time.Duration // a stopping member waits to be out of the chain
 }
@@ -31,6 +32,7 @@
 func timingOf(s *nodefile.Settings) timing {
 	contact := nodefile.Milliseconds(s.Bounds.ContactMs)
 	lease := contact / 4
+	predecessorEnds := lease + orderTimeout + nodefile.Milliseconds(s.Bounds.ThawSlackMs)
 	return timing{
 		tick:           contact / 60,
 		pingEvery:      contact / 30,
@@ -44,9 +46,9 @@
 		signsEvery:     s.HeartbeatInterval() / 4,
 		repairEvery:    s.HeartbeatInterval(),
 		lease:          lease,
-		holderPause: lease + orderTimeout + nodefile.Milliseconds(s.Bounds.LeaseDurationMs) +
-			nodefile.Milliseconds(s.Bounds.ThawSlackMs),
-		streamSilence: contact / 4,
-		stopWithin:    min(nodefile.Seconds(s.Bounds.GracePeriodS)/4, contact),
+		holderPause:    predecessorEnds,
+		returnPause:    predecessorEnds + nodefile.Milliseconds(s.Bounds.LeaseDurationMs),
+		streamSilence:  contact / 4,
+		stopWithin:     min(nodefile.Seconds(s.Bounds.GracePeriodS)/4, contact),
 	}
 }
--- a/internal/lab/coresim/coresim_test.go
+++ b/internal/lab/coresim/coresim_test.go
@@ -52,6 +52,23 @@
 		Step{3257 * ms, DeafWay, 0, 1961 * ms}, Step{5349 * ms, KillAll, 0, 328 * ms}),
 )
 
+// holderReturns has the first of five members hold the role again: each of the others falls behind it in the chain.
+var holderReturns = []Step{
+	{3 * s, Freeze, 0, s}, {9 * s, Kill, 2, s}, {15 * s, Kill, 3, s}, {21 * s, Kill, 4, s}, {27 * s, Kill, 1, s},
+}
+
+var _ = Describe("a holder that returns", func() {
+	schedule := func(flaw Flaw) Schedule {
+		return Schedule{Options: Options{Seed: 7, Members: 5, MostFailures: 2, Flaw: flaw}, Steps: holderReturns}
+	}
+	It("does not take turns with the one before it", func() {
+		Expect(schedule(Sound).Play()).To(Succeed())
+	})
+	It("is caught where it does", func() {
+		Expect(schedule(NoReturnPause).Play()).To(MatchError(ContainSubstring("takes turns")))
+	})
+})
+
 const (
 	s  = time.Second
 	ms = time.Millisecond
--- a/internal/lab/coresim/world.go
+++ b/internal/lab/coresim/world.go
@@ -38,13 +38,14 @@
 	ReadUnconfirmed Flaw = "the tail answers reads without a majority's word"
 	HoldUnconfirmed Flaw = "the holder acts without a majority's word"
 	NoHolderPause   Flaw = "a new holder acts at once"
+	NoReturnPause   Flaw = "a former holder acts as soon as a new one"
 	ForgetPromise   Flaw = "a restarted member has forgotten its promises"
 	RestartBehind   Flaw = "a restarted member has lost the newest record that it stored"
 )
 
 // Flaws lists those that can be planted.
 func Flaws() []Flaw {
-	return []Flaw{AckBeforeSync, VoteAfterWipe, ReadUnconfirmed, HoldUnconfirmed, NoHolderPause, ForgetPromise, RestartBehind}
+	return []Flaw{AckBeforeSync, VoteAfterWipe, ReadUnconfirmed, HoldUnconfirmed, NoHolderPause, NoReturnPause, ForgetPromise, RestartBehind}
 }
 
 // Options of a world.
