--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -78,6 +78,19 @@
 		Expect(wait).To(BeNumerically(">", 0))
 	})
 
+	It("has a client come back once a restarted system has a configuration", func() {
+		e := newStandIn("i-1", says(200, "hello", stamped))
+		s := newSidecar(route("non_idempotent", ""), e)
+		s.process.config.Store(nil)
+		response, _, err := s.ask("/p/", "X-Model: m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(503))
+		wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(wait).To(And(BeNumerically(">=", readyAgain.Seconds()), BeNumerically("<=", (readyAgain+readyAgainJitter).Seconds())))
+		Expect(e.seen()).To(BeEmpty())
+	})
+
 	It("waits for longer where it comes after another try", func() {
 		s := newSidecar(route("non_idempotent", ""), newStandIn("i-1", says(200, "hello", stamped)))
 		began := time.Now()
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -15,6 +15,10 @@
 const (
 	// comeBack is when a client should try again that was turned away for want of room.
 	comeBack = 250 * time.Millisecond
+	// readyAgain is when a client should try again at a sidecar that has no configuration yet: after a restart of the whole
+	// system one is there within half a second. A client that comes too early has used up its last try.
+	readyAgain       = 700 * time.Millisecond
+	readyAgainJitter = 150 * time.Millisecond
 	// firstShare is the part of a route's target for which a request's first try may wait for an endpoint: refused by then,
 	// it is still worth something when it comes back. loadShare is that for which it waits where a load ends within it.
 	firstShare = 0.2
@@ -52,7 +56,7 @@
 	}
 	config := p.config.Load()
 	if config == nil || p.closing.Load() {
-		(&refusal{kind: errkind.NotReady, retryAfter: comeBack}).answer(w)
+		(&refusal{kind: errkind.NotReady, retryAfter: readyAgain + rand.N(readyAgainJitter)}).answer(w)
 		return
 	}
 	route, ok := config.routes.Match(r.Host, r.URL.EscapedPath())
