A read shows only what the tail has stored

Cause: found by the search of the emulated core, with new checks (an operation comes after all that were acknowledged before it began; a read shows no less than one that ended before it began). A read at the tail showed entries that it had in memory and not yet on disk; with its disk stalled and all members killed, a later read showed fewer. Change: the tail answers with the committed state, which counts an entry once its record is stored.

--- a/cmd/dykering-lab/coresearch.go
+++ b/cmd/dykering-lab/coresearch.go
@@ -14,21 +14,27 @@
 // newCoreSearch is the search of the emulated core for a broken promise.
 func newCoreSearch() *cobra.Command {
 	c := &cobra.Command{Use: "control", Short: "The control plane's core, emulated in virtual time", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return fmt.Errorf("control: explore or replay is missing") }}
-	c.AddCommand(newCoreExplore(), newCoreReplay())
+		RunE: func(*cobra.Command, []string) error { return fmt.Errorf("control: explore, replay, flaws or recovery is missing") }}
+	c.AddCommand(newCoreExplore(), newCoreReplay(), newCoreFlaws(), newCoreRecovery())
 	return c
 }
 
 func newCoreExplore() *cobra.Command {
 	var first, schedules uint64
-	var flaw, file string
+	var flaw, file, table string
 	c := &cobra.Command{Use: "explore", Short: "Draw schedules of troubles until a promise is broken", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			began := time.Now()
-			failure := coresim.Search(first, schedules, coresim.Flaw(flaw), func(played uint64) {
+			failure, covered := coresim.SearchCovering(first, schedules, coresim.Flaw(flaw), func(played uint64) {
 				left := time.Duration(float64(time.Since(began)) / float64(played) * float64(schedules-played))
 				fmt.Fprintf(c.ErrOrStderr(), "%d of %d played, %v left\n", played, schedules, left.Round(time.Second))
 			})
+			fmt.Fprintf(c.OutOrStdout(), "%d of %d pairs of a trouble and a state reached\n", covered.Reached(), coresim.Possible())
+			if table != "" {
+				if err := os.WriteFile(table, []byte(covered.Table()), 0o644); err != nil {
+					return faulty{err}
+				}
+			}
 			if failure == nil {
 				fmt.Fprintf(c.OutOrStdout(), "%d schedules, no promise broken, %v\n", schedules, time.Since(began).Round(time.Second))
 				return nil
@@ -48,6 +54,7 @@
 	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
 	c.Flags().Uint64Var(&schedules, "schedules", 10000, "how many schedules")
 	c.Flags().StringVar(&flaw, "flaw", "", "a flaw to plant, by its name")
+	c.Flags().StringVar(&table, "table", "", "where the table of the pairs that were reached is written")
 	c.Flags().StringVar(&file, "out", "", "where a failing schedule is written")
 	return c
 }
@@ -78,3 +85,49 @@
 			return nil
 		}}
 }
+
+func newCoreFlaws() *cobra.Command {
+	var first, schedules uint64
+	c := &cobra.Command{Use: "flaws", Short: "Plant each flaw and tell how many schedules find it", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			missed := 0
+			for _, flaw := range coresim.Flaws() {
+				failure := coresim.Search(first, schedules, flaw, nil)
+				if failure == nil {
+					missed++
+					fmt.Fprintf(c.OutOrStdout(), "| %s | not in %d |\n", flaw, schedules)
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "| %s | %d |\n", flaw, failure.Played)
+			}
+			if missed > 0 {
+				return faulty{fmt.Errorf("%d flaws were not found", missed)}
+			}
+			return nil
+		}}
+	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
+	c.Flags().Uint64Var(&schedules, "schedules", 20000, "how many schedules for each flaw")
+	return c
+}
+
+func newCoreRecovery() *cobra.Command {
+	var seeds uint64
+	c := &cobra.Command{Use: "recovery", Short: "Measure the time from a trouble to the next acknowledgement", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			kinds := []coresim.Kind{coresim.Kill, coresim.Freeze, coresim.Isolate, coresim.Stall, coresim.Wipe}
+			for _, struck := range []coresim.Struck{coresim.StruckHead, coresim.StruckMiddle, coresim.StruckTail} {
+				for _, kind := range kinds {
+					tellRecovery(c, struck, kind, seeds)
+				}
+			}
+			tellRecovery(c, coresim.StruckAll, coresim.KillAll, seeds)
+			return nil
+		}}
+	c.Flags().Uint64Var(&seeds, "seeds", 1000, "how often each trouble strikes")
+	return c
+}
+
+func tellRecovery(c *cobra.Command, struck coresim.Struck, kind coresim.Kind, seeds uint64) {
+	times := coresim.MeasureRecovery(struck, kind, seeds)
+	fmt.Fprintf(c.OutOrStdout(), "| %s | %s | %v | %v | %v |\n", struck, kind, times.Percentile(0.5), times.Percentile(0.99), times.Percentile(1))
+}
--- /dev/null
+++ b/internal/chain/chain_test.go
@@ -0,0 +1,85 @@
+package chain
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/gomega"
+)
+
+func TestChain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "chain replication")
+}
+
+// add is the operation of these tests: the value is the number of operations.
+func add(value any, _ []byte) any { return value.(int) + 1 }
+
+// chainOf makes the members of a first view, head first.
+func chainOf(names ...string) []*Node {
+	view := View{Number: 1, Token: 1}
+	for _, name := range names {
+		view.Voters = append(view.Voters, Member{ID: MemberID(name), Address: name})
+		view.Chain = append(view.Chain, MemberID(name))
+	}
+	view.Holder = view.Chain[0]
+	var nodes []*Node
+	for _, voter := range view.Voters {
+		config := Config{Self: voter, Apply: add, MostFailures: 1, SuspectAfter: time.Second, PingEvery: time.Second,
+			LeaseFor: time.Second, HolderPause: time.Second, ReturnPause: 3 * time.Second,
+			Jitter: func(time.Duration) time.Duration { return 0 }}
+		node, _ := NewGenesis(config, 0, view, 0)
+		nodes = append(nodes, node)
+	}
+	return nodes
+}
+
+// messageTo finds the message of a kind to an address.
+func messageTo[T any](out Output, to string) T {
+	GinkgoHelper()
+	for _, envelope := range out.Messages {
+		if message, ok := envelope.Message.(T); ok && envelope.To == to {
+			return message
+		}
+	}
+	Fail("no such message to " + to)
+	panic("unreachable")
+}
+
+var _ = Describe("the tail", func() {
+	It("counts an entry as committed once it has stored it, not before", func() {
+		nodes := chainOf("a", "b", "c")
+		head, middle, tail := nodes[0], nodes[1], nodes[2]
+		_, out, ok := head.Propose([]byte("x"))
+		Expect(ok).To(BeTrue())
+		out = middle.Receive(0, messageTo[Append](out, "b"))
+		out = tail.Receive(0, messageTo[Append](out, "c"))
+		Expect(out.Records).To(HaveLen(1))
+		Expect(tail.Latest().Value).To(Equal(1), "it has the entry")
+		Expect(tail.CommittedState().Value).To(Equal(0), "its record is not stored yet: a read must not show it")
+		tail.Receive(0, messageTo[Committed](out, "c")) // goes out once the record is stored
+		Expect(tail.CommittedState().Value).To(Equal(1))
+	})
+})
+
+var _ = Describe("the view", func() {
+	It("names the two former holders, the latest first", func() {
+		view := View{Voters: []Member{{ID: "a/1", Address: "a"}, {ID: "c/1", Address: "c"}}, Holder: "a/1", Token: 4}
+		view.handOver("b/1", "a")
+		Expect(view.FormerHolders).To(Equal([]string{"a"}))
+		Expect(view.holderReturns()).To(BeFalse())
+		view.handOver("c/1", "b")
+		view.handOver("d/1", "c")
+		Expect(view.FormerHolders).To(Equal([]string{"c", "b"}))
+		Expect(view.Token).To(Equal(uint64(7)))
+		view.handOver("c/1", "d")
+		Expect(view.holderReturns()).To(BeTrue(), "the one before the last")
+	})
+
+	It("takes a member for the same holder whose disk was lost in between", func() {
+		view := View{Voters: []Member{{ID: "a/2", Address: "a"}}, Holder: "b/1", FormerHolders: []string{"a"}}
+		view.handOver("a/2", "b")
+		Expect(view.holderReturns()).To(BeTrue())
+	})
+})
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -196,7 +196,7 @@
 	case r.view != p.node.View().Number || now > r.until:
 		r.answer(unavailable("not confirmed in time"))
 	case p.node.Confirmed(now) >= r.since:
-		state := p.node.Latest().Value.(*fleetconfig.State) // what the tail has is committed
+		state := p.node.CommittedState().Value.(*fleetconfig.State) // what the tail has stored
 		r.answer(feed.Reply{Document: state.Document})
 	default:
 		return false
--- a/internal/lab/coresim/checker.go
+++ b/internal/lab/coresim/checker.go
@@ -42,18 +42,22 @@
 
 // checker knows only what callers saw.
 type checker struct {
-	broken  error
-	order   []uint64 // operations in the order in which they were seen committed
-	acked   []uint64
-	holder  string
-	token   uint64
-	actedAt time.Duration
-	former  []string // the holders before, the latest first
-	// reached are pairs of what a member did and what was wrong at the time, for the search.
+	broken                      error
+	order                       []uint64 // operations in the order in which they were seen committed
+	acked                       []uint64
+	place                       map[uint64]int // of an operation in the order
+	before                      map[uint64]int // how many operations were acknowledged when one began
+	longest                     int            // how many operations the longest read that has ended showed
+	holder                      string
+	token                       uint64
+	actedAt                     time.Duration
+	former                      []string // the holders before, the latest first
 	Acks, Reads, Views, Holders int
 }
 
-func newChecker() *checker { return &checker{actedAt: -time.Hour} }
+func newChecker() *checker {
+	return &checker{actedAt: -time.Hour, place: map[uint64]int{}, before: map[uint64]int{}}
+}
 
 func (c *checker) fail(format string, arguments ...any) {
 	if c.broken == nil {
@@ -75,6 +79,9 @@
 		view := m.node.View()
 		holds, token = view.Holder == m.node.Self().ID, view.Token
 	}
+	if m.world.options.Flaw == TokenStays {
+		token = 1
+	}
 	if holds {
 		c.act(now, m.address, token)
 	}
@@ -91,10 +98,25 @@
 			}
 			continue
 		}
-		c.order = append(c.order, number)
+		c.inOrder(number)
+	}
+}
+
+// inOrder takes the next operation of the order. It must come after all that were acknowledged before it began.
+func (c *checker) inOrder(number uint64) {
+	c.place[number] = len(c.order)
+	c.order = append(c.order, number)
+	for _, earlier := range c.acked[:c.before[number]] {
+		if _, ok := c.place[earlier]; !ok {
+			c.fail("operation %d comes before %d, which was acknowledged before it began", number, earlier)
+			return
+		}
 	}
 }
 
+// begin notes that a caller sends an operation.
+func (c *checker) begin(number uint64) { c.before[number] = len(c.acked) }
+
 // act checks that one holder acts at a time, with tokens that rise.
 func (c *checker) act(now time.Duration, address string, token uint64) {
 	switch {
@@ -122,9 +144,14 @@
 	c.Acks++
 }
 
-// read checks a read that began when so many operations were acknowledged.
-func (c *checker) read(address string, value log, acked int) {
+// read checks a read that began when so many operations were acknowledged, and the longest read had shown so many.
+func (c *checker) read(address string, value log, acked, longest int) {
 	c.Reads++
+	if len(value.operations) < longest {
+		c.fail("a read at %s shows %d operations, one that ended before it began %d", address, len(value.operations), longest)
+		return
+	}
+	c.longest = max(c.longest, len(value.operations))
 	for _, number := range c.acked[:acked] {
 		if !value.has(number) {
 			c.fail("a read at %s lacks operation %d, which was acknowledged before", address, number)
--- a/internal/lab/coresim/clients.go
+++ b/internal/lab/coresim/clients.go
@@ -50,13 +50,18 @@
 	}
 	w.nextOp++
 	number := w.nextOp
+	w.checker.begin(number)
 	_, out, ok := m.node.Propose(encode(number))
 	if !ok {
 		return
 	}
 	m.act(out)
 	w.await(m, func() bool {
-		if !m.node.CommittedState().Value.(log).has(number) {
+		taken := m.node.CommittedState()
+		if w.options.Flaw == AckAtHead {
+			taken = m.node.Latest()
+		}
+		if !taken.Value.(log).has(number) {
 			return false
 		}
 		w.checker.ack(number)
@@ -69,7 +74,7 @@
 	if m == nil {
 		return
 	}
-	since, acked, view := w.now, len(w.checker.acked), m.node.View().Number
+	since, acked, longest, view := w.now, len(w.checker.acked), w.checker.longest, m.node.View().Number
 	m.act(m.node.PingNow(w.now))
 	w.await(m, func() bool {
 		if m.node.View().Number != view {
@@ -78,7 +83,11 @@
 		if w.options.Flaw != ReadUnconfirmed && m.node.Confirmed(w.now) < since {
 			return false
 		}
-		w.checker.read(m.address, m.node.Latest().Value.(log), acked)
+		shown := m.node.CommittedState()
+		if w.options.Flaw == ReadUnstored {
+			shown = m.node.Latest()
+		}
+		w.checker.read(m.address, shown.Value.(log), acked, longest)
 		return true
 	})
 }
--- a/internal/lab/coresim/coresim_test.go
+++ b/internal/lab/coresim/coresim_test.go
@@ -14,7 +14,8 @@
 }
 
 // oftenFound are the flaws that a short search finds. ForgetPromise takes a longer one: dykering-lab control explore.
-var oftenFound = []Flaw{AckBeforeSync, VoteAfterWipe, ReadUnconfirmed, HoldUnconfirmed, NoHolderPause, RestartBehind}
+var oftenFound = []Flaw{AckBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, RestartBehind, ShortPromise, ShortInstall,
+	ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, TokenStays}
 
 var _ = Describe("drawn schedules of troubles", func() {
 	It("break no promise", func() {
@@ -69,6 +70,23 @@
 	})
 })
 
+// readWhileStalled has the tail read while its disk stalls, and all killed then: found by the search.
+var readWhileStalled = []Step{
+	{2294662546, WipeOfAll, 0, 445055191}, {4730393756, Stall, 0, 1135615447}, {4987606175, KillAll, 0, 1113832238},
+}
+
+var _ = Describe("a read at a tail whose disk stalls", func() {
+	schedule := func(flaw Flaw) Schedule {
+		return Schedule{Options: Options{Seed: 1836, Members: 3, MostFailures: 1, Flaw: flaw}, Steps: readWhileStalled}
+	}
+	It("shows what is stored alone", func() {
+		Expect(schedule(Sound).Play()).To(Succeed())
+	})
+	It("is caught where it shows more", func() {
+		Expect(schedule(ReadUnstored).Play()).To(MatchError(ContainSubstring("one that ended before it began")))
+	})
+})
+
 const (
 	s  = time.Second
 	ms = time.Millisecond
--- /dev/null
+++ b/internal/lab/coresim/flaws.go
@@ -0,0 +1,93 @@
+package coresim
+
+import "dykering/internal/chain"
+
+// Flaw is a fault that is planted in the emulated processes, to show that the search finds it.
+type Flaw string
+
+// The flaws.
+const (
+	Sound            Flaw = ""
+	AckBeforeSync    Flaw = "messages go out before their records are stored"
+	AckAtHead        Flaw = "the head acknowledges what it alone has stored"
+	EarlyCommit      Flaw = "the head tells that an entry is committed as it passes it on"
+	VoteAfterWipe    Flaw = "a member whose disk was lost comes back as if it had it"
+	ForgetPromise    Flaw = "a restarted member has forgotten its promises"
+	RestartBehind    Flaw = "a restarted member has lost the newest record that it stored"
+	ShortPromise     Flaw = "a promise leaves out the newest entry of its member"
+	ShortInstall     Flaw = "a view begins without the newest entry that was agreed on"
+	ReadUnconfirmed  Flaw = "the tail answers reads without a majority's word"
+	ReadUnstored     Flaw = "the tail answers reads with what it has not stored yet"
+	HoldUnconfirmed  Flaw = "the holder acts without a majority's word"
+	NoHolderPause    Flaw = "a new holder acts at once"
+	NoReturnPause    Flaw = "a former holder acts as soon as a new one"
+	RestartWithToken Flaw = "a restarted holder acts as if it had waited its pause out"
+	TokenStays       Flaw = "the token does not rise with the holder"
+)
+
+// Flaws lists those that can be planted.
+func Flaws() []Flaw {
+	return []Flaw{AckBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
+		ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, NoReturnPause, RestartWithToken, TokenStays}
+}
+
+// without leaves out the newest operation of a state.
+func without(state chain.State) chain.State {
+	value, ok := state.Value.(log)
+	if !ok || len(value.operations) == 0 {
+		return state
+	}
+	return chain.State{Seq: state.Seq - 1, Value: log{operations: value.operations[:len(value.operations)-1]}}
+}
+
+// message is a message as a process with the flaw sends it.
+func (f Flaw) message(message any) any {
+	switch m := message.(type) {
+	case chain.Promise:
+		if f == ShortPromise && m.InChain {
+			m.State = without(m.State)
+			return m
+		}
+	case chain.Install:
+		if f == ShortInstall {
+			m.Proposal.Base = without(m.Proposal.Base)
+			return m
+		}
+	}
+	return message
+}
+
+// early is what the head tells beside a message, with the flaw EarlyCommit.
+func (m *machine) early(envelope chain.Envelope) {
+	entries, ok := envelope.Message.(chain.Append)
+	if m.world.options.Flaw != EarlyCommit || !ok || !m.node.IsHead() {
+		return
+	}
+	last := entries.Entries[len(entries.Entries)-1].Seq
+	m.act(m.node.Receive(m.world.now, chain.Committed{From: entries.From, View: entries.View, Seq: last}))
+}
+
+// stored is what a process that ends finds on its disk when it starts again.
+func (f Flaw) stored(records []any, node *chain.Node) []any {
+	switch {
+	case f == ForgetPromise:
+		return withoutPromises(records)
+	case f == RestartBehind && len(records) > 1:
+		return records[:len(records)-1]
+	case f == RestartWithToken && node.View().Holder == node.Self().ID:
+		return append(records[:len(records):len(records)], chain.HeldRecord{Token: node.View().Token})
+	}
+	return records
+}
+
+func withoutPromises(records []any) []any {
+	var kept []any
+	for _, record := range records {
+		switch record.(type) {
+		case chain.PromiseRecord, chain.AcceptRecord:
+		default:
+			kept = append(kept, record)
+		}
+	}
+	return kept
+}
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -191,6 +191,7 @@
 			continue
 		}
 		m.world.send(m, envelope)
+		m.early(envelope)
 	}
 	m.world.checker.watch(m)
 }
@@ -200,26 +201,7 @@
 	m.life++
 	m.up = false
 	m.jobs, m.inbox, m.writing = nil, nil, false
-	switch m.world.options.Flaw {
-	case ForgetPromise:
-		m.disk = withoutPromises(m.disk)
-	case RestartBehind:
-		if len(m.disk) > 1 {
-			m.disk = m.disk[:len(m.disk)-1]
-		}
-	}
-}
-
-func withoutPromises(records []any) []any {
-	var kept []any
-	for _, record := range records {
-		switch record.(type) {
-		case chain.PromiseRecord, chain.AcceptRecord:
-		default:
-			kept = append(kept, record)
-		}
-	}
-	return kept
+	m.disk = m.world.options.Flaw.stored(m.disk, m.node)
 }
 
 // wipe loses the disk of a process that does not run.
--- /dev/null
+++ b/internal/lab/coresim/recovery.go
@@ -0,0 +1,73 @@
+package coresim
+
+import (
+	"slices"
+	"time"
+)
+
+// Struck is what a trouble strikes, for the measurement of recovery.
+type Struck string
+
+// What can be struck.
+const (
+	StruckHead   Struck = "head"
+	StruckMiddle Struck = "middle"
+	StruckTail   Struck = "tail"
+	StruckAll    Struck = "all"
+)
+
+// RecoveryTimes are the times from a trouble to the next acknowledgement of a write that began after it.
+type RecoveryTimes struct{ times []time.Duration }
+
+// Percentile of the times, from 0 to 1.
+func (r RecoveryTimes) Percentile(p float64) time.Duration {
+	if len(r.times) == 0 {
+		return 0
+	}
+	return r.times[int(p*float64(len(r.times)-1))]
+}
+
+// recoveryPatience bounds how long a recovery is waited for.
+const recoveryPatience = 20 * time.Second
+
+// MeasureRecovery strikes a calm core of three members once for each seed, at another moment each time.
+func MeasureRecovery(struck Struck, kind Kind, seeds uint64) RecoveryTimes {
+	var r RecoveryTimes
+	for seed := range seeds {
+		r.times = append(r.times, recoveryOf(struck, kind, seed+1))
+	}
+	slices.Sort(r.times)
+	return r
+}
+
+func recoveryOf(struck Struck, kind Kind, seed uint64) time.Duration {
+	w := NewWorld(Options{Seed: seed, Members: 3, MostFailures: 1})
+	at := calmStart + time.Duration(w.random.Int64N(int64(time.Second)))
+	if w.Run(at) != nil {
+		return recoveryPatience
+	}
+	member := w.struck(struck)
+	losses := &losses{world: w, until: map[int]time.Duration{}}
+	losses.begin(Step{At: at, Kind: kind, Member: member, For: time.Second})
+	first := w.nextOp + 1
+	for w.now < at+recoveryPatience {
+		if w.Run(w.now+time.Millisecond) != nil {
+			break
+		}
+		if n := len(w.checker.acked); n > 0 && w.checker.acked[n-1] >= first {
+			return w.now - at
+		}
+	}
+	return recoveryPatience
+}
+
+// struck is the number of the member that is struck.
+func (w *World) struck(what Struck) int {
+	role := map[Struck]Role{StruckHead: HeadRole, StruckMiddle: MiddleRole, StruckTail: TailRole}[what]
+	for i, m := range w.machines {
+		if m.role() == role {
+			return i
+		}
+	}
+	return 0
+}
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -70,6 +70,12 @@
 
 // Play plays a schedule and tells which promise was broken, if any.
 func (s Schedule) Play() error {
+	_, err := s.play()
+	return err
+}
+
+// play plays a schedule, and tells also what it has covered.
+func (s Schedule) play() (Coverage, error) {
 	w := NewWorld(s.Options)
 	var end time.Duration
 	losses := &losses{world: w, until: map[int]time.Duration{}}
@@ -78,15 +84,15 @@
 		w.at(step.At, func() { losses.begin(step) })
 	}
 	if err := w.Run(end + calmEnd); err != nil {
-		return err
+		return w.coverage, err
 	}
 	if !w.Progress(progressIn) {
 		if w.checker.broken != nil {
-			return w.checker.broken
+			return w.coverage, w.checker.broken
 		}
-		return fmt.Errorf("nothing is acknowledged in %v of calm: %+v", progressIn, w.State())
+		return w.coverage, fmt.Errorf("nothing is acknowledged in %v of calm: %+v", progressIn, w.State())
 	}
-	return nil
+	return w.coverage, nil
 }
 
 // losses keeps troubles within what is to be borne: those that lose a member wait for others to be back.
@@ -117,6 +123,7 @@
 		if step.Kind == WipeOfAll && !room {
 			return
 		}
+		w.note(step.Kind, m)
 		l.killAll(step)
 		return
 	case Wipe, Replace:
@@ -129,6 +136,7 @@
 		}
 	}
 	l.until[step.Member] = w.now + step.For + catchUp
+	w.note(step.Kind, m)
 	l.one(step, m)
 }
 
--- a/internal/lab/coresim/search.go
+++ b/internal/lab/coresim/search.go
@@ -15,6 +15,14 @@
 
 // Search plays drawn schedules in parallel until one fails or all are played. Progress is told now and then.
 func Search(first, count uint64, flaw Flaw, progress func(played uint64)) *Failure {
+	failure, _ := SearchCovering(first, count, flaw, progress)
+	return failure
+}
+
+// SearchCovering is Search that also tells which pairs the schedules have reached.
+func SearchCovering(first, count uint64, flaw Flaw, progress func(played uint64)) (*Failure, Coverage) {
+	var mu sync.Mutex
+	covered := Coverage{}
 	var next, played atomic.Uint64
 	var found atomic.Pointer[Failure]
 	var workers sync.WaitGroup
@@ -26,8 +34,11 @@
 					return
 				}
 				s := Draw(first+i, flaw)
-				err := s.Play()
+				reached, err := s.play()
 				n := played.Add(1)
+				mu.Lock()
+				covered.Add(reached)
+				mu.Unlock()
 				if err != nil {
 					found.CompareAndSwap(nil, &Failure{Schedule: s, Err: err, Played: n})
 					return
@@ -39,7 +50,7 @@
 		})
 	}
 	workers.Wait()
-	return found.Load()
+	return found.Load(), covered
 }
 
 // Shrink leaves out the troubles that a failure does not need.
--- a/internal/lab/coresim/world.go
+++ b/internal/lab/coresim/world.go
@@ -27,27 +27,6 @@
 	mostDelay      = 3 * time.Millisecond
 )
 
-// Flaw is a fault that is planted in the emulated processes, to show that the search finds it.
-type Flaw string
-
-// The flaws.
-const (
-	Sound           Flaw = ""
-	AckBeforeSync   Flaw = "messages go out before their records are stored"
-	VoteAfterWipe   Flaw = "a member whose disk was lost comes back as if it had it"
-	ReadUnconfirmed Flaw = "the tail answers reads without a majority's word"
-	HoldUnconfirmed Flaw = "the holder acts without a majority's word"
-	NoHolderPause   Flaw = "a new holder acts at once"
-	NoReturnPause   Flaw = "a former holder acts as soon as a new one"
-	ForgetPromise   Flaw = "a restarted member has forgotten its promises"
-	RestartBehind   Flaw = "a restarted member has lost the newest record that it stored"
-)
-
-// Flaws lists those that can be planted.
-func Flaws() []Flaw {
-	return []Flaw{AckBeforeSync, VoteAfterWipe, ReadUnconfirmed, HoldUnconfirmed, NoHolderPause, NoReturnPause, ForgetPromise, RestartBehind}
-}
-
 // Options of a world.
 type Options struct {
 	Seed         uint64
@@ -93,6 +72,7 @@
 	cuts     map[[2]string]int // from, to
 	arrival  map[[2]string]time.Duration
 	checker  *checker
+	coverage Coverage
 	nextOp   uint64
 	spares   int
 }
@@ -100,7 +80,7 @@
 // NewWorld makes a core whose members start for the first time.
 func NewWorld(options Options) *World {
 	w := &World{options: options, random: rand.New(rand.NewPCG(options.Seed, 1)), cuts: map[[2]string]int{},
-		arrival: map[[2]string]time.Duration{}, checker: newChecker()}
+		arrival: map[[2]string]time.Duration{}, checker: newChecker(), coverage: Coverage{}}
 	for i := range options.Members {
 		w.addMachine(fmt.Sprintf("m%d", i))
 	}
@@ -154,6 +134,7 @@
 
 // send carries a message, in the order in which a link's messages were sent.
 func (w *World) send(from *machine, envelope chain.Envelope) {
+	envelope.Message = w.options.Flaw.message(envelope.Message)
 	link := [2]string{from.address, envelope.To}
 	if w.cuts[link] > 0 {
 		return
