A view names three former holders, so that the role may not go round a core of three in a lease

Cause: found by the search: of three members each held the role in turn, and the first acted again 1.6 s after the third; the view named two. Change: the view names three former holders; the schedule is a test. Measured: the schedule broke before and does not after.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -64,17 +64,19 @@
 })
 
 var _ = Describe("the view", func() {
-	It("names the two former holders, the latest first", func() {
+	It("names the three former holders, the latest first", func() {
 		view := View{Voters: []Member{{ID: "a/1", Address: "a"}, {ID: "c/1", Address: "c"}}, Holder: "a/1", Token: 4}
 		view.handOver("b/1", "a")
 		Expect(view.FormerHolders).To(Equal([]string{"a"}))
 		Expect(view.holderReturns()).To(BeFalse())
 		view.handOver("c/1", "b")
 		view.handOver("d/1", "c")
-		Expect(view.FormerHolders).To(Equal([]string{"c", "b"}))
-		Expect(view.Token).To(Equal(uint64(7)))
-		view.handOver("c/1", "d")
-		Expect(view.holderReturns()).To(BeTrue(), "the one before the last")
+		Expect(view.FormerHolders).To(Equal([]string{"c", "b", "a"}))
+		view.handOver("e/1", "d")
+		Expect(view.FormerHolders).To(Equal([]string{"d", "c", "b"}))
+		Expect(view.Token).To(Equal(uint64(8)))
+		view.handOver("c/1", "e")
+		Expect(view.holderReturns()).To(BeTrue(), "one of the three before")
 	})
 
 	It("takes a member for the same holder whose disk was lost in between", func() {
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -38,7 +38,7 @@
 }
 
 // mostFormerHolders bounds the former holders that a view names.
-const mostFormerHolders = 2
+const mostFormerHolders = 3
 
 // handOver gives the role to another member, under a new token.
 func (v *View) handOver(to MemberID, from string) {
--- a/internal/lab/coresim/coresim_test.go
+++ b/internal/lab/coresim/coresim_test.go
@@ -49,6 +49,8 @@
 	Entry("all lose power, one its disk", 3, 1, Step{3 * s, WipeOfAll, 1, s}),
 	Entry("all are killed again and again", 3, 1, Step{3 * s, KillAll, 0, s / 5}, Step{4 * s, KillAll, 0, s / 5}, Step{5 * s, KillAll, 0, s / 5}),
 	Entry("the holder is frozen and wakes", 3, 1, Step{3 * s, Freeze, 0, 5 * s}),
+	Entry("the role goes round: found by the search", 3, 1,
+		Step{2224879015, Freeze, 0, 822162186}, Step{7636621757, Replace, 1, 873007409}, Step{12639390806, Freeze, 2, 1139539872}),
 	Entry("a holder that starts again has not waited its pause out: found by the search", 3, 1,
 		Step{3257 * ms, DeafWay, 0, 1961 * ms}, Step{5349 * ms, KillAll, 0, 328 * ms}),
 )
