--- a/internal/controlplane/http.go
+++ b/internal/controlplane/http.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc("POST /configuration/replace", p.handleChange(fleetconfig.Replace))
 	mux.HandleFunc("POST /configuration/modify", p.handleChange(fleetconfig.Modify))
 	mux.HandleFunc("GET /configuration/read", p.handleRead)
+	mux.HandleFunc("GET /metrics", p.handleMetrics)
 	return mux
 }
 
--- /dev/null
+++ b/internal/controlplane/metrics.go
@@ -0,0 +1,58 @@
+package controlplane
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
+
+	"dykering/internal/feed"
+	"dykering/internal/sessions"
+)
+
+// handleMetrics tells the process's state as text, in the exposition format of Prometheus.
+func (p *Process) handleMetrics(w http.ResponseWriter, _ *http.Request) {
+	told := make(chan feed.Status, 1)
+	p.post(func() { told <- p.status() })
+	select {
+	case status := <-told:
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeMetrics(w, &status)
+	case <-p.ctx.Done():
+		http.Error(w, "the process ends", http.StatusServiceUnavailable)
+	}
+}
+
+func writeMetrics(w io.Writer, status *feed.Status) {
+	gauge := func(name string, value uint64) { metrics.WriteGaugeUint64(w, "dykering_control_"+name, value) }
+	gauge("view_number", status.View.Number)
+	gauge("view_voters", uint64(len(status.View.Voters)))
+	gauge("view_chain_members", uint64(len(status.View.Chain)))
+	gauge("view_in_force", lo.Ternary[uint64](status.InForce, 1, 0))
+	gauge("view_sealed", lo.Ternary[uint64](status.Sealed, 1, 0))
+	gauge("placement_holds", lo.Ternary[uint64](status.Holds, 1, 0))
+	gauge("placement_token", status.View.Token)
+	gauge("log_sequence", status.Seq)
+	gauge("log_committed_sequence", status.Committed)
+	gauge("configuration_version", uint64(max(status.Version, 0)))
+	gauge("subscribers", uint64(len(status.Subscribers)))
+	gauge("subscriber_lag_max", longestLag(status.Subscribers))
+	metrics.WriteGaugeFloat64(w, "dykering_control_disk_behind_seconds", status.DiskBehind.Seconds())
+	for _, state := range []sessions.State{sessions.Ready, sessions.Silent, sessions.Draining} {
+		gauge(fmt.Sprintf("endpoints{state=%q}", state), uint64(status.Endpoints[state]))
+	}
+	for _, member := range status.Members {
+		gauge(fmt.Sprintf("member_reachable{member=%q}", member.ID), lo.Ternary[uint64](member.Reachable, 1, 0))
+	}
+}
+
+// longestLag is by how many changes the subscriber that is furthest behind lags.
+func longestLag(subscribers []feed.SubscriberStatus) uint64 {
+	var longest uint64
+	for _, s := range subscribers {
+		longest = max(longest, s.Behind)
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/dataplane/metrics.go
@@ -0,0 +1,42 @@
+package dataplane
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
+
+	"dykering/internal/routing"
+)
+
+// health is the handler of the readiness address: metrics under /metrics, readiness under all other paths.
+func (p *Process) health() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", p.serveReadiness)
+	mux.HandleFunc("GET /metrics", p.handleMetrics)
+	return mux
+}
+
+// handleMetrics tells the process's state as text, in the exposition format of Prometheus.
+func (p *Process) handleMetrics(w http.ResponseWriter, _ *http.Request) {
+	marks := ask(p, p.pool.Marks)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	p.writeMetrics(w, marks)
+}
+
+func (p *Process) writeMetrics(w io.Writer, marks map[routing.Mark]int) {
+	gauge := func(name string, value uint64) { metrics.WriteGaugeUint64(w, "dykering_proxy_"+name, value) }
+	gauge("requests_under_way", uint64(max(p.underWay.Load(), 0)))
+	gauge("body_memory_left_bytes", uint64(max(p.memory.Bodies.Left(), 0)))
+	gauge("stopping", lo.Ternary[uint64](p.stopping.Load(), 1, 0))
+	config := p.config.Load()
+	gauge("ready", lo.Ternary[uint64](config != nil && !p.stopping.Load(), 1, 0))
+	if config != nil {
+		gauge("configuration_version", uint64(max(config.parsed.Version, 0)))
+	}
+	for _, mark := range routing.Marks() {
+		gauge(fmt.Sprintf("endpoints{mark=%q}", mark), uint64(marks[mark]))
+	}
+}
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -79,7 +79,7 @@
 	}
 	front := &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: mostHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
-	health := &http.Server{Handler: http.HandlerFunc(p.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	health := &http.Server{Handler: p.health(), ReadHeaderTimeout: headerTimeout}
 	go health.Serve(readiness)
 	go front.Serve(frontend)
 	go p.follow()
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -20,6 +20,23 @@
 	Leaving       // it gets no new calls
 )
 
+// Marks lists the marks.
+func Marks() []Mark { return []Mark{Usable, Ramping, Isolated, Leaving} }
+
+func (m Mark) String() string {
+	switch m {
+	case Usable:
+		return "usable"
+	case Ramping:
+		return "ramping"
+	case Isolated:
+		return "isolated"
+	case Leaving:
+		return "leaving"
+	}
+	return "unknown"
+}
+
 const (
 	// rampFor is how long a newcomer is drawn less often.
 	rampFor = 2 * time.Second
@@ -355,5 +372,14 @@
 // Find finds an endpoint.
 func (p *Pool) Find(id string) *Endpoint { return p.byID[id] }
 
+// Marks counts the endpoints by their marks.
+func (p *Pool) Marks() map[Mark]int {
+	counts := map[Mark]int{}
+	for _, e := range p.byID {
+		counts[e.mark]++
+	}
+	return counts
+}
+
 // Count tells how many endpoints of a service there are.
 func (p *Pool) Count(service string) int { return len(p.services[service]) }
