A proxy follows its stream from a control sidecar of its own zone where one can be reached

Change: updates name the control sidecars with their zones, those that cannot be reached without; a proxy tries its own zone first and leaves a stream from another zone after 1.5 to 4.5 s, more rarely where none of its own serves.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -129,6 +129,17 @@
 	return Output{Messages: n.bringUp(now, m.From, m.Status)}
 }
 
+// ZoneOf is the zone of a voter that answers; it is empty for one that does not.
+func (n *Node) ZoneOf(now time.Duration, voter Member) string {
+	switch {
+	case voter.ID == n.self.ID:
+		return n.self.Zone
+	case n.reachable(now, voter):
+		return n.peers[voter.Address].member.Zone
+	}
+	return ""
+}
+
 // reachable tells whether a voter answers.
 func (n *Node) reachable(now time.Duration, member Member) bool {
 	if member.ID == n.self.ID {
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -54,7 +54,6 @@
 	drains      map[uint64]*pendingDrain
 	subscribers map[*subscriber]bool
 	elsewhere   map[string]subscriberCount // by the address of a control sidecar
-	members     []string
 	loads       *loadTable
 	placer      *placer
 }
@@ -327,10 +326,6 @@
 	view := p.node.View()
 	p.log.Info("chain.view", "number", view.Number, "voters", len(view.Voters), "chain", len(view.Chain),
 		"head", string(view.Head()), "holder", string(view.Holder), "token", view.Token)
-	p.members = p.members[:0:0]
-	for _, voter := range view.Voters {
-		p.members = append(p.members, voter.Address)
-	}
 	p.synced, p.syncSince = false, 0
 }
 
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -75,12 +75,22 @@
 // endStream sends a subscriber to another control sidecar.
 func (p *Process) endStream(s *subscriber) {
 	select {
-	case s.updates <- feed.Update{Leaving: true, Members: p.members}:
+	case s.updates <- feed.Update{Leaving: true, Members: p.controlSidecars(p.now())}:
 	default:
 	}
 	p.dropSubscriber(s)
 }
 
+// controlSidecars are the voters of the view, from whom streams may be had.
+func (p *Process) controlSidecars(now time.Duration) []feed.ControlSidecar {
+	view := p.node.View()
+	sidecars := make([]feed.ControlSidecar, 0, len(view.Voters))
+	for _, voter := range view.Voters {
+		sidecars = append(sidecars, feed.ControlSidecar{Address: voter.Address, Zone: p.node.ZoneOf(now, voter)})
+	}
+	return sidecars
+}
+
 func (p *Process) endStreams() {
 	for s := range p.subscribers {
 		p.endStream(s)
@@ -133,7 +143,7 @@
 			update.Configuration = &feed.Configuration{Seq: committed.Seq, Document: document}
 		}
 		if fresh || due {
-			update.Members = p.members
+			update.Members = p.controlSidecars(now)
 		}
 		update.HasLoads, update.Loads = loadsDue, loads
 		select {
--- a/internal/dataplane/follow.go
+++ b/internal/dataplane/follow.go
@@ -18,65 +18,50 @@
 	firstPause  = 30 * time.Millisecond
 	mostPause   = 300 * time.Millisecond
 	rereadEvery = 8 // failed rounds before the settings file is read again
-	mostMembers = 64
 )
 
 // follow keeps a stream of updates from a control sidecar.
 func (p *Process) follow() {
-	members := p.settings.SeedInternalAddresses()
+	sidecars := newControlSidecars(p.settings.Zone, p.settings.SeedInternalAddresses())
 	pause, failures := firstPause, 0
 	for p.ctx.Err() == nil {
-		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-		served := false
-		for _, member := range slices.Clone(members) {
-			learnt, ok := p.stream(member)
-			served = served || ok
-			if len(learnt) > 0 {
-				members = learnt
-			}
-			if ok {
-				break
-			}
-		}
+		served := slices.ContainsFunc(sidecars.inOrder(), func(sidecar feed.ControlSidecar) bool {
+			return p.stream(sidecar.Address, sidecars)
+		})
 		if served {
 			pause, failures = firstPause, 0
 			continue
 		}
 		failures++
 		if failures%rereadEvery == 0 {
-			members = p.withSeeds(members)
+			sidecars.add(p.seedsNow())
 		}
 		time.Sleep(pause/2 + rand.N(pause))
 		pause = min(2*pause, mostPause)
 	}
 }
 
-// withSeeds adds the seeds that the settings file names now.
-func (p *Process) withSeeds(members []string) []string {
+// seedsNow are the seeds that the settings file names now.
+func (p *Process) seedsNow() []string {
 	settings, err := nodefile.LoadFromEnvironment()
 	if err != nil {
 		p.log.Warn("settings.unreadable", "error", err)
-		return members
-	}
-	for _, seed := range settings.SeedInternalAddresses() {
-		if !slices.Contains(members, seed) && len(members) < mostMembers {
-			members = append(members, seed)
-		}
+		return nil
 	}
-	return members
+	return settings.SeedInternalAddresses()
 }
 
-// stream takes updates from one control sidecar until they end. It tells the control sidecars that were named, and
-// whether any update came.
-func (p *Process) stream(member string) (members []string, ok bool) {
-	conn, err := peerlink.Dial(member, dialWithin)
+// stream takes updates from one control sidecar until they end, or until it is time to move to one of the own zone. It
+// tells whether any update came.
+func (p *Process) stream(address string, sidecars *controlSidecars) (ok bool) {
+	conn, err := peerlink.Dial(address, dialWithin)
 	if err != nil {
-		return nil, false
+		return false
 	}
 	defer conn.Close()
 	hello := feed.Subscribe{Name: p.settings.NodeName, Zone: p.settings.Zone, ConfigSeq: ask(p, func() uint64 { return p.configSeq })}
 	if conn.Send(hello, sendWithin) != nil {
-		return nil, false
+		return false
 	}
 	done := make(chan struct{})
 	defer close(done)
@@ -84,23 +69,27 @@
 	outbound := make(chan any, 16)
 	go sendAll(conn, outbound, reports, done)
 	patience := nodefile.Milliseconds(p.settings.Bounds.ContactMs) / 4
+	keptUntil := time.Now().Add(sidecars.stay/2 + rand.N(sidecars.stay))
+	left := false
+	defer func() { sidecars.ended(address, left) }()
 	for {
 		message, err := conn.Receive(max(patience, 3*feed.Keepalive/2))
 		if err != nil {
-			return members, ok
+			return ok
 		}
 		update, isUpdate := message.(feed.Update)
 		if !isUpdate {
 			continue
 		}
-		if len(update.Members) > 0 {
-			members = update.Members
-		}
+		sidecars.learn(update.Members)
 		if update.Leaving {
-			return members, ok
+			return ok
 		}
 		ok = true
 		ack := ask(p, func() feed.Ack { return p.take(update) })
+		if left = sidecars.moves(address) && time.Now().After(keptUntil); left {
+			return ok
+		}
 		select {
 		case outbound <- ack:
 		default:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,12 @@
 	ConfigSeq uint64 // what the subscriber has
 }
 
+// ControlSidecar is a control sidecar that streams may be had from.
+type ControlSidecar struct {
+	Address string
+	Zone    string // empty where it is not known, or the control sidecar cannot be reached now
+}
+
 // Configuration is a committed configuration.
 type Configuration struct {
 	Seq      uint64 // rises with every committed change
@@ -30,8 +36,8 @@
 	Whole         bool   // the endpoints are all there are
 	Endpoints     []sessions.Endpoint
 	Configuration *Configuration
-	Members       []string // addresses of control sidecars, where they have changed
-	Subscribers   int      // sidecars that carry traffic, over all control sidecars
+	Members       []ControlSidecar // now and then
+	Subscribers   int              // sidecars that carry traffic, over all control sidecars
 	HasLoads      bool
 	Loads         []EndpointLoad // of all sidecars; an endpoint that is not named has none
 	Leaving       bool           // this control sidecar cannot serve the stream: go to another
