The scale run has a quarter of the sidecars restart while changes go out

Change: hollow sidecars restart, drawn over 2 s, while changes go out; the report tells how long those took and how long a restarted one needs for a configuration and endpoints.

--- a/cmd/dykering-lab/scale.go
+++ b/cmd/dykering-lab/scale.go
@@ -87,6 +87,8 @@
 	row("all have joined", func(r *fleetscale.Report) string { return r.JoinLast.Round(time.Millisecond).String() })
 	row("change in force: p50 / p99 / last", func(r *fleetscale.Report) string { return times(r.Change) })
 	row("change acknowledged", func(r *fleetscale.Report) string { return times(r.ChangeAck) })
+	row("change in force while sidecars restart", func(r *fleetscale.Report) string { return times(r.RestartChange) })
+	row("restarted sidecar ready", func(r *fleetscale.Report) string { return times(r.RestartReady) })
 	row("drain heard: p50 / p99 / last", func(r *fleetscale.Report) string { return times(r.Drain) })
 	row("head killed: next change acknowledged", func(r *fleetscale.Report) string { return r.AfterKillAck.Round(time.Millisecond).String() })
 	row("head killed: that change in force everywhere", func(r *fleetscale.Report) string { return r.AfterKill.Round(time.Millisecond).String() })
--- a/internal/lab/fleetscale/fleetscale.go
+++ b/internal/lab/fleetscale/fleetscale.go
@@ -49,6 +49,8 @@
 	JoinLast         time.Duration // from the first subscription until all have everything
 	Change           Times         // from the operator's call to in force
 	ChangeAck        Times
+	RestartChange    Times // like Change, while a part of the sidecars restarts
+	RestartReady     Times // from a sidecar's restart until it has a configuration and endpoints
 	Drain            Times // from the heartbeat to heard
 	SidecarBytesPerS float64
 	SidecarMsgsPerS  float64
@@ -117,6 +119,10 @@
 	if err := r.changes(ctx, report); err != nil {
 		return nil, err
 	}
+	if err := r.restarts(ctx, report); err != nil {
+		return nil, err
+	}
+	progress("restarts are measured")
 	r.drains(ctx, report)
 	progress("news is measured")
 	return report, r.kill(ctx, report)
--- a/internal/lab/fleetscale/hollow.go
+++ b/internal/lab/fleetscale/hollow.go
@@ -43,6 +43,9 @@
 	drained  map[string]time.Time
 	known    int // endpoints
 	whole    int64
+	conn     *peerlink.Conn // its stream; nil for none
+	started  time.Time      // when it was last restarted
+	ready    time.Time      // when it had all again
 }
 
 func newSidecar(name string) *sidecar {
@@ -67,6 +70,9 @@
 	}
 	conn := peerlink.NewConn(counted{raw, &s.bytes})
 	defer conn.Close()
+	s.mu.Lock()
+	s.conn = conn
+	s.mu.Unlock()
 	if conn.Send(feed.Subscribe{Name: s.name}, callWithin) != nil {
 		return
 	}
@@ -100,6 +106,27 @@
 	}
 }
 
+// restart has the sidecar forget all that it knows and break its stream, as a process that ends and starts again.
+func (s *sidecar) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.known = 0, 0
+	s.started, s.ready = time.Now(), time.Time{}
+	if s.conn != nil {
+		s.conn.Close()
+	}
+}
+
+// restarted tells whether the sidecar was restarted, and how long it took to have a configuration and endpoints again.
+func (s *sidecar) restarted() (took time.Duration, again bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.started.IsZero() || s.ready.IsZero() {
+		return 0, false
+	}
+	return s.ready.Sub(s.started), true
+}
+
 // demand is a report as one of 340 sidecars makes that share 7,200 requests a second.
 func demand(name string) feed.DemandReport {
 	report := feed.DemandReport{From: name}
@@ -116,6 +143,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer func() {
+		if !s.started.IsZero() && s.ready.IsZero() && s.known > 0 && s.version > 0 {
+			s.ready = now
+		}
+	}()
 	if update.Whole {
 		s.known, s.whole = len(update.Endpoints), s.bytes.Load()
 	}
@@ -204,6 +236,7 @@
 	controls []*control
 	client   *http.Client
 	version  int64
+	ackedAt  time.Time // of the last change
 }
 
 func newOperator(controls []*control) *operator {
@@ -215,7 +248,7 @@
 	base := o.version
 	o.version += 2
 	body := document(o.version)
-	return wait(ctx, startWithin, "a change to be taken", func() bool {
+	err := wait(ctx, startWithin, "a change to be taken", func() bool {
 		c := o.controls[rand.IntN(len(o.controls))]
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.external+"/configuration/replace", strings.NewReader(body))
 		if err != nil {
@@ -229,6 +262,8 @@
 		response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
+	o.ackedAt = time.Now()
+	return err
 }
 
 // wait looks until something is so.
--- a/internal/lab/fleetscale/measure.go
+++ b/internal/lab/fleetscale/measure.go
@@ -93,26 +93,39 @@
 	var force, acks []time.Duration
 	for range r.options.Changes {
 		began := time.Now()
-		if err := r.operator.change(ctx, r.document()); err != nil {
+		times, err := r.change(ctx)
+		if err != nil {
 			return err
 		}
-		acks = append(acks, time.Since(began))
-		version := r.operator.version
-		if err := wait(ctx, startWithin, "a change to be in force", func() bool {
-			return r.all(func(s *sidecar) bool { return s.version >= version })
-		}); err != nil {
-			return err
-		}
-		for _, s := range r.sidecars {
-			s.mu.Lock()
-			force = append(force, s.versions[version].Sub(began))
-			s.mu.Unlock()
-		}
+		acks = append(acks, r.operator.ackedAt.Sub(began))
+		force = append(force, times...)
 	}
 	report.Change, report.ChangeAck = timesOf(force), timesOf(acks)
 	return nil
 }
 
+// change makes one change, and tells how long it took to be in force at each sidecar.
+func (r *run) change(ctx context.Context) ([]time.Duration, error) {
+	began := time.Now()
+	if err := r.operator.change(ctx, r.document()); err != nil {
+		return nil, err
+	}
+	version := r.operator.version
+	err := wait(ctx, startWithin, "a change to be in force", func() bool {
+		return r.all(func(s *sidecar) bool { return s.version >= version })
+	})
+	if err != nil {
+		return nil, err
+	}
+	var times []time.Duration
+	for _, s := range r.sidecars {
+		s.mu.Lock()
+		times = append(times, s.versions[version].Sub(began))
+		s.mu.Unlock()
+	}
+	return times, nil
+}
+
 // drains measures how long it takes until all sidecars have heard that an endpoint leaves.
 func (r *run) drains(ctx context.Context, report *Report) {
 	var heard []time.Duration
