--- a/cmd/dykering-lab/bench.go
+++ b/cmd/dykering-lab/bench.go
@@ -24,8 +24,9 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/load"
 	"dykering/internal/lab/real"
 )
@@ -79,8 +80,8 @@
 }
 
 // newReverseProxy is what the broker is measured against: the standard library's proxy with random choice.
-func newReverseProxy() *cobra.Command {
-	return &cobra.Command{Use: "reverse-proxy TARGETS", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+func newReverseProxy() *cli.Command {
+	return &cli.Command{Name: "reverse-proxy", ArgsUsage: "TARGETS", Hidden: true, Action: commandline.Args(1, 1, func(_ context.Context, _ *cli.Command, args []string) error {
 		writeStats()
 		runtime.GOMAXPROCS(1) // as the broker with one core
 		targets := strings.Split(args[0], ",")
@@ -101,7 +102,7 @@
 			}}
 		web := &http.Server{Handler: proxy, ReadHeaderTimeout: 5 * time.Second}
 		return web.Serve(l) // until it is killed
-	}}
+	})}
 }
 
 // measured is what came of one way to the servers.
@@ -131,33 +132,34 @@
 	Conns   int
 }
 
-func newBench() *cobra.Command {
+func newBench() *cli.Command {
 	b := &bench{}
 	var asJSON bool
 	var program string
-	all := &cobra.Command{Use: "bench", Short: "Measure the broker beside others"}
-	c := &cobra.Command{Use: "proxy", Args: cobra.NoArgs,
-		Short: "Direct calls, the standard library's reverse proxy with random choice, and the broker, on the same servers",
-		RunE: func(c *cobra.Command, _ []string) error {
-			got, err := b.run(c.Context(), program, c.ErrOrStderr())
+	c := &cli.Command{Name: "proxy",
+		Usage: "Direct calls, the standard library's reverse proxy with random choice, and the broker, on the same servers",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
+			got, err := b.run(ctx, program, c.Root().ErrWriter)
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			if asJSON {
-				return json.NewEncoder(c.OutOrStdout()).Encode(got)
+				return json.NewEncoder(c.Root().Writer).Encode(got)
 			}
-			b.tell(c.OutOrStdout(), got)
+			b.tell(c.Root().Writer, got)
 			return nil
-		}}
-	c.Flags().IntVar(&b.Callers, "callers", 64, "that ask without rest, for the throughput")
-	c.Flags().DurationVar(&b.Took, "server-time", 20*time.Millisecond, "how long a server takes for an answer")
-	c.Flags().Float64Var(&b.Rate, "rate", 500, "requests a second, for the times")
-	c.Flags().DurationVar(&b.Lasts, "lasts", 8*time.Second, "how long each is measured")
-	c.Flags().IntVar(&b.Conns, "connections", 400, "for the memory of each")
-	c.Flags().StringVar(&program, "broker", "", "the broker's program; without it, the one that is built in")
-	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	all.AddCommand(c)
-	return all
+		})}
+	c.Flags = []cli.Flag{
+		&cli.IntFlag{Name: "callers", Value: 64, Usage: "that ask without rest, for the throughput", Destination: &b.Callers},
+		&cli.DurationFlag{Name: "server-time", Value: 20 * time.Millisecond, Usage: "how long a server takes for an answer", Destination: &b.Took},
+		&cli.FloatFlag{Name: "rate", Value: 500, Usage: "requests a second, for the times", Destination: &b.Rate},
+		&cli.DurationFlag{Name: "lasts", Value: 8 * time.Second, Usage: "how long each is measured", Destination: &b.Lasts},
+		&cli.IntFlag{Name: "connections", Value: 400, Usage: "for the memory of each", Destination: &b.Conns},
+		&cli.StringFlag{Name: "broker", Usage: "the broker's program; without it, the one that is built in", Destination: &program},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &asJSON},
+	}
+	return &cli.Command{Name: "bench", Usage: "Measure the broker beside others", Commands: []*cli.Command{c},
+		Action: commandline.MissingCommand}
 }
 
 // run measures all ways one after another, so that none is beside another.
--- a/cmd/dykering-lab/coresearch.go
+++ b/cmd/dykering-lab/coresearch.go
@@ -1,61 +1,64 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/coresim"
 )
 
 // newCoreSearch is the search of the emulated core for a broken promise.
-func newCoreSearch() *cobra.Command {
-	c := &cobra.Command{Use: "control", Short: "The control plane's core, emulated in virtual time", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return fmt.Errorf("control: explore, replay, flaws or recovery is missing") }}
-	c.AddCommand(newCoreExplore(), newCoreReplay(), newCoreFlaws(), newCoreRecovery())
-	return c
+func newCoreSearch() *cli.Command {
+	return &cli.Command{Name: "control", Usage: "The control plane's core, emulated in virtual time",
+		Commands: []*cli.Command{newCoreExplore(), newCoreReplay(), newCoreFlaws(), newCoreRecovery()},
+		Action:   commandline.MissingCommand}
 }
 
-func newCoreExplore() *cobra.Command {
+func newCoreExplore() *cli.Command {
 	var first, schedules uint64
 	var flaw, file, table string
-	c := &cobra.Command{Use: "explore", Short: "Draw schedules of troubles until a promise is broken", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "explore", Usage: "Draw schedules of troubles until a promise is broken",
+		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			began := time.Now()
 			failure, covered := coresim.SearchCovering(first, schedules, coresim.Flaw(flaw), func(played uint64) {
 				left := time.Duration(float64(time.Since(began)) / float64(played) * float64(schedules-played))
-				fmt.Fprintf(c.ErrOrStderr(), "%d of %d played, %v left\n", played, schedules, left.Round(time.Second))
+				fmt.Fprintf(c.Root().ErrWriter, "%d of %d played, %v left\n", played, schedules, left.Round(time.Second))
 			})
-			fmt.Fprintf(c.OutOrStdout(), "%d of %d pairs of a trouble and a state reached\n", covered.Reached(), coresim.Possible())
+			fmt.Fprintf(c.Root().Writer, "%d of %d pairs of a trouble and a state reached\n", covered.Reached(), coresim.Possible())
 			if table != "" {
 				if err := os.WriteFile(table, []byte(covered.Table()), 0o644); err != nil {
-					return faulty{err}
+					return commandline.Fault(err)
 				}
 			}
 			if failure == nil {
-				fmt.Fprintf(c.OutOrStdout(), "%d schedules, no promise broken, %v\n", schedules, time.Since(began).Round(time.Second))
+				fmt.Fprintf(c.Root().Writer, "%d schedules, no promise broken, %v\n", schedules, time.Since(began).Round(time.Second))
 				return nil
 			}
 			least := coresim.Shrink(*failure)
-			fmt.Fprintf(c.OutOrStdout(), "broken after %d schedules: %v\n", least.Played, least.Err)
+			fmt.Fprintf(c.Root().Writer, "broken after %d schedules: %v\n", least.Played, least.Err)
 			for _, step := range least.Schedule.Steps {
-				fmt.Fprintf(c.OutOrStdout(), "  %s\n", step)
+				fmt.Fprintf(c.Root().Writer, "  %s\n", step)
 			}
 			if file != "" {
 				if err := writeSchedule(file, least.Schedule); err != nil {
-					return faulty{err}
+					return commandline.Fault(err)
 				}
 			}
-			return faulty{fmt.Errorf("a promise is broken")}
-		}}
-	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
-	c.Flags().Uint64Var(&schedules, "schedules", 10000, "how many schedules")
-	c.Flags().StringVar(&flaw, "flaw", "", "a flaw to plant, by its name")
-	c.Flags().StringVar(&table, "table", "", "where the table of the pairs that were reached is written")
-	c.Flags().StringVar(&file, "out", "", "where a failing schedule is written")
+			return commandline.Fault(fmt.Errorf("a promise is broken"))
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed", Destination: &first},
+		&cli.Uint64Flag{Name: "schedules", Value: 10000, Usage: "how many schedules", Destination: &schedules},
+		&cli.StringFlag{Name: "flaw", Usage: "a flaw to plant, by its name", Destination: &flaw},
+		&cli.StringFlag{Name: "table", Usage: "where the table of the pairs that were reached is written", Destination: &table},
+		&cli.StringFlag{Name: "out", Usage: "where a failing schedule is written", Destination: &file},
+	}
 	return c
 }
 
@@ -67,53 +70,55 @@
 	return os.WriteFile(path, append(text, '\n'), 0o644)
 }
 
-func newCoreReplay() *cobra.Command {
-	return &cobra.Command{Use: "replay FILE", Short: "Play a written schedule again", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+func newCoreReplay() *cli.Command {
+	return &cli.Command{Name: "replay", ArgsUsage: "FILE", Usage: "Play a written schedule again",
+		Action: commandline.Args(1, 1, func(_ context.Context, c *cli.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			var s coresim.Schedule
 			if err := json.Unmarshal(text, &s); err != nil {
-				return faulty{fmt.Errorf("%s: %w", args[0], err)}
+				return commandline.Fault(fmt.Errorf("%s: %w", args[0], err))
 			}
 			if err := s.Play(); err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
-			fmt.Fprintln(c.OutOrStdout(), "no promise broken")
+			fmt.Fprintln(c.Root().Writer, "no promise broken")
 			return nil
-		}}
+		})}
 }
 
-func newCoreFlaws() *cobra.Command {
+func newCoreFlaws() *cli.Command {
 	var first, schedules uint64
-	c := &cobra.Command{Use: "flaws", Short: "Plant each flaw and tell how many schedules find it", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "flaws", Usage: "Plant each flaw and tell how many schedules find it",
+		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			missed := 0
 			for _, flaw := range coresim.Flaws() {
 				failure := coresim.Search(first, schedules, flaw, nil)
 				if failure == nil {
 					missed++
-					fmt.Fprintf(c.OutOrStdout(), "| %s | not in %d |\n", flaw, schedules)
+					fmt.Fprintf(c.Root().Writer, "| %s | not in %d |\n", flaw, schedules)
 					continue
 				}
-				fmt.Fprintf(c.OutOrStdout(), "| %s | %d |\n", flaw, failure.Played)
+				fmt.Fprintf(c.Root().Writer, "| %s | %d |\n", flaw, failure.Played)
 			}
 			if missed > 0 {
-				return faulty{fmt.Errorf("%d flaws were not found", missed)}
+				return commandline.Fault(fmt.Errorf("%d flaws were not found", missed))
 			}
 			return nil
-		}}
-	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
-	c.Flags().Uint64Var(&schedules, "schedules", 20000, "how many schedules for each flaw")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed", Destination: &first},
+		&cli.Uint64Flag{Name: "schedules", Value: 20000, Usage: "how many schedules for each flaw", Destination: &schedules},
+	}
 	return c
 }
 
-func newCoreRecovery() *cobra.Command {
+func newCoreRecovery() *cli.Command {
 	var seeds uint64
-	c := &cobra.Command{Use: "recovery", Short: "Measure the time from a trouble to the next acknowledgement", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "recovery", Usage: "Measure the time from a trouble to the next acknowledgement",
+		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			kinds := []coresim.Kind{coresim.Kill, coresim.Freeze, coresim.Isolate, coresim.Stall, coresim.Wipe}
 			for _, struck := range []coresim.Struck{coresim.StruckHead, coresim.StruckMiddle, coresim.StruckTail} {
 				for _, kind := range kinds {
@@ -122,12 +127,14 @@
 			}
 			tellRecovery(c, coresim.StruckAll, coresim.KillAll, seeds)
 			return nil
-		}}
-	c.Flags().Uint64Var(&seeds, "seeds", 1000, "how often each trouble strikes")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seeds", Value: 1000, Usage: "how often each trouble strikes", Destination: &seeds},
+	}
 	return c
 }
 
-func tellRecovery(c *cobra.Command, struck coresim.Struck, kind coresim.Kind, seeds uint64) {
+func tellRecovery(c *cli.Command, struck coresim.Struck, kind coresim.Kind, seeds uint64) {
 	times := coresim.MeasureRecovery(struck, kind, seeds)
-	fmt.Fprintf(c.OutOrStdout(), "| %s | %s | %v | %v | %v |\n", struck, kind, times.Percentile(0.5), times.Percentile(0.99), times.Percentile(1))
+	fmt.Fprintf(c.Root().Writer, "| %s | %s | %v | %v | %v |\n", struck, kind, times.Percentile(0.5), times.Percentile(0.99), times.Percentile(1))
 }
--- a/cmd/dykering-lab/demo.go
+++ b/cmd/dykering-lab/demo.go
@@ -7,15 +7,14 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/load"
 	"dykering/internal/lab/real"
 	"dykering/internal/sidecar"
@@ -36,36 +35,38 @@
 {"name":"pay","aim":500000,"deadline":2000000,"effect":"non_idempotent","gain":1}],
 "tiers":["front"],"zones":["hall"],"models":["stand-in"]}`
 
-func newDemo() *cobra.Command {
+func newDemo() *cli.Command {
 	var lasts time.Duration
-	c := &cobra.Command{Use: "demo", Args: cobra.NoArgs,
-		Short: "Show the broker on loopback, while servers are drained and killed and a new version takes over",
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "demo",
+		Usage: "Show the broker on loopback, while servers are drained and killed and a new version takes over",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
 			if lasts < 4*time.Second || lasts > 10*time.Minute {
 				return fmt.Errorf("--lasts %v: from 4s to 10m", lasts)
 			}
-			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-			defer stop()
-			if err := demo(ctx, c.OutOrStdout(), lasts); err != nil {
-				return faulty{err}
+			if err := demo(ctx, c.Root().Writer, lasts); err != nil {
+				return commandline.Fault(err)
 			}
 			return nil
-		}}
-	c.Flags().DurationVar(&lasts, "lasts", 20*time.Second, "how long callers ask")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.DurationFlag{Name: "lasts", Value: 20 * time.Second, Usage: "how long callers ask", Destination: &lasts},
+	}
 	return c
 }
 
 // newBroker is the broker itself, as the demo starts it: the same as `dykering run`.
-func newBroker() *cobra.Command {
+func newBroker() *cli.Command {
 	var operator string
-	c := &cobra.Command{Use: "broker", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+	c := &cli.Command{Name: "broker", Hidden: true, Action: commandline.NoArgs(func(_ context.Context, _ *cli.Command) error {
 		writeStats()
 		if err := sidecar.Main(os.Getenv, operator); err != nil {
-			return faulty{err}
+			return commandline.Fault(err)
 		}
 		return nil
-	}}
-	c.Flags().StringVar(&operator, "operator", "", "the operator's TOML file")
+	})}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "operator", Usage: "the operator's TOML file", Destination: &operator},
+	}
 	return c
 }
 
--- a/cmd/dykering-lab/explore.go
+++ b/cmd/dykering-lab/explore.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"os"
@@ -11,20 +12,20 @@
 	"time"
 
 	"github.com/schollz/progressbar/v3"
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/explore"
 	"dykering/internal/lab/whole"
 )
 
-func newExplore(in whole.Bubble) *cobra.Command {
+func newExplore(in whole.Bubble) *cli.Command {
 	var seed uint64
 	var at, most int
 	var dir string
 	var lasts time.Duration
-	c := &cobra.Command{Use: "explore", Short: "Search for a broken rule: faults drawn at every turn of the whole program, in virtual time",
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "explore", Usage: "Search for a broken rule: faults drawn at every turn of the whole program, in virtual time",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
 			if at == 0 {
 				at = runtime.GOMAXPROCS(0)
 			}
@@ -37,7 +38,7 @@
 			if lasts > 0 {
 				s.Until = time.Now().Add(lasts)
 			}
-			bar := progressbar.NewOptions(max(most, -1), progressbar.OptionSetWriter(c.ErrOrStderr()), progressbar.OptionSetWidth(30),
+			bar := progressbar.NewOptions(max(most, -1), progressbar.OptionSetWriter(c.Root().ErrWriter), progressbar.OptionSetWidth(30),
 				progressbar.OptionShowCount(), progressbar.OptionShowIts(), progressbar.OptionSetElapsedTime(true),
 				progressbar.OptionSetPredictTime(most > 0), progressbar.OptionThrottle(500*time.Millisecond))
 			s.Told = func(runs, covered, finds int) {
@@ -45,11 +46,11 @@
 				bar.Set(runs) // what cannot be drawn is not worth an end
 			}
 			began := time.Now()
-			r, err := s.Run(c.Context())
+			r, err := s.Run(ctx)
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
-			out := c.OutOrStdout()
+			out := c.Root().Writer
 			fmt.Fprintf(out, "\n%d runs, %d requests; this time %.0f s; %d of %d pairs of faults and stages reached\n", r.Runs, r.Asked,
 				time.Since(began).Seconds(), len(r.Reached), len(r.Reached)+len(r.Missing))
 			missing := map[string][]string{}
@@ -60,14 +61,16 @@
 				fmt.Fprintf(out, "not reached: %s in %s\n", fault, strings.Join(missing[fault], " "))
 			}
 			if len(r.Broken) > 0 {
-				return faulty{fmt.Errorf("runs in which a rule was broken: %v; replays: %s", r.Broken, strings.Join(r.Finds, ", "))}
+				return commandline.Fault(fmt.Errorf("runs in which a rule was broken: %v; replays: %s", r.Broken, strings.Join(r.Finds, ", ")))
 			}
 			return nil
-		}}
-	c.Flags().Uint64Var(&seed, "seed", 1, "of the draws")
-	c.Flags().IntVar(&most, "runs", 0, "how many at the most, with those played before; 0 for no bound")
-	c.Flags().DurationVar(&lasts, "for", 0, "how long at the most; 0 for no bound")
-	c.Flags().IntVar(&at, "at-a-time", 0, "runs beside each other; 0 for as many as there are cores")
-	c.Flags().StringVar(&dir, "out", filepath.Join("lab", "results", "explore"), "the folder for runs and finds; a search that was called off goes on there")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the draws", Destination: &seed},
+		&cli.IntFlag{Name: "runs", Usage: "how many at the most, with those played before; 0 for no bound", Destination: &most},
+		&cli.DurationFlag{Name: "for", Usage: "how long at the most; 0 for no bound", Destination: &lasts},
+		&cli.IntFlag{Name: "at-a-time", Usage: "runs beside each other; 0 for as many as there are cores", Destination: &at},
+		&cli.StringFlag{Name: "out", Value: filepath.Join("lab", "results", "explore"), Usage: "the folder for runs and finds; a search that was called off goes on there", Destination: &dir},
+	}
 	return c
 }
--- a/cmd/dykering-lab/fleetview.go
+++ b/cmd/dykering-lab/fleetview.go
@@ -1,28 +1,29 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/swim"
 )
 
 // newFleetView plays the fleet's gossip in virtual time at several sizes (package swim), and prints a table.
-func newFleetView() *cobra.Command {
+func newFleetView() *cli.Command {
 	var sizes []int
 	var crashes int
 	var loss float64
 	var seed uint64
-	c := &cobra.Command{Use: "fleet-view", Short: "The fleet's view by gossip in virtual time: detection, false suspicion, heal, load",
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "fleet-view", Usage: "The fleet's view by gossip in virtual time: detection, false suspicion, heal, load",
+		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			if loss < 0 || loss >= 1 || crashes < 1 {
 				return fmt.Errorf("--loss is a share below 1, and --crashes at least 1")
 			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			t := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(t, "members\tdetect p50\tp99\tundetected\tfalse suspicions /member-h\tfalse deaths /member-h\theal to one view\tbytes /member-s\ttook")
 			for _, n := range sizes {
 				if n < 2 {
@@ -36,10 +37,12 @@
 
 			}
 			return t.Flush()
-		}}
-	c.Flags().IntSliceVar(&sizes, "members", []int{5, 10, 30, 300, 1000}, "sizes of the fleet")
-	c.Flags().IntVar(&crashes, "crashes", 20, "crashes one after another, at most half of the fleet")
-	c.Flags().Float64Var(&loss, "loss", 0.2, "share of messages lost in the trial of false suspicion (1 minute)")
-	c.Flags().Uint64Var(&seed, "seed", 1, "of the draws")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.IntSliceFlag{Name: "members", Value: []int{5, 10, 30, 300, 1000}, Usage: "sizes of the fleet", Destination: &sizes},
+		&cli.IntFlag{Name: "crashes", Value: 20, Usage: "crashes one after another, at most half of the fleet", Destination: &crashes},
+		&cli.FloatFlag{Name: "loss", Value: 0.2, Usage: "share of messages lost in the trial of false suspicion (1 minute)", Destination: &loss},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the draws", Destination: &seed},
+	}
 	return c
 }
--- a/cmd/dykering-lab/load.go
+++ b/cmd/dykering-lab/load.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,20 +14,22 @@
 	"time"
 
 	"github.com/schollz/progressbar/v3"
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/load"
 )
 
 // showEvery is how often a progress bar is drawn.
 const showEvery = 200 * time.Millisecond
 
-func newLoad() *cobra.Command {
+func newLoad() *cli.Command {
 	l := &load.Load{}
 	var classes, teams []string
 	var asJSON bool
-	c := &cobra.Command{Use: "load URL", Short: "Ask an HTTP/1.1 address for so much, whatever it answers (open loop)", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+	c := &cli.Command{Name: "load", ArgsUsage: "URL", Usage: "Ask an HTTP/1.1 address for so much, whatever it answers (open loop)",
+		DisableSliceFlagSeparator: true, // a class and a team have commas of their own
+		Action: commandline.Args(1, 1, func(ctx context.Context, c *cli.Command, args []string) error {
 			u, err := url.Parse(args[0])
 			if err != nil || u.Scheme != "http" || u.Host == "" {
 				return fmt.Errorf("%q is not an http:// address", args[0])
@@ -39,36 +42,37 @@
 				return err
 			}
 			l.Run = fmt.Sprintf("load-%x", time.Now().UnixNano()) // ids must be new to whoever is asked
-			p := newProgress(c.ErrOrStderr(), l.Profile.Lasts)
+			p := newProgress(c.Root().ErrWriter, l.Profile.Lasts)
 			l.Told = p.told
 			stop := p.show()
-			r, err := l.Play(c.Context())
+			r, err := l.Play(ctx)
 			stop()
 			if err != nil {
 				return err
 			}
 			if asJSON {
-				return json.NewEncoder(c.OutOrStdout()).Encode(r)
+				return json.NewEncoder(c.Root().Writer).Encode(r)
 			}
-			tellLoad(c.OutOrStdout(), r)
+			tellLoad(c.Root().Writer, r)
 			if r.All.Asked > 0 && r.All.Lost == r.All.Asked {
-				return faulty{errors.New("not one request was answered")}
+				return commandline.Fault(errors.New("not one request was answered"))
 			}
 			return nil
-		}}
-	f := c.Flags()
-	f.StringVar(&l.Profile.Kind, "profile", load.Steady, "how the rate goes: steady, ramp, step, spike")
-	f.Float64Var(&l.Profile.Rate, "rate", 100, "requests a second, at the beginning or outside of the spike")
-	f.Float64Var(&l.Profile.To, "to", 0, "requests a second at the end, of the last step, or in the spike")
-	f.IntVar(&l.Profile.Steps, "steps", 5, "of a step profile")
-	f.DurationVar(&l.Profile.Lasts, "lasts", 10*time.Second, "how long")
-	f.StringArrayVar(&classes, "class", []string{"read"}, "NAME[,method=GET][,share=0.5][,left=2s][,keyed][,body=100]; several for a mix")
-	f.StringArrayVar(&teams, "team", nil, "NAME[,share=0.5]; several for a mix")
-	f.BoolVar(&l.Poisson, "poisson", false, "requests come by chance, not evenly")
-	f.Uint64Var(&l.Seed, "seed", 1, "for what is drawn")
-	f.IntVar(&l.Most, "most", 10000, "requests under way at a time; more are counted and not sent")
-	f.IntVar(&l.Conns, "connections", 0, "at a time; 0 for as many as it takes")
-	f.BoolVar(&asJSON, "json", false, "print JSON")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "profile", Value: load.Steady, Usage: "how the rate goes: steady, ramp, step, spike", Destination: &l.Profile.Kind},
+		&cli.FloatFlag{Name: "rate", Value: 100, Usage: "requests a second, at the beginning or outside of the spike", Destination: &l.Profile.Rate},
+		&cli.FloatFlag{Name: "to", Usage: "requests a second at the end, of the last step, or in the spike", Destination: &l.Profile.To},
+		&cli.IntFlag{Name: "steps", Value: 5, Usage: "of a step profile", Destination: &l.Profile.Steps},
+		&cli.DurationFlag{Name: "lasts", Value: 10 * time.Second, Usage: "how long", Destination: &l.Profile.Lasts},
+		&cli.StringSliceFlag{Name: "class", Value: []string{"read"}, Usage: "NAME[,method=GET][,share=0.5][,left=2s][,keyed][,body=100]; several for a mix", Destination: &classes},
+		&cli.StringSliceFlag{Name: "team", Usage: "NAME[,share=0.5]; several for a mix", Destination: &teams},
+		&cli.BoolFlag{Name: "poisson", Usage: "requests come by chance, not evenly", Destination: &l.Poisson},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "for what is drawn", Destination: &l.Seed},
+		&cli.IntFlag{Name: "most", Value: 10000, Usage: "requests under way at a time; more are counted and not sent", Destination: &l.Most},
+		&cli.IntFlag{Name: "connections", Usage: "at a time; 0 for as many as it takes", Destination: &l.Conns},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: &asJSON},
+	}
 	return c
 }
 
--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -18,8 +17,9 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/faults"
 	"dykering/internal/lab/model"
 	"dykering/internal/lab/scenario"
@@ -35,45 +35,29 @@
 	os.Exit(execute(args, os.Stdout, os.Stderr, nil))
 }
 
-// faulty marks an error as one of the work, not of the command line.
-type faulty struct{ error }
-
 // execute runs a command line, and returns the exit code: 0 well, 1 a fault or a broken rule, 2 a wrong command line.
 func execute(args []string, out, errOut io.Writer, in whole.Bubble) int {
-	root := &cobra.Command{Use: "dykering-lab", Short: "The laboratory of the broker", Args: cobra.NoArgs,
-		SilenceErrors: true, SilenceUsage: true,
-		RunE: func(c *cobra.Command, _ []string) error { return errors.New("a command is missing") }}
-	root.AddCommand(newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(), newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newScale())
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
+	root := &cli.Command{Name: "dykering-lab", Usage: "The laboratory of the broker",
+		Commands: []*cli.Command{newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(),
+			newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newScale()}}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err := root.ExecuteContext(ctx)
-	if err == nil {
-		return 0
-	}
-	fmt.Fprintln(errOut, "dykering-lab: "+err.Error())
-	if errors.As(err, new(faulty)) {
-		return 1
-	}
-	fmt.Fprintln(errOut, "dykering-lab: see dykering-lab --help")
-	return 2
+	return commandline.Run(ctx, root, args, out, errOut)
 }
 
-func newCheck() *cobra.Command {
-	return &cobra.Command{Use: "check FILE...", Short: "Check scenarios", Args: cobra.MinimumNArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
+func newCheck() *cli.Command {
+	return &cli.Command{Name: "check", ArgsUsage: "FILE...", Usage: "Check scenarios",
+		Action: commandline.Args(1, -1, func(_ context.Context, _ *cli.Command, args []string) error {
 			var all []faults.Fault
 			for _, path := range args {
 				_, wrong := scenario.Load(path)
 				all = append(all, wrong...)
 			}
 			if err := faults.Join(all); err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			return nil
-		}}
+		})}
 }
 
 // job is one run of many.
@@ -84,15 +68,14 @@
 	err  error
 }
 
-func newSim() *cobra.Command {
+func newSim() *cli.Command {
 	var seed uint64
 	var seeds, instances, servers int
 	var policies []string
 	var asJSON bool
 	var scale float64
-	c := &cobra.Command{Use: "sim [FILE]", Short: "Play a scenario in virtual time; without a file, the built-in one",
-		Args: cobra.MaximumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+	c := &cli.Command{Name: "sim", ArgsUsage: "[FILE]", Usage: "Play a scenario in virtual time; without a file, the built-in one",
+		Action: commandline.Args(0, 1, func(ctx context.Context, c *cli.Command, args []string) error {
 			s, err := loadScenario(args)
 			if err != nil {
 				return err
@@ -110,16 +93,18 @@
 				}
 			}
 			began := time.Now()
-			playAll(c.Context(), s, jobs)
-			return report(c.OutOrStdout(), jobs, asJSON, time.Since(began))
-		}}
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first seed")
-	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, one after another")
-	c.Flags().StringSliceVar(&policies, "policy", []string{"dykering"}, "what decides; several for a comparison")
-	c.Flags().IntVar(&instances, "instances", 0, "instances, in place of the scenario's")
-	c.Flags().IntVar(&servers, "servers", 0, "servers, in place of the scenario's")
-	c.Flags().Float64Var(&scale, "scale", 1, "times the scenario's rate and quotas")
-	c.Flags().BoolVar(&asJSON, "json", false, "one line of JSON for each run")
+			playAll(ctx, s, jobs)
+			return report(c.Root().Writer, jobs, asJSON, time.Since(began))
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed", Destination: &seed},
+		&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after another", Destination: &seeds},
+		&cli.StringSliceFlag{Name: "policy", Value: []string{"dykering"}, Usage: "what decides; several for a comparison", Destination: &policies},
+		&cli.IntFlag{Name: "instances", Usage: "instances, in place of the scenario's", Destination: &instances},
+		&cli.IntFlag{Name: "servers", Usage: "servers, in place of the scenario's", Destination: &servers},
+		&cli.FloatFlag{Name: "scale", Value: 1, Usage: "times the scenario's rate and quotas", Destination: &scale},
+		&cli.BoolFlag{Name: "json", Usage: "one line of JSON for each run", Destination: &asJSON},
+	}
 	return c
 }
 
@@ -172,7 +157,7 @@
 	asked := 0
 	for _, j := range jobs {
 		if j.err != nil {
-			return faulty{j.err}
+			return commandline.Fault(j.err)
 		}
 		asked += j.Asked
 		if j.Policy == "dykering" {
@@ -183,7 +168,7 @@
 		if asJSON {
 			line, err := json.Marshal(j)
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			fmt.Fprintf(out, "%s\n", line)
 			continue
@@ -196,7 +181,7 @@
 		fmt.Fprintf(out, "%d requests in %.1f s: %.0f a second\n", asked, took.Seconds(), float64(asked)/took.Seconds())
 	}
 	if broken > 0 {
-		return faulty{fmt.Errorf("%d times a rule was broken; --json has the histories", broken)}
+		return commandline.Fault(fmt.Errorf("%d times a rule was broken; --json has the histories", broken))
 	}
 	return nil
 }
--- a/cmd/dykering-lab/real.go
+++ b/cmd/dykering-lab/real.go
@@ -1,13 +1,15 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/faults"
 	"dykering/internal/lab/model"
 	"dykering/internal/lab/real"
@@ -30,18 +32,17 @@
 	}
 	s, wrong := scenario.Load(args[0])
 	if err := faults.Join(wrong); err != nil {
-		return nil, faulty{err}
+		return nil, commandline.Fault(err)
 	}
 	return s, nil
 }
 
-func newReal() *cobra.Command {
+func newReal() *cli.Command {
 	var seed uint64
 	var program, dir string
 	var asJSON bool
-	c := &cobra.Command{Use: "real [FILE]", Short: "Play a scenario with processes of the broker on loopback sockets",
-		Args: cobra.MaximumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+	c := &cli.Command{Name: "real", ArgsUsage: "[FILE]", Usage: "Play a scenario with processes of the broker on loopback sockets",
+		Action: commandline.Args(0, 1, func(ctx context.Context, c *cli.Command, args []string) error {
 			s, err := loadScenario(args)
 			if err != nil {
 				return err
@@ -57,24 +58,26 @@
 				}
 			}
 			began := time.Now()
-			r, err := real.Play(c.Context(), s, seed, real.Options{Command: command, Dir: logs})
+			r, err := real.Play(ctx, s, seed, real.Options{Command: command, Dir: logs})
 			if err != nil {
-				return faulty{fmt.Errorf("%w\nlogs are under %s", err, logs)}
+				return commandline.Fault(fmt.Errorf("%w\nlogs are under %s", err, logs))
 			}
 			j := &job{Policy: "processes", Result: r, Took: time.Since(began)}
-			err = report(c.OutOrStdout(), []*job{j}, asJSON, j.Took)
+			err = report(c.Root().Writer, []*job{j}, asJSON, j.Took)
 			if len(r.Broken) > 0 {
-				return faulty{fmt.Errorf("%s\nlogs are under %s", violations(r), logs)}
+				return commandline.Fault(fmt.Errorf("%s\nlogs are under %s", violations(r), logs))
 			}
 			if dir == "" {
 				err = errors.Join(err, os.RemoveAll(logs))
 			}
 			return err
-		}}
-	c.Flags().Uint64Var(&seed, "seed", 1, "the seed")
-	c.Flags().StringVar(&program, "broker", "", "the broker's program; without it, the one that is built in")
-	c.Flags().StringVar(&dir, "logs", "", "a folder for logs and configurations; without it they are kept only when something went wrong")
-	c.Flags().BoolVar(&asJSON, "json", false, "one line of JSON")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the seed", Destination: &seed},
+		&cli.StringFlag{Name: "broker", Usage: "the broker's program; without it, the one that is built in", Destination: &program},
+		&cli.StringFlag{Name: "logs", Usage: "a folder for logs and configurations; without it they are kept only when something went wrong", Destination: &dir},
+		&cli.BoolFlag{Name: "json", Usage: "one line of JSON", Destination: &asJSON},
+	}
 	return c
 }
 
--- a/cmd/dykering-lab/run.go
+++ b/cmd/dykering-lab/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -8,22 +9,23 @@
 	"strings"
 
 	"github.com/schollz/progressbar/v3"
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/faults"
 	"dykering/internal/lab/experiment"
 	"dykering/internal/lab/whole"
 )
 
-func newRun(in whole.Bubble) *cobra.Command {
+func newRun(in whole.Bubble) *cli.Command {
 	var dir string
 	var fresh bool
 	var at int
-	c := &cobra.Command{Use: "run EXPERIMENT.toml", Short: "Play an experiment, or what of it has not been played yet", Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+	c := &cli.Command{Name: "run", ArgsUsage: "EXPERIMENT.toml", Usage: "Play an experiment, or what of it has not been played yet",
+		Action: commandline.Args(1, 1, func(ctx context.Context, c *cli.Command, args []string) error {
 			e, wrong := experiment.Load(args[0])
 			if err := faults.Join(wrong); err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			e.In(in)
 			if dir == "" {
@@ -31,7 +33,7 @@
 			}
 			if fresh {
 				if err := os.RemoveAll(filepath.Join(dir, experiment.RunsFile)); err != nil {
-					return faulty{err}
+					return commandline.Fault(err)
 				}
 			}
 			if at == 0 {
@@ -41,49 +43,51 @@
 			}
 			command, err := brokerCommand("")
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
-			bar := progressbar.NewOptions(1, progressbar.OptionSetWriter(c.ErrOrStderr()), progressbar.OptionSetWidth(30),
+			bar := progressbar.NewOptions(1, progressbar.OptionSetWriter(c.Root().ErrWriter), progressbar.OptionSetWidth(30),
 				progressbar.OptionShowCount(), progressbar.OptionSetElapsedTime(true), progressbar.OptionSetPredictTime(true),
 				progressbar.OptionSetDescription(e.Name), progressbar.OptionClearOnFinish())
-			runs, err := e.Play(c.Context(), dir, command, at, func(done, of int) {
+			runs, err := e.Play(ctx, dir, command, at, func(done, of int) {
 				bar.ChangeMax(of)
 				bar.Set(done) // what cannot be drawn is not worth an end
 			})
 			if err != nil {
-				return faulty{fmt.Errorf("%w\nwhat was played is kept in %s, and the same command goes on with it", err, dir)}
+				return commandline.Fault(fmt.Errorf("%w\nwhat was played is kept in %s, and the same command goes on with it", err, dir))
 			}
 			rows, err := e.Write(dir, runs)
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
-			if err := experiment.Markdown(c.OutOrStdout(), rows); err != nil {
+			if err := experiment.Markdown(c.Root().Writer, rows); err != nil {
 				return err
 			}
-			fmt.Fprintf(c.OutOrStdout(), "\n%d runs; tables and charts are in %s\n", len(runs), dir)
+			fmt.Fprintf(c.Root().Writer, "\n%d runs; tables and charts are in %s\n", len(runs), dir)
 			return nil
-		}}
-	c.Flags().StringVar(&dir, "out", "", "the folder for results; without it, lab/results and the experiment's name")
-	c.Flags().BoolVar(&fresh, "fresh", false, "begin anew, and forget what was played")
-	c.Flags().IntVar(&at, "at-a-time", 0, "runs beside each other; 0 for as many as there are cores, one on sockets")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "the folder for results; without it, lab/results and the experiment's name", Destination: &dir},
+		&cli.BoolFlag{Name: "fresh", Usage: "begin anew, and forget what was played", Destination: &fresh},
+		&cli.IntFlag{Name: "at-a-time", Usage: "runs beside each other; 0 for as many as there are cores, one on sockets", Destination: &at},
+	}
 	return c
 }
 
-func newCompare() *cobra.Command {
-	return &cobra.Command{Use: "compare BEFORE AFTER", Short: "Say of two folders of results what is better, worse or noise", Args: cobra.ExactArgs(2),
-		RunE: func(c *cobra.Command, args []string) error {
+func newCompare() *cli.Command {
+	return &cli.Command{Name: "compare", ArgsUsage: "BEFORE AFTER", Usage: "Say of two folders of results what is better, worse or noise",
+		Action: commandline.Args(2, 2, func(_ context.Context, c *cli.Command, args []string) error {
 			_, a, err := experiment.ReadRuns(args[0])
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			_, b, err := experiment.ReadRuns(args[1])
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			rows, err := experiment.Compare(a, b)
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
-			return experiment.Markdown(c.OutOrStdout(), rows)
-		}}
+			return experiment.Markdown(c.Root().Writer, rows)
+		})}
 }
--- a/cmd/dykering-lab/scale.go
+++ b/cmd/dykering-lab/scale.go
@@ -1,33 +1,35 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/fleetscale"
 )
 
 // newScale measures the control plane at growing sizes.
-func newScale() *cobra.Command {
+func newScale() *cli.Command {
 	var program, file string
 	var steady time.Duration
 	var sizes []int
-	c := &cobra.Command{Use: "scale", Short: "Measure real control processes beside hollow sidecars and endpoints", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+	c := &cli.Command{Name: "scale", Usage: "Measure real control processes beside hollow sidecars and endpoints",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
 			var reports []*fleetscale.Report
 			for _, sidecars := range sizes {
 				options := fleetscale.Options{Program: program, Controls: 4, Sidecars: sidecars, Endpoints: sidecars * 620 / 340,
 					Models: 52, Adapters: 1800, Routes: 30, Changes: 10, Steady: steady}
-				report, err := fleetscale.Run(c.Context(), options, func(text string) {
-					fmt.Fprintf(c.ErrOrStderr(), "%d sidecars: %s\n", sidecars, text)
+				report, err := fleetscale.Run(ctx, options, func(text string) {
+					fmt.Fprintf(c.Root().ErrWriter, "%d sidecars: %s\n", sidecars, text)
 				})
 				if err != nil {
-					return faulty{fmt.Errorf("%d sidecars: %w", sidecars, err)}
+					return commandline.Fault(fmt.Errorf("%d sidecars: %w", sidecars, err))
 				}
 				reports = append(reports, report)
 			}
@@ -37,22 +39,24 @@
 			}
 			text, err := json.MarshalIndent(reports, "", "  ")
 			if err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
-				return faulty{err}
+				return commandline.Fault(err)
 			}
 			return nil
-		}}
-	c.Flags().StringVar(&program, "program", "target/dykering", "the built program")
-	c.Flags().DurationVar(&steady, "steady", 10*time.Second, "for how long costs are measured")
-	c.Flags().IntSliceVar(&sizes, "sidecars", []int{30, 100, 340}, "sizes, in sidecars; endpoints follow")
-	c.Flags().StringVar(&file, "out", "", "where the reports are written, as JSON")
+		})}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "program", Value: "target/dykering", Usage: "the built program", Destination: &program},
+		&cli.DurationFlag{Name: "steady", Value: 10 * time.Second, Usage: "for how long costs are measured", Destination: &steady},
+		&cli.IntSliceFlag{Name: "sidecars", Value: []int{30, 100, 340}, Usage: "sizes, in sidecars; endpoints follow", Destination: &sizes},
+		&cli.StringFlag{Name: "out", Usage: "where the reports are written, as JSON", Destination: &file},
+	}
 	return c
 }
 
-func printScale(c *cobra.Command, reports []*fleetscale.Report) {
-	t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+func printScale(c *cli.Command, reports []*fleetscale.Report) {
+	t := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
 	row := func(name string, value func(*fleetscale.Report) string) {
 		fmt.Fprint(t, name)
 		for _, r := range reports {
--- a/cmd/dykering-lab/whole.go
+++ b/cmd/dykering-lab/whole.go
@@ -1,14 +1,16 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/whole"
 )
 
@@ -25,14 +27,13 @@
 		}}}, nil, nil)
 }
 
-func newWhole(in whole.Bubble) *cobra.Command {
+func newWhole(in whole.Bubble) *cli.Command {
 	var seed uint64
 	var seeds, instances, servers int
 	var scale float64
 	var asJSON bool
-	c := &cobra.Command{Use: "whole [FILE]", Short: "Play a scenario with the whole program in virtual time, on an emulated network",
-		Args: cobra.MaximumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+	c := &cli.Command{Name: "whole", ArgsUsage: "[FILE]", Usage: "Play a scenario with the whole program in virtual time, on an emulated network",
+		Action: commandline.Args(0, 1, func(ctx context.Context, c *cli.Command, args []string) error {
 			s, err := loadScenario(args)
 			if err != nil {
 				return err
@@ -46,19 +47,21 @@
 					return err
 				}
 				at := time.Now()
-				r, err := whole.Play(c.Context(), in, s, seed+uint64(i), whole.Options{Dir: dir})
+				r, err := whole.Play(ctx, in, s, seed+uint64(i), whole.Options{Dir: dir})
 				if err = errors.Join(err, os.RemoveAll(dir)); err != nil {
-					return faulty{err}
+					return commandline.Fault(err)
 				}
 				jobs = append(jobs, &job{Policy: "dykering", Result: r, Took: time.Since(at)})
 			}
-			return report(c.OutOrStdout(), jobs, asJSON, time.Since(began))
-		}}
-	c.Flags().Uint64Var(&seed, "seed", 1, "the first seed")
-	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, one after another")
-	c.Flags().IntVar(&instances, "instances", 0, "instances, in place of the scenario's")
-	c.Flags().IntVar(&servers, "servers", 0, "servers, in place of the scenario's")
-	c.Flags().Float64Var(&scale, "scale", 1, "times the scenario's rate and quotas")
-	c.Flags().BoolVar(&asJSON, "json", false, "one line of JSON for each run")
+			return report(c.Root().Writer, jobs, asJSON, time.Since(began))
+		})}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed", Destination: &seed},
+		&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after another", Destination: &seeds},
+		&cli.IntFlag{Name: "instances", Usage: "instances, in place of the scenario's", Destination: &instances},
+		&cli.IntFlag{Name: "servers", Usage: "servers, in place of the scenario's", Destination: &servers},
+		&cli.FloatFlag{Name: "scale", Value: 1, Usage: "times the scenario's rate and quotas", Destination: &scale},
+		&cli.BoolFlag{Name: "json", Usage: "one line of JSON for each run", Destination: &asJSON},
+	}
 	return c
 }
--- a/cmd/dykering/fleet_budgets_test.go
+++ b/cmd/dykering/fleet_budgets_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"dykering/internal/commandline"
 	"dykering/internal/fleet/budgets"
 	"dykering/internal/lab/faultnet"
 )
@@ -265,7 +266,7 @@
 	}
 	t.Logf("leases came to %.2f of %.0f at the most", s.check(), whole*(1-floorPart))
 	code, out, errOut := command("fleet", "budgets", "--control", all[0].control)
-	if code != exitOK || !regexp.MustCompile(`one +100\.0 +5\.00`).MatchString(out) || !strings.Contains(out, "the ledger of the voters") {
+	if code != commandline.ExitOK || !regexp.MustCompile(`one +100\.0 +5\.00`).MatchString(out) || !strings.Contains(out, "the ledger of the voters") {
 		t.Errorf("fleet budgets: %d %s%s", code, out, errOut)
 	}
 }
--- a/cmd/dykering/fleet_state_test.go
+++ b/cmd/dykering/fleet_state_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-msgpack/v2/codec"
 	"go.uber.org/zap"
 
+	"dykering/internal/commandline"
 	"dykering/internal/fleet/gossip"
 	"dykering/internal/fleet/membership"
 	"dykering/internal/fleet/replica"
@@ -154,7 +155,7 @@
 		return slices.ContainsFunc(all, said("fleet.replica.caught_up"))
 	}, all[0])
 	code, out, errOut := command("fleet", "state", "--control", all[4].control)
-	if code != exitOK || !strings.Contains(out, want.Digest()) || !strings.Contains(out, s.servers[2].UID) {
+	if code != commandline.ExitOK || !strings.Contains(out, want.Digest()) || !strings.Contains(out, s.servers[2].UID) {
 		t.Errorf("fleet state: %d %s%s", code, out, errOut)
 	}
 	t.Logf("one digest %v after the heal; of 5 members one told %d bytes and sent %d in catch-ups", took,
--- a/cmd/dykering/fleet_test.go
+++ b/cmd/dykering/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"dykering/internal/commandline"
 	"dykering/internal/fleet/gossip"
 	"dykering/internal/fleet/membership"
 	"dykering/internal/lab/faultnet"
@@ -312,7 +313,7 @@
 			digest := rest[0].digest
 			rest[0].mu.Unlock()
 			code, out, errOut := command("fleet", "members", "--control", rest[0].control)
-			if code != exitOK || !strings.Contains(out, "digest "+digest) ||
+			if code != commandline.ExitOK || !strings.Contains(out, "digest "+digest) ||
 				!regexp.MustCompile(`(?m)^`+victim.id+` +dead `).MatchString(out) {
 				t.Errorf("fleet members: %d, %s%s; want digest %s and %s dead", code, out, errOut, digest, victim.id)
 			}
--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"dykering/internal/commandline"
 	"dykering/internal/config"
 	"dykering/internal/faults"
 	"dykering/internal/fleetconfig"
@@ -23,86 +24,29 @@
 	"dykering/internal/sidecar"
 )
 
-// The exit codes.
-const (
-	exitOK    = 0
-	exitFault = 1 // something is wrong with what it was given, or it could not run
-	exitUsage = 2 // the command line is wrong
-)
-
 func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// faulty marks an error as one of the work, not of the command line.
-type faulty struct{ error }
-
-func (f faulty) Unwrap() error { return f.error }
-
 // execute runs a command line, and returns the exit code.
 func execute(args []string, out, errOut io.Writer) int {
-	root := newRoot()
-	root.Writer, root.ErrWriter = out, errOut
-	err := root.Run(context.Background(), append([]string{root.Name}, args...))
-	if err == nil {
-		return exitOK
-	}
-	for line := range strings.SplitSeq(err.Error(), "\n") {
-		fmt.Fprintln(errOut, "dykering: "+line)
-	}
-	if errors.As(err, new(faulty)) {
-		return exitFault
-	}
-	fmt.Fprintln(errOut, "dykering: see dykering --help")
-	return exitUsage
+	return commandline.Run(context.Background(), newRoot(), args, out, errOut)
 }
 
 const about = "A broker between services, and the router and placer of many models: it picks a server for each request and keeps " +
 	"strict rules."
 
 func newRoot() *cli.Command {
-	root := &cli.Command{
+	return &cli.Command{
 		Name: "dykering", Usage: about,
-		Description:           "Exit codes: 0 well, 1 a fault in what it was given or in the running, 2 a wrong command line.",
-		EnableShellCompletion: true, HideVersion: true,
+		Description:                     "Exit codes: 0 well, 1 a fault in what it was given or in the running, 2 a wrong command line.",
+		EnableShellCompletion:           true,
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
-		ExitErrHandler:                  func(context.Context, *cli.Command, error) {}, // execute tells of errors
-		Action: func(_ context.Context, c *cli.Command) error {
-			if c.Args().Present() {
-				return fmt.Errorf("unknown command %q", c.Args().First())
-			}
-			c.Root().Writer = c.Root().ErrWriter
-			if err := cli.ShowAppHelp(c); err != nil {
-				return err
-			}
-			return errors.New("a command is missing")
-		},
-		Commands: []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl(), newStatus()},
-	}
-	everyCommand(root, func(c *cli.Command) { c.OnUsageError = usageError })
-	return root
-}
-
-// everyCommand does something to a command and those below it.
-func everyCommand(c *cli.Command, do func(*cli.Command)) {
-	do(c)
-	for _, sub := range c.Commands {
-		everyCommand(sub, do)
+		Commands:                        []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl(), newStatus()},
 	}
 }
 
-// usageError names a flag as it is written.
-func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
-	return errors.New(strings.Replace(err.Error(), "not defined: -", "not defined: --", 1))
-}
-
-// action does a command's work. A command that takes no arguments refuses them; errors of the work are no errors of the
-// command line.
+// action does the work of a command that takes no arguments. Its errors are none of the command line.
 func action(work func(c *cli.Command) error) cli.ActionFunc {
-	return func(_ context.Context, c *cli.Command) error {
-		if c.Args().Present() {
-			return fmt.Errorf("%s: unknown argument %q", c.Name, c.Args().First())
-		}
-		return faultOf(work(c))
-	}
+	return commandline.NoArgs(func(_ context.Context, c *cli.Command) error { return commandline.Fault(work(c)) })
 }
 
 // joined is several errors as one; nil for none.
@@ -119,14 +63,6 @@
 	return errors.New(strings.Join(lines, "\n"))
 }
 
-// faultOf marks an error as one of the work.
-func faultOf(err error) error {
-	if err == nil {
-		return nil
-	}
-	return faulty{err}
-}
-
 // files are the flags that name what a process is told.
 type files struct{ platform, operator string }
 
@@ -156,16 +92,13 @@
 func newCheck() *cli.Command {
 	return &cli.Command{Name: "check", ArgsUsage: "FILE...",
 		Usage: "Check files and start nothing: the platform's JSON, the operator's TOML, a role's settings, a configuration of the system",
-		Action: func(_ context.Context, c *cli.Command) error {
-			if !c.Args().Present() {
-				return errors.New("check: requires at least 1 arg: a file")
-			}
+		Action: commandline.Args(1, -1, func(_ context.Context, _ *cli.Command, args []string) error {
 			var wrong []error
-			for _, path := range c.Args().Slice() {
+			for _, path := range args {
 				wrong = append(wrong, check(path))
 			}
-			return faultOf(joined(wrong))
-		}}
+			return commandline.Fault(joined(wrong))
+		})}
 }
 
 // check finds what is wrong with one file. The platform's are JSON, by their name; a configuration of the system is JSON
--- a/cmd/dykering/operate_test.go
+++ b/cmd/dykering/operate_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"dykering/internal/commandline"
 	"dykering/internal/lab/loopback"
 	"dykering/internal/operator"
 )
@@ -48,7 +49,7 @@
 	if _, example, _ := command("config", "default"); err != nil || string(text) != example {
 		t.Errorf("%s is not what `dykering config default` prints, %v", path, err)
 	}
-	if code, _, errOut := command("check", path); code != exitOK {
+	if code, _, errOut := command("check", path); code != commandline.ExitOK {
 		t.Errorf("it has faults: %s", errOut)
 	}
 }
@@ -85,7 +86,7 @@
 			path := write(t, "faulty.toml", strings.Join(faulty, "\n"))
 			code, _, errOut := command("check", path)
 			want := fmt.Sprintf("%s:%d: %s%s", path, i+1, section, m[1])
-			if code != exitFault || !strings.Contains(errOut, want) || strings.Count(errOut, "\n") != 1 ||
+			if code != commandline.ExitFault || !strings.Contains(errOut, want) || strings.Count(errOut, "\n") != 1 ||
 				name == "misspelt" && !strings.Contains(errOut, "is "+section+m[1]+" meant?") {
 				t.Errorf("%s: exit %d, %q", change, code, errOut)
 			}
@@ -112,25 +113,25 @@
 		code int
 		want []string // in what it prints
 	}{
-		{"", exitUsage, []string{"a command is missing", "check", "run", "completion"}},
-		{"rnu", exitUsage, []string{"rnu"}},
-		{"run --confg x", exitUsage, []string{"--confg"}},
-		{"check", exitUsage, []string{"at least 1 arg"}},
-		{"config", exitUsage, []string{"show or default"}},
-		{"version extra", exitUsage, []string{"extra"}},
-		{"run", exitFault, []string{"BALANCER_CONFIG"}},
-		{"version", exitOK, []string{"dykering ", "file version 1"}},
-		{"completion bash", exitOK, []string{"__dykering", "complete -o"}},
-		{"proxy", exitFault, []string{"DYKERING_NODE_FILE"}},
-		{"control extra", exitUsage, []string{"extra"}},
-		{"check " + settings + " " + configuration, exitOK, nil},
-		{"check " + noSettings + " " + noConfiguration, exitFault, []string{"ip_address", "unknown service s2"}},
-		{"check " + platform, exitOK, nil},
-		{"check " + platform + " " + broken + " " + half, exitFault, []string{broken + ":3: limits.cores", broken + ":4: limits.sockets",
+		{"", commandline.ExitUsage, []string{"a command is missing", "check", "run", "completion"}},
+		{"rnu", commandline.ExitUsage, []string{"rnu"}},
+		{"run --confg x", commandline.ExitUsage, []string{"--confg"}},
+		{"check", commandline.ExitUsage, []string{"at least 1 arg"}},
+		{"config", commandline.ExitUsage, []string{"show or default"}},
+		{"version extra", commandline.ExitUsage, []string{"extra"}},
+		{"run", commandline.ExitFault, []string{"BALANCER_CONFIG"}},
+		{"version", commandline.ExitOK, []string{"dykering ", "file version 1"}},
+		{"completion bash", commandline.ExitOK, []string{"__dykering", "complete -o"}},
+		{"proxy", commandline.ExitFault, []string{"DYKERING_NODE_FILE"}},
+		{"control extra", commandline.ExitUsage, []string{"extra"}},
+		{"check " + settings + " " + configuration, commandline.ExitOK, nil},
+		{"check " + noSettings + " " + noConfiguration, commandline.ExitFault, []string{"ip_address", "unknown service s2"}},
+		{"check " + platform, commandline.ExitOK, nil},
+		{"check " + platform + " " + broken + " " + half, commandline.ExitFault, []string{broken + ":3: limits.cores", broken + ":4: limits.sockets",
 			broken + ": seed", broken + ": settings: missing", half + ":2: unexpected end"}},
-		{"config show --config " + platform, exitOK, []string{"limits.memory_mb = 64", platform + ":2", "log.level", "# default"}},
-		{"config show --config " + broken, exitFault, []string{"limits.cores"}},
-		{"run --config " + platform + " --operator " + broken, exitFault, []string{broken + ":1: "}},
+		{"config show --config " + platform, commandline.ExitOK, []string{"limits.memory_mb = 64", platform + ":2", "log.level", "# default"}},
+		{"config show --config " + broken, commandline.ExitFault, []string{"limits.cores"}},
+		{"run --config " + platform + " --operator " + broken, commandline.ExitFault, []string{broken + ":1: "}},
 	} {
 		code, out, errOut := command(strings.Fields(tc.args)...)
 		if code != tc.code {
--- /dev/null
+++ b/internal/commandline/commandline_test.go
@@ -0,0 +1,45 @@
+package commandline
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func TestCommandline(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "command lines")
+}
+
+var _ = DescribeTable("a command line",
+	func(args []string, code int, told string) {
+		done := func(context.Context, *cli.Command, []string) error { return nil }
+		root := &cli.Command{Name: "program", Commands: []*cli.Command{
+			{Name: "one", Action: Args(1, 1, done), Flags: []cli.Flag{&cli.IntFlag{Name: "size"}}},
+			{Name: "some", Action: Args(0, 2, done)},
+			{Name: "many", Action: Args(1, -1, done)},
+			{Name: "none", Action: NoArgs(func(context.Context, *cli.Command) error { return nil })},
+			{Name: "broken", Action: NoArgs(func(context.Context, *cli.Command) error { return Fault(errors.New("two\nlines")) })},
+			{Name: "group", Action: MissingCommand, Commands: []*cli.Command{{Name: "member"}}},
+		}}
+		var out, errOut bytes.Buffer
+		Expect(Run(context.Background(), root, args, &out, &errOut)).To(Equal(code), errOut.String())
+		Expect(errOut.String()).To(ContainSubstring(told))
+	},
+	Entry("without a command", nil, ExitUsage, "a command is missing"),
+	Entry("with one that there is not", []string{"noe"}, ExitUsage, "noe"),
+	Entry("with a flag that there is not", []string{"one", "x", "--sise", "3"}, ExitUsage, "--sise"),
+	Entry("with a flag behind an argument", []string{"one", "x", "--size", "3"}, ExitOK, ""),
+	Entry("with too few arguments", []string{"one"}, ExitUsage, "accepts 1 arg(s), received 0"),
+	Entry("with too many", []string{"some", "1", "2", "3"}, ExitUsage, "accepts 0 to 2 arg(s), received 3"),
+	Entry("with none of many", []string{"many"}, ExitUsage, "requires at least 1 arg(s), received 0"),
+	Entry("with one where none is taken", []string{"none", "x"}, ExitUsage, `none: unknown argument "x"`),
+	Entry("of a group alone", []string{"group"}, ExitUsage, "a command is missing"),
+	Entry("whose work fails", []string{"broken"}, ExitFault, "program: two\nprogram: lines\n"),
+	Entry("whose work is done", []string{"many", "1", "2"}, ExitOK, ""),
+)
