--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"dykering/internal/chain"
@@ -64,7 +65,7 @@
 	m.up, m.writing, m.jobs, m.inbox = true, false, nil, nil
 	now := m.world.now
 	var out chain.Output
-	genesis := first && contains(m.world.seeds, m.address) || m.world.options.Flaw == VoteAfterWipe && contains(m.world.seeds, m.address)
+	genesis := first && slices.Contains(m.world.seeds, m.address) || m.world.options.Flaw == VoteAfterWipe && slices.Contains(m.world.seeds, m.address)
 	switch {
 	case len(m.disk) > 0:
 		m.node = chain.Restore(m.config(), now, m.disk)
@@ -84,15 +85,6 @@
 	m.tick(m.life)
 }
 
-func contains(list []string, x string) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
 // runs tells whether the process runs.
 func (m *machine) runs() bool { return m.up && m.world.now >= m.frozenUntil }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -8,34 +8,6 @@
 	"dykering/internal/fleetconfig"
 )
 
-// Operation of an order.
-type Operation string
-
-// The operations.
-const (
-	Loading   Operation = "loading"
-	Unloading Operation = "unloading"
-)
-
-// Order has an endpoint load or unload a model, or an adapter of a model that it holds.
-type Order struct {
-	Endpoint  string
-	Operation Operation
-	Model     string
-	Adapter   string
-	// For is the model that an unloading makes room for.
-	For string
-}
-
-// Endpoint is an endpoint as the planner sees it, with the order that is under way counted as done.
-type Endpoint struct {
-	ID      string
-	Models  map[string][]string // adapters by model
-	Leaving bool                // it gets no orders, and what it holds does not count
-	Busy    bool                // an order is under way
-	For     string              // the model that room is being made for
-}
-
 // Input is what a plan is made of.
 type Input struct {
 	Service   string
@@ -69,8 +41,6 @@
 	rateWorth = 0.1
 	// keepFactor is how much more urgent a copy must be than what stands in its place.
 	keepFactor = 2
-	// adapterCrowded is how many requests under way for each copy of an adapter ask for a further one.
-	adapterCrowded = 12
 	// mostOrders bounds the orders of one plan.
 	mostOrders = 64
 )
@@ -300,134 +270,3 @@
 	}
 	return used
 }
-
-// placeAdapters loads adapters that are asked for beside their models.
-func (p *planner) placeAdapters() {
-	var lacking []Key
-	for _, key := range p.Demand.Keys(p.Service) {
-		if _, known := p.models[key.Model]; known && key.Adapter != "" && p.lacks(key) {
-			lacking = append(lacking, key)
-		}
-	}
-	sort.Slice(lacking, func(i, j int) bool {
-		if lacking[i].Model != lacking[j].Model {
-			return lacking[i].Model < lacking[j].Model
-		}
-		return lacking[i].Adapter < lacking[j].Adapter
-	})
-	for _, key := range lacking {
-		p.placeAdapter(key)
-	}
-}
-
-// lacks tells whether an adapter should have one more copy.
-func (p *planner) lacks(key Key) bool {
-	need, copies := p.need(key), p.adapters[key]
-	if copies == 0 {
-		return need.Unplaced || need.Rate > idleRate
-	}
-	return need.InFlight > adapterCrowded*copies
-}
-
-func contains(list []string, x string) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
-// placeAdapter loads an adapter on the endpoint with its model that has the most places for adapters left.
-func (p *planner) placeAdapter(key Key) {
-	var best *Endpoint
-	bestCount := math.MaxInt
-	if len(p.orders) >= mostOrders {
-		return
-	}
-	for _, e := range p.byModel[key.Model] {
-		if p.taken[e.ID] || contains(e.Models[key.Model], key.Adapter) {
-			continue
-		}
-		if count := adapterCount(e); count < bestCount {
-			best, bestCount = e, count
-		}
-	}
-	if best == nil {
-		return
-	}
-	size := p.models[key.Model].AdapterSizeMB
-	if bestCount < int(p.Engine.AdapterSlots) && p.used(best)+size <= p.Engine.WeightsSizeMB {
-		p.order(best, Order{Endpoint: best.ID, Operation: Loading, Model: key.Model, Adapter: key.Adapter})
-		return
-	}
-	if model, adapter, ok := p.idleAdapter(best); ok {
-		p.order(best, Order{Endpoint: best.ID, Operation: Unloading, Model: model, Adapter: adapter})
-	}
-}
-
-func adapterCount(e *Endpoint) int {
-	count := 0
-	for _, adapters := range e.Models {
-		count += len(adapters)
-	}
-	return count
-}
-
-// idleAdapter is the adapter of an endpoint that was not asked for for the longest time.
-func (p *planner) idleAdapter(e *Endpoint) (model, adapter string, ok bool) {
-	oldest := time.Duration(math.MaxInt64)
-	for name, adapters := range e.Models {
-		for _, a := range adapters {
-			if at := p.need(p.key(name, a)).AskedAt; at < oldest || at == oldest && a < adapter {
-				model, adapter, oldest, ok = name, a, at, true
-			}
-		}
-	}
-	return model, adapter, ok
-}
-
-// Apply counts an order as done.
-func (e *Endpoint) Apply(order Order) {
-	models := map[string][]string{}
-	for name, adapters := range e.Models {
-		models[name] = adapters
-	}
-	switch {
-	case order.Operation == Loading && order.Adapter == "":
-		if models[order.Model] == nil {
-			models[order.Model] = []string{}
-		}
-	case order.Operation == Loading:
-		if !contains(models[order.Model], order.Adapter) {
-			models[order.Model] = append(append([]string{}, models[order.Model]...), order.Adapter)
-		}
-	case order.Adapter == "":
-		delete(models, order.Model)
-	default:
-		kept := []string{}
-		for _, adapter := range models[order.Model] {
-			if adapter != order.Adapter {
-				kept = append(kept, adapter)
-			}
-		}
-		models[order.Model] = kept
-	}
-	e.Models = models
-}
-
-// Fits tells whether an endpoint has room for what an order loads.
-func (e *Endpoint) Fits(order Order, engine *fleetconfig.Engine) bool {
-	if order.Operation != Loading {
-		return true
-	}
-	after := Endpoint{Models: e.Models}
-	after.Apply(order)
-	p := &planner{Input: Input{Engine: engine}, models: modelsByName(engine)}
-	for name := range after.Models {
-		if _, known := p.models[name]; !known {
-			return false // what it takes is not known
-		}
-	}
-	return p.used(&after) <= engine.WeightsSizeMB && adapterCount(&after) <= int(engine.AdapterSlots)
-}
--- /dev/null
+++ b/internal/routing/pick.go
@@ -0,0 +1,166 @@
+package routing
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"dykering/internal/sessions"
+)
+
+// Query is what an endpoint is looked for.
+type Query struct {
+	Service string
+	Model   string
+	Adapter string
+	// Affinity tells requests apart that share a beginning: those with the same one go to the same endpoints. 0 is none.
+	Affinity uint64
+	Exclude  map[string]bool
+}
+
+// Verdict is the result of a pick.
+type Verdict int
+
+// The verdicts.
+const (
+	Picked     Verdict = iota
+	NoEndpoint         // the service has none that may be called
+	NotHeld            // none holds the model or the adapter
+	ModelOnly          // some hold the model, none the adapter
+	AllBusy            // those that hold it are full or isolated
+)
+
+// Pick draws random usable endpoints that hold what is asked for, and takes the one with the fewest own calls in flight.
+func (p *Pool) Pick(now time.Duration, q Query) (*Endpoint, Verdict) {
+	var holders, usable, trials []*Endpoint
+	alive, modelHeld := false, false
+	for _, e := range p.services[q.Service] {
+		if e.mark == Leaving || e.told.State == sessions.Silent && e.mark == Isolated {
+			continue
+		}
+		alive = true
+		if !e.holds(now, q) {
+			modelHeld = modelHeld || q.Adapter != "" && e.told.Holds(q.Model, "")
+			continue
+		}
+		holders = append(holders, e)
+		switch {
+		case q.Exclude[e.ID] || now < e.fullUntil:
+		case e.mark == Isolated:
+			if !e.trying && now >= e.trialAt {
+				trials = append(trials, e)
+			}
+		default:
+			usable = append(usable, e)
+		}
+	}
+	switch {
+	case !alive:
+		return nil, NoEndpoint
+	case len(holders) == 0 && modelHeld:
+		return nil, ModelOnly
+	case len(holders) == 0:
+		return nil, NotHeld
+	}
+	if e := p.trial(trials, len(usable)); e != nil {
+		e.trying = true
+		return e, Picked
+	}
+	if len(usable) == 0 {
+		return nil, AllBusy
+	}
+	return p.draw(now, usable, q.Affinity), Picked
+}
+
+// trial chooses an isolated endpoint that is due a trial call: always where nothing else is usable, else now and then.
+func (p *Pool) trial(due []*Endpoint, usable int) *Endpoint {
+	if len(due) == 0 || usable > 0 && p.random.IntN(usable+1) != 0 {
+		return nil
+	}
+	return due[p.random.IntN(len(due))]
+}
+
+func (e *Endpoint) holds(now time.Duration, q Query) bool {
+	if q.Model == "" {
+		return true
+	}
+	if until, ok := e.missing[missingKey(q.Model, q.Adapter)]; ok && now < until {
+		return false
+	}
+	return e.told.Holds(q.Model, q.Adapter)
+}
+
+func missingKey(model, adapter string) string { return model + "/" + adapter }
+
+const (
+	// candidates is how many random endpoints a pick compares.
+	candidates = 4
+	// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
+	sameWork = 1
+)
+
+// draw compares random candidates and returns the one with the fewest own calls in flight.
+func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
+	best := p.random1(now, usable)
+	for range candidates - 1 {
+		if other := p.random1(now, usable); other != best && p.better(now, other, best, affinity) {
+			best = other
+		}
+	}
+	return best
+}
+
+// better compares two candidates: by own calls in flight, then by what the endpoints say that they have to do. A tie goes
+// to the one that ranks higher for the affinity, so that requests which share a beginning tend to meet where it is kept;
+// without one, to either.
+func (p *Pool) better(now time.Duration, a, b *Endpoint, affinity uint64) bool {
+	x, y := a.work(now), b.work(now)
+	switch {
+	case a.inFlight != b.inFlight:
+		return a.inFlight < b.inFlight
+	case math.Abs(x-y) > sameWork:
+		return x < y
+	case affinity != 0:
+		return rendezvous(affinity, a.ID) > rendezvous(affinity, b.ID)
+	case x != y:
+		return x < y
+	}
+	return p.random.IntN(2) == 0
+}
+
+// rendezvous ranks endpoints for an affinity, alike at every sidecar.
+func rendezvous(affinity uint64, id string) uint64 {
+	hash := fnv.New64a()
+	var key [8]byte
+	for i := range key {
+		key[i] = byte(affinity >> (8 * i))
+	}
+	hash.Write(key[:])
+	hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
+// random1 draws one endpoint, ramping ones less often.
+func (p *Pool) random1(now time.Duration, usable []*Endpoint) *Endpoint {
+	const tries = 8
+	for range tries {
+		e := usable[p.random.IntN(len(usable))]
+		if p.random.Float64() <= e.share(now) {
+			return e
+		}
+	}
+	return usable[p.random.IntN(len(usable))]
+}
+
+// share is the part of draws that an endpoint takes.
+func (e *Endpoint) share(now time.Duration) float64 {
+	if e.mark != Ramping {
+		return 1
+	}
+	done := float64(now-e.rampFrom) / float64(rampFor)
+	if done >= 1 {
+		e.mark = Usable
+		return 1
+	}
+	return rampFrom + (1-rampFrom)*max(done, 0)
+}
