Endpoints that fail are set aside by the outcomes at all sidecars

Nothing looked at answers of status 500; such an endpoint answers fast, has few calls in flight and so drew more. A sidecar alone sees too few: 0.2 requests a second for each endpoint. Change: sidecars report how calls ended, control sidecars sum the outcomes (half after 15 s) and stream the sums with those of calls under way; a pick leaves out endpoints with 1.5 failures and 15% of failures, unless these are more than half.

--- a/internal/controlplane/loads.go
+++ b/internal/controlplane/loads.go
@@ -1,9 +1,13 @@
 package controlplane
 
 import (
+	"math"
 	"time"
 
+	"github.com/samber/lo"
+
 	"dykering/internal/feed"
+	"dykering/internal/routing"
 )
 
 const (
@@ -22,6 +26,7 @@
 // loadTable is the calls to endpoints, by the sidecars that make them. The owner of the process owns it.
 type loadTable struct {
 	sidecars map[string][]feed.EndpointLoad
+	outcomes map[string]outcomeCount // of the sidecars here, by endpoint
 	peers    map[string]peerLoads
 	shareAt  time.Duration
 	shared   bool // the last word to peers told of calls
@@ -34,16 +39,54 @@
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{sidecars: map[string][]feed.EndpointLoad{}, peers: map[string]peerLoads{}}
+	return &loadTable{sidecars: map[string][]feed.EndpointLoad{}, peers: map[string]peerLoads{}, outcomes: map[string]outcomeCount{}}
+}
+
+// outcomeCount is the outcomes at one endpoint, as they counted at a time.
+type outcomeCount struct {
+	outcomes routing.Outcomes
+	at       time.Duration
 }
 
-// report takes a sidecar's calls, in the place of those it told before.
-func (t *loadTable) report(name string, loads []feed.EndpointLoad) {
-	if len(loads) == 0 {
+const (
+	// leastCount is below what outcomes are forgotten, outcomeStep to what they are rounded on their way.
+	leastCount  = 0.25
+	outcomeStep = 0.25
+	mostCounted = 16384
+)
+
+// report takes a sidecar's calls, in the place of those it told before, and counts how those that have ended did.
+func (t *loadTable) report(now time.Duration, name string, loads []feed.EndpointLoad) {
+	for _, load := range loads {
+		t.count(now, load.ID, routing.Outcomes{Good: load.Good, Failed: load.Failed})
+	}
+	underWay := lo.Filter(loads, func(load feed.EndpointLoad, _ int) bool { return load.InFlight > 0 })
+	if len(underWay) == 0 {
 		delete(t.sidecars, name)
 		return
 	}
-	t.sidecars[name] = loads
+	t.sidecars[name] = underWay
+}
+
+// count adds outcomes at an endpoint.
+func (t *loadTable) count(now time.Duration, id string, outcomes routing.Outcomes) {
+	before, known := t.outcomes[id]
+	if outcomes == (routing.Outcomes{}) || !known && len(t.outcomes) >= mostCounted {
+		return
+	}
+	counted := before.outcomes.After(now - before.at)
+	t.outcomes[id] = outcomeCount{outcomes: routing.Outcomes{Good: counted.Good + outcomes.Good, Failed: counted.Failed + outcomes.Failed}, at: now}
+}
+
+// counted is what outcomes at an endpoint count for now, rounded so that they take few bytes. Good ones are told only
+// beside failures.
+func (c outcomeCount) counted(now time.Duration) routing.Outcomes {
+	outcomes := c.outcomes.After(now - c.at)
+	if outcomes.Failed < leastCount {
+		return routing.Outcomes{}
+	}
+	round := func(x float64) float64 { return math.Round(x/outcomeStep) * outcomeStep }
+	return routing.Outcomes{Good: round(outcomes.Good), Failed: round(outcomes.Failed)}
 }
 
 // share takes a peer's word of the sidecars that follow a stream there.
@@ -52,10 +95,24 @@
 }
 
 // here sums the calls of the sidecars that follow a stream here.
-func (t *loadTable) here() map[string]feed.EndpointLoad {
+func (t *loadTable) here(now time.Duration) map[string]feed.EndpointLoad {
 	sums := map[string]feed.EndpointLoad{}
 	for _, loads := range t.sidecars {
-		addLoads(sums, loads)
+		for _, load := range loads {
+			sum := sums[load.ID]
+			sums[load.ID] = feed.EndpointLoad{ID: load.ID, InFlight: sum.InFlight + load.InFlight, Waiting: sum.Waiting + load.Waiting}
+		}
+	}
+	for id, count := range t.outcomes {
+		told := count.counted(now)
+		if told != (routing.Outcomes{}) {
+			sum := sums[id]
+			sum.ID, sum.Good, sum.Failed = id, told.Good, told.Failed
+			sums[id] = sum
+		}
+		if left := count.outcomes.After(now - count.at); left.Good+left.Failed < leastCount {
+			delete(t.outcomes, id)
+		}
 	}
 	return sums
 }
@@ -63,7 +120,8 @@
 func addLoads(sums map[string]feed.EndpointLoad, loads []feed.EndpointLoad) {
 	for _, load := range loads {
 		sum := sums[load.ID]
-		sums[load.ID] = feed.EndpointLoad{ID: load.ID, InFlight: sum.InFlight + load.InFlight, Waiting: sum.Waiting + load.Waiting}
+		sums[load.ID] = feed.EndpointLoad{ID: load.ID, InFlight: sum.InFlight + load.InFlight, Waiting: sum.Waiting + load.Waiting,
+			Good: sum.Good + load.Good, Failed: sum.Failed + load.Failed}
 	}
 }
 
@@ -80,7 +138,7 @@
 	if now < t.dueAt {
 		return nil, false
 	}
-	sums := t.here()
+	sums := t.here(now)
 	for from, peer := range t.peers {
 		if now-peer.at > shareFor {
 			delete(t.peers, from)
@@ -100,7 +158,7 @@
 		return
 	}
 	t.shareAt = now + shareEvery
-	loads := listed(t.here())
+	loads := listed(t.here(now))
 	if len(loads) == 0 && !t.shared {
 		return
 	}
--- a/internal/controlplane/losses_test.go
+++ b/internal/controlplane/losses_test.go
@@ -72,6 +72,6 @@
 		p.subscribers[s] = true
 		p.dropSubscriber(s)
 		p.onSubscriber(s, feed.DemandReport{From: "p1", Loads: []feed.EndpointLoad{{ID: "a", InFlight: 1}}})
-		Expect(p.loads.here()).To(BeEmpty())
+		Expect(p.loads.here(0)).To(BeEmpty())
 	})
 })
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -67,7 +67,7 @@
 func (p *Process) dropSubscriber(s *subscriber) {
 	if p.subscribers[s] {
 		delete(p.subscribers, s)
-		p.loads.report(s.name, nil)
+		p.loads.report(p.now(), s.name, nil)
 		close(s.updates)
 	}
 }
@@ -105,7 +105,7 @@
 	case feed.Ack:
 		s.acked = m
 	case feed.DemandReport:
-		p.loads.report(s.name, m.Loads)
+		p.loads.report(p.now(), s.name, m.Loads)
 		m.Loads = nil
 		p.placer.forward(m)
 	}
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -18,6 +18,8 @@
 
 const (
 	connectWithin = 1 * time.Second
+	// silentFor is how long an endpoint may be silent before a client that gives up does so because of it.
+	silentFor = 1500 * time.Millisecond
 	// keepShare is the part of an endpoint's own idle time for which a connection to it is kept.
 	keepShare = 0.6
 	// wholeBody is the longest answer that is held until it is whole, so that one that breaks off fails as a whole.
@@ -60,10 +62,15 @@
 		}
 		return outcome{result: result, kind: errkind.EndpointFailed, detail: errText(err)}
 	}
+	sentAt := time.Now()
 	answer, err := conn.Answer(headerRequestID, q.id)
 	if err != nil {
 		conn.Close()
-		return c.broken(err)
+		out := c.broken(err)
+		if out.result == routing.Withdrawn && time.Since(sentAt) >= silentFor {
+			out.result = routing.TimedOut // its client gave it up for the endpoint's silence
+		}
+		return out
 	}
 	p.post(func() { p.pool.Answering(endpoint) })
 	out := c.pass(conn, answer)
@@ -143,10 +150,13 @@
 	stamped := answer.Header.Get(headerStamp) != ""
 	success := answer.Status >= 200 && answer.Status < 300
 	if !stamped && success || promises(answer.Status) {
-		return outcome{mayHaveRun: true, result: routing.Served, kind: errkind.EndpointFailed, detail: "an answer of no use", load: load}
+		return outcome{mayHaveRun: true, result: routing.Failed, kind: errkind.EndpointFailed, detail: "an answer of no use", load: load}
 	}
 	out := c.passAnswer(answer, success)
 	out.load = load
+	if out.result == routing.Served && answer.Status >= http.StatusInternalServerError {
+		out.result = routing.Failed
+	}
 	return out
 }
 
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -181,6 +181,20 @@
 		Expect(body).To(Equal("mine"))
 	})
 
+	It("that tells of a failure is passed on as it is, and its endpoint is set aside after a few", func() {
+		failing, well := newStandIn("i-1", says(500, "no", stamped)), newStandIn("i-2", says(200, "hello", stamped))
+		s := newSidecar(route("non_idempotent", ""), failing, well)
+		const requests = 40
+		for range requests {
+			response, body, err := s.ask("/p/")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode == 200 && body == "hello" || response.StatusCode == 500 && body == "no").To(BeTrue())
+			Expect(response.Header.Get(headerStamp)).To(Equal("stamp"))
+		}
+		Expect(len(failing.seen())).To(BeNumerically("<=", 3))
+		Expect(len(failing.seen()) + len(well.seen())).To(Equal(requests))
+	})
+
 	It("that never comes ends with the client's time, and promises nothing", func() {
 		s := newSidecar(route("non_idempotent", ""), newStandIn("i-1", stays))
 		response, _, err := s.ask("/p/", "X-Deadline-Ms: 100")
--- a/internal/dataplane/demand.go
+++ b/internal/dataplane/demand.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"dykering/internal/feed"
 )
 
@@ -119,8 +121,10 @@
 // report is what was counted since the last one, and the own calls.
 func (p *Process) report() feed.DemandReport {
 	report := feed.DemandReport{From: p.settings.NodeName, Demands: p.demand.take()}
-	for id, calls := range p.pool.Calls() {
-		report.Loads = append(report.Loads, feed.EndpointLoad{ID: id, InFlight: calls.InFlight, Waiting: calls.Waiting})
+	calls, outcomes := p.pool.Calls(), p.pool.TakeOutcomes()
+	for _, id := range lo.Union(lo.Keys(calls), lo.Keys(outcomes)) {
+		report.Loads = append(report.Loads, feed.EndpointLoad{ID: id, InFlight: calls[id].InFlight, Waiting: calls[id].Waiting,
+			Good: outcomes[id].Good, Failed: outcomes[id].Failed})
 	}
 	return report
 }
--- a/internal/dataplane/follow.go
+++ b/internal/dataplane/follow.go
@@ -126,7 +126,8 @@
 	if update.HasLoads {
 		loads := map[string]routing.FleetLoad{}
 		for _, load := range update.Loads {
-			loads[load.ID] = routing.FleetLoad{InFlight: load.InFlight, Waiting: load.Waiting}
+			loads[load.ID] = routing.FleetLoad{InFlight: load.InFlight, Waiting: load.Waiting,
+				Outcomes: routing.Outcomes{Good: load.Good, Failed: load.Failed}}
 		}
 		p.pool.SetFleetLoads(now, loads)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -66,6 +66,10 @@
 	ID       string
 	InFlight int
 	Waiting  int // of them, those whose answer has not begun
+	// Good and Failed count the calls that have ended: in a sidecar's report those since the last one, elsewhere those of
+	// all sidecars, the older the less.
+	Good   float64
+	Failed float64
 }
 
 // DemandReport is a sidecar's demand, and its calls to endpoints.
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -19,8 +19,11 @@
 // streamingWork is what a call whose answer has begun counts for, against one that waits.
 const streamingWork = 0.2
 
-// FleetLoad is the calls of all sidecars to an endpoint.
-type FleetLoad struct{ InFlight, Waiting int }
+// FleetLoad is the calls of all sidecars to an endpoint, and how those that have ended did.
+type FleetLoad struct {
+	InFlight, Waiting int
+	Outcomes          Outcomes
+}
 
 // SetFleetLoads takes the calls of all sidecars. An endpoint that is not named has none.
 func (p *Pool) SetFleetLoads(now time.Duration, loads map[string]FleetLoad) {
@@ -29,6 +32,7 @@
 		waiting := max(total.Waiting-e.waiting, 0)
 		streaming := max(total.InFlight-total.Waiting-(e.inFlight-e.waiting), 0)
 		e.others, e.othersAt = float64(waiting)+streamingWork*float64(streaming), now
+		e.history.hear(now, total.Outcomes)
 	}
 }
 
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -9,12 +9,13 @@
 
 // The results.
 const (
-	Served      Result = iota // an answer of the endpoint's own
+	Served      Result = iota // an answer of the endpoint's own that is of use
+	Failed                    // an answer of the endpoint's own that tells of its failure
 	Full                      // turned away: there is no room
 	Missing                   // turned away: the model, adapter or endpoint is not there
 	Unreachable               // no connection
 	Broken                    // the connection broke
-	TimedOut                  // no answer in time
+	TimedOut                  // no answer in time, or for so long that its client gave up
 	Withdrawn                 // given up by the caller
 )
 
@@ -33,6 +34,7 @@
 	if !answered {
 		e.waiting--
 	}
+	e.history.note(now, outcomeOf(result, answered))
 	tried := e.trying
 	e.trying = false
 	switch result {
@@ -48,7 +50,7 @@
 		e.missing[missingKey(q.Model, q.Adapter)] = now + missingFor
 	case Unreachable, Broken:
 		p.isolate(now, e)
-	case TimedOut:
+	case Failed, TimedOut:
 		if tried {
 			p.isolate(now, e)
 		}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -69,7 +69,7 @@
 	if len(usable) == 0 {
 		return nil, AllBusy
 	}
-	return p.draw(now, usable, q.Affinity), Picked
+	return p.draw(now, trusted(now, usable), q.Affinity), Picked
 }
 
 // trial chooses an isolated endpoint that is due a trial call: always where nothing else is usable, else now and then.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -84,6 +84,7 @@
 	loadOwn    int     // own calls when the load was reported
 	others     float64 // what other sidecars have it do, as control sidecars say
 	othersAt   time.Duration
+	history    history
 }
 
 // Pool is the endpoints that a sidecar knows.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -195,7 +195,7 @@
 		Expect(a.others).To(BeZero())
 		counts := picks(start, query)
 		Expect(counts["a"]).To(BeNumerically("~", 375, 20))
-		Expect(pool.Calls()).To(Equal(map[string]FleetLoad{"a": {1, 1}, "b": {1, 1}}))
+		Expect(pool.Calls()).To(Equal(map[string]FleetLoad{"a": {InFlight: 1, Waiting: 1}, "b": {InFlight: 1, Waiting: 1}}))
 		pool.Answering(a)
 		Expect(pool.Calls()["a"]).To(Equal(FleetLoad{InFlight: 1}))
 		pool.End(start, a, query, Served, true)
