--- a/internal/routing/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -78,6 +78,28 @@
 		Expect(drawn(start)).To(HaveLen(4))
 	})
 
+	It("are set aside where they fail and serve by turns", func() {
+		for range 3 {
+			end(start, "a", Served)
+			end(start, "a", Served)
+			end(start, "a", Failed)
+		}
+		Expect(drawn(start)).NotTo(HaveKey("a"))
+	})
+
+	It("are set aside where they fail the callers of one zone of three alone", func() {
+		pool.SetFleetLoads(start, map[string]FleetLoad{"a": {Outcomes: Outcomes{Good: 10, Failed: 2}}})
+		Expect(drawn(start)).NotTo(HaveKey("a"))
+	})
+
+	It("are no more than half: as many as are well are set aside", func() {
+		for _, id := range []string{"a", "b"} {
+			end(start, id, Failed)
+			end(start, id, Failed)
+		}
+		Expect(drawn(start)).To(And(HaveLen(2), HaveKey("c"), HaveKey("d")))
+	})
+
 	It("are called where nobody else holds the model", func() {
 		pool.Update(start, []sessions.Endpoint{told("e", "n")}, false)
 		end(start, "e", Failed)
