An endpoint without failures costs a pick no arithmetic

Cause: a pick aged the outcomes of every usable endpoint, 90 on the grown sites. Change: those with fewer failures than make one suspect are passed over; ageing only lowers them.

--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -57,6 +57,11 @@
 	h.known.add(h.untold)
 }
 
+// suspicious tells whether the endpoint fails. Outcomes only count for less as they age.
+func (h *history) suspicious(now time.Duration) bool {
+	return h.known.Failed >= leastFailures && h.now(now).suspicious()
+}
+
 func (h *history) now(now time.Duration) Outcomes { return h.known.After(now - h.at) }
 
 // outcomeOf is what the end of a call says of its endpoint. Some ends say nothing.
@@ -86,7 +91,7 @@
 func trusted(now time.Duration, usable []*Endpoint) []*Endpoint {
 	var rest []*Endpoint
 	for _, e := range usable {
-		if !e.history.now(now).suspicious() {
+		if !e.history.suspicious(now) {
 			rest = append(rest, e)
 		}
 	}
