A stopping proxy takes on late only what must end before answers are cut

Change: shutdown.go derives a schedule from the grace period. Later than min(2.5 s, 0.4 of the period) a request is taken on only if its own deadline (the client's or the route's) ends before answers are cut, at 0.92 of the period; what is not is refused at once as not run, with Retry-After 20 to 40 ms. An expected length of a stream would be no bound and is not used.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -212,7 +212,7 @@
 	if length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if c.process.stopping.Load() {
+	if c.process.stopping() {
 		header.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(answer.Status)
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -334,16 +334,65 @@
 })
 
 var _ = Describe("a process that stops", func() {
+	// stopBegan puts the process into a graceful stop that began some time ago.
+	stopBegan := func(p *Process, ago time.Duration) {
+		p.shutdown.Store(&shutdown{schedule: newShutdownSchedule(8 * time.Second), began: time.Now().Add(-ago)})
+	}
+
+	DescribeTable("takes on, late in its grace period of 8 s, only what must end within it",
+		func(ago time.Duration, deadline string, status int) {
+			e := newStandIn("i-1", says(200, "hello", stamped))
+			s := newSidecar(route("non_idempotent", ""), e)
+			stopBegan(s.process, ago)
+			response, _, err := s.ask("/p/", "X-Deadline-Ms: "+deadline)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(status))
+			Expect(response.Close).To(BeTrue(), "its client is to go elsewhere")
+			if status == http.StatusServiceUnavailable {
+				Expect(e.seen()).To(BeEmpty())
+				Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		},
+		Entry("any request at first", time.Second, "5000", 200),
+		Entry("no long one later than 3 s after the signal", 3100*time.Millisecond, "5000", 503),
+		Entry("one that was cut before: sent 4.9 s after the signal", 4900*time.Millisecond, "5000", 503),
+		Entry("a short one that ends in time", 3100*time.Millisecond, "2000", 200),
+		Entry("no short one once it might not end", 6*time.Second, "2000", 503),
+		Entry("nothing once answers are cut", 7500*time.Millisecond, "10", 503),
+	)
+
 	It("refuses what it could not finish, as not run", func() {
 		e := newStandIn("i-1", says(200, "hello", stamped))
 		s := newSidecar(route("non_idempotent", ""), e)
-		s.process.closing.Store(true)
+		stopBegan(s.process, 0)
+		s.process.end()
 		response, _, err := s.ask("/p/")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(503))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
 		Expect(e.seen()).To(BeEmpty())
 	})
 
+	DescribeTable("promises of each request that is taken on, for any grace period",
+		func(grace time.Duration) {
+			schedule := newShutdownSchedule(grace)
+			lastSixth := grace * 5 / 6
+			Expect(schedule.cutAt).To(BeNumerically(">", lastSixth), "no answer is cut before the last sixth")
+			Expect(schedule.closeAt).To(And(BeNumerically(">", schedule.cutAt), BeNumerically("<", grace)))
+			for elapsed := time.Duration(0); elapsed < grace; elapsed += grace / 50 {
+				for left := time.Duration(0); left < 2*grace; left += grace / 50 {
+					taken := schedule.admits(elapsed, left)
+					sentLate := elapsed+signalLag > excusedFor
+					Expect(taken && sentLate && elapsed+left > schedule.cutAt).To(BeFalse(), "%v in, %v left", elapsed, left)
+				}
+			}
+		},
+		Entry("1 s", time.Second),
+		Entry("3 s", 3*time.Second),
+		Entry("8 s", 8*time.Second),
+		Entry("60 s", time.Minute),
+	)
+
 	It("answers what is out when its time is over, and promises nothing of it", func() {
 		e := newStandIn("i-1", stays)
 		s := newSidecar(route("non_idempotent", ""), e)
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -30,9 +30,9 @@
 	gauge := func(name string, value uint64) { metrics.WriteGaugeUint64(w, "dykering_proxy_"+name, value) }
 	gauge("requests_under_way", uint64(max(p.underWay.Load(), 0)))
 	gauge("body_memory_left_bytes", uint64(max(p.memory.Bodies.Left(), 0)))
-	gauge("stopping", lo.Ternary[uint64](p.stopping.Load(), 1, 0))
+	gauge("stopping", lo.Ternary[uint64](p.stopping(), 1, 0))
 	config := p.config.Load()
-	gauge("ready", lo.Ternary[uint64](config != nil && !p.stopping.Load(), 1, 0))
+	gauge("ready", lo.Ternary[uint64](config != nil && !p.stopping(), 1, 0))
 	if config != nil {
 		gauge("configuration_version", uint64(max(config.parsed.Version, 0)))
 	}
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -51,9 +51,8 @@
 	connections *connections
 	memory      *core.Memory
 	deadlines   deadlines
-	stopping    atomic.Bool
-	closing     atomic.Bool     // too late to take on requests
-	ending      context.Context // ends when all that is under way must be answered
+	shutdown    atomic.Pointer[shutdown] // nil while no graceful stop is under way
+	ending      context.Context          // ends when all that is under way must be answered
 	end         context.CancelFunc
 	underWay    atomic.Int64 // requests
 }
@@ -107,40 +106,8 @@
 	return p
 }
 
-const (
-	// missedChecks is how long the platform takes to send no more connections: it looks every second, and twice.
-	missedChecks = 2500 * time.Millisecond
-	stopLook     = 20 * time.Millisecond
-	// takeShare, answerShare and closeShare are the parts of the grace period until which a stopping process takes requests
-	// on, waits for the answers of endpoints, and has its connections closed.
-	takeShare   = 0.7
-	answerShare = 0.85
-	closeShare  = 0.95
-)
-
-// stop has the platform send no new connections, serves those that are there, and ends.
-func (p *Process) stop(front, health *http.Server) {
-	began := time.Now()
-	grace := nodefile.Seconds(p.settings.Bounds.GracePeriodS)
-	until := func(share float64) time.Duration { return time.Duration(share*float64(grace)) - time.Since(began) }
-	p.stopping.Store(true)
-	idleFrom := min(missedChecks, grace/2)
-	for until(takeShare) > 0 && (time.Since(began) < idleFrom || p.underWay.Load() > 0) {
-		time.Sleep(stopLook)
-	}
-	p.closing.Store(true)
-	for until(answerShare) > 0 && p.underWay.Load() > 0 {
-		time.Sleep(stopLook)
-	}
-	p.end()
-	ctx, cancel := context.WithTimeout(context.Background(), max(until(closeShare), stopLook))
-	defer cancel()
-	front.Shutdown(ctx)
-	health.Close()
-}
-
 func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if p.stopping.Load() || p.config.Load() == nil {
+	if p.stopping() || p.config.Load() == nil {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	}
 }
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -51,11 +51,11 @@
 func (p *Process) serve(w http.ResponseWriter, r *http.Request) {
 	p.underWay.Add(1)
 	defer p.underWay.Add(-1)
-	if p.stopping.Load() {
+	if p.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	config := p.config.Load()
-	if config == nil || p.closing.Load() {
+	if config == nil {
 		(&refusal{kind: errkind.NotReady, retryAfter: readyAgain + rand.N(readyAgainJitter)}).answer(w)
 		return
 	}
@@ -64,6 +64,10 @@
 		(&refusal{kind: errkind.NoRoute}).answer(w)
 		return
 	}
+	if !p.admits(patience(r, route)) {
+		refusalOfStopping().answer(w)
+		return
+	}
 	q, err := readRequest(r, route, config.parsed.Limits, &p.memory.Bodies)
 	defer func() { p.memory.Bodies.Give(q.held) }()
 	if err != nil {
