Replies, acknowledgements and pongs to an earlier life answer nothing of a later one

Cause: calls between control sidecars and pings were numbered from 0 in each life of a process, and a reply carries its number alone: one queued for the life before could confirm a change that was never taken, give another's read, stand for a peer's word on a drain, or confirm a view. Change: each life draws the number it begins from (firstNumber, chain.Config.FirstNonce); messages stay as they are, so that members of both versions understand each other. The emulated core numbers lives apart too; the flaw NoncesRepeat is new.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -85,3 +85,21 @@
 		Expect(view.holderReturns()).To(BeTrue())
 	})
 })
+
+var _ = Describe("a pong", func() {
+	It("that answers a ping of an earlier life confirms nothing", func() {
+		earlier := chainOf("a", "b", "c")[0]
+		later := chainOf("a", "b", "c")[0]
+		later.nonce = 1 << 32 // as the process draws it
+		pong := func(node *Node) Pong {
+			ping := node.PingNow(5 * time.Second).Urgent[0].Message.(Ping)
+			return Pong{From: Member{ID: "b", Address: "b"}, Nonce: ping.Nonce, Status: Status{View: 1, Healthy: true}}
+		}
+		late := pong(earlier)
+		fresh := pong(later)
+		later.Receive(5*time.Second, late)
+		Expect(later.Confirmed(5 * time.Second)).To(BeNumerically("<", 0))
+		later.Receive(5*time.Second, fresh)
+		Expect(later.Confirmed(5 * time.Second)).To(Equal(5 * time.Second))
+	})
+})
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -86,7 +86,7 @@
 }
 
 func newNode(config Config, now time.Duration) *Node {
-	return &Node{config: config, self: config.Self, peers: map[string]*peer{}, healthy: true, holderSince: now,
+	return &Node{config: config, self: config.Self, peers: map[string]*peer{}, healthy: true, nonce: config.FirstNonce, holderSince: now,
 		nextProposal: now + 2*config.SuspectAfter}
 }
 
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -267,6 +267,9 @@
 	// ReturnPause is that time for a member that is one of the former holders, so that two do not take turns. It is no
 	// shorter than HolderPause.
 	ReturnPause time.Duration
+	// FirstNonce is the number of this life's first ping. It is drawn anew for each life of a process, so that a pong which
+	// answers a ping of an earlier life answers none of this one.
+	FirstNonce uint64
 	// Jitter gives a random part of a duration.
 	Jitter func(time.Duration) time.Duration
 }
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	mathrand "math/rand/v2"
 	"time"
 
 	"dykering/internal/errkind"
@@ -10,7 +11,7 @@
 
 // calls are those of this process to other control sidecars that wait for a reply.
 type calls struct {
-	next    uint64
+	last    uint64 // number given to a call
 	waiting map[uint64]waitingCall
 }
 
@@ -21,7 +22,17 @@
 
 const mostWaiting = 1024
 
-func newCalls() calls { return calls{waiting: map[uint64]waitingCall{}} }
+func newCalls() calls { return calls{last: firstNumber(), waiting: map[uint64]waitingCall{}} }
+
+// firstNumber draws the number that a life of a process begins to count its calls from. A reply carries the number of its
+// call alone and may arrive after the caller has started again: it must not answer a call of the later life.
+func firstNumber() uint64 { return mathrand.Uint64()>>1 + 1 }
+
+// number gives the next call its number. It is never 0.
+func (c *calls) number() uint64 {
+	c.last++
+	return c.last
+}
 
 // pendingWrite waits at the head for its change to be committed, or for its refusal to be certain.
 type pendingWrite struct {
@@ -49,14 +60,14 @@
 func unavailable(detail string) feed.Reply { return failure(errkind.New(errkind.Unavailable, detail)) }
 
 // forward sends a call to another control sidecar and notes who waits for the reply.
-func (p *Process) forward(address string, make func(id uint64) any, answer func(feed.Reply)) {
+func (p *Process) forward(address string, message func(number uint64) any, answer func(feed.Reply)) {
 	if len(p.calls.waiting) >= mostWaiting {
 		answer(unavailable("too many calls are waiting"))
 		return
 	}
-	p.calls.next++
-	p.calls.waiting[p.calls.next] = waitingCall{until: p.now() + p.timing.answerWithin, answer: answer}
-	p.send(address, make(p.calls.next))
+	number := p.calls.number()
+	p.calls.waiting[number] = waitingCall{until: p.now() + p.timing.answerWithin, answer: answer}
+	p.send(address, message(number))
 }
 
 func (p *Process) onReply(reply feed.Reply) {
--- /dev/null
+++ b/internal/controlplane/calls_test.go
@@ -0,0 +1,74 @@
+package controlplane
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/chain"
+	"dykering/internal/feed"
+)
+
+// ownAddress is the address of the only member of the core that alone makes: nothing is sent there.
+const ownAddress = "a"
+
+// callFrom has a process call another one. It gives the number of the call and the replies that answer it.
+func callFrom(p *Process) (number uint64, replies chan feed.Reply) {
+	replies = make(chan feed.Reply, 1)
+	message := func(n uint64) any {
+		number = n
+		return feed.Read{From: ownAddress, ID: n}
+	}
+	p.forward(ownAddress, message, func(reply feed.Reply) { replies <- reply })
+	return number, replies
+}
+
+var _ = Describe("what arrives for an earlier life of a process", func() {
+	// lives makes the same process twice: as it was, and as it is after a restart.
+	lives := func() (before, after *Process) {
+		before, _, _ = alone()
+		after, _, _ = alone()
+		for _, p := range []*Process{before, after} {
+			p.calls, p.drains = newCalls(), map[uint64]*pendingDrain{}
+		}
+		return before, after
+	}
+
+	It("answers no call of the later one", func() {
+		before, after := lives()
+		old, _ := callFrom(before)
+		_, replies := callFrom(after)
+		after.onReply(feed.Reply{ID: old})
+		Expect(replies).NotTo(Receive())
+	})
+
+	It("answers its own call once", func() {
+		_, p := lives()
+		number, replies := callFrom(p)
+		p.onReply(feed.Reply{ID: number, Detail: "first"})
+		p.onReply(feed.Reply{ID: number, Detail: "second"})
+		Expect(replies).To(Receive(HaveField("Detail", "first")))
+		Expect(replies).NotTo(Receive())
+	})
+
+	It("counts as no peer's word that an endpoint leaves", func() {
+		before, after := lives()
+		drain := &pendingDrain{missing: map[string]bool{"b": true}, acks: 1}
+		after.drains[after.calls.number()] = drain
+		after.onSessionAck(feed.SessionAck{From: "b", Ask: before.calls.number()})
+		Expect(drain.missing).To(HaveKey("b"))
+	})
+
+	It("has pings of the two lives differ", func() {
+		before, after := lives()
+		view := chain.View{Number: 1, Voters: []chain.Member{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}}, Chain: []chain.MemberID{"a", "b"}}
+		nonces := map[uint64]int{}
+		for _, p := range []*Process{before, after} {
+			p.settings.InternalPortRange = []int{1, 1}
+			node, _ := chain.NewGenesis(p.chainConfig("a"), 0, view, nil)
+			for _, envelope := range node.PingNow(0).Urgent {
+				nonces[envelope.Message.(chain.Ping).Nonce]++
+			}
+		}
+		Expect(nonces).To(HaveLen(2), "one for each life")
+	})
+})
--- a/internal/controlplane/endpoints.go
+++ b/internal/controlplane/endpoints.go
@@ -49,15 +49,15 @@
 		answer(errkind.New(errkind.Unavailable, "too many endpoints leave at once"))
 		return
 	}
-	p.calls.next++
+	number := p.calls.number()
 	drain := &pendingDrain{until: p.now() + p.timing.drainAckWithin, missing: map[string]bool{}, acks: 1, answer: answer}
-	p.drains[p.calls.next] = drain
-	update := feed.SessionUpdate{From: p.node.Self().Address, Ask: p.calls.next, Records: p.table.TakeChanged(p.sessionClock)}
+	p.drains[number] = drain
+	update := feed.SessionUpdate{From: p.node.Self().Address, Ask: number, Records: p.table.TakeChanged(p.sessionClock)}
 	for _, peer := range p.peers() {
 		drain.missing[peer] = true
 		p.send(peer, update)
 	}
-	p.settleDrain(p.calls.next, drain, false)
+	p.settleDrain(number, drain, false)
 }
 
 func (p *Process) onSessionAck(m feed.SessionAck) {
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -173,7 +173,8 @@
 		MostFailures: p.settings.Tolerance.MachineFailures,
 		PingEvery:    p.timing.pingEvery, SuspectAfter: p.timing.suspectAfter, ProposeTimeout: p.timing.proposeTimeout,
 		LeaseFor: p.timing.lease, HolderPause: p.timing.holderPause, ReturnPause: p.timing.returnPause,
-		Jitter: func(d time.Duration) time.Duration { return mathrand.N(d + 1) },
+		FirstNonce: firstNumber(),
+		Jitter:     func(d time.Duration) time.Duration { return mathrand.N(d + 1) },
 	}
 }
 
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -23,12 +23,14 @@
 	NoReturnPause    Flaw = "a former holder acts as soon as a new one"
 	RestartWithToken Flaw = "a restarted holder acts as if it had waited its pause out"
 	TokenStays       Flaw = "the token does not rise with the holder"
+	NoncesRepeat     Flaw = "a restarted member numbers its pings as in its life before"
 )
 
 // Flaws lists those that can be planted.
 func Flaws() []Flaw {
 	return []Flaw{AckBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
-		ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, NoReturnPause, RestartWithToken, TokenStays}
+		ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, NoReturnPause, RestartWithToken, TokenStays,
+		NoncesRepeat}
 }
 
 // without leaves out the newest operation of a state.
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -48,10 +48,21 @@
 		Apply: apply, Seeds: m.world.seeds, MostFailures: m.world.options.MostFailures,
 		PingEvery: pingEvery, SuspectAfter: suspectAfter, ProposeTimeout: proposeTimeout,
 		LeaseFor: leaseFor, HolderPause: pause, ReturnPause: returnPause,
-		Jitter: func(d time.Duration) time.Duration { return time.Duration(m.world.random.Int64N(int64(d) + 1)) },
+		FirstNonce: m.firstNonce(),
+		Jitter:     func(d time.Duration) time.Duration { return time.Duration(m.world.random.Int64N(int64(d) + 1)) },
 	}
 }
 
+// livesApart is how far the numbers of the pings of two lives of a process are apart.
+const livesApart = 1 << 32
+
+func (m *machine) firstNonce() uint64 {
+	if m.world.options.Flaw == NoncesRepeat {
+		return 0
+	}
+	return uint64(m.life) * livesApart
+}
+
 func (m *machine) id() chain.MemberID {
 	if m.world.options.Flaw == VoteAfterWipe {
 		return chain.MemberID(m.address + "/0")
