The notice that an endpoint leaves is acknowledged once a majority has it on disk

Cause: a draining heartbeat that came again while the first still waited, or after that wait had failed, was acknowledged because the own table had the state; a deregistration was acknowledged before any peer knew, and passed over where the endpoint was not known; peers acknowledged from memory, so that a loss of power of all members lost what bound; a sidecar that carries traffic took an endpoint that had gone for a new one where its next control sidecar was behind. Change: leaves.go keeps one pending notice for each call, answered once each voter, or after drainAckWithin a majority, has the session on disk (sessions are written at once for it, retried where the disk refuses); repeated notices wait likewise; unknown endpoints that deregister are remembered as gone; the pool remembers for a minute which ids have gone. endpoints.go, leaves.go and sessionsync.go have a job each; heard, settleDrain, tellPeers are renamed.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -222,9 +222,4 @@
 			call.answer(unavailable("no reply in time"))
 		}
 	}
-	for id, drain := range p.drains {
-		if now > drain.until {
-			p.settleDrain(id, drain, true)
-		}
-	}
 }
--- a/internal/controlplane/calls_test.go
+++ b/internal/controlplane/calls_test.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -28,7 +30,7 @@
 		before, _, _ = alone()
 		after, _, _ = alone()
 		for _, p := range []*Process{before, after} {
-			p.calls, p.drains = newCalls(), map[uint64]*pendingDrain{}
+			p.calls, p.leaves = newCalls(), map[uint64]*pendingLeave{}
 		}
 		return before, after
 	}
@@ -52,10 +54,10 @@
 
 	It("counts as no peer's word that an endpoint leaves", func() {
 		before, after := lives()
-		drain := &pendingDrain{missing: map[string]bool{"b": true}, acks: 1}
-		after.drains[after.calls.number()] = drain
+		leave := &pendingLeave{until: time.Hour, stored: map[string]bool{}}
+		after.leaves[after.calls.number()] = leave
 		after.onSessionAck(feed.SessionAck{From: "b", Ask: before.calls.number()})
-		Expect(drain.missing).To(HaveKey("b"))
+		Expect(leave.stored).To(BeEmpty())
 	})
 
 	It("has pings of the two lives differ", func() {
--- a/internal/controlplane/http.go
+++ b/internal/controlplane/http.go
@@ -79,7 +79,7 @@
 		return
 	}
 	id := r.PathValue("id")
-	if err := outcome(p, func(answer func(error)) { p.heard(id, beat, answer) }); err != nil {
+	if err := outcome(p, func(answer func(error)) { p.takeHeartbeat(id, beat, answer) }); err != nil {
 		refuse(w, err)
 		return
 	}
@@ -89,7 +89,7 @@
 
 func (p *Process) handleDeregister(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	if err := outcome(p, func(answer func(error)) { p.deregistered(id, answer) }); err != nil {
+	if err := outcome(p, func(answer func(error)) { p.deregister(id, answer) }); err != nil {
 		refuse(w, err)
 		return
 	}
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -48,14 +48,16 @@
 	synced       bool
 	unheard      map[string]bool // peers whose sessions have not come since
 
-	calls       calls
-	writes      []pendingWrite
-	reads       []pendingRead
-	drains      map[uint64]*pendingDrain
-	subscribers map[*subscriber]bool
-	elsewhere   map[string]subscriberCount // by the address of a control sidecar
-	loads       *loadTable
-	placer      *placer
+	calls  calls
+	writes []pendingWrite
+	reads  []pendingRead
+	leaves map[uint64]*pendingLeave // by the number of their call
+	// replicatedLeaves are the endpoints whose leaving has been acknowledged, and how far they were.
+	replicatedLeaves map[string]sessions.State
+	subscribers      map[*subscriber]bool
+	elsewhere        map[string]subscriberCount // by the address of a control sidecar
+	loads            *loadTable
+	placer           *placer
 }
 
 type subscriberCount struct {
@@ -70,7 +72,8 @@
 	p := &Process{
 		settings: settings, timing: timingOf(&settings), log: log, origin: time.Now(), ctx: ctx,
 		commands: make(chan func(), commandQueue), links: map[string]*peerlink.Link{},
-		drains: map[uint64]*pendingDrain{}, subscribers: map[*subscriber]bool{}, elsewhere: map[string]subscriberCount{},
+		leaves: map[uint64]*pendingLeave{}, replicatedLeaves: map[string]sessions.State{},
+		subscribers: map[*subscriber]bool{}, elsewhere: map[string]subscriberCount{},
 	}
 	p.calls, p.loads = newCalls(), newLoadTable()
 	p.table = sessions.NewTable(p.timing.silentAfter)
@@ -79,7 +82,7 @@
 		return err
 	}
 	p.saver = p.restoreSessions()
-	go p.saver.run(ctx.Done())
+	go p.writeSessions()
 	go p.disk.run(ctx.Done())
 	internal, err := net.Listen("tcp", settings.InternalAddress(settings.IPAddress))
 	if err != nil {
@@ -242,6 +245,7 @@
 	p.synchronize(now, inTouch)
 	p.repair(now)
 	p.expireCalls(now)
+	p.expireLeaves()
 	p.placer.tick(now)
 }
 
@@ -334,7 +338,7 @@
 func (p *Process) settle() {
 	now := p.now()
 	p.settleCalls(now)
-	p.tellPeers(now)
+	p.sendSessionUpdates(now)
 	p.shareLoads(now)
 	p.tellSubscribers(now)
 	p.placer.settle(now)
--- a/internal/controlplane/savesessions.go
+++ b/internal/controlplane/savesessions.go
@@ -21,20 +21,39 @@
 )
 
 // sessionSaver keeps a copy of the sessions on disk, so that a control sidecar which starts again knows the endpoints
-// before their next heartbeats. Its goroutine alone touches the ring; a copy that cannot be written is left out.
+// before their next heartbeats, and those that leave. Its goroutine alone touches the ring.
 type sessionSaver struct {
-	ring   *ringlog.Ring
+	ring   *ringlog.Ring // nil where it cannot be opened
 	log    *slog.Logger
-	copies chan []sessions.Record // holds one
-	saved  uint64                 // revision of the table; the owner's
-	dueAt  time.Duration          // the owner's
+	copies chan sessionCopy // holds one
+
+	// Of the owner of the tables.
+	saved   uint64 // revision of the table
+	dueAt   time.Duration
+	waiting []func() // called once what the table has now is on disk
+	retryAt time.Duration
+}
+
+// sessionCopy is a copy of the sessions to be written, and what is called once it is on disk.
+type sessionCopy struct {
+	records []sessions.Record
+	stored  []func()
+}
+
+// afterSaved calls a function of the owner once the sessions as they are now are on disk. What cannot be written is tried
+// again with the next copy.
+func (p *Process) afterSaved(stored func()) {
+	if p.saver.ring == nil || len(p.saver.waiting) >= mostLeaves {
+		return
+	}
+	p.saver.waiting = append(p.saver.waiting, stored)
 }
 
 // restoreSessions reads the copy on disk into the table.
 func (p *Process) restoreSessions() *sessionSaver {
-	s := &sessionSaver{log: p.log, copies: make(chan []sessions.Record, 1)}
+	s := &sessionSaver{log: p.log, copies: make(chan sessionCopy, 1)}
 	options := ringlog.Options{Directory: filepath.Join(p.settings.DataDirectory, "sessions"), Files: sessionFiles, FileSize: sessionFileMin}
-	ring, payloads, err := ringlog.Open(options)
+	ring, payloads, err := openRing(options, p.log)
 	if err != nil {
 		p.log.Warn("sessions.not_restored", "error", err)
 		return s
@@ -69,30 +88,54 @@
 // saveSessions hands a copy over where something has changed.
 func (p *Process) saveSessions(now time.Duration) {
 	s := p.saver
-	if s.ring == nil || p.table.Revision() == s.saved || now < s.dueAt {
+	due := p.table.Revision() != s.saved && now >= s.dueAt
+	if s.ring == nil || !due && len(s.waiting) == 0 || now < s.retryAt {
 		return
 	}
 	select {
-	case s.copies <- p.table.All(p.sessionClock):
-		s.saved, s.dueAt = p.table.Revision(), now+saveEvery
+	case s.copies <- sessionCopy{records: p.table.All(p.sessionClock), stored: s.waiting}:
+		s.saved, s.dueAt, s.waiting = p.table.Revision(), now+saveEvery, nil
 	default: // the disk is slow: the next copy has it all
 	}
 }
 
-// run writes the copies until done is closed.
-func (s *sessionSaver) run(done <-chan struct{}) {
+// writeSessions writes the copies until the process ends, and hands the owner what waited for each.
+func (p *Process) writeSessions() {
+	s := p.saver
 	for {
 		select {
-		case <-done:
+		case <-p.ctx.Done():
 			return
-		case records := <-s.copies:
-			payload, err := encodeSessions(records)
-			if err == nil {
-				err = s.ring.Append([]ringlog.Record{{Payload: payload, Rotate: true}})
-			}
+		case c := <-s.copies:
+			err := s.write(c.records)
 			if err != nil {
 				s.log.Warn("sessions.not_saved", "error", err)
 			}
+			if len(c.stored) > 0 {
+				p.post(func() { p.onSessionsWritten(c.stored, err) })
+			}
 		}
 	}
 }
+
+func (s *sessionSaver) write(records []sessions.Record) error {
+	payload, err := encodeSessions(records)
+	if err != nil {
+		return err
+	}
+	return s.ring.Append([]ringlog.Record{{Payload: payload, Rotate: true}})
+}
+
+// onSessionsWritten calls what waited for a copy, or has it wait for the next one where this one could not be written.
+func (p *Process) onSessionsWritten(stored []func(), err error) {
+	for _, call := range stored {
+		if err != nil {
+			p.afterSaved(call)
+			continue
+		}
+		call()
+	}
+	if err != nil {
+		p.saver.retryAt = p.now() + diskRetry
+	}
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -94,11 +94,20 @@
 	random   *rand.Rand
 	begun    time.Duration // when the first endpoints were told; those are no newcomers
 	told     bool
+	// gone are the endpoints that have deregistered, and since when they are known to have. An id is that of one incarnation:
+	// a control sidecar that names it again has not heard of its end yet.
+	gone map[string]time.Duration
 }
 
+const (
+	// rememberGone is how long an endpoint that has deregistered is remembered, and mostGone how many are.
+	rememberGone = time.Minute
+	mostGone     = 16384
+)
+
 // NewPool makes an empty pool.
 func NewPool(random *rand.Rand) *Pool {
-	return &Pool{byID: map[string]*Endpoint{}, services: map[string][]*Endpoint{}, random: random}
+	return &Pool{byID: map[string]*Endpoint{}, services: map[string][]*Endpoint{}, random: random, gone: map[string]time.Duration{}}
 }
 
 // Update takes what control sidecars say. Whole tells that endpoints which are not named are not known there.
@@ -121,11 +130,15 @@
 }
 
 func (p *Pool) take(now time.Duration, told *sessions.Endpoint) {
+	if told.State == sessions.Gone {
+		p.forget(now, told.ID)
+		return
+	}
+	if _, gone := p.gone[told.ID]; gone {
+		return
+	}
 	e := p.byID[told.ID]
 	if e == nil {
-		if told.State == sessions.Gone {
-			return
-		}
 		e = &Endpoint{ID: told.ID, Address: told.Heartbeat.Address, Service: told.Heartbeat.Service, missing: map[string]time.Duration{}}
 		if p.told && now-p.begun > rampFor {
 			e.mark, e.rampFrom = Ramping, now
@@ -135,14 +148,21 @@
 	}
 	e.told, e.absentAt = *told, 0
 	e.Zone, e.Slots = told.Heartbeat.Zone, told.Heartbeat.Slots
-	switch told.State {
-	case sessions.Gone:
-		p.remove(e)
-	case sessions.Draining:
+	if told.State == sessions.Draining {
 		e.mark = Leaving
 	}
 }
 
+// forget takes out an endpoint that has deregistered, for good.
+func (p *Pool) forget(now time.Duration, id string) {
+	if len(p.gone) < mostGone {
+		p.gone[id] = now
+	}
+	if e := p.byID[id]; e != nil {
+		p.remove(e)
+	}
+}
+
 func (p *Pool) remove(e *Endpoint) {
 	e.mark = Leaving
 	delete(p.byID, e.ID)
@@ -155,8 +175,13 @@
 	p.services[e.Service] = kept
 }
 
-// Age forgets endpoints that have not been named for long.
+// Age forgets endpoints that have not been named for long, and those that have long gone.
 func (p *Pool) Age(now time.Duration) {
+	for id, since := range p.gone {
+		if now-since > rememberGone {
+			delete(p.gone, id)
+		}
+	}
 	for _, e := range p.byID {
 		if e.absentAt != 0 && now-e.absentAt > departFor {
 			p.remove(e)
--- a/internal/sessions/table.go
+++ b/internal/sessions/table.go
@@ -127,24 +127,29 @@
 // Revision rises with every change that subscribers see.
 func (t *Table) Revision() uint64 { return t.revision }
 
-// Heard takes a heartbeat. It is false for one that is older than what is known.
+// Heard takes a heartbeat. It is false for one that is older than what is known; its state counts all the same, as states
+// only go down.
 func (t *Table) Heard(now time.Duration, id string, beat Heartbeat) bool {
 	known := t.entries[id]
 	if known != nil && beat.Sequence <= known.endpoint.Heartbeat.Sequence && beat.Sequence != 0 {
+		if Before(known.endpoint.State, beat.State) {
+			late := known.endpoint
+			late.State = beat.State
+			t.tell(id, t.merge(now, late))
+		}
 		return false
 	}
 	t.tell(id, t.merge(now, Endpoint{ID: id, Heartbeat: beat, State: beat.State}))
 	return true
 }
 
-// Deregister notes that an endpoint has gone.
+// Deregister notes that an endpoint has gone, also one that is not known: others may know it.
 func (t *Table) Deregister(now time.Duration, id string) {
-	known := t.entries[id]
-	if known == nil {
-		return
+	gone := Endpoint{ID: id, State: Gone}
+	if known := t.entries[id]; known != nil {
+		gone = known.endpoint
+		gone.State = Gone
 	}
-	gone := known.endpoint
-	gone.State = Gone
 	t.tell(id, t.merge(now, gone))
 }
 
@@ -182,6 +187,9 @@
 	return true
 }
 
+// Before tells whether an endpoint in one state is not as far in its life as in another. The empty state is before all.
+func Before(a, b State) bool { return a == "" && b != "" || ranks[a] < ranks[b] }
+
 var ranks = map[State]int{Ready: 0, Silent: 0, Draining: 1, Gone: 2}
 
 // merge takes what is said of an endpoint. It reports whether that is news to subscribers.
--- a/internal/sessions/table_test.go
+++ b/internal/sessions/table_test.go
@@ -45,6 +45,19 @@
 		Expect(state("i")).To(Equal(Gone))
 	})
 
+	It("takes the state of a late heartbeat where that is further down", func() {
+		table.Heard(0, "i", beat(5, Ready))
+		Expect(table.Heard(1, "i", beat(4, Draining))).To(BeFalse())
+		Expect(state("i")).To(Equal(Draining))
+		Expect(table.TakeChanged(1)).To(HaveLen(1))
+	})
+
+	It("remembers that an endpoint has gone which it has never heard of", func() {
+		table.Deregister(0, "i")
+		table.Merge(1, Record{Endpoint: Endpoint{ID: "i", State: Ready, Heartbeat: beat(5, Ready)}})
+		Expect(state("i")).To(Equal(Gone))
+	})
+
 	It("tells subscribers only of what matters to them", func() {
 		table.Heard(0, "i", beat(1, Ready))
 		revision := table.Revision()
