A member that leaves is no voter before it ends, and one long away finds the core again

A member that was away while all others were replaced pinged the members of its old view alone and never caught up. With five members the placement's role could go round past the three former holders named. A record that gob could not decode ended the process again and again; the last synced record, or a file's first, made unreadable passed for a torn end. A change sent again with other spacing, or after more than 8,192 others, was refused. Change: Status.Leaving; voters that leave, then those out of reach, yield where there are more than 2f+1; a leaving process ends once Dispensable. Members out of touch ping the seeds, read anew each second. Views name all former holders. Digests of canonical JSON; a version that may be forgotten gets no clear answer. Requests at the head and the tail are a state machine of their own (chain/requests.go) that the process and the search share.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -6,7 +6,7 @@
 )
 
 func (n *Node) status() Status {
-	return Status{View: n.view.Number, Sealed: n.Sealed(), Healthy: n.healthy && !n.leaving, Seq: n.state.Seq, Committed: n.committed}
+	return Status{View: n.view.Number, Sealed: n.Sealed(), Healthy: n.healthy && !n.leaving, Leaving: n.leaving, Seq: n.state.Seq, Committed: n.committed}
 }
 
 // Tick does what is due.
@@ -37,7 +37,7 @@
 	for _, voter := range n.view.Voters {
 		addresses[voter.Address] = true
 	}
-	if !n.isVoter() {
+	if !n.InTouch(now) { // the members of its view may all have been replaced
 		for _, seed := range n.config.Seeds {
 			addresses[seed] = true
 		}
@@ -201,6 +201,9 @@
 	return times[n.view.Majority()-1]
 }
 
+// InForce tells whether a majority has lately confirmed the view.
+func (n *Node) InForce(now time.Duration) bool { return now-n.Confirmed(now) < n.config.SuspectAfter }
+
 // Holds tells whether this member may act as the holder of the singleton role, and with which token.
 func (n *Node) Holds(now time.Duration) (token uint64, ok bool) {
 	if n.view.Holder != n.self.ID || n.leaving {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -100,7 +100,9 @@
 			n.add(entry)
 		}
 	case EntryRecord:
-		n.add(r.Entry)
+		if r.Entry.Seq > n.state.Seq { // a snapshot that was stored in place of a record has those given out with it too
+			n.add(r.Entry)
+		}
 	case PromiseRecord:
 		n.promised = r.Ballot
 	case AcceptRecord:
@@ -109,7 +111,9 @@
 	case HeldRecord:
 		n.held = r.Token
 	case InstallRecord:
-		n.enter(r.Proposal)
+		if r.Proposal.View.Number > n.view.Number {
+			n.enter(r.Proposal)
+		}
 	}
 }
 
@@ -193,9 +197,18 @@
 // SetHealthy tells whether the disk answers.
 func (n *Node) SetHealthy(healthy bool) { n.healthy = healthy }
 
+// SetSeeds names other seeds.
+func (n *Node) SetSeeds(seeds []string) { n.config.Seeds = seeds }
+
 // Leave has the others take this member out of the chain.
 func (n *Node) Leave() { n.leaving = true }
 
+// Dispensable tells whether a leaving member may end: it is out of the chain and, where there are voters enough without
+// it, no voter any more. Else it stays a voter, as one that starts again is.
+func (n *Node) Dispensable() bool {
+	return !n.InChain() && (!n.isVoter() || len(n.view.Voters) <= n.leastVoters())
+}
+
 // Propose appends an operation at the head. It is false where this member cannot take it.
 func (n *Node) Propose(operation []byte) (seq uint64, out Output, ok bool) {
 	if !n.IsHead() || n.Sealed() || len(n.view.Chain) < n.leastCopies() {
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 )
 
@@ -113,20 +114,20 @@
 	return p != nil && p.status.View == n.view.Number
 }
 
-// wantedVoters are the voters with joining members added, and those that cannot be reached left out where others
-// take their place.
+// wantedVoters are the voters with joining members added. Those that leave, then those that cannot be reached, are left out
+// where others take their place: a voter that has left for good would make a majority of more members than there need be.
 func (n *Node) wantedVoters(now time.Duration) []Member {
-	target := 2*n.config.MostFailures + 1
+	target := n.leastVoters()
 	voters := append([]Member(nil), n.view.Voters...)
 	for _, joiner := range n.joiners(now) {
 		voters = without(voters, func(voter Member) bool { return voter.Address == joiner.Address })
 		if len(voters) >= target {
-			voters = n.dropUnreachable(now, voters)
+			voters = n.dropOne(now, voters)
 		}
 		voters = append(voters, joiner)
 	}
 	for len(voters) > target {
-		fewer := n.dropUnreachable(now, voters)
+		fewer := n.dropOne(now, voters)
 		if len(fewer) == len(voters) {
 			break
 		}
@@ -149,17 +150,36 @@
 	return joiners
 }
 
-// dropUnreachable leaves out one voter that cannot be reached.
-func (n *Node) dropUnreachable(now time.Duration, voters []Member) []Member {
-	for _, voter := range voters {
-		if n.reachable(now, voter) || n.peers[voter.Address] != nil && n.peers[voter.Address].member.ID == voter.ID && n.peers[voter.Address].joining {
-			continue
+// leastVoters is how many voters there must be for as many to be lost as may be.
+func (n *Node) leastVoters() int { return 2*n.config.MostFailures + 1 }
+
+// dropOne leaves out one voter that leaves, or else one that cannot be reached, if there is any.
+func (n *Node) dropOne(now time.Duration, voters []Member) []Member {
+	for _, dispensable := range []func(Member) bool{
+		func(voter Member) bool { return n.leaves(now, voter) },
+		func(voter Member) bool { return !n.reachable(now, voter) && !n.joins(voter) },
+	} {
+		if i := slices.IndexFunc(voters, dispensable); i >= 0 {
+			return without(voters, func(other Member) bool { return other.ID == voters[i].ID })
 		}
-		return without(voters, func(other Member) bool { return other.ID == voter.ID })
 	}
 	return voters
 }
 
+// leaves tells whether a voter says that it leaves.
+func (n *Node) leaves(now time.Duration, voter Member) bool {
+	if voter.ID == n.self.ID {
+		return n.leaving
+	}
+	return n.reachable(now, voter) && n.peers[voter.Address].status.Leaving
+}
+
+// joins tells whether a member asks to be taken in.
+func (n *Node) joins(member Member) bool {
+	p := n.peers[member.Address]
+	return p != nil && p.member.ID == member.ID && p.joining
+}
+
 func without(members []Member, drop func(Member) bool) []Member {
 	var kept []Member
 	for _, member := range members {
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -33,19 +33,24 @@
 	Chain  []MemberID // head first
 	Holder MemberID   // of the singleton role
 	Token  uint64     // rises whenever the holder changes
-	// FormerHolders are the addresses of the members that held the role before, the latest first.
+	// FormerHolders are the addresses of the members that held the role before, the latest first, each once.
 	FormerHolders []string
 }
 
-// mostFormerHolders bounds the former holders that a view names.
-const mostFormerHolders = 3
+// mostFormerHolders bounds the former holders that a view names. A core has fewer members than that.
+const mostFormerHolders = 16
 
 // handOver gives the role to another member, under a new token.
 func (v *View) handOver(to MemberID, from string) {
 	v.Holder = to
 	v.Token++
-	former := append([]string{from}, v.FormerHolders...)
-	v.FormerHolders = former[:min(len(former), mostFormerHolders)]
+	former := []string{from}
+	for _, address := range v.FormerHolders {
+		if address != from && len(former) < mostFormerHolders {
+			former = append(former, address)
+		}
+	}
+	v.FormerHolders = former
 }
 
 // holderReturns tells whether the holder is one of the former holders, at the same address.
@@ -226,6 +231,7 @@
 	View      uint64
 	Sealed    bool
 	Healthy   bool // its disk answers, and it is not leaving
+	Leaving   bool // it ends as soon as the others can do without it
 	Seq       uint64
 	Committed uint64
 }
@@ -251,7 +257,7 @@
 	Self Member
 	// Apply gives the value after an operation. It decides the same everywhere.
 	Apply func(value any, operation []byte) any
-	// Seeds are the addresses that a member which is in no view yet asks.
+	// Seeds are the addresses that a member asks which is in no view yet, or cannot reach a majority of its view.
 	Seeds []string
 	// MostFailures is how many members may be lost at once.
 	MostFailures int
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -4,6 +4,9 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"dykering/internal/chain"
 	"dykering/internal/errkind"
 	"dykering/internal/feed"
 	"dykering/internal/fleetconfig"
@@ -34,25 +37,6 @@
 	return c.last
 }
 
-// pendingWrite waits at the head for its change to be committed, or for its refusal to be certain.
-type pendingWrite struct {
-	digest  fleetconfig.Digest
-	refusal error // nil for a change that was taken
-	view    uint64
-	seq     uint64 // committed before the refusal is told
-	since   time.Duration
-	until   time.Duration
-	answer  func(feed.Reply)
-}
-
-// pendingRead waits at the tail until a majority has confirmed the view.
-type pendingRead struct {
-	view   uint64
-	since  time.Duration
-	until  time.Duration
-	answer func(feed.Reply)
-}
-
 func failure(err error) feed.Reply {
 	return feed.Reply{Failed: true, Kind: int(errkind.KindOf(err)), Detail: err.Error()}
 }
@@ -94,47 +78,41 @@
 	}, answer)
 }
 
+// writeHere takes a change where this member is the head.
 func (p *Process) writeHere(change fleetconfig.Change, answer func(feed.Reply)) {
-	if !p.node.IsHead() || !p.inForce() || len(p.writes) >= mostWaiting {
-		answer(unavailable("this member is not the head"))
-		return
-	}
-	latest := p.node.Latest()
-	state := latest.Value.(*fleetconfig.State)
-	now := p.now()
-	pending := pendingWrite{digest: change.Digest(), view: p.node.View().Number, seq: latest.Seq, since: now,
-		until: now + p.timing.answerWithin, answer: answer}
-	if !state.Has(pending.digest) {
-		_, pending.refusal = state.Next(&change)
-		if pending.refusal == nil {
-			if !p.propose(change) {
-				answer(unavailable("no change can be taken now"))
-				return
-			}
-		}
-	}
-	p.writes = append(p.writes, pending)
-	if pending.refusal != nil {
-		p.act(p.node.PingNow(now))
-	}
-}
-
-// inForce tells whether a majority has lately confirmed the view: who was left behind sends callers elsewhere at once.
-func (p *Process) inForce() bool {
-	now := p.now()
-	return now-p.node.Confirmed(now) < p.timing.suspectAfter
+	digest := change.Digest()
+	p.act(p.requests.Write(p.now(), chain.Write{
+		Decide: func(latest any) chain.Decision { return decide(latest.(*fleetconfig.State), digest, change) },
+		Taken:  func(value any) bool { return value.(*fleetconfig.State).Has(digest) },
+		Answer: func(err error) { answer(replyOf(err)) },
+	}))
 }
 
-func (p *Process) propose(change fleetconfig.Change) bool {
+// decide tells what the newest state makes of a change.
+func decide(latest *fleetconfig.State, digest fleetconfig.Digest, change fleetconfig.Change) chain.Decision {
+	if latest.Has(digest) {
+		return chain.Decision{Taken: true}
+	}
+	if _, refusal := latest.Next(&change); refusal != nil {
+		return chain.Decision{Refusal: refusal}
+	}
 	operation, err := encodeOperation(change)
 	if err != nil {
-		return false
+		return chain.Decision{Refusal: err}
 	}
-	_, out, ok := p.node.Propose(operation)
-	if ok {
-		p.act(out)
+	return chain.Decision{Operation: operation}
+}
+
+// replyOf is the reply to a request that ended with an error or nil.
+func replyOf(err error) feed.Reply {
+	var refusal *errkind.Error
+	switch {
+	case err == nil:
+		return feed.Reply{}
+	case errors.As(err, &refusal):
+		return failure(err)
 	}
-	return ok
+	return unavailable(err.Error())
 }
 
 // read has the tail give the configuration.
@@ -152,67 +130,15 @@
 	p.forward(tail.Address, func(id uint64) any { return feed.Read{From: p.node.Self().Address, ID: id} }, answer)
 }
 
+// readHere gives the configuration where this member is the tail.
 func (p *Process) readHere(answer func(feed.Reply)) {
-	if !p.node.IsTail() || len(p.reads) >= mostWaiting {
-		answer(unavailable("this member is not the tail"))
-		return
-	}
-	now := p.now()
-	p.reads = append(p.reads, pendingRead{view: p.node.View().Number, since: now, until: now + p.timing.answerWithin, answer: answer})
-	p.act(p.node.PingNow(now))
-}
-
-// settleCalls answers the writes and reads that can be.
-func (p *Process) settleCalls(now time.Duration) {
-	if len(p.writes) > 0 {
-		committed := p.node.CommittedState().Value.(*fleetconfig.State)
-		confirmed := p.node.Confirmed(now)
-		kept := p.writes[:0]
-		for _, w := range p.writes {
-			if !p.settleWrite(w, committed, confirmed, now) {
-				kept = append(kept, w)
-			}
-		}
-		clear(p.writes[len(kept):])
-		p.writes = kept
-	}
-	if len(p.reads) > 0 {
-		kept := p.reads[:0]
-		for _, r := range p.reads {
-			if !p.settleRead(r, now) {
-				kept = append(kept, r)
-			}
+	p.act(p.requests.Read(p.now(), chain.Read{Answer: func(state chain.State, err error) {
+		if err != nil {
+			answer(replyOf(err))
+			return
 		}
-		clear(p.reads[len(kept):])
-		p.reads = kept
-	}
-}
-
-func (p *Process) settleWrite(w pendingWrite, committed *fleetconfig.State, confirmed, now time.Duration) bool {
-	switch {
-	case w.refusal == nil && committed.Has(w.digest):
-		w.answer(feed.Reply{})
-	case w.refusal != nil && w.view == p.node.View().Number && p.node.CommittedSeq() >= w.seq && confirmed >= w.since:
-		w.answer(failure(w.refusal))
-	case w.refusal != nil && w.view != p.node.View().Number, now > w.until:
-		w.answer(unavailable("not committed in time"))
-	default:
-		return false
-	}
-	return true
-}
-
-func (p *Process) settleRead(r pendingRead, now time.Duration) bool {
-	switch {
-	case r.view != p.node.View().Number || now > r.until:
-		r.answer(unavailable("not confirmed in time"))
-	case p.node.Confirmed(now) >= r.since:
-		state := p.node.CommittedState().Value.(*fleetconfig.State) // what the tail has stored
-		r.answer(feed.Reply{Document: state.Document})
-	default:
-		return false
-	}
-	return true
+		answer(feed.Reply{Document: state.Value.(*fleetconfig.State).Document})
+	}}))
 }
 
 func (p *Process) expireCalls(now time.Duration) {
--- a/internal/controlplane/losses_test.go
+++ b/internal/controlplane/losses_test.go
@@ -65,6 +65,31 @@
 	})
 })
 
+var _ = Describe("a copy on disk that cannot be decoded", func() {
+	DescribeTable("is discarded: the member joins as a new one",
+		func(spoil func(*ringlog.Ring)) {
+			options := ringlog.Options{Directory: GinkgoT().TempDir() + "/chain", Files: 3, FileSize: 1 << 16}
+			ring, _, err := ringlog.Open(options)
+			Expect(err).NotTo(HaveOccurred())
+			spoil(ring)
+			ring.Close()
+			ring, records, err := openRecords(options, slog.New(slog.DiscardHandler))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(records).To(BeEmpty())
+			Expect(ring.Append([]ringlog.Record{{Payload: []byte("x"), Rotate: true}})).To(Succeed())
+			ring.Close()
+		},
+		Entry("bytes that are no gob", func(ring *ringlog.Ring) {
+			Expect(ring.Append([]ringlog.Record{{Payload: []byte("no gob"), Rotate: true}})).To(Succeed())
+		}),
+		Entry("a record cut short", func(ring *ringlog.Ring) {
+			payload, err := newRecordEncoder().encode(chain.HeldRecord{Token: 7})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ring.Append([]ringlog.Record{{Payload: payload[:len(payload)-3], Rotate: true}})).To(Succeed())
+		}),
+	)
+})
+
 var _ = Describe("a sidecar whose stream has ended", func() {
 	It("is not heard any more: it tells another control sidecar of its calls", func() {
 		p, _, _ := alone()
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -42,16 +42,16 @@
 
 	sessionClock time.Duration // advances while a majority is in touch
 	lastTick     time.Duration
+	seedsDue     time.Duration
 	signsDue     time.Duration
 	repairDue    time.Duration
 	syncSince    time.Duration // since when this member is in touch without its peers' sessions; 0 before
 	synced       bool
 	unheard      map[string]bool // peers whose sessions have not come since
 
-	calls  calls
-	writes []pendingWrite
-	reads  []pendingRead
-	leaves map[uint64]*pendingLeave // by the number of their call
+	calls    calls
+	requests *chain.Requests
+	leaves   map[uint64]*pendingLeave // by the number of their call
 	// replicatedLeaves are the endpoints whose leaving has been acknowledged, and how far they were.
 	replicatedLeaves map[string]sessions.State
 	subscribers      map[*subscriber]bool
@@ -81,6 +81,7 @@
 	if err := p.restore(); err != nil {
 		return err
 	}
+	p.requests = chain.NewRequests(p.node, p.timing.answerWithin)
 	p.saver = p.restoreSessions()
 	go p.writeSessions()
 	go p.disk.run(ctx.Done())
@@ -109,20 +110,16 @@
 		return errors.New("data_directory is not set: the control plane keeps its state on disk")
 	}
 	options := ringOptions(directory, p.settings.Limits.DiskMB)
-	ring, records, err := openRing(options, p.log)
+	ring, records, err := openRecords(options, p.log)
 	if err != nil {
 		return err
 	}
 	p.disk = newDisk(ring, p.log, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
-	decoded, err := decodeRecords(records)
-	if err != nil {
-		return err
-	}
-	if len(decoded) == 0 {
+	if len(records) == 0 {
 		p.begin()
 		return nil
 	}
-	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), decoded), true
+	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), records), true
 	return nil
 }
 
@@ -130,15 +127,38 @@
 func openRing(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, [][]byte, error) {
 	ring, records, err := ringlog.Open(options)
 	if errors.Is(err, ringlog.ErrDamaged) {
-		log.Error("disk.damaged", "action", "the copy is discarded, and the member joins as a new one")
-		if err := os.RemoveAll(options.Directory); err != nil {
-			return nil, nil, errors.Wrap(err, "damaged copy")
-		}
-		return ringlog.Open(options)
+		ring, err = discardRing(options, log, err)
+		return ring, nil, err
 	}
 	return ring, records, err
 }
 
+// discardRing makes a ring anew whose records cannot be used.
+func discardRing(options ringlog.Options, log *slog.Logger, why error) (*ringlog.Ring, error) {
+	log.Error("disk.damaged", "error", why, "action", "the copy is discarded, and the member joins as a new one")
+	if err := os.RemoveAll(options.Directory); err != nil {
+		return nil, errors.Wrap(err, "damaged copy")
+	}
+	ring, _, err := ringlog.Open(options)
+	return ring, err
+}
+
+// openRecords opens the ring of the chain and decodes its records. A copy that cannot be decoded is made anew likewise: the
+// process would else end again and again.
+func openRecords(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, []any, error) {
+	ring, payloads, err := openRing(options, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	records, err := decodeRecords(payloads)
+	if err == nil {
+		return ring, records, nil
+	}
+	ring.Close()
+	ring, err = discardRing(options, log, err)
+	return ring, nil, err
+}
+
 // begin makes a member that has nothing on disk: one of the first view where the whole system starts, else one that
 // joins.
 func (p *Process) begin() {
@@ -213,7 +233,7 @@
 			return
 		}
 		p.settle()
-		if leaveBy != nil && !p.node.InChain() {
+		if leaveBy != nil && p.node.Dispensable() {
 			return
 		}
 	}
@@ -240,6 +260,7 @@
 		p.sessionClock += min(gap, 4*p.timing.tick)
 	}
 	p.node.SetHealthy(p.disk.behind() < p.timing.diskPatience)
+	p.readSeeds(now, inTouch)
 	p.act(p.node.Tick(now))
 	p.table.Expire(p.sessionClock)
 	p.synchronize(now, inTouch)
@@ -249,6 +270,22 @@
 	p.placer.tick(now)
 }
 
+// rereadSeedsEvery is how often a member that no majority is in touch with reads which seeds its settings name now.
+const rereadSeedsEvery = time.Second
+
+// readSeeds reads the seeds again while this member is not in touch: those that it started with may all have been replaced.
+func (p *Process) readSeeds(now time.Duration, inTouch bool) {
+	if inTouch || now < p.seedsDue {
+		return
+	}
+	p.seedsDue = now + rereadSeedsEvery
+	settings, err := nodefile.LoadFromEnvironment()
+	if err != nil {
+		return // those of the start stand
+	}
+	p.node.SetSeeds(settings.SeedInternalAddresses())
+}
+
 // act carries an output of the chain out.
 func (p *Process) act(out chain.Output) {
 	for _, envelope := range out.Urgent {
@@ -337,7 +374,7 @@
 // settle does what follows from the commands that were worked through.
 func (p *Process) settle() {
 	now := p.now()
-	p.settleCalls(now)
+	p.requests.Settle(now)
 	p.sendSessionUpdates(now)
 	p.shareLoads(now)
 	p.tellSubscribers(now)
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -52,7 +52,7 @@
 	committed := p.node.CommittedState()
 	_, holds := p.node.Holds(now)
 	status := feed.Status{
-		Self: p.node.Self(), View: p.node.View(), InForce: p.inForce(), Sealed: p.node.Sealed(), Seq: p.node.Latest().Seq,
+		Self: p.node.Self(), View: p.node.View(), InForce: p.node.InForce(now), Sealed: p.node.Sealed(), Seq: p.node.Latest().Seq,
 		Committed: committed.Seq, Holds: holds, Endpoints: map[sessions.State]int{}, DiskBehind: p.disk.behind(),
 	}
 	if value, ok := committed.Value.(*fleetconfig.State); ok {
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -49,6 +49,6 @@
 		holderPause:    predecessorEnds,
 		returnPause:    predecessorEnds + nodefile.Milliseconds(s.Bounds.LeaseDurationMs),
 		streamSilence:  contact / 4,
-		stopWithin:     min(nodefile.Seconds(s.Bounds.GracePeriodS)/4, contact),
+		stopWithin:     nodefile.Seconds(s.Bounds.GracePeriodS) / 3,
 	}
 }
--- a/internal/fleetconfig/change.go
+++ b/internal/fleetconfig/change.go
@@ -1,9 +1,11 @@
 package fleetconfig
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -26,7 +28,8 @@
 	Body      []byte
 }
 
-// Digest tells changes apart: the same change sent again has the same one.
+// Digest tells changes apart: the same change sent again has the same one, also with other white space or another order of
+// keys.
 type Digest [16]byte
 
 // Digest of a change.
@@ -37,19 +40,38 @@
 	var base [8]byte
 	binary.BigEndian.PutUint64(base[:], uint64(c.Base))
 	hash.Write(base[:])
-	hash.Write(c.Body)
+	hash.Write(canonical(c.Body))
 	var digest Digest
 	copy(digest[:], hash.Sum(nil))
 	return digest
 }
 
+// canonical renders JSON in one way; what is no JSON stays as it is.
+func canonical(body []byte) []byte {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	var value any
+	if decoder.Decode(&value) != nil || decoder.More() {
+		return body
+	}
+	rendered, err := json.Marshal(value)
+	if err != nil {
+		return body
+	}
+	return rendered
+}
+
 // mostTaken bounds the digests of taken changes that are kept to acknowledge a change that is sent again.
 const mostTaken = 8192
 
 // State is what the core replicates of the configuration. It is never changed in place.
 type State struct {
-	Document Document
-	Taken    []Digest // of the changes taken, oldest first
+	Document      Document
+	Taken         []Digest // of the changes taken, oldest first
+	TakenVersions []int64  // the versions that they led to
+	// Forgotten is the highest version whose change's digest is no longer kept: whether a change up to it has been taken
+	// cannot be told.
+	Forgotten int64
 }
 
 // Has tells whether a change has been taken.
@@ -82,7 +104,7 @@
 		return nil, err
 	}
 	if c.Base != s.Document.Version {
-		return nil, errkind.New(errkind.VersionConflict, "")
+		return nil, s.conflict(c)
 	}
 	next, err := s.apply(c)
 	if err != nil {
@@ -97,6 +119,18 @@
 	return next, nil
 }
 
+// conflict refuses a change that builds on another version. One that may have been taken so long ago that it is forgotten
+// is not refused: nothing is said of it.
+func (s *State) conflict(c *Change) error {
+	var told struct {
+		Version int64 `json:"version"`
+	}
+	if err := json.Unmarshal(c.Body, &told); err == nil && told.Version <= s.Forgotten {
+		return errkind.New(errkind.Unavailable, "it may have been taken long ago")
+	}
+	return errkind.New(errkind.VersionConflict, "")
+}
+
 // Apply is the state after a change that Next has accepted at the head.
 func (s *State) Apply(c *Change) *State {
 	next, err := s.apply(c)
@@ -117,12 +151,22 @@
 	if err != nil {
 		return nil, errkind.New(errkind.InvalidConfig, err.Error())
 	}
-	taken := s.Taken
-	if len(taken) >= mostTaken {
-		taken = taken[len(taken)-mostTaken+1:]
+	return s.take(document, c.Digest()), nil
+}
+
+// take is the state with a document that a change has led to. The oldest changes are forgotten where there are too many.
+func (s *State) take(document Document, digest Digest) *State {
+	digests, versions := s.Taken, s.TakenVersions
+	forgotten := s.Forgotten
+	if drop := len(digests) + 1 - mostTaken; drop > 0 {
+		digests = digests[drop:]
+	}
+	if drop := len(versions) - len(digests); drop > 0 {
+		forgotten = versions[drop-1]
+		versions = versions[drop:]
 	}
-	taken = append(append(make([]Digest, 0, len(taken)+1), taken...), c.Digest())
-	return &State{Document: document, Taken: taken}, nil
+	return &State{Document: document, Taken: append(slices.Clip(digests), digest),
+		TakenVersions: append(slices.Clip(versions), document.Version), Forgotten: forgotten}
 }
 
 func readDocument(body []byte) (Document, error) {
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -116,6 +116,34 @@
 		Expect((&State{}).Apply(change)).To(Equal(taken(change)))
 	})
 
+	It("is known with other white space and another order of keys", func() {
+		first := &Change{Operation: Replace, Body: []byte(`{"version":3,"routes":[],"services":[{"name":"s1","weight":1.50}]}`)}
+		again := &Change{Operation: Replace, Body: []byte("{ \"services\": [ {\"weight\": 1.50, \"name\": \"s1\"} ],\n\"routes\": [], \"version\": 3 }")}
+		other := &Change{Operation: Replace, Body: []byte(`{"version":3,"routes":[],"services":[{"name":"s2","weight":1.50}]}`)}
+		Expect(taken(first).Has(again.Digest())).To(BeTrue())
+		Expect(taken(first).Has(other.Digest())).To(BeFalse())
+	})
+
+	DescribeTable("is not refused when it comes again after very many others",
+		func(others int, has bool) {
+			first := replace(1, 0, "", "")
+			state := taken(first)
+			for version := int64(2); version < int64(others+2); version++ {
+				state = state.take(Document{Version: version}, Digest{byte(version), byte(version >> 8), byte(version >> 16)})
+			}
+			Expect(state.Has(first.Digest())).To(Equal(has))
+			_, err := state.Next(first)
+			if !has {
+				Expect(errkind.KindOf(err)).To(Equal(errkind.Unavailable), "no clear answer")
+			}
+			late := replace(state.Document.Version+1, state.Document.Version-1, "", "")
+			_, err = state.Next(late)
+			Expect(errkind.KindOf(err)).To(Equal(errkind.VersionConflict), "one that cannot have been taken")
+		},
+		Entry("some", 500, true),
+		Entry("more than are kept", 10000, false),
+	)
+
 	It("is one of a bounded number", func() {
 		state := taken(replace(1, 0, "", ""))
 		state.Taken = make([]Digest, mostTaken)
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -7,30 +7,34 @@
 
 // The flaws.
 const (
-	Sound            Flaw = ""
-	AckBeforeSync    Flaw = "messages go out before their records are stored"
-	AckAtHead        Flaw = "the head acknowledges what it alone has stored"
-	EarlyCommit      Flaw = "the head tells that an entry is committed as it passes it on"
-	VoteAfterWipe    Flaw = "a member whose disk was lost comes back as if it had it"
-	ForgetPromise    Flaw = "a restarted member has forgotten its promises"
-	RestartBehind    Flaw = "a restarted member has lost the newest record that it stored"
-	ShortPromise     Flaw = "a promise leaves out the newest entry of its member"
-	ShortInstall     Flaw = "a view begins without the newest entry that was agreed on"
-	ReadUnconfirmed  Flaw = "the tail answers reads without a majority's word"
-	ReadUnstored     Flaw = "the tail answers reads with what it has not stored yet"
-	HoldUnconfirmed  Flaw = "the holder acts without a majority's word"
-	NoHolderPause    Flaw = "a new holder acts at once"
-	NoReturnPause    Flaw = "a former holder acts as soon as a new one"
-	RestartWithToken Flaw = "a restarted holder acts as if it had waited its pause out"
-	TokenStays       Flaw = "the token does not rise with the holder"
-	NoncesRepeat     Flaw = "a restarted member numbers its pings as in its life before"
+	Sound             Flaw = ""
+	AckBeforeSync     Flaw = "messages go out before their records are stored"
+	AckAtHead         Flaw = "the head acknowledges what it alone has stored"
+	EarlyCommit       Flaw = "the head tells that an entry is committed as it passes it on"
+	VoteAfterWipe     Flaw = "a member whose disk was lost comes back as if it had it"
+	ForgetPromise     Flaw = "a restarted member has forgotten its promises"
+	RestartBehind     Flaw = "a restarted member has lost the newest record that it stored"
+	ShortPromise      Flaw = "a promise leaves out the newest entry of its member"
+	ShortInstall      Flaw = "a view begins without the newest entry that was agreed on"
+	ReadUnconfirmed   Flaw = "the tail answers reads without a majority's word"
+	ReadUnstored      Flaw = "the tail answers reads with what it has not stored yet"
+	HoldUnconfirmed   Flaw = "the holder acts without a majority's word"
+	NoHolderPause     Flaw = "a new holder acts at once"
+	NoReturnPause     Flaw = "a former holder acts as soon as a new one"
+	RestartWithToken  Flaw = "a restarted holder acts as if it had waited its pause out"
+	TokenStays        Flaw = "the token does not rise with the holder"
+	NoncesRepeat      Flaw = "a restarted member numbers its pings as in its life before"
+	RefuseUnconfirmed Flaw = "the head refuses without a majority's word"
+	ForgetTaken       Flaw = "an operation that was taken is not known when it comes again"
+	IgnoreBase        Flaw = "the head takes what builds on another version"
+	LeaveAsVoter      Flaw = "a leaving member ends while it is one voter too many"
 )
 
 // Flaws lists those that can be planted.
 func Flaws() []Flaw {
 	return []Flaw{AckBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
 		ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, NoReturnPause, RestartWithToken, TokenStays,
-		NoncesRepeat}
+		NoncesRepeat, RefuseUnconfirmed, ForgetTaken, IgnoreBase, LeaveAsVoter}
 }
 
 // without leaves out the newest operation of a state.
@@ -50,6 +54,12 @@
 			m.State = without(m.State)
 			return m
 		}
+	case chain.Ping:
+		m.Status = f.status(m.Status)
+		return m
+	case chain.Pong:
+		m.Status = f.status(m.Status)
+		return m
 	case chain.Install:
 		if f == ShortInstall {
 			m.Proposal.Base = without(m.Proposal.Base)
@@ -59,6 +69,14 @@
 	return message
 }
 
+// status is what a process with the flaw says of itself.
+func (f Flaw) status(status chain.Status) chain.Status {
+	if f == LeaveAsVoter {
+		status.Leaving = false
+	}
+	return status
+}
+
 // early is what the head tells beside a message, with the flaw EarlyCommit.
 func (m *machine) early(envelope chain.Envelope) {
 	entries, ok := envelope.Message.(chain.Append)
@@ -85,8 +103,11 @@
 func withoutPromises(records []any) []any {
 	var kept []any
 	for _, record := range records {
-		switch record.(type) {
+		switch r := record.(type) {
 		case chain.PromiseRecord, chain.AcceptRecord:
+		case chain.Snapshot:
+			r.Promised, r.Accepted = chain.Ballot{}, nil
+			kept = append(kept, r)
 		default:
 			kept = append(kept, record)
 		}
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -13,16 +13,25 @@
 	world   *World
 	address string
 	node    *chain.Node
-	life    int // of the process; what an earlier one has begun does not count
-	lost    int // how often the disk was lost
-	up      bool
-	removed bool
+	// requests are the operators' and readers' that wait here.
+	requests *chain.Requests
+	life     int // of the process; what an earlier one has begun does not count
+	lost     int // how often the disk was lost
+	up       bool
+	removed  bool
+	replaced bool // another one has come in its place, and it is to leave
 
 	frozenUntil time.Duration
 	inbox       []any // that came while it was frozen
 
+	leaveBy   time.Duration // when a leaving process ends whatever the view is; 0 for one that does not leave
+	returnsIn time.Duration // a process that has left starts again after so long; 0 for never
+	successor *machine      // that takes the place of one which is gone for good
+
 	disk         []any // records that are stored
+	records      int   // handed over since the last snapshot
 	jobs         []job
+	inWriting    []job
 	writing      bool
 	writingSince time.Duration
 	stalledUntil time.Duration
@@ -73,7 +82,7 @@
 // start starts the process. First tells that the whole system starts for the first time.
 func (m *machine) start(first bool) {
 	m.life++
-	m.up, m.writing, m.jobs, m.inbox = true, false, nil, nil
+	m.up, m.writing, m.jobs, m.inWriting, m.inbox, m.leaveBy, m.records = true, false, nil, nil, nil, 0, mostRecords
 	now := m.world.now
 	var out chain.Output
 	genesis := first && slices.Contains(m.world.seeds, m.address) || m.world.options.Flaw == VoteAfterWipe && slices.Contains(m.world.seeds, m.address)
@@ -92,10 +101,19 @@
 	default:
 		m.node, out = chain.NewJoiner(m.config(), now, log{})
 	}
+	m.requests = chain.NewRequests(m.node, callPatience)
 	m.act(out)
 	m.tick(m.life)
 }
 
+// observe answers the requests that can be, and has the checker look at what callers are shown.
+func (m *machine) observe() {
+	m.world.checker.watch(m)
+	if m.runs() {
+		m.requests.Settle(m.world.now)
+	}
+}
+
 // runs tells whether the process runs.
 func (m *machine) runs() bool { return m.up && m.world.now >= m.frozenUntil }
 
@@ -110,7 +128,10 @@
 	behind := m.writing && m.world.now-m.writingSince > diskPatience
 	m.node.SetHealthy(!behind)
 	m.act(m.node.Tick(m.world.now))
-	m.world.checker.watch(m)
+	m.observe()
+	if m.endOfLeave() {
+		return
+	}
 	m.world.after(tickEvery, func() { m.tick(life) })
 }
 
@@ -135,7 +156,7 @@
 		return
 	}
 	m.act(m.node.Receive(m.world.now, message))
-	m.world.checker.watch(m)
+	m.observe()
 }
 
 // act carries an output out.
@@ -150,17 +171,47 @@
 		m.deliver(out.Messages)
 		out.Messages = nil
 	}
-	m.jobs = append(m.jobs, job{records: out.Records, messages: out.Messages})
+	m.jobs = append(m.jobs, job{records: m.recorded(out.Records), messages: out.Messages})
 	m.write(m.life)
 }
 
+// mostRecords is how many records a file of the emulated disk holds. The next one is a snapshot, that stands for all before.
+const mostRecords = 64
+
+// recorded is what is stored of records.
+func (m *machine) recorded(records []any) []any {
+	var stored []any
+	for _, record := range records {
+		_, snapshot := record.(chain.Snapshot)
+		if !snapshot && m.records >= mostRecords {
+			record, snapshot = m.node.Snapshot(), true
+		}
+		if snapshot {
+			m.records = 0
+		}
+		m.records++
+		stored = append(stored, record)
+	}
+	return stored
+}
+
+// persist puts records on the disk.
+func (m *machine) persist(records []any) {
+	for _, record := range records {
+		if _, snapshot := record.(chain.Snapshot); snapshot {
+			m.disk = nil
+		}
+		m.disk = append(m.disk, record)
+	}
+}
+
 // write stores what waits, with one sync.
 func (m *machine) write(life int) {
 	if m.life != life || m.writing || len(m.jobs) == 0 {
 		return
 	}
 	jobs := m.jobs
-	m.jobs = nil
+	m.jobs, m.inWriting = nil, jobs
 	m.writing, m.writingSince = true, m.world.now
 	takes := syncTime
 	if m.world.now < m.stalledUntil {
@@ -177,9 +228,9 @@
 		m.world.at(m.frozenUntil, func() { m.written(life, jobs) })
 		return
 	}
-	m.writing = false
+	m.writing, m.inWriting = false, nil
 	for _, j := range jobs {
-		m.disk = append(m.disk, j.records...)
+		m.persist(j.records)
 	}
 	for _, j := range jobs {
 		m.deliver(j.messages)
@@ -196,14 +247,19 @@
 		m.world.send(m, envelope)
 		m.early(envelope)
 	}
-	m.world.checker.watch(m)
+	m.observe()
 }
 
-// kill ends the process; what is not stored is lost.
+// kill ends the process. Of what was being written a part may be stored; what waited is lost.
 func (m *machine) kill() {
+	var torn []any
+	for _, j := range m.inWriting {
+		torn = append(torn, j.records...)
+	}
+	m.persist(torn[:m.world.random.IntN(len(torn)+1)])
 	m.life++
 	m.up = false
-	m.jobs, m.inbox, m.writing = nil, nil, false
+	m.jobs, m.inWriting, m.inbox, m.writing = nil, nil, nil, false
 	m.disk = m.world.options.Flaw.stored(m.disk, m.node)
 }
 
@@ -212,3 +268,34 @@
 	m.disk = nil
 	m.lost++
 }
+
+// stopWithin is how long a leaving process waits for the others to do without it.
+const stopWithin = 4 * time.Second
+
+// leave has the process end as the platform has it do: once the others do without it. It starts again after a time, or is
+// gone for good where that is 0.
+func (m *machine) leave(returnsIn time.Duration) {
+	m.node.Leave()
+	m.leaveBy, m.returnsIn = m.world.now+stopWithin, returnsIn
+}
+
+// endOfLeave ends a leaving process that may end. It tells whether it did.
+func (m *machine) endOfLeave() bool {
+	if m.leaveBy == 0 || m.world.now < m.leaveBy && !m.mayEnd() {
+		return false
+	}
+	m.kill()
+	if m.returnsIn == 0 {
+		m.removed = true
+		return true
+	}
+	m.world.after(m.returnsIn, m.restart)
+	return true
+}
+
+func (m *machine) mayEnd() bool {
+	if m.world.options.Flaw == LeaveAsVoter {
+		return !m.node.InChain()
+	}
+	return m.node.Dispensable()
+}
--- a/internal/lab/coresim/recovery.go
+++ b/internal/lab/coresim/recovery.go
@@ -47,7 +47,7 @@
 		return recoveryPatience
 	}
 	member := w.struck(struck)
-	losses := &losses{world: w, until: map[int]time.Duration{}}
+	losses := newLosses(w, false)
 	losses.begin(Step{At: at, Kind: kind, Member: member, For: time.Second})
 	first := w.nextOp + 1
 	for w.now < at+recoveryPatience {
