The control process in smaller files with names of the field; copies on f+1 disks are checked

The search checks at the end of each schedule, and as a member leaves for good, that each acknowledged change is on f+1 disks, and may hold the messages to a member back across its restart. A request whose route's time-out is over and that has not run is told when to come back.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -100,13 +100,13 @@
 	} else {
 		p.joining = false
 	}
-	out.Messages = n.bringUp(now, m.From, m.Status)
+	out.Messages = n.sendViewIfBehind(now, m.From, m.Status)
 	n.onCommitted(m.From.ID, m.Status.View, m.Status.Committed)
 	return out
 }
 
-// bringUp sends the view to a member that has an older one.
-func (n *Node) bringUp(now time.Duration, member Member, status Status) []Envelope {
+// sendViewIfBehind sends the view to a member that has an older one.
+func (n *Node) sendViewIfBehind(now time.Duration, member Member, status Status) []Envelope {
 	_, voter := n.view.Voter(member.ID)
 	p := n.peer(member.Address)
 	if !voter || status.View >= n.view.Number || now-p.installAt < n.config.SuspectAfter/2 {
@@ -126,7 +126,7 @@
 	p.member, p.status, p.heardAt = m.From, m.Status, now
 	p.askedAt = max(p.askedAt, asked)
 	n.onCommitted(m.From.ID, m.Status.View, m.Status.Committed)
-	return Output{Messages: n.bringUp(now, m.From, m.Status)}
+	return Output{Messages: n.sendViewIfBehind(now, m.From, m.Status)}
 }
 
 // ZoneOf is the zone of a voter that answers; it is empty for one that does not.
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -172,6 +172,14 @@
 // Latest is the value with all that this member has, committed or not.
 func (n *Node) Latest() State { return n.state }
 
+// Newest is the newest state that this member has, in its view or accepted for the next one.
+func (n *Node) Newest() State {
+	if n.accepted != nil && n.accepted.Proposal.Base.Seq > n.state.Seq {
+		return n.accepted.Proposal.Base
+	}
+	return n.state
+}
+
 // CommittedSeq is how far the log is known to be committed.
 func (n *Node) CommittedSeq() uint64 { return n.committed }
 
@@ -295,13 +303,13 @@
 		}
 	}
 	if len(fresh) == 0 {
-		return n.again(m.Entries)
+		return n.passOnAgain(m.Entries)
 	}
 	return n.take(fresh)
 }
 
-// again passes on what was passed on before: the predecessor has sent it again because the end was not heard of.
-func (n *Node) again(entries []Entry) Output {
+// passOnAgain passes on what was passed on before: the predecessor has sent it again because the end was not heard of.
+func (n *Node) passOnAgain(entries []Entry) Output {
 	var had []Entry
 	for _, entry := range entries {
 		if entry.Seq <= n.state.Seq {
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -81,7 +81,7 @@
 // writeHere takes a change where this member is the head.
 func (p *Process) writeHere(change fleetconfig.Change, answer func(feed.Reply)) {
 	digest := change.Digest()
-	p.act(p.requests.Write(p.now(), chain.Write{
+	p.carryOut(p.requests.Write(p.now(), chain.Write{
 		Decide: func(latest any) chain.Decision { return decide(latest.(*fleetconfig.State), digest, change) },
 		Taken:  func(value any) bool { return value.(*fleetconfig.State).Has(digest) },
 		Answer: func(err error) { answer(replyOf(err)) },
@@ -132,7 +132,7 @@
 
 // readHere gives the configuration where this member is the tail.
 func (p *Process) readHere(answer func(feed.Reply)) {
-	p.act(p.requests.Read(p.now(), chain.Read{Answer: func(state chain.State, err error) {
+	p.carryOut(p.requests.Read(p.now(), chain.Read{Answer: func(state chain.State, err error) {
 		if err != nil {
 			answer(replyOf(err))
 			return
--- a/internal/controlplane/http.go
+++ b/internal/controlplane/http.go
@@ -54,7 +54,14 @@
 // outcome waits for the owner's answer.
 func outcome(p *Process, begin func(answer func(error))) error {
 	answered := make(chan error, 1)
-	p.post(func() { begin(func(err error) { answered <- err }) })
+	p.post(func() {
+		begin(func(err error) {
+			select {
+			case answered <- err:
+			default: // it has its answer
+			}
+		})
+	})
 	select {
 	case err := <-answered:
 		return err
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -85,10 +85,10 @@
 		if link := p.links[m.From.Address]; link != nil && !p.node.Reaches(now, m.From.Address) {
 			link.Wake()
 		}
-		p.act(p.node.Receive(now, m))
+		p.carryOut(p.node.Receive(now, m))
 	case chain.Pong, chain.Prepare, chain.Promise, chain.Reject, chain.Accept, chain.AcceptedReply, chain.Install,
 		chain.Append, chain.Committed:
-		p.act(p.node.Receive(now, m))
+		p.carryOut(p.node.Receive(now, m))
 	}
 }
 
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -155,8 +155,8 @@
 	return services
 }
 
-// settle plans where it is due, and begins the orders.
-func (pl *placer) settle(now time.Duration) {
+// afterCommands plans where it is due, and begins the orders.
+func (pl *placer) afterCommands(now time.Duration) {
 	if !pl.holding || now < pl.planAt || now < pl.pauseTill {
 		return
 	}
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"log/slog"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"dykering/internal/chain"
-	"dykering/internal/fleetconfig"
 	"dykering/internal/nodefile"
 	"dykering/internal/peerlink"
-	"dykering/internal/ringlog"
 	"dykering/internal/sessions"
 )
 
@@ -103,90 +98,6 @@
 	return nil
 }
 
-// restore reads what is on disk, or begins anew.
-func (p *Process) restore() error {
-	directory := p.settings.DataDirectory
-	if directory == "" {
-		return errors.New("data_directory is not set: the control plane keeps its state on disk")
-	}
-	options := ringOptions(directory, p.settings.Limits.DiskMB)
-	ring, records, err := openRecords(options, p.log)
-	if err != nil {
-		return err
-	}
-	p.disk = newDisk(ring, p.log, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
-	if len(records) == 0 {
-		p.begin()
-		return nil
-	}
-	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), records), true
-	return nil
-}
-
-// openRing opens the ring, and makes it anew where what was stored cannot be read: the member then joins as a new one.
-func openRing(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, [][]byte, error) {
-	ring, records, err := ringlog.Open(options)
-	if errors.Is(err, ringlog.ErrDamaged) {
-		ring, err = discardRing(options, log, err)
-		return ring, nil, err
-	}
-	return ring, records, err
-}
-
-// discardRing makes a ring anew whose records cannot be used.
-func discardRing(options ringlog.Options, log *slog.Logger, why error) (*ringlog.Ring, error) {
-	log.Error("disk.damaged", "error", why, "action", "the copy is discarded, and the member joins as a new one")
-	if err := os.RemoveAll(options.Directory); err != nil {
-		return nil, errors.Wrap(err, "damaged copy")
-	}
-	ring, _, err := ringlog.Open(options)
-	return ring, err
-}
-
-// openRecords opens the ring of the chain and decodes its records. A copy that cannot be decoded is made anew likewise: the
-// process would else end again and again.
-func openRecords(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, []any, error) {
-	ring, payloads, err := openRing(options, log)
-	if err != nil {
-		return nil, nil, err
-	}
-	records, err := decodeRecords(payloads)
-	if err == nil {
-		return ring, records, nil
-	}
-	ring.Close()
-	ring, err = discardRing(options, log, err)
-	return ring, nil, err
-}
-
-// begin makes a member that has nothing on disk: one of the first view where the whole system starts, else one that
-// joins.
-func (p *Process) begin() {
-	seeds := p.settings.SeedInternalAddresses()
-	own := p.settings.InternalAddress(p.settings.IPAddress)
-	var out chain.Output
-	if p.settings.InitialStart && slices.Contains(seeds, own) {
-		view := chain.View{Number: 1, Token: 1}
-		for _, seed := range seeds {
-			view.Voters = append(view.Voters, chain.Member{ID: genesisID(seed), Address: seed})
-			view.Chain = append(view.Chain, genesisID(seed))
-		}
-		view.Holder = view.Chain[0]
-		p.node, out = chain.NewGenesis(p.chainConfig(genesisID(own)), p.now(), view, &fleetconfig.State{})
-	} else {
-		p.node, out = chain.NewJoiner(p.chainConfig(freshID(own)), p.now(), &fleetconfig.State{})
-	}
-	p.store(out.Records, nil)
-}
-
-func genesisID(address string) chain.MemberID { return chain.MemberID(address + "/0") }
-
-func freshID(address string) chain.MemberID {
-	var b [8]byte
-	rand.Read(b[:])
-	return chain.MemberID(address + "/" + hex.EncodeToString(b[:]))
-}
-
 func (p *Process) chainConfig(id chain.MemberID) chain.Config {
 	return chain.Config{
 		Self: chain.Member{ID: id, Name: p.settings.NodeName, Address: p.settings.InternalAddress(p.settings.IPAddress),
@@ -232,7 +143,7 @@
 		case <-leaveBy:
 			return
 		}
-		p.settle()
+		p.afterCommands()
 		if leaveBy != nil && p.node.Dispensable() {
 			return
 		}
@@ -261,7 +172,7 @@
 	}
 	p.node.SetHealthy(p.disk.behind() < p.timing.diskPatience)
 	p.readSeeds(now, inTouch)
-	p.act(p.node.Tick(now))
+	p.carryOut(p.node.Tick(now))
 	p.table.Expire(p.sessionClock)
 	p.synchronize(now, inTouch)
 	p.repair(now)
@@ -286,8 +197,8 @@
 	p.node.SetSeeds(settings.SeedInternalAddresses())
 }
 
-// act carries an output of the chain out.
-func (p *Process) act(out chain.Output) {
+// carryOut carries an output of the chain out.
+func (p *Process) carryOut(out chain.Output) {
 	for _, envelope := range out.Urgent {
 		p.send(envelope.To, envelope.Message)
 	}
@@ -325,7 +236,7 @@
 func (p *Process) deliver(messages []chain.Envelope) {
 	for _, envelope := range messages {
 		if envelope.To == p.node.Self().Address {
-			p.act(p.node.Receive(p.now(), envelope.Message))
+			p.carryOut(p.node.Receive(p.now(), envelope.Message))
 			continue
 		}
 		p.send(envelope.To, envelope.Message)
@@ -371,34 +282,13 @@
 	p.synced, p.syncSince = false, 0
 }
 
-// settle does what follows from the commands that were worked through.
-func (p *Process) settle() {
+// afterCommands does what follows from the commands that were worked through.
+func (p *Process) afterCommands() {
 	now := p.now()
 	p.requests.Settle(now)
 	p.sendSessionUpdates(now)
 	p.shareLoads(now)
-	p.tellSubscribers(now)
-	p.placer.settle(now)
+	p.sendUpdates(now)
+	p.placer.afterCommands(now)
 	p.saveSessions(now)
 }
-
-// operations are stored and sent as gob.
-func encodeOperation(change fleetconfig.Change) ([]byte, error) {
-	return newRecordEncoder().encode(change)
-}
-
-func applyOperation(value any, operation []byte) any {
-	state, ok := value.(*fleetconfig.State)
-	if !ok {
-		return value
-	}
-	records, err := decodeRecords([][]byte{operation})
-	if err != nil {
-		return value
-	}
-	change, ok := records[0].(fleetconfig.Change)
-	if !ok {
-		return value
-	}
-	return state.Apply(&change)
-}
--- /dev/null
+++ b/internal/controlplane/restore.go
@@ -0,0 +1,99 @@
+package controlplane
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/chain"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/ringlog"
+)
+
+// restore reads what is on disk, or begins anew.
+func (p *Process) restore() error {
+	directory := p.settings.DataDirectory
+	if directory == "" {
+		return errors.New("data_directory is not set: the control plane keeps its state on disk")
+	}
+	options := ringOptions(directory, p.settings.Limits.DiskMB)
+	ring, records, err := openRecords(options, p.log)
+	if err != nil {
+		return err
+	}
+	p.disk = newDisk(ring, p.log, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
+	if len(records) == 0 {
+		p.begin()
+		return nil
+	}
+	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), records), true
+	return nil
+}
+
+// openRing opens the ring, and makes it anew where what was stored cannot be read: the member then joins as a new one.
+func openRing(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, [][]byte, error) {
+	ring, records, err := ringlog.Open(options)
+	if errors.Is(err, ringlog.ErrDamaged) {
+		ring, err = discardRing(options, log, err)
+		return ring, nil, err
+	}
+	return ring, records, err
+}
+
+// discardRing makes a ring anew whose records cannot be used.
+func discardRing(options ringlog.Options, log *slog.Logger, why error) (*ringlog.Ring, error) {
+	log.Error("disk.damaged", "error", why, "action", "the copy is discarded, and the member joins as a new one")
+	if err := os.RemoveAll(options.Directory); err != nil {
+		return nil, errors.Wrap(err, "damaged copy")
+	}
+	ring, _, err := ringlog.Open(options)
+	return ring, err
+}
+
+// openRecords opens the ring of the chain and decodes its records. A copy that cannot be decoded is made anew likewise: the
+// process would else end again and again.
+func openRecords(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, []any, error) {
+	ring, payloads, err := openRing(options, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	records, err := decodeRecords(payloads)
+	if err == nil {
+		return ring, records, nil
+	}
+	ring.Close()
+	ring, err = discardRing(options, log, err)
+	return ring, nil, err
+}
+
+// begin makes a member that has nothing on disk: one of the first view where the whole system starts, else one that
+// joins.
+func (p *Process) begin() {
+	seeds := p.settings.SeedInternalAddresses()
+	own := p.settings.InternalAddress(p.settings.IPAddress)
+	var out chain.Output
+	if p.settings.InitialStart && slices.Contains(seeds, own) {
+		view := chain.View{Number: 1, Token: 1}
+		for _, seed := range seeds {
+			view.Voters = append(view.Voters, chain.Member{ID: genesisID(seed), Address: seed})
+			view.Chain = append(view.Chain, genesisID(seed))
+		}
+		view.Holder = view.Chain[0]
+		p.node, out = chain.NewGenesis(p.chainConfig(genesisID(own)), p.now(), view, &fleetconfig.State{})
+	} else {
+		p.node, out = chain.NewJoiner(p.chainConfig(freshID(own)), p.now(), &fleetconfig.State{})
+	}
+	p.store(out.Records, nil)
+}
+
+func genesisID(address string) chain.MemberID { return chain.MemberID(address + "/0") }
+
+func freshID(address string) chain.MemberID {
+	var b [8]byte
+	rand.Read(b[:])
+	return chain.MemberID(address + "/" + hex.EncodeToString(b[:]))
+}
--- a/internal/controlplane/subscribers.go
+++ b/internal/controlplane/subscribers.go
@@ -116,8 +116,8 @@
 	return p.node.InChain() && p.node.CommittedKnown() && now-p.node.Confirmed(now) < p.timing.streamSilence
 }
 
-// tellSubscribers sends what is new to those who have not got it.
-func (p *Process) tellSubscribers(now time.Duration) {
+// sendUpdates sends what is new to those who have not got it.
+func (p *Process) sendUpdates(now time.Duration) {
 	if !p.streams(now) {
 		if p.node.Sealed() && p.node.InTouch(now) {
 			return // the next view is under way
--- a/internal/dataplane/faults_test.go
+++ b/internal/dataplane/faults_test.go
@@ -240,7 +240,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
 		close(late)
-		ask(s.process, func() any { s.process.pool.Update(s.process.now(), []sessions.Endpoint{e.session(sessions.Ready)}, false); return nil })
+		ask(s.process, func() any {
+			s.process.pool.Update(s.process.now(), []sessions.Endpoint{e.session(sessions.Ready)}, false)
+			return nil
+		})
 		response, body, err := s.ask("/p/", headerRequestID+": id-2")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -201,7 +201,7 @@
 // expired is the answer to a request whose time is over.
 func (c *carrying) expired() *refusal {
 	if c.ran == 0 {
-		return &refusal{kind: errkind.DeadlineExceeded}
+		return &refusal{kind: errkind.DeadlineExceeded, retryAfter: c.comeBack()}
 	}
 	return &refusal{kind: errkind.EndpointTimeout}
 }
--- a/internal/lab/coresim/coresim_test.go
+++ b/internal/lab/coresim/coresim_test.go
@@ -97,6 +97,23 @@
 	})
 })
 
+// pongsOfEarlierLife has the messages to the old tail wait while it starts again: pongs that answer pings of its earlier life
+// then arrive as its pings have come to the same numbers.
+var pongsOfEarlierLife = Schedule{Options: Options{Seed: 1, Members: 3, MostFailures: 1}, Overlap: true, Steps: []Step{
+	{3 * s, HoldInbound, 2, 5 * s}, {3550 * ms, Kill, 2, 100 * ms},
+}}
+
+var _ = Describe("a pong that answers a ping of an earlier life", func() {
+	It("has the old tail show nothing", func() {
+		Expect(pongsOfEarlierLife.Play()).To(Succeed())
+	})
+	It("has it show an old state where pings are numbered as before", func() {
+		flawed := pongsOfEarlierLife
+		flawed.Options.Flaw = NoncesRepeat
+		Expect(flawed.Play()).To(MatchError(ContainSubstring("a read at m2 shows")))
+	})
+})
+
 // readWhileStalled has the tail read while its disk stalls, and all killed then: found by the search.
 var readWhileStalled = []Step{
 	{4818832250, Leave, 1, 1353999689}, {4995210845, Stall, 0, 449675308}, {7078925163, Stall, 1, 4008094742},
--- a/internal/lab/coresim/losses.go
+++ b/internal/lab/coresim/losses.go
@@ -151,7 +151,9 @@
 	case DeafWay:
 		w.isolate(m, step.For, false, true)
 	case Hold:
-		w.holdAll(m, step.For)
+		w.holdAll(m, step.For, true)
+	case HoldInbound:
+		w.holdAll(m, step.For, false)
 	case Stall:
 		m.stalledUntil = w.now + step.For
 	case Wipe:
@@ -350,11 +352,15 @@
 	}
 }
 
-func (w *World) holdAll(m *machine, d time.Duration) {
+// holdAll has the messages to a member wait and, where both is set, those that it sends.
+func (w *World) holdAll(m *machine, d time.Duration, both bool) {
 	for _, other := range w.machines {
-		if other != m {
+		if other == m {
+			continue
+		}
+		w.hold(other.address, m.address, d)
+		if both {
 			w.hold(m.address, other.address, d)
-			w.hold(other.address, m.address, d)
 		}
 	}
 }
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -281,10 +281,14 @@
 
 // endOfLeave ends a leaving process that may end. It tells whether it did.
 func (m *machine) endOfLeave() bool {
-	if m.leaveBy == 0 || m.world.now < m.leaveBy && !m.mayEnd() {
+	agreed := m.leaveBy != 0 && m.mayEnd()
+	if m.leaveBy == 0 || m.world.now < m.leaveBy && !agreed {
 		return false
 	}
 	m.kill()
+	if agreed && m.returnsIn == 0 {
+		m.world.checkCopies(m)
+	}
 	if m.returnsIn == 0 {
 		m.removed = true
 		return true
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"dykering/internal/chain"
 )
 
 // Kind is a kind of trouble.
@@ -24,13 +27,14 @@
 	WipeMost      Kind = "wipe-most"       // all end at once, as many as may be lost with their disks
 	Split         Kind = "split"           // the members are cut into two halves
 	Hold          Kind = "hold"            // messages to and from it wait, and all arrive then
+	HoldInbound   Kind = "hold-inbound"    // messages to it wait, and all arrive then
 	Leave         Kind = "leave"           // it ends as planned, and starts again
 	PlannedChange Kind = "planned-change"  // an empty one comes at another address, then it ends as planned, for good
 	KillAfterHeal Kind = "kill-after-heal" // it is cut off, and as it is back all others are killed
 	Behind        Kind = "behind"          // it is cut off, another loses its disk, the rest are dark, and the cut heals
 )
 
-var kinds = []Kind{Kill, Freeze, Isolate, OneWay, DeafWay, Stall, Wipe, Replace, KillAll, WipeOfAll, WipeMost, Split, Hold, Leave,
+var kinds = []Kind{Kill, Freeze, Isolate, OneWay, DeafWay, Stall, Wipe, Replace, KillAll, WipeOfAll, WipeMost, Split, Hold, HoldInbound, Leave,
 	PlannedChange, KillAfterHeal, Behind}
 
 // disksLost is how many disks are lost by a trouble where some number may be.
@@ -128,7 +132,34 @@
 		}
 		return w.coverage, fmt.Errorf("nothing is acknowledged in %v of calm: %+v", progressIn, w.State())
 	}
-	return w.coverage, w.caughtUp()
+	if err := w.caughtUp(); err != nil {
+		return w.coverage, err
+	}
+	w.checkCopies(nil)
+	return w.coverage, w.checker.broken
+}
+
+// checkCopies checks that each acknowledged operation is on one disk more than may be lost, without that of a member that
+// has just left.
+func (w *World) checkCopies(left *machine) {
+	var lengths []int
+	for _, m := range w.machines {
+		if m.removed || m == left || len(m.disk) == 0 {
+			continue
+		}
+		stored := chain.Restore(m.config(), w.now, m.disk).Newest().Value.(log)
+		lengths = append(lengths, len(stored.operations))
+	}
+	slices.Sort(lengths)
+	slices.Reverse(lengths)
+	most := w.options.MostFailures
+	acked := 0
+	for _, number := range w.checker.acked {
+		acked = max(acked, w.checker.place[number]+1)
+	}
+	if len(lengths) <= most || lengths[most] < acked {
+		w.checker.fail("%d operations are acknowledged, and the disks hold %v: fewer than %d hold them all", acked, lengths, most+1)
+	}
 }
 
 // caughtUp checks that every member that runs is in the chain of the newest view.
