--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -111,6 +111,23 @@
 })
 
 var _ = Describe("a member that starts again", func() {
+	It("finds those that still ping its address, where all of its seeds have gone", func() {
+		config := chainOf("a")[0].config
+		config.Self, config.Seeds = Member{ID: "c/1", Address: "c"}, []string{"gone"}
+		joiner, _ := NewJoiner(config, 0, 0)
+		pinged := func(at time.Duration) []string {
+			var addresses []string
+			for _, envelope := range joiner.PingNow(at).Urgent {
+				addresses = append(addresses, envelope.To)
+			}
+			return addresses
+		}
+		Expect(pinged(0)).To(ConsistOf("gone"))
+		joiner.Receive(time.Second, Ping{From: Member{ID: "a", Address: "a"}, Status: Status{View: 3}})
+		Expect(pinged(time.Second)).To(ConsistOf("gone", "a"))
+		Expect(pinged(time.Minute)).To(ConsistOf("gone"), "it is heard of no more")
+	})
+
 	It("takes each entry once, where a snapshot was stored in place of the first of several records", func() {
 		nodes := chainOf("a", "b")
 		_, out, _ := nodes[0].Propose([]byte("x"))
--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -37,13 +37,16 @@
 	for _, voter := range n.view.Voters {
 		addresses[voter.Address] = true
 	}
-	if !n.InTouch(now) { // the members of its view may all have been replaced
+	outOfTouch := !n.InTouch(now)
+	if outOfTouch { // the members of its view may all have been replaced
 		for _, seed := range n.config.Seeds {
 			addresses[seed] = true
 		}
 	}
 	for address, p := range n.peers {
-		if p.joining && now-p.heardAt < n.config.SuspectAfter {
+		joins := p.joining && now-p.heardAt < n.config.SuspectAfter
+		asks := outOfTouch && now-p.pingedAt < n.config.SuspectAfter // it takes this member, or one at its address, for a voter
+		if joins || asks {
 			addresses[address] = true
 		}
 	}
@@ -82,7 +85,7 @@
 		if len(n.peers) >= mostPeers {
 			n.peers = map[string]*peer{} // strangers; those of the view are heard of again in a moment
 		}
-		p = &peer{asked: map[uint64]time.Duration{}, heardAt: -time.Hour, askedAt: -time.Hour}
+		p = &peer{asked: map[uint64]time.Duration{}, heardAt: -time.Hour, askedAt: -time.Hour, pingedAt: -time.Hour}
 		n.peers[address] = p
 	}
 	return p
@@ -94,7 +97,7 @@
 	if p.member.ID != m.From.ID {
 		p.heardAt, p.askedAt = -time.Hour, -time.Hour
 	}
-	p.member = m.From
+	p.member, p.pingedAt = m.From, now
 	if _, ok := n.view.Voter(m.From.ID); !ok && n.view.Number > 0 {
 		p.joining, p.heardAt, p.status = true, now, m.Status
 	} else {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -48,6 +48,7 @@
 	asked     map[uint64]time.Duration
 	installAt time.Duration // when it was last sent the view
 	joining   bool          // it has asked and is in no view
+	pingedAt  time.Duration // when it last sent a ping
 }
 
 const mostAsked = 64
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -83,6 +83,9 @@
 func (m *machine) start(first bool) {
 	m.life++
 	m.up, m.writing, m.jobs, m.inWriting, m.inbox, m.leaveBy, m.records = true, false, nil, nil, nil, 0, mostRecords
+	if !first {
+		m.world.newSeeds()
+	}
 	now := m.world.now
 	var out chain.Output
 	genesis := first && slices.Contains(m.world.seeds, m.address) || m.world.options.Flaw == VoteAfterWipe && slices.Contains(m.world.seeds, m.address)
@@ -127,6 +130,9 @@
 	}
 	behind := m.writing && m.world.now-m.writingSince > diskPatience
 	m.node.SetHealthy(!behind)
+	if !m.node.InTouch(m.world.now) {
+		m.node.SetSeeds(m.world.seeds) // as it reads them again
+	}
 	m.act(m.node.Tick(m.world.now))
 	m.observe()
 	if m.endOfLeave() {
