--- a/internal/lab/coresim/losses.go
+++ b/internal/lab/coresim/losses.go
@@ -200,6 +200,7 @@
 func (w *World) successorOf(m *machine) *machine {
 	w.spares++
 	m.successor = w.addMachine(fmt.Sprintf("n%d", w.spares))
+	m.successor.newcomer = true
 	w.newSeeds()
 	return m.successor
 }
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -19,6 +19,7 @@
 	lost     int // how often the disk was lost
 	up       bool
 	removed  bool
+	newcomer bool // it has come in the place of another one
 	replaced bool // another one has come in its place, and it is to leave
 
 	frozenUntil time.Duration
