A leaving member waits until f+1 of the chain have its view on disk

Change: a member tells which view it has on disk (Status.Stored, by a message to itself that goes out once the record is stored); Dispensable asks for leastCopies of them in the chain.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -6,7 +6,7 @@
 )
 
 func (n *Node) status() Status {
-	return Status{View: n.view.Number, Sealed: n.Sealed(), Healthy: n.healthy && !n.leaving, Leaving: n.leaving, Seq: n.state.Seq, Committed: n.committed}
+	return Status{View: n.view.Number, Sealed: n.Sealed(), Healthy: n.healthy && !n.leaving, Leaving: n.leaving, Stored: n.stored, Seq: n.state.Seq, Committed: n.committed}
 }
 
 // Tick does what is due.
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -23,6 +23,7 @@
 	healthy   bool
 	leaving   bool
 
+	stored       uint64        // number of the view that is on disk
 	outOfTouchAt time.Duration // when no majority of the voters answered last
 	nonce        uint64
 	nextPing     time.Duration
@@ -77,7 +78,7 @@
 	for _, record := range records {
 		n.replay(record)
 	}
-	n.committed = n.base.Seq
+	n.committed, n.stored = n.base.Seq, n.view.Number
 	if n.IsTail() {
 		n.committed, n.known = n.state.Seq, true // what the tail has stored, all others have
 	}
@@ -214,9 +215,24 @@
 func (n *Node) Leave() { n.leaving = true }
 
 // Dispensable tells whether a leaving member may end: it is out of the chain and, where there are voters enough without
-// it, no voter any more. Else it stays a voter, as one that starts again is.
+// it, no voter any more, and as many of the chain have the view with its state on disk as must store what is committed.
+// Else it stays a voter, as one that starts again is.
 func (n *Node) Dispensable() bool {
-	return !n.InChain() && (!n.isVoter() || len(n.view.Voters) <= n.leastVoters())
+	tooMany := n.isVoter() && len(n.view.Voters) > n.leastVoters()
+	return !n.InChain() && !tooMany && n.copiesInChain() >= n.leastCopies()
+}
+
+// copiesInChain is how many members of the chain are known to have the view on disk.
+func (n *Node) copiesInChain() int {
+	copies := 0
+	for _, id := range n.view.Chain {
+		voter, _ := n.view.Voter(id)
+		p := n.peers[voter.Address]
+		if p != nil && p.member.ID == id && p.status.Stored >= n.view.Number {
+			copies++
+		}
+	}
+	return copies
 }
 
 // Propose appends an operation at the head. It is false where this member cannot take it.
@@ -284,6 +300,8 @@
 		return n.onAppend(m)
 	case Committed:
 		n.onCommitted(m.From, m.View, m.Seq)
+	case Stored:
+		n.stored = max(n.stored, m.View)
 	}
 	return Output{}
 }
@@ -347,5 +365,6 @@
 	if !wasHolder {
 		n.holderSince = now
 	}
-	return Output{Records: []any{InstallRecord{p}}, Installed: true}
+	stored := Envelope{To: n.self.Address, Message: Stored{View: p.View.Number}} // is delivered once the record is on disk
+	return Output{Records: []any{InstallRecord{p}}, Messages: []Envelope{stored}, Installed: true}
 }
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -218,6 +218,8 @@
 		View    uint64
 		Entries []Entry
 	}
+	// Stored tells a member itself that a view is on its disk.
+	Stored struct{ View uint64 }
 	// Committed tells how far the tail has stored the log.
 	Committed struct {
 		From MemberID
@@ -230,8 +232,9 @@
 type Status struct {
 	View      uint64
 	Sealed    bool
-	Healthy   bool // its disk answers, and it is not leaving
-	Leaving   bool // it ends as soon as the others can do without it
+	Healthy   bool   // its disk answers, and it is not leaving
+	Leaving   bool   // it ends as soon as the others can do without it
+	Stored    uint64 // number of the view that it has on disk
 	Seq       uint64
 	Committed uint64
 }
