--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 POLICY := $(addprefix internal/decision/,balancer.go admit.go pick.go outcome.go lists.go)
 
 # Tests that start processes and go by the wall's clock: they run once the others are done, which would crowd them out.
-ON_THE_WALLS_CLOCK := internal/lab/real cmd/dykering internal/controlplane
+ON_THE_WALLS_CLOCK := internal/lab/real cmd/dykering internal/controlplane internal/http1
 # Tests that search with all processors: they run first and alone, as they would crowd out all others.
 SEARCHES := internal/lab/coresim
 
