Who has discarded a copy joins as a new member; mends without a test get one

Cause: found on reading the change again. A member whose copy cannot be read or decoded began as one of the first view, with the name under which it may have voted, where its settings still named a first start. Changes that members of an earlier version have taken are known by their exact bytes, and would have been refused when sent again. Change: begin(first) is told whether a copy was discarded; HasAny knows both digests; unreadable settings are logged while a control sidecar looks for seeds.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -80,17 +80,17 @@
 
 // writeHere takes a change where this member is the head.
 func (p *Process) writeHere(change fleetconfig.Change, answer func(feed.Reply)) {
-	digest := change.Digest()
+	digests := change.Digests()
 	p.carryOut(p.requests.Write(p.now(), chain.Write{
-		Decide: func(latest any) chain.Decision { return decide(latest.(*fleetconfig.State), digest, change) },
-		Taken:  func(value any) bool { return value.(*fleetconfig.State).Has(digest) },
+		Decide: func(latest any) chain.Decision { return decide(latest.(*fleetconfig.State), digests, change) },
+		Taken:  func(value any) bool { return value.(*fleetconfig.State).HasAny(digests) },
 		Answer: func(err error) { answer(replyOf(err)) },
 	}))
 }
 
 // decide tells what the newest state makes of a change.
-func decide(latest *fleetconfig.State, digest fleetconfig.Digest, change fleetconfig.Change) chain.Decision {
-	if latest.Has(digest) {
+func decide(latest *fleetconfig.State, digests [2]fleetconfig.Digest, change fleetconfig.Change) chain.Decision {
+	if latest.HasAny(digests) {
 		return chain.Decision{Taken: true}
 	}
 	if _, refusal := latest.Next(&change); refusal != nil {
--- a/internal/controlplane/losses_test.go
+++ b/internal/controlplane/losses_test.go
@@ -73,9 +73,10 @@
 			Expect(err).NotTo(HaveOccurred())
 			spoil(ring)
 			ring.Close()
-			ring, records, err := openRecords(options, slog.New(slog.DiscardHandler))
+			ring, records, discarded, err := openRecords(options, slog.New(slog.DiscardHandler))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(records).To(BeEmpty())
+			Expect(discarded).To(BeTrue())
 			Expect(ring.Append([]ringlog.Record{{Payload: []byte("x"), Rotate: true}})).To(Succeed())
 			ring.Close()
 		},
@@ -90,6 +91,23 @@
 	)
 })
 
+var _ = Describe("a member that has discarded its copy", func() {
+	It("joins as a new one, also where the settings still name a first start", func() {
+		m := core(1)[0]
+		options := ringOptions(m.settings.DataDirectory, m.settings.Limits.DiskMB)
+		ring, _, err := ringlog.Open(options)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ring.Append([]ringlog.Record{{Payload: []byte("no gob"), Rotate: true}})).To(Succeed())
+		ring.Close()
+		p := &Process{settings: m.settings, timing: timingOf(&m.settings), log: slog.New(slog.DiscardHandler), origin: time.Now()}
+		Expect(p.restore()).To(Succeed())
+		DeferCleanup(p.disk.ring.Close)
+		own := m.settings.InternalAddress(m.settings.IPAddress)
+		Expect(p.node.Self().ID).NotTo(Equal(genesisID(own)), "the one that may have voted")
+		Expect(p.node.View().Number).To(BeZero())
+	})
+})
+
 var _ = Describe("a sidecar whose stream has ended", func() {
 	It("is not heard any more: it tells another control sidecar of its calls", func() {
 		p, _, _ := alone()
--- a/internal/controlplane/operation.go
+++ b/internal/controlplane/operation.go
@@ -2,11 +2,12 @@
 
 import "dykering/internal/fleetconfig"
 
-// operations are stored and sent as gob.
+// encodeOperation renders a change as an operation of the chain: gob, as records on disk are.
 func encodeOperation(change fleetconfig.Change) ([]byte, error) {
 	return newRecordEncoder().encode(change)
 }
 
+// applyOperation is the state after an operation; one that cannot be decoded changes nothing, at no replica.
 func applyOperation(value any, operation []byte) any {
 	state, ok := value.(*fleetconfig.State)
 	if !ok {
--- a/internal/controlplane/process.go
+++ b/internal/controlplane/process.go
@@ -192,7 +192,8 @@
 	p.seedsDue = now + rereadSeedsEvery
 	settings, err := nodefile.LoadFromEnvironment()
 	if err != nil {
-		return // those of the start stand
+		p.log.Warn("settings.unreadable", "error", err)
+		return // those of before stand
 	}
 	p.node.SetSeeds(settings.SeedInternalAddresses())
 }
--- a/internal/controlplane/restore.go
+++ b/internal/controlplane/restore.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -21,32 +22,32 @@
 		return errors.New("data_directory is not set: the control plane keeps its state on disk")
 	}
 	options := ringOptions(directory, p.settings.Limits.DiskMB)
-	ring, records, err := openRecords(options, p.log)
+	ring, records, discarded, err := openRecords(options, p.log)
 	if err != nil {
 		return err
 	}
 	p.disk = newDisk(ring, p.log, func(messages []chain.Envelope) { p.post(func() { p.deliver(messages) }) })
 	if len(records) == 0 {
-		p.begin()
+		p.begin(p.settings.InitialStart && !discarded)
 		return nil
 	}
 	p.node, p.restored = chain.Restore(p.chainConfig(""), p.now(), records), true
 	return nil
 }
 
-// openRing opens the ring, and makes it anew where what was stored cannot be read: the member then joins as a new one.
-func openRing(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, [][]byte, error) {
-	ring, records, err := ringlog.Open(options)
+// openRing opens a ring, and makes it anew where what was stored cannot be read. Discarded tells that it did.
+func openRing(options ringlog.Options, log *slog.Logger) (ring *ringlog.Ring, payloads [][]byte, discarded bool, err error) {
+	ring, payloads, err = ringlog.Open(options)
 	if errors.Is(err, ringlog.ErrDamaged) {
 		ring, err = discardRing(options, log, err)
-		return ring, nil, err
+		return ring, nil, true, err
 	}
-	return ring, records, err
+	return ring, payloads, false, err
 }
 
 // discardRing makes a ring anew whose records cannot be used.
 func discardRing(options ringlog.Options, log *slog.Logger, why error) (*ringlog.Ring, error) {
-	log.Error("disk.damaged", "error", why, "action", "the copy is discarded, and the member joins as a new one")
+	log.Error("disk.damaged", "error", why, "directory", filepath.Base(options.Directory), "action", "the copy is discarded")
 	if err := os.RemoveAll(options.Directory); err != nil {
 		return nil, errors.Wrap(err, "damaged copy")
 	}
@@ -56,27 +57,27 @@
 
 // openRecords opens the ring of the chain and decodes its records. A copy that cannot be decoded is made anew likewise: the
 // process would else end again and again.
-func openRecords(options ringlog.Options, log *slog.Logger) (*ringlog.Ring, []any, error) {
-	ring, payloads, err := openRing(options, log)
+func openRecords(options ringlog.Options, log *slog.Logger) (ring *ringlog.Ring, records []any, discarded bool, err error) {
+	ring, payloads, discarded, err := openRing(options, log)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, false, err
 	}
-	records, err := decodeRecords(payloads)
+	records, err = decodeRecords(payloads)
 	if err == nil {
-		return ring, records, nil
+		return ring, records, discarded, nil
 	}
 	ring.Close()
 	ring, err = discardRing(options, log, err)
-	return ring, nil, err
+	return ring, nil, true, err
 }
 
-// begin makes a member that has nothing on disk: one of the first view where the whole system starts, else one that
-// joins.
-func (p *Process) begin() {
+// begin makes a member that has nothing on disk: one of the first view where the whole system starts for the first time,
+// else one that joins. Who has had a copy, and discarded it, joins: it may have voted in the first view.
+func (p *Process) begin(first bool) {
 	seeds := p.settings.SeedInternalAddresses()
 	own := p.settings.InternalAddress(p.settings.IPAddress)
 	var out chain.Output
-	if p.settings.InitialStart && slices.Contains(seeds, own) {
+	if first && slices.Contains(seeds, own) {
 		view := chain.View{Number: 1, Token: 1}
 		for _, seed := range seeds {
 			view.Voters = append(view.Voters, chain.Member{ID: genesisID(seed), Address: seed})
--- a/internal/controlplane/savesessions.go
+++ b/internal/controlplane/savesessions.go
@@ -53,7 +53,7 @@
 func (p *Process) restoreSessions() *sessionSaver {
 	s := &sessionSaver{log: p.log, copies: make(chan sessionCopy, 1)}
 	options := ringlog.Options{Directory: filepath.Join(p.settings.DataDirectory, "sessions"), Files: sessionFiles, FileSize: sessionFileMin}
-	ring, payloads, err := openRing(options, p.log)
+	ring, payloads, _, err := openRing(options, p.log)
 	if err != nil {
 		p.log.Warn("sessions.not_restored", "error", err)
 		return s
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dykering/internal/errkind"
 	"dykering/internal/feed"
 	"dykering/internal/sessions"
 )
@@ -333,6 +334,16 @@
 	})
 })
 
+var _ = Describe("a request whose time is over", func() {
+	It("is told when to come back where it has not run, and promised nothing where it may have", func() {
+		notRun, mayHaveRun := (&carrying{}).expired(), (&carrying{ran: 1}).expired()
+		Expect(notRun.kind).To(Equal(errkind.DeadlineExceeded))
+		Expect(notRun.retryAfter).To(BeNumerically(">", 0))
+		Expect(mayHaveRun.kind).To(Equal(errkind.EndpointTimeout))
+		Expect(mayHaveRun.retryAfter).To(BeZero())
+	})
+})
+
 var _ = Describe("a process that stops", func() {
 	// stopBegan puts the process into a graceful stop that began some time ago.
 	stopBegan := func(p *Process, ago time.Duration) {
--- a/internal/fleetconfig/change.go
+++ b/internal/fleetconfig/change.go
@@ -33,14 +33,20 @@
 type Digest [16]byte
 
 // Digest of a change.
-func (c *Change) Digest() Digest {
+func (c *Change) Digest() Digest { return c.digestOf(canonical(c.Body)) }
+
+// Digests are those that a change may be known by: its own, and that of the exact bytes, by which members of an earlier
+// version know it.
+func (c *Change) Digests() [2]Digest { return [2]Digest{c.Digest(), c.digestOf(c.Body)} }
+
+func (c *Change) digestOf(body []byte) Digest {
 	hash := sha256.New()
 	hash.Write([]byte(c.Operation))
 	hash.Write([]byte{0})
 	var base [8]byte
 	binary.BigEndian.PutUint64(base[:], uint64(c.Base))
 	hash.Write(base[:])
-	hash.Write(canonical(c.Body))
+	hash.Write(body)
 	var digest Digest
 	copy(digest[:], hash.Sum(nil))
 	return digest
@@ -84,6 +90,9 @@
 	return false
 }
 
+// HasAny tells whether a change has been taken that is known by one of some digests.
+func (s *State) HasAny(digests [2]Digest) bool { return s.Has(digests[0]) || s.Has(digests[1]) }
+
 type rawModification struct {
 	Version int64 `json:"version"`
 	Upsert  struct {
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -124,6 +124,13 @@
 		Expect(taken(first).Has(other.Digest())).To(BeFalse())
 	})
 
+	It("is known also where a member of an earlier version has taken it, by its exact bytes", func() {
+		change := &Change{Operation: Replace, Body: []byte(`{ "version": 3, "services": [], "routes": [] }`)}
+		state := &State{Taken: []Digest{change.digestOf(change.Body)}}
+		Expect(state.Has(change.Digest())).To(BeFalse())
+		Expect(state.HasAny(change.Digests())).To(BeTrue())
+	})
+
 	DescribeTable("is not refused when it comes again after very many others",
 		func(others int, has bool) {
 			first := replace(1, 0, "", "")
--- a/internal/lab/coresim/coresim_test.go
+++ b/internal/lab/coresim/coresim_test.go
@@ -86,11 +86,46 @@
 	{10728486587, PlannedChange, 2, 3779916678}, {15038872739, Behind, 2, 3815552117},
 }}
 
+// playSeeds plays a schedule with several seeds, as one may depend on every drawn number, and tells what was broken.
+func playSeeds(schedule Schedule, flaw Flaw) (broken []error) {
+	const seeds = 30
+	schedule.Options.Flaw = flaw
+	for seed := range uint64(seeds) {
+		schedule.Options.Seed = seed + 1
+		if err := schedule.Play(); err != nil {
+			broken = append(broken, err)
+		}
+	}
+	return broken
+}
+
+// lastCopyLeaves has a member leave that was one of two which agreed to the view without it: found by the search.
+var lastCopyLeaves = Schedule{Options: Options{Members: 3, MostFailures: 1, Busy: true}, Overlap: true, Steps: []Step{
+	{2928364042, HoldInbound, 0, 4796145583}, {4210839438, PlannedChange, 2, 3622145871},
+	{5745642602, KillAfterHeal, 1, 1976305551}, {7523904108, Leave, 0, 3778453804},
+}}
+
 var _ = Describe("a member that leaves", func() {
-	It("waits until others have on disk what it holds: found by the search", func() {
-		schedule := Schedule{Options: Options{Seed: 5033486, Members: 3, MostFailures: 1, Busy: true}, Overlap: true, Steps: []Step{
-			{2928364042, HoldInbound, 0, 4796145583}, {4210839438, PlannedChange, 2, 3622145871},
-			{5745642602, KillAfterHeal, 1, 1976305551}, {7523904108, Leave, 0, 3778453804},
+	It("waits until others have on disk what it holds", func() {
+		Expect(playSeeds(lastCopyLeaves, Sound)).To(BeEmpty())
+	})
+	It("is caught where it does not", func() {
+		Expect(playSeeds(lastCopyLeaves, LeaveUncopied)).To(ContainElement(MatchError(ContainSubstring("disks hold them all"))))
+	})
+})
+
+var _ = Describe("five hundred changes", func() {
+	options := Options{Seed: 5, Members: 3, MostFailures: 1, Busy: true}
+	const changes = 500
+	const taken = 25 * s
+	It("are behind the members by then", func() {
+		w := NewWorld(options)
+		Expect(w.Run(taken)).To(Succeed())
+		Expect(w.checker.Acks).To(BeNumerically(">", changes))
+	})
+	It("do not keep members that start again, lost their disks or are new from catching up", func() {
+		schedule := Schedule{Options: options, Steps: []Step{
+			{taken, Kill, 0, 3 * s}, {taken + 8*s, Wipe, 1, s}, {taken + 15*s, Replace, 2, s}, {taken + 22*s, WipeOfAll, 0, s},
 		}}
 		Expect(schedule.Play()).To(Succeed())
 	})
@@ -131,28 +166,17 @@
 })
 
 // readWhileStalled has the tail read while its disk stalls, and all killed then: found by the search.
-var readWhileStalled = []Step{
+var readWhileStalled = Schedule{Options: Options{Members: 3, MostFailures: 1}, Overlap: true, Steps: []Step{
 	{4818832250, Leave, 1, 1353999689}, {4995210845, Stall, 0, 449675308}, {7078925163, Stall, 1, 4008094742},
 	{7556768366, KillAll, 0, 4709076681},
-}
+}}
 
 var _ = Describe("a read at a tail whose disk stalls", func() {
-	// play plays the schedule with several seeds, and tells what was broken.
-	play := func(flaw Flaw) (broken []error) {
-		const seeds = 30
-		for seed := range uint64(seeds) {
-			schedule := Schedule{Options: Options{Seed: seed + 1, Members: 3, MostFailures: 1, Flaw: flaw}, Steps: readWhileStalled, Overlap: true}
-			if err := schedule.Play(); err != nil {
-				broken = append(broken, err)
-			}
-		}
-		return broken
-	}
 	It("shows what is stored alone", func() {
-		Expect(play(Sound)).To(BeEmpty())
+		Expect(playSeeds(readWhileStalled, Sound)).To(BeEmpty())
 	})
 	It("is caught where it shows more", func() {
-		Expect(play(ReadUnstored)).To(ContainElement(MatchError(ContainSubstring("one that ended before it began"))))
+		Expect(playSeeds(readWhileStalled, ReadUnstored)).To(ContainElement(MatchError(ContainSubstring("one that ended before it began"))))
 	})
 })
 
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -28,13 +28,14 @@
 	ForgetTaken       Flaw = "an operation that was taken is not known when it comes again"
 	IgnoreBase        Flaw = "the head takes what builds on another version"
 	LeaveAsVoter      Flaw = "a leaving member ends while it is one voter too many"
+	LeaveUncopied     Flaw = "a leaving member ends before others have on disk what it holds"
 )
 
 // Flaws lists those that can be planted.
 func Flaws() []Flaw {
 	return []Flaw{AckBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
 		ReadUnconfirmed, ReadUnstored, HoldUnconfirmed, NoHolderPause, NoReturnPause, RestartWithToken, TokenStays,
-		NoncesRepeat, RefuseUnconfirmed, ForgetTaken, IgnoreBase, LeaveAsVoter}
+		NoncesRepeat, RefuseUnconfirmed, ForgetTaken, IgnoreBase, LeaveAsVoter, LeaveUncopied}
 }
 
 // without leaves out the newest operation of a state.
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -305,8 +305,13 @@
 }
 
 func (m *machine) mayEnd() bool {
-	if m.world.options.Flaw == LeaveAsVoter {
+	switch m.world.options.Flaw {
+	case LeaveAsVoter:
 		return !m.node.InChain()
+	case LeaveUncopied:
+		view := m.node.View()
+		_, voter := view.Voter(m.node.Self().ID)
+		return !m.node.InChain() && !(voter && len(view.Voters) > 2*m.world.options.MostFailures+1)
 	}
 	return m.node.Dispensable()
 }
