--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -163,7 +163,7 @@
 	run := func(side string, seed uint64, service float64) Run {
 		return Run{Side: side, Seed: seed, Result: &model.Result{Asked: 100, Service: service, Worst: 0.5, Back: 1}}
 	}
-	if e := estimate([]float64{1, 2, 3}); e.Mean != 2 || math.Abs(e.Half-2.484) > 0.001 {
+	if e := EstimateOf([]float64{1, 2, 3}); e.Mean != 2 || math.Abs(e.Half-2.484) > 0.001 {
 		t.Errorf("%+v", e)
 	}
 	for name, tc := range map[string]struct {
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -55,8 +55,8 @@
 	Mean, Half float64
 }
 
-// estimate is by Student's t distribution: few seeds, and a spread that is not known.
-func estimate(values []float64) Estimate {
+// EstimateOf gives the mean of values with its interval, by Student's t distribution: few seeds, and a spread that is not known.
+func EstimateOf(values []float64) Estimate {
 	e := Estimate{N: len(values), Half: math.NaN()}
 	if e.N == 0 {
 		e.Mean = math.NaN()
@@ -126,7 +126,7 @@
 			d = append(d, m.Of(of.runs[seed])-m.Of(other))
 		}
 	}
-	return estimate(d)
+	return EstimateOf(d)
 }
 
 func seeds(g *group) (all []uint64) {
@@ -172,7 +172,7 @@
 	for _, seed := range seeds(g) {
 		values = append(values, m.Of(g.runs[seed]))
 	}
-	return estimate(values)
+	return EstimateOf(values)
 }
 
 // Compare is of two folders of results: each side and point that both have, the second against the first.
--- /dev/null
+++ b/internal/lab/trial/trial.go
@@ -0,0 +1,188 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Variant is one of the builds that are compared.
+type Variant struct {
+	Name string // of the folder with its results: those of a base serve many comparisons
+	Tree string // the folder with its sources, in which the bench is run
+}
+
+// Spec is what is to be played.
+type Spec struct {
+	Bench    string // the bench's program
+	Variants []Variant
+	Sites    []string // site files
+	Days     []string // names; none for all of a site file
+	Seeds    []uint64
+	Small    bool   // the small twins of large days
+	Results  string // the folder that results are kept in; what is there is not played again
+	Jobs     int    // plays at the same time
+	Why      string // for the bench's journal
+}
+
+// Play is one day of one deployment with one seed.
+type Play struct {
+	Site string // its file
+	Day  string
+	Seed uint64
+}
+
+// SiteName is the deployment's name.
+func (p Play) SiteName() string { return strings.TrimSuffix(filepath.Base(p.Site), ".toml") }
+
+// Outcome is the reports of a play, in the order of the variants.
+type Outcome struct {
+	Play    Play
+	Reports []*Report
+}
+
+// Plays lists the plays of a spec, the seeds outermost: what is cut short has each day equally often.
+func (s *Spec) Plays() ([]Play, error) {
+	days := map[string][]string{}
+	for _, site := range s.Sites {
+		names, err := daysOf(site, s.Days)
+		if err != nil {
+			return nil, err
+		}
+		days[site] = names
+	}
+	var plays []Play
+	for _, seed := range s.Seeds {
+		for _, site := range s.Sites {
+			for _, day := range days[site] {
+				plays = append(plays, Play{Site: site, Day: day, Seed: seed})
+			}
+		}
+	}
+	return plays, nil
+}
+
+// daysOf lists the days of a site file, or those of them that are asked for.
+func daysOf(site string, asked []string) ([]string, error) {
+	if len(asked) > 0 {
+		return asked, nil
+	}
+	text, err := os.ReadFile(site)
+	if err != nil {
+		return nil, errors.Wrap(err, "site")
+	}
+	var file struct {
+		Day []struct{ Name string }
+	}
+	if err := toml.Unmarshal(text, &file); err != nil {
+		return nil, errors.Wrapf(err, "site %s", site)
+	}
+	var names []string
+	for _, day := range file.Day {
+		names = append(names, day.Name)
+	}
+	return names, nil
+}
+
+// Run plays what has no result yet, and gives the outcomes of all plays. Progress is called after each play of one variant.
+func Run(ctx context.Context, s *Spec, progress func(done, all int)) ([]Outcome, error) {
+	plays, err := s.Plays()
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range s.Variants {
+		if err := os.MkdirAll(filepath.Join(s.Results, v.Name), 0o755); err != nil {
+			return nil, errors.Wrap(err, "results")
+		}
+	}
+	outcomes := make([]Outcome, len(plays))
+	var mu sync.Mutex
+	done := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(s.Jobs, 1))
+	for i, play := range plays {
+		outcomes[i] = Outcome{Play: play, Reports: make([]*Report, len(s.Variants))}
+		for v := range s.Variants {
+			group.Go(func() error {
+				report, err := s.play(ctx, s.Variants[v], play)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[i].Reports[v] = report
+				done++
+				progress(done, len(plays)*len(s.Variants))
+				return nil
+			})
+		}
+	}
+	return outcomes, errors.Wrap(group.Wait(), "trial")
+}
+
+// resultPath is where the result of a play is kept.
+func (s *Spec) resultPath(v Variant, play Play) string {
+	size := ""
+	if s.Small {
+		size = "-small"
+	}
+	return filepath.Join(s.Results, v.Name, fmt.Sprintf("%s%s-%s-%d.json", play.SiteName(), size, play.Day, play.Seed))
+}
+
+// play plays a day with one variant, unless its result is there.
+func (s *Spec) play(ctx context.Context, v Variant, play Play) (*Report, error) {
+	path := s.resultPath(v, play)
+	if report, err := readReport(path); err == nil {
+		return report, nil
+	}
+	folder, err := os.MkdirTemp("", "trial")
+	if err != nil {
+		return nil, errors.Wrap(err, "trial")
+	}
+	defer os.RemoveAll(folder)
+	written := filepath.Join(folder, "report.json")
+	if err := s.bench(ctx, v, play, written); err != nil {
+		return nil, err
+	}
+	report, err := readReport(written)
+	if err != nil {
+		return nil, err
+	}
+	return report, report.write(path)
+}
+
+// bench runs the bench once. Processor time is not counted, so that plays beside one another do not disturb their figures.
+func (s *Spec) bench(ctx context.Context, v Variant, play Play, report string) error {
+	bench, err := filepath.Abs(s.Bench)
+	if err != nil {
+		return errors.Wrap(err, "bench")
+	}
+	site, err := filepath.Abs(play.Site)
+	if err != nil {
+		return errors.Wrap(err, "site")
+	}
+	args := []string{"run", site, play.Day, "--seed", fmt.Sprint(play.Seed), "--no-cpu", "--jobs", "1", "--report", report, "--why", s.Why}
+	if s.Small {
+		args = append(args, "--small")
+	}
+	command := exec.CommandContext(ctx, bench, args...)
+	command.Dir = v.Tree
+	output, err := command.CombinedOutput()
+	if _, missing := os.Stat(report); missing == nil {
+		return nil // the bench exits with an error where the day's gate fails: the report says so
+	}
+	return errors.Wrapf(err, "%s of %s, seed %d, %s: %s", play.Day, play.SiteName(), play.Seed, v.Name, lastLine(output))
+}
+
+func lastLine(output []byte) string {
+	lines := strings.Split(strings.TrimSpace(string(output)), "\n")
+	return lines[len(lines)-1]
+}
