Requests are counted by how they ended and what cost them their time

Cause: nobody could say why requests were late, only how many. Change: a proxy keeps account of what each request waits for (no copy, adapter, room or endpoint; dialling; an earlier try; the first answer; pauses) and counts ends by kind, priority, result and cause, bounded, on /metrics.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -40,7 +40,9 @@
 // attempt sends the request to an endpoint once, and passes the answer on.
 func (c *carrying) attempt(endpoint *routing.Endpoint) outcome {
 	p, q := c.process, c.request
+	dialledAt := time.Now()
 	conn, fresh, err := p.connect(c.ctx, endpoint)
+	c.account.spend(phaseDial, dialledAt)
 	if err != nil {
 		if c.ctx.Err() != nil {
 			return outcome{result: routing.Withdrawn, kind: errkind.DeadlineExceeded}
@@ -65,6 +67,7 @@
 	sentAt := time.Now()
 	answer, err := conn.Answer(headerRequestID, q.id)
 	if err != nil {
+		c.account.spend(phaseEarlier, sentAt)
 		conn.Close()
 		out := c.broken(err)
 		if out.result == routing.Withdrawn && time.Since(sentAt) >= silentFor {
@@ -73,7 +76,9 @@
 		return out
 	}
 	p.post(func() { p.pool.Answering(endpoint) })
+	headAt := time.Now()
 	out := c.pass(conn, answer)
+	c.account.spent[phaseOfAnswer(out)] += headAt.Sub(sentAt)
 	out.answering = true
 	if answer.Reusable() && release() {
 		p.connections.give(endpoint.ID, conn, keepFor(answer.Header))
@@ -83,6 +88,14 @@
 	return out
 }
 
+// phaseOfAnswer is what the time until an answer's head counts for.
+func phaseOfAnswer(out outcome) phase {
+	if out.answered {
+		return phaseFirst
+	}
+	return phaseEarlier
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -217,6 +230,7 @@
 	}
 	c.writer.WriteHeader(answer.Status)
 	c.begun = true
+	c.account.piece(time.Now())
 	p, key := c.process, c.request.key()
 	p.post(func() { p.demand.begun(key) })
 }
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,8 +23,25 @@
 // handleMetrics tells the process's state as text, in the exposition format of Prometheus.
 func (p *Process) handleMetrics(w http.ResponseWriter, _ *http.Request) {
 	marks := ask(p, p.pool.Marks)
+	endings := ask(p, func() map[ending]uint64 { return maps.Clone(p.endings) })
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	p.writeMetrics(w, marks)
+	writeEndings(w, endings)
+}
+
+// count counts how a request ended.
+func (p *Process) count(end ending) {
+	if _, known := p.endings[end]; known || len(p.endings) < mostEndings {
+		p.endings[end]++
+	}
+}
+
+// writeEndings tells how requests ended, by kind and priority of their routes, result and cause.
+func writeEndings(w io.Writer, endings map[ending]uint64) {
+	for end, count := range endings {
+		name := fmt.Sprintf("dykering_proxy_requests_total{kind=%q,priority=\"%d\",result=%q,cause=%q}", end.kind, end.priority, end.result, end.cause)
+		metrics.WriteCounterUint64(w, name, count)
+	}
 }
 
 func (p *Process) writeMetrics(w io.Writer, marks map[routing.Mark]int) {
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -46,6 +46,7 @@
 	configSeq uint64
 	revision  uint64
 	changed   chan struct{} // closed when the endpoints change
+	endings   map[ending]uint64
 
 	config      atomic.Pointer[activeConfig]
 	connections *connections
@@ -97,7 +98,7 @@
 		settings: settings, log: log, origin: time.Now(), ctx: ctx, commands: make(chan func(), commandQueue),
 		pool:   routing.NewPool(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget: routing.NewBudget(nodefile.Seconds(bounds.BudgetWindowS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack),
-		demand: newDemandTable(), changed: make(chan struct{}),
+		demand: newDemandTable(), changed: make(chan struct{}), endings: map[ending]uint64{},
 		connections: newConnections(settings.Limits.FileDescriptors),
 		memory:      core.NewMemory(core.Limits{MemoryMB: int64(max(settings.Limits.MemoryMB, leastMemoryMB)), Sockets: max(settings.Limits.FileDescriptors, 1)}),
 	}
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -97,16 +97,19 @@
 		p.budget.Request(p.now(), q.service)
 		p.demand.request(q.key(), q.usage.work())
 	})
-	defer c.ended()
-	if refused := c.run(); refused != nil {
+	var refused *refusal
+	defer func() { c.ended(refused) }()
+	if refused = c.run(); refused != nil {
 		refused.answer(w)
 	}
 }
 
 // ended tells the owner that the request is over.
-func (c *carrying) ended() {
+func (c *carrying) ended(refused *refusal) {
 	p, key, begun := c.process, c.request.key(), c.begun
+	end := c.end(refused)
 	p.post(func() {
+		p.count(end)
 		if !begun {
 			p.demand.begun(key)
 		}
@@ -127,6 +130,9 @@
 
 	lastEvent string // id of the last event that has gone to the client
 	version   string // of the weights that the stream began with
+
+	account   account
+	withdrawn bool // its client left while it was answered
 }
 
 // run sends the request until it is answered. A refusal is still to be written.
@@ -139,6 +145,7 @@
 		outcome := c.attempt(endpoint)
 		c.process.finish(endpoint, c.query(), outcome)
 		if outcome.answered {
+			c.withdrawn = outcome.result == routing.Withdrawn
 			return nil
 		}
 		if refused := c.after(endpoint, outcome); refused != nil {
@@ -240,6 +247,7 @@
 		if refused != nil {
 			return nil, refused
 		}
+		waitingSince := time.Now()
 		timer := time.NewTimer(wait)
 		select {
 		case <-c.ctx.Done():
@@ -249,6 +257,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
+		c.account.spend(phaseOf(got.verdict), waitingSince)
 	}
 }
 
--- a/internal/dataplane/stream.go
+++ b/internal/dataplane/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"dykering/internal/http1"
 	"dykering/internal/routing"
@@ -30,6 +31,9 @@
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := answer.Read(buffer)
+		if n > 0 {
+			c.account.piece(time.Now())
+		}
 		if n > 0 && !c.write(buffer[:n]) {
 			return outcome{answered: true, result: routing.Withdrawn}
 		}
@@ -66,6 +70,7 @@
 			whole = len(pending)
 		}
 		if whole > 0 {
+			c.account.piece(time.Now())
 			if !c.write(pending[:whole]) {
 				return outcome{answered: true, result: routing.Withdrawn}
 			}
