A new holder of the placement knows which loads have begun, and the store is used to its ceiling

A tenth of the ceiling was never used, a load counted against the store until a report that is 200 to 300 ms old told of its end, and a holder that had its role back began an empty account. Change: the holder tells its peers every 200 ms which loads have begun; a successor assumes only those that may have begun since, by a bound on loads a second; loads are counted from when their order goes out; a regained role keeps its account.

--- a/internal/chain/health.go
+++ b/internal/chain/health.go
@@ -221,6 +221,9 @@
 	return n.view.Token, true
 }
 
+// HolderSince is when this member became the holder.
+func (n *Node) HolderSince() time.Duration { return n.holderSince }
+
 // holderPause is how long this member waits before it acts as a new holder.
 func (n *Node) holderPause() time.Duration {
 	if n.view.holderReturns() {
--- a/internal/controlplane/orderrun.go
+++ b/internal/controlplane/orderrun.go
@@ -20,6 +20,7 @@
 	state   endpointState // as it was when the order was begun
 	takes   time.Duration // how long it is expected to take
 	busy    bool          // requests for what it concerns are under way
+	notedAt time.Duration // when the ledger has it begin
 }
 
 // begin begins an order.
@@ -30,12 +31,13 @@
 		return
 	}
 	run := &orderRun{placer: pl, order: order, engine: service.Engine, address: endpoint.Heartbeat.Address, token: pl.token,
-		takes: duration(service.Engine, order),
-		busy:  pl.demand.Need(now, placement.Key{Service: service.Name, Model: order.Model, Adapter: order.Adapter}).InFlight > 0}
+		takes: duration(service.Engine, order), notedAt: now,
+		busy: pl.demand.Need(now, placement.Key{Service: service.Name, Model: order.Model, Adapter: order.Adapter}).InFlight > 0}
 	if state := pl.states[order.Endpoint]; state != nil {
 		run.state = *state
 	}
-	pl.underWay[order.Endpoint] = &orderUnderWay{order: order, service: service.Name, until: now + run.takes + orderPatience}
+	pl.underWay[order.Endpoint] = &orderUnderWay{order: order, service: service.Name, ready: now + run.takes,
+		until: now + run.takes + orderPatience}
 	if order.Operation == placement.Loading && order.Adapter == "" {
 		pl.ledger.Begin(now)
 	}
@@ -124,6 +126,9 @@
 	allowed := make(chan bool, 1)
 	p.post(func() {
 		token, holds := p.node.Holds(p.now())
+		if holds && token == r.token {
+			r.begins()
+		}
 		allowed <- holds && token == r.token
 	})
 	select {
@@ -134,6 +139,16 @@
 	}
 }
 
+// begins notes that the order goes out now, which may be later than it was planned.
+func (r *orderRun) begins() {
+	if r.order.Operation != placement.Loading || r.order.Adapter != "" {
+		return
+	}
+	now := r.placer.process.now()
+	r.placer.ledger.Delay(r.notedAt, now)
+	r.notedAt = now
+}
+
 // look takes an endpoint's report for its state. It is false where none can be had or an order is under way there.
 func (r *orderRun) look(ctx context.Context) bool {
 	p := r.placer.process
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -67,6 +67,8 @@
 		p.onSessionWhole(m)
 	case feed.LoadShare:
 		p.loads.share(now, m)
+	case feed.LedgerShare:
+		p.placer.hear(now, m)
 	case feed.SessionDigest:
 		p.onSessionDigest(m)
 	case feed.SessionRange:
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -37,6 +37,8 @@
 	underWay  map[string]*orderUnderWay // by endpoint
 	overlays  map[string]overlay        // by endpoint
 	states    map[string]*endpointState // by endpoint
+	heard     heardLedger               // of another holder
+	shareAt   time.Duration
 	parsed    *fleetconfig.Parsed
 	parsedSeq uint64
 }
@@ -46,6 +48,7 @@
 	order   placement.Order
 	service string
 	until   time.Duration // when it counts as ended whatever is heard
+	ready   time.Duration // when it should have ended
 }
 
 // overlay is what this member has said of an endpoint ahead of its heartbeats.
@@ -106,6 +109,7 @@
 			delete(pl.underWay, id)
 		}
 	}
+	pl.shareLedger(now)
 	if now >= pl.tidyAt {
 		pl.tidyAt = now + planEvery
 		pl.demand.Expire(now)
@@ -117,17 +121,21 @@
 func (pl *placer) take(now time.Duration, token uint64) {
 	p := pl.process
 	p.log.Info("placement.held", "token", token)
+	regained := token == pl.token // nobody else has held the role since
 	pl.token = token
 	pl.underWay, pl.overlays = map[string]*orderUnderWay{}, map[string]overlay{}
 	pl.states = map[string]*endpointState{}
-	pl.ledger = newLedger(p)
-	if p.restored || token > 1 {
-		for _, service := range pl.services() {
-			pl.ledger.Assume(now, service.Engine.LoadsPerS)
-		}
+	if !regained {
+		pl.takeLedger(now, token)
 	}
 }
 
+// loads tells whether an order to load still takes part of what the store carries: until it should have ended, and again from
+// when its end should have been heard of.
+func (u *orderUnderWay) loads(now time.Duration) bool {
+	return now < u.ready || now > u.ready+reportLag+orderLook
+}
+
 func newLedger(p *Process) *placement.Ledger {
 	return placement.NewLedger(nodefile.Seconds(p.settings.Bounds.CeilingWindowS), p.settings.Bounds.OriginRateOvershoot)
 }
@@ -178,7 +186,7 @@
 func (pl *placer) loads(now time.Duration, engine *fleetconfig.Engine) int {
 	running := 0
 	for _, u := range pl.underWay {
-		if u.order.Operation == placement.Loading && u.order.Adapter == "" {
+		if u.order.Operation == placement.Loading && u.order.Adapter == "" && u.loads(now) {
 			running++
 		}
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -85,6 +85,12 @@
 	Loads []EndpointLoad
 }
 
+// LedgerShare tells another control sidecar of the loads of weights that the holder of the placement has begun.
+type LedgerShare struct {
+	Token uint64
+	Ages  []uint16 // of the loads, in hundredths of a second
+}
+
 // SessionUpdate tells another control sidecar of sessions. Ask is answered by a SessionAck where it is not 0.
 type SessionUpdate struct {
 	From    string // address
@@ -194,7 +200,7 @@
 		chain.Ping{}, chain.Pong{}, chain.Prepare{}, chain.Promise{}, chain.Reject{}, chain.Accept{}, chain.AcceptedReply{},
 		chain.Install{}, chain.Append{}, chain.Committed{},
 		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
-		LoadShare{}, SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
+		LoadShare{}, LedgerShare{}, SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
 		Subscribers{}, Write{}, Read{}, Reply{},
 		&fleetconfig.State{}, fleetconfig.Change{},
 		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.HeldRecord{},
