dykering explain: why a model stands where it does, and where a late request's time went

Cause: the counters say how many requests were late and for what; which ones, and what the planner and the router went by, could not be asked of a running system. Change: the holder remembers its last 512 orders with the demand and copies at that moment, a proxy its last 512 requests that were not answered in time with the time spent in each phase and the figures the endpoint was chosen by; dykering explain model and explain requests ask for both. Measured: tests; nothing decides by it.

--- /dev/null
+++ b/cmd/dykering/explain.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"dykering/internal/controlplane"
+	"dykering/internal/dataplane"
+	"dykering/internal/feed"
+)
+
+const explainWithin = 3 * time.Second
+
+func newExplain() *cli.Command {
+	return &cli.Command{Name: "explain", Usage: "Why a model stands where it does, or why requests were late, refused or failed",
+		Commands: []*cli.Command{newExplainModel(), newExplainRequests()}}
+}
+
+func newExplainModel() *cli.Command {
+	var address, model string
+	return &cli.Command{Name: "model", Usage: "Where a model stands, what is asked for, and the last orders that concerned it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Usage: "the internal address of the control sidecar that holds the placement, HOST:PORT", Destination: &address, Required: true},
+			&cli.StringFlag{Name: "model", Usage: "the model's name", Destination: &model, Required: true},
+		},
+		Action: action(func(c *cli.Command) error {
+			feed.Register()
+			explanation, err := controlplane.AskExplain(address, model)
+			if err != nil {
+				return err
+			}
+			return showExplanation(c.Root().Writer, explanation)
+		})}
+}
+
+func showExplanation(out io.Writer, e feed.Explanation) error {
+	fmt.Fprintf(out, "%s stands on %d endpoints\n", e.Model, len(e.Copies))
+	for _, standing := range e.Copies {
+		fmt.Fprintf(out, "  %s in %s, %s\n", standing.Endpoint, standing.Zone, standing.State)
+	}
+	if !e.Holds {
+		fmt.Fprintln(out, "this control sidecar does not hold the placement: ask the holder, which `status` names, for demand and orders")
+		return nil
+	}
+	for _, d := range e.Demand {
+		fmt.Fprintf(out, "%s: %s\n", d.Service, demandText(d.ModelDemand))
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "ago\toperation\tmodel\tadapter\tendpoint\tto make room for\tcopies\tdemand for the model then")
+	for _, d := range e.Decisions {
+		fmt.Fprintf(table, "%v\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", (e.Now - d.At).Round(10*time.Millisecond), d.Operation, d.Model, d.Adapter, d.Endpoint,
+			d.For, d.Copies, demandText(d.Demand))
+	}
+	return errors.Wrap(table.Flush(), "explain")
+}
+
+func demandText(d feed.ModelDemand) string {
+	text := fmt.Sprintf("%.2f a second, %d in flight, %d waiting, pressure %.2f", d.Rate, d.InFlight, d.Waiting, d.Pressure)
+	if d.Unplaced {
+		text += ", some found no endpoint"
+	}
+	return text
+}
+
+func newExplainRequests() *cli.Command {
+	var address, id string
+	return &cli.Command{Name: "requests", Usage: "Where the time of the last requests went that a proxy did not answer in time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Usage: "the proxy's readiness address, HOST:PORT", Destination: &address, Required: true},
+			&cli.StringFlag{Name: "request", Usage: "one request's id", Destination: &id},
+		},
+		Action: action(func(c *cli.Command) error {
+			requests, err := askRequests(address, id)
+			if err != nil {
+				return err
+			}
+			return showRequests(c.Root().Writer, requests)
+		})}
+}
+
+func askRequests(address, id string) ([]dataplane.Explained, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), explainWithin)
+	defer cancel()
+	query := struct {
+		Request string `url:"request,omitempty"`
+	}{Request: id}
+	request, err := sling.New().Get("http://" + address + "/explain").QueryStruct(query).Request()
+	if err != nil {
+		return nil, errors.Wrap(err, "explain")
+	}
+	var requests []dataplane.Explained
+	response, err := sling.New().Do(request.WithContext(ctx), &requests, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "explain")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("explain: %s answers with status %d", address, response.StatusCode)
+	}
+	return requests, nil
+}
+
+func showRequests(out io.Writer, requests []dataplane.Explained) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "request\troute\tmodel\tendpoint\tsent\tresult\tcause\ttook ms\tfirst ms\tpause ms\tspent ms\tchosen by")
+	for _, r := range requests {
+		spent, err := json.Marshal(r.SpentMs)
+		if err != nil {
+			return errors.Wrap(err, "explain")
+		}
+		chosen, err := json.Marshal(r.Chosen)
+		if err != nil {
+			return errors.Wrap(err, "explain")
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", r.Request, r.Route, r.Model, r.Endpoint, r.Sent, r.Result, r.Cause,
+			r.TookMs, r.FirstMs, r.PauseMs, spent, chosen)
+	}
+	return errors.Wrap(table.Flush(), "explain")
+}
--- /dev/null
+++ b/cmd/dykering/explain_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dykering/internal/feed"
+)
+
+func TestExplainModelShowsCopiesDemandAndOrders(t *testing.T) {
+	var out strings.Builder
+	err := showExplanation(&out, feed.Explanation{Model: "m1", Now: 10 * time.Second, Holds: true,
+		Copies:    []feed.Copy{{Endpoint: "i-1", Zone: "z", State: "ready"}},
+		Demand:    []feed.ServiceDemand{{Service: "s", ModelDemand: feed.ModelDemand{Rate: 2.5, Unplaced: true}}},
+		Decisions: []feed.Decision{{At: 8 * time.Second, Operation: "loading", Model: "m1", Endpoint: "i-1", Copies: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, expected := range []string{"m1 stands on 1 endpoints", "i-1 in z, ready", "s: 2.50 a second", "some found no endpoint", "2s", "loading"} {
+		if !strings.Contains(out.String(), expected) {
+			t.Errorf("%q is not in %s", expected, out.String())
+		}
+	}
+}
+
+func TestExplainModelNamesWhomToAskElsewhere(t *testing.T) {
+	var out strings.Builder
+	if err := showExplanation(&out, feed.Explanation{Model: "m1"}); err != nil || !strings.Contains(out.String(), "does not hold the placement") {
+		t.Errorf("%v: %s", err, out.String())
+	}
+}
+
+func TestExplainRequestsAsksAProxy(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/explain" || r.URL.Query().Get("request") != "id 7" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Write([]byte(`[{"request":"id 7","route":"r","result":"late","cause":"no_copy","spent_ms":{"no_copy":900}}]`))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	requests, err := askRequests(address, "id 7")
+	if err != nil || len(requests) != 1 || requests[0].Cause != "no_copy" {
+		t.Fatalf("%v, %v", requests, err)
+	}
+	var out strings.Builder
+	if err := showRequests(&out, requests); err != nil || !strings.Contains(out.String(), `{"no_copy":900}`) {
+		t.Errorf("%v: %s", err, out.String())
+	}
+	if _, err := askRequests(address, ""); err == nil {
+		t.Error("a status of 404 passes for an answer")
+	}
+}
+
+func TestExplainRequestsDoesNotWaitForAProxyThatIsNotThere(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	if _, err := askRequests(address, ""); err == nil {
+		t.Error("nobody answers, and no error is told")
+	}
+}
--- a/cmd/dykering/main.go
+++ b/cmd/dykering/main.go
@@ -40,7 +40,7 @@
 		Description:                     "Exit codes: 0 well, 1 a fault in what it was given or in the running, 2 a wrong command line.",
 		EnableShellCompletion:           true,
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
-		Commands:                        []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl(), newStatus()},
+		Commands:                        []*cli.Command{newRun(), newCheck(), newConfig(), newVersion(), newFleet(), newProxy(), newControl(), newStatus(), newExplain()},
 	}
 }
 
--- /dev/null
+++ b/internal/controlplane/explain.go
@@ -0,0 +1,109 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/feed"
+	"dykering/internal/peerlink"
+	"dykering/internal/placement"
+	"dykering/internal/sessions"
+)
+
+// mostDecisions bounds the orders that are remembered with the figures they were given by.
+const mostDecisions = 512
+
+// decisionLog is the last orders of a holder of the placement, the oldest first.
+type decisionLog struct{ decisions []feed.Decision }
+
+// note remembers an order and the demand for its model at that moment.
+func (l *decisionLog) note(now time.Duration, order placement.Order, service string, need placement.Need, copies int) {
+	if len(l.decisions) >= mostDecisions {
+		l.decisions = append(l.decisions[:0], l.decisions[1:]...)
+	}
+	l.decisions = append(l.decisions, feed.Decision{At: now, Service: service, Endpoint: order.Endpoint, Operation: string(order.Operation),
+		Model: order.Model, Adapter: order.Adapter, For: order.For, Copies: copies, Demand: demandOf(need)})
+}
+
+// about are the remembered orders for a model, and those that made room for it.
+func (l *decisionLog) about(model string) []feed.Decision {
+	var found []feed.Decision
+	for _, d := range l.decisions {
+		if d.Model == model || d.For == model {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+func demandOf(need placement.Need) feed.ModelDemand {
+	return feed.ModelDemand{Rate: need.Rate, InFlight: need.InFlight, Waiting: need.Waiting, Pressure: need.Pressure, Unplaced: need.Unplaced}
+}
+
+// copies is how many endpoints hold a model.
+func (pl *placer) copies(model string) int {
+	count := 0
+	for _, e := range pl.process.table.Since(0) {
+		if e.State != sessions.Gone && e.Holds(model, "") {
+			count++
+		}
+	}
+	return count
+}
+
+// AskExplain asks the control sidecar at an internal address why a model stands where it does.
+func AskExplain(address, model string) (feed.Explanation, error) {
+	conn, err := peerlink.Dial(address, statusWithin)
+	if err != nil {
+		return feed.Explanation{}, errors.Wrap(err, "explain")
+	}
+	defer conn.Close()
+	if err := conn.Send(feed.ExplainAsk{Model: model}, statusWithin); err != nil {
+		return feed.Explanation{}, errors.Wrap(err, "explain")
+	}
+	message, err := conn.Receive(statusWithin)
+	if err != nil {
+		return feed.Explanation{}, errors.Wrap(err, "explain")
+	}
+	explanation, ok := message.(feed.Explanation)
+	if !ok {
+		return feed.Explanation{}, errors.Errorf("explain: %s answers with a %T", address, message)
+	}
+	return explanation, nil
+}
+
+// serveExplain answers one call for an explanation.
+func (p *Process) serveExplain(conn *peerlink.Conn, ask feed.ExplainAsk) {
+	told := make(chan feed.Explanation, 1)
+	p.post(func() { told <- p.placer.explain(p.now(), ask.Model) })
+	select {
+	case explanation := <-told:
+		if err := conn.Send(explanation, statusWithin); err != nil {
+			p.log.Debug("explanation.not_sent", "error", err)
+		}
+	case <-p.ctx.Done():
+	}
+}
+
+// explain tells where a model stands, what is asked for, and which orders have concerned it. Only the holder of the placement
+// knows the demand and its orders.
+func (pl *placer) explain(now time.Duration, model string) feed.Explanation {
+	explanation := feed.Explanation{Model: model, Now: now, Holds: pl.holding, Decisions: pl.decisions.about(model)}
+	services := map[string]bool{}
+	for _, e := range pl.process.table.Since(0) {
+		if e.State == sessions.Gone || !e.Holds(model, "") {
+			continue
+		}
+		explanation.Copies = append(explanation.Copies, feed.Copy{Endpoint: e.ID, Zone: e.Heartbeat.Zone, State: e.State})
+		services[e.Heartbeat.Service] = true
+	}
+	for _, decision := range explanation.Decisions {
+		services[decision.Service] = true
+	}
+	for service := range services {
+		need := pl.demand.Need(now, placement.Key{Service: service, Model: model})
+		explanation.Demand = append(explanation.Demand, feed.ServiceDemand{Service: service, ModelDemand: demandOf(need)})
+	}
+	return explanation
+}
--- a/internal/controlplane/peers.go
+++ b/internal/controlplane/peers.go
@@ -46,6 +46,10 @@
 		p.serveStatus(conn)
 		return
 	}
+	if ask, ok := message.(feed.ExplainAsk); ok {
+		p.serveExplain(conn, ask)
+		return
+	}
 	for err == nil {
 		received := message
 		p.post(func() { p.receive(received) })
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -37,7 +37,8 @@
 	underWay  map[string]*orderUnderWay // by endpoint
 	overlays  map[string]overlay        // by endpoint
 	states    map[string]*endpointState // by endpoint
-	heard     heardLedger               // of another holder
+	decisions decisionLog
+	heard     heardLedger // of another holder
 	shareAt   time.Duration
 	parsed    *fleetconfig.Parsed
 	parsedSeq uint64
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -17,6 +17,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", p.serveReadiness)
 	mux.HandleFunc("GET /metrics", p.handleMetrics)
+	mux.HandleFunc("GET /explain", p.handleExplain)
 	return mux
 }
 
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -47,6 +47,7 @@
 	revision  uint64
 	changed   chan struct{} // closed when the endpoints change
 	endings   map[ending]uint64
+	late      explainedLog
 
 	config      atomic.Pointer[activeConfig]
 	connections *connections
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -109,8 +109,15 @@
 func (c *carrying) ended(refused *refusal) {
 	p, key, begun := c.process, c.request.key(), c.begun
 	end := c.end(refused)
+	var explained Explained
+	if end.result != resultInTime {
+		explained = c.explained(end)
+	}
 	p.post(func() {
 		p.count(end)
+		if end.result != resultInTime {
+			p.late.note(explained)
+		}
 		if !begun {
 			p.demand.begun(key)
 		}
@@ -133,6 +140,7 @@
 	version   string // of the weights that the stream began with
 
 	account   account
+	chosen    routing.Choice
 	withdrawn bool // its client left while it was answered
 }
 
@@ -221,6 +229,7 @@
 // pickResult is what the owner says of a pick.
 type pickResult struct {
 	endpoint *routing.Endpoint
+	choice   routing.Choice
 	verdict  routing.Verdict
 	changed  <-chan struct{}
 }
@@ -233,15 +242,18 @@
 		got := ask(p, func() pickResult {
 			now := p.now()
 			e, verdict := p.pool.Pick(now, c.query())
+			var choice routing.Choice
 			if verdict == routing.Picked {
+				choice = e.Choice(now)
 				p.pool.Begin(e)
 			}
 			if verdict == routing.NotHeld || verdict == routing.ModelOnly {
 				p.demand.unplaced(q.key())
 			}
-			return pickResult{endpoint: e, verdict: verdict, changed: p.changed}
+			return pickResult{endpoint: e, choice: choice, verdict: verdict, changed: p.changed}
 		})
 		if got.verdict == routing.Picked {
+			c.chosen = got.choice
 			return got.endpoint, nil
 		}
 		wait, refused := c.patience(got.verdict, time.Since(began))
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -201,6 +201,7 @@
 		chain.Install{}, chain.Append{}, chain.Committed{},
 		Subscribe{}, Update{}, Ack{}, DemandReport{}, SessionUpdate{}, SessionAck{}, SessionPull{}, SessionWhole{},
 		LoadShare{}, LedgerShare{}, SessionDigest{}, SessionRange{}, StatusAsk{}, Status{},
+		ExplainAsk{}, Explanation{},
 		Subscribers{}, Write{}, Read{}, Reply{},
 		&fleetconfig.State{}, fleetconfig.Change{},
 		chain.Snapshot{}, chain.EntryRecord{}, chain.PromiseRecord{}, chain.AcceptRecord{}, chain.HeldRecord{},
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -30,6 +30,18 @@
 	AllBusy            // those that hold it are full or isolated
 )
 
+// Choice is an endpoint that was picked, with the figures that it was compared by.
+type Choice struct {
+	ID       string
+	OwnCalls int
+	Work     float64 // of all sidecars, as far as it was known
+}
+
+// Choice tells the figures that an endpoint is compared by.
+func (e *Endpoint) Choice(now time.Duration) Choice {
+	return Choice{ID: e.ID, OwnCalls: e.inFlight, Work: e.work(now)}
+}
+
 // Pick draws random usable endpoints that hold what is asked for, and takes the one with the fewest own calls in flight.
 func (p *Pool) Pick(now time.Duration, q Query) (*Endpoint, Verdict) {
 	var holders, usable, trials []*Endpoint
