Requests that share a long beginning are kept to two endpoints

Change: requests that share 1,024 tokens or more, by all parts but their own, compare the two endpoints that rank highest for the beginning beside four random ones; own calls and work still go first.

--- /dev/null
+++ b/internal/dataplane/affinity_test.go
@@ -0,0 +1,41 @@
+package dataplane
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/fleetconfig"
+)
+
+var _ = Describe("the affinity of a request", func() {
+	of := func(model, prefix string) uint64 {
+		q := request{route: &fleetconfig.Route{StickySessions: true}, model: model, prefix: parsePrefix(prefix)}
+		return q.affinity()
+	}
+	const long = "a1:1000,b2:3000,c3:200"
+
+	It("is the same for all that share all parts but their own", func() {
+		Expect(of("m", "a1:1000,b2:3000,c3:200")).To(Equal(of("m", "a1:1000,b2:3000,d4:900")))
+		Expect(of("m", long)).NotTo(BeZero())
+	})
+
+	DescribeTable("differs",
+		func(model, prefix string) { Expect(of(model, prefix)).NotTo(Equal(of("m", long))) },
+		Entry("for another model", "n", long),
+		Entry("for another shared part", "m", "a1:1000,b9:3000,c3:200"),
+		Entry("for another order", "m", "b2:3000,a1:1000,c3:200"),
+		Entry("for fewer shared parts", "m", "a1:4000,c3:200"),
+	)
+
+	DescribeTable("is none",
+		func(prefix string) { Expect(of("m", prefix)).To(BeZero()) },
+		Entry("where little is shared", "a1:120,b2:80,c3:9000"),
+		Entry("where all is the request's own", "c3:9000"),
+		Entry("without a word", ""),
+	)
+
+	It("is none on routes without sessions", func() {
+		q := request{route: &fleetconfig.Route{}, model: "m", prefix: parsePrefix(long)}
+		Expect(q.affinity()).To(BeZero())
+	})
+})
--- a/internal/dataplane/request.go
+++ b/internal/dataplane/request.go
@@ -80,14 +80,26 @@
 	return demandKey{service: r.service, model: r.model, adapter: r.adapter}
 }
 
-// affinity tells apart requests that share the beginning of their prompts. Its last part is the request's own.
+// leastShared is how many tokens the shared beginning of a prompt must have for its requests to be kept together: reading
+// fewer again costs less than a worse endpoint does.
+const leastShared = 1024
+
+// affinity tells apart requests that share the beginning of their prompts, for the same model and adapter; 0 where too little
+// is shared to matter. The last part of a prompt is the request's own.
 func (r *request) affinity() uint64 {
 	if !r.route.StickySessions || len(r.prefix) == 0 {
 		return 0
 	}
 	hash := fnv.New64a()
 	io.WriteString(hash, r.model+"/"+r.adapter)
-	io.WriteString(hash, r.prefix[0].id)
+	var tokens float64
+	for _, shared := range r.prefix[:len(r.prefix)-1] {
+		tokens += shared.tokens
+		io.WriteString(hash, ","+shared.id)
+	}
+	if tokens < leastShared {
+		return 0
+	}
 	return max(hash.Sum64(), 1)
 }
 
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"dykering/internal/sessions"
@@ -107,6 +108,8 @@
 const (
 	// candidates is how many random endpoints a pick compares.
 	candidates = 4
+	// homes is how many endpoints those requests are kept to that share a beginning, while these are not behind others.
+	homes = 2
 	// sameWork is by how much the work of two endpoints may differ, as far as their own reports tell, for a tie.
 	sameWork = 1
 )
@@ -114,14 +117,40 @@
 // draw compares random candidates and returns the one with the fewest own calls in flight.
 func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
 	best := p.random1(now, usable)
-	for range candidates - 1 {
-		if other := p.random1(now, usable); other != best && p.better(now, other, best, affinity) {
+	consider := func(other *Endpoint) {
+		if other != best && p.better(now, other, best, affinity) {
 			best = other
 		}
 	}
+	for range candidates - 1 {
+		consider(p.random1(now, usable))
+	}
+	if affinity != 0 {
+		for _, home := range highest(usable, affinity) {
+			if p.random.Float64() <= home.share(now) {
+				consider(home)
+			}
+		}
+	}
 	return best
 }
 
+// highest are the endpoints that rank highest for an affinity.
+func highest(usable []*Endpoint, affinity uint64) []*Endpoint {
+	var top []*Endpoint
+	for range min(homes, len(usable)) {
+		var next *Endpoint
+		var nextRank uint64
+		for _, e := range usable {
+			if rank := rendezvous(affinity, e.ID); (next == nil || rank > nextRank) && !slices.Contains(top, e) {
+				next, nextRank = e, rank
+			}
+		}
+		top = append(top, next)
+	}
+	return top
+}
+
 // better compares two candidates: by own calls in flight, then by what the endpoints say that they have to do. A tie goes
 // to the one that ranks higher for the affinity, so that requests which share a beginning tend to meet where it is kept;
 // without one, to either.
@@ -149,7 +178,16 @@
 	}
 	hash.Write(key[:])
 	hash.Write([]byte(id))
-	return hash.Sum64()
+	return mix(hash.Sum64())
+}
+
+// mix spreads the last bytes of what was hashed over all bits, so that ranks are even.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // random1 draws one endpoint, ramping ones less often.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -104,7 +105,57 @@
 		pool = other
 		second := picks(start, q)
 		Expect(first["a"] > first["b"]).To(Equal(second["a"] > second["b"]))
-		Expect(max(first["a"], first["b"])).To(BeNumerically("~", 375, 20))
+		Expect(max(first["a"], first["b"])).To(Equal(400))
+	})
+
+	Describe("requests that share a beginning, among many endpoints", func() {
+		const endpoints, beginnings = 40, 2000
+		BeforeEach(func() {
+			var all []sessions.Endpoint
+			for i := range endpoints {
+				all = append(all, told(fmt.Sprintf("i-%04x", 7919*i%65536), "m"))
+			}
+			pool = NewPool(rand.New(rand.NewPCG(1, 2)))
+			pool.Update(start, all, true)
+		})
+		with := func(affinity uint64) Query { return Query{Service: "s", Model: "m", Affinity: affinity} }
+
+		It("meet at one endpoint while it is idle", func() {
+			for affinity := range uint64(20) {
+				Expect(picks(start, with(affinity+1))).To(HaveLen(1))
+			}
+		})
+
+		It("are spread evenly by their beginnings", func() {
+			counts := map[string]int{}
+			for affinity := range uint64(beginnings) {
+				e, _ := pool.Pick(start, with(affinity+1))
+				counts[e.ID]++
+			}
+			Expect(counts).To(HaveLen(endpoints))
+			for _, count := range counts {
+				Expect(count).To(BeNumerically("~", beginnings/endpoints, 30))
+			}
+		})
+
+		It("go elsewhere where their endpoints have more to do", func() {
+			home, _ := pool.Pick(start, with(1))
+			pool.SetFleetLoads(start, map[string]FleetLoad{home.ID: {InFlight: 8, Waiting: 8}})
+			counts := picks(start, with(1))
+			Expect(counts[home.ID]).To(BeZero())
+			Expect(counts).To(HaveLen(1), "the second by rank takes them")
+		})
+
+		It("go anywhere where all of theirs fail", func() {
+			for range homes {
+				e, _ := pool.Pick(start, with(1))
+				pool.Begin(e)
+				pool.End(start, e, with(1), Unreachable, false)
+			}
+			e, verdict := pool.Pick(start, with(1))
+			Expect(verdict).To(Equal(Picked))
+			Expect(e.Mark()).To(Equal(Usable))
+		})
 	})
 
 	DescribeTable("tells why there is none",
