--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -144,13 +144,17 @@
 }
 
 // priority is a request's rank at an endpoint. A short prompt goes before long ones: it delays them by little, and waits long
-// behind them. Beside it counts the rank of its route.
+// behind them. A large one goes before middling ones: its reading leaves it no time to wait. Beside it counts the rank of its
+// route.
 func (r *request) priority() int {
-	const leastShort, leastLong = 2, 9
-	if r.short {
-		return min(priorityOf(r.route), leastShort)
+	const lastShort, lastLarge, last = 2, 5, 9
+	switch r.size {
+	case shortPrompt:
+		return min(priorityOf(r.route), lastShort)
+	case largePrompt:
+		return min(lastShort+1+priorityOf(r.route), lastLarge)
 	}
-	return min(leastShort+1+priorityOf(r.route), leastLong)
+	return min(lastLarge+1+priorityOf(r.route), last)
 }
 
 // priorityOf is the rank of a route's requests.
--- a/internal/dataplane/promptsize.go
+++ b/internal/dataplane/promptsize.go
@@ -19,14 +19,26 @@
 	// leastPrompts is how many must have been seen for a mean to say anything.
 	leastPrompts = 8
 	// shortShare is the part of the mean below which a prompt is short.
-	shortShare   = 0.5
+	shortShare = 0.5
+	// largeShare is the multiple of the mean above which it is large.
+	largeShare   = 2
 	mostServices = 1024
 )
 
-// note counts a prompt, and tells whether it is short beside the others of its service.
-func (s *promptSizes) note(service string, tokens float64) (short bool) {
+// promptSize is how long a prompt is beside the others of its service.
+type promptSize int
+
+// The sizes.
+const (
+	middlingPrompt promptSize = iota // also where too little is known
+	shortPrompt
+	largePrompt
+)
+
+// note counts a prompt, and tells how long it is.
+func (s *promptSizes) note(service string, tokens float64) promptSize {
 	if tokens <= 0 {
-		return false
+		return middlingPrompt
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,5 +49,13 @@
 	m.count = min(m.count+1, meanOver)
 	m.mean += (tokens - m.mean) / float64(m.count)
 	s.means[service] = m
-	return m.count >= leastPrompts && tokens < shortShare*m.mean
+	switch {
+	case m.count < leastPrompts:
+		return middlingPrompt
+	case tokens < shortShare*m.mean:
+		return shortPrompt
+	case tokens > largeShare*m.mean:
+		return largePrompt
+	}
+	return middlingPrompt
 }
--- a/internal/dataplane/request.go
+++ b/internal/dataplane/request.go
@@ -56,8 +56,8 @@
 	prefix   []part
 	arrived  time.Time
 	deadline time.Time // when the client, or the operator's time-out, gives it up
-	short    bool      // its prompt is read sooner than most
-	again    bool      // it seems to come after another try
+	size     promptSize
+	again    bool // it seems to come after another try
 }
 
 // usage is the size of a generation.
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -83,7 +83,7 @@
 	if service, ok := config.parsed.Service(q.service); ok {
 		q.engine = service.Engine
 	}
-	q.short = p.promptSizes.note(q.service, q.usage.prompt)
+	q.size = p.promptSizes.note(q.service, q.usage.prompt)
 	p.carry(w, r.Context(), q)
 }
 
