--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -39,7 +39,7 @@
 func execute(args []string, out, errOut io.Writer, in whole.Bubble) int {
 	root := &cli.Command{Name: "dykering-lab", Usage: "The laboratory of the broker",
 		Commands: []*cli.Command{newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(),
-			newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newScale(), newTrial()}}
+			newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newTrial()}}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return commandline.Run(ctx, root, args, out, errOut)
