Choosing an endpoint and refusing have files of their own; names of the field

Cause: serve.go did four things, and random1, want, room and share said little. Change: choose.go and refusal.go; drawOne, wish, wishFor, roomFor, drawShare, portion. Measured: tests; nothing decides differently.

--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"dykering/internal/errkind"
-	"dykering/internal/fleetconfig"
 	"dykering/internal/routing"
 )
 
@@ -19,34 +17,8 @@
 	// system one is there within half a second. A client that comes too early has used up its last try.
 	readyAgain       = 700 * time.Millisecond
 	readyAgainJitter = 150 * time.Millisecond
-	// firstShare is the part of a route's target for which a request's first try may wait for an endpoint: refused by then,
-	// it is still worth something when it comes back. loadShare is that for which it waits where a load ends within it.
-	firstShare = 0.2
-	loadShare  = 0.6
-	// lastShare is the part of its time for which a try waits that comes after another, as there may be no further one.
-	lastShare = 0.5
-	// loadMargin is what a load of weights takes beside the load itself, until every sidecar knows.
-	loadMargin = 250 * time.Millisecond
 )
 
-// refusal is an answer of our own.
-type refusal struct {
-	kind       errkind.Kind
-	detail     string
-	retryAfter time.Duration // 0 for none
-}
-
-func (f *refusal) Error() string { return errkind.AnswerOf(f.kind).Text + ": " + f.detail }
-
-// answer writes a refusal.
-func (f *refusal) answer(w http.ResponseWriter) {
-	answer := errkind.AnswerOf(f.kind)
-	if f.retryAfter > 0 {
-		w.Header().Set("Retry-After", fmt.Sprintf("%.3f", f.retryAfter.Seconds()))
-	}
-	http.Error(w, f.Error(), answer.Status)
-}
-
 // serve answers one request of a client.
 func (p *Process) serve(w http.ResponseWriter, r *http.Request) {
 	p.underWay.Add(1)
@@ -71,11 +43,7 @@
 	q, err := readRequest(r, route, config.parsed.Limits, &p.memory.Bodies)
 	defer func() { p.memory.Bodies.Give(q.held) }()
 	if err != nil {
-		refused := &refusal{kind: errkind.KindOf(err), detail: err.Error()}
-		if refused.kind == errkind.Overloaded {
-			refused.retryAfter = comeBack
-		}
-		refused.answer(w)
+		refusalOfUnread(err).answer(w)
 		return
 	}
 	q.again = p.deadlines.shorter(route.Name, r.Header.Get(headerDeadline))
@@ -87,6 +55,15 @@
 	p.carry(w, r.Context(), q)
 }
 
+// refusalOfUnread answers a request that could not be read.
+func refusalOfUnread(err error) *refusal {
+	refused := &refusal{kind: errkind.KindOf(err), detail: err.Error()}
+	if refused.kind == errkind.Overloaded {
+		refused.retryAfter = comeBack
+	}
+	return refused
+}
+
 // carry sends a request to endpoints until one answers, and passes the answer on.
 func (p *Process) carry(w http.ResponseWriter, ctx context.Context, q *request) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
@@ -225,91 +202,3 @@
 func (c *carrying) comeBack() time.Duration {
 	return comeBack + rand.N(comeBack)
 }
-
-// pickResult is what the owner says of a pick.
-type pickResult struct {
-	endpoint *routing.Endpoint
-	choice   routing.Choice
-	verdict  routing.Verdict
-	changed  <-chan struct{}
-}
-
-// choose finds an endpoint, and waits for one where that is worth while.
-func (c *carrying) choose() (*routing.Endpoint, *refusal) {
-	p, q := c.process, c.request
-	began := time.Now()
-	for {
-		got := ask(p, func() pickResult {
-			now := p.now()
-			e, verdict := p.pool.Pick(now, c.query())
-			var choice routing.Choice
-			if verdict == routing.Picked {
-				choice = e.Choice(now)
-				p.pool.Begin(e)
-			}
-			if verdict == routing.NotHeld || verdict == routing.ModelOnly {
-				p.demand.unplaced(q.key())
-			}
-			return pickResult{endpoint: e, choice: choice, verdict: verdict, changed: p.changed}
-		})
-		if got.verdict == routing.Picked {
-			c.chosen = got.choice
-			return got.endpoint, nil
-		}
-		wait, refused := c.patience(got.verdict, time.Since(began))
-		if refused != nil {
-			return nil, refused
-		}
-		waitingSince := time.Now()
-		timer := time.NewTimer(wait)
-		select {
-		case <-c.ctx.Done():
-			timer.Stop()
-			return nil, c.expired()
-		case <-got.changed:
-		case <-timer.C:
-		}
-		timer.Stop()
-		c.account.spend(phaseOf(got.verdict), waitingSince)
-	}
-}
-
-// patience is how long a request waits for an endpoint, or why it does not.
-func (c *carrying) patience(verdict routing.Verdict, waited time.Duration) (time.Duration, *refusal) {
-	const look = 20 * time.Millisecond
-	q := c.request
-	refused := &refusal{kind: errkind.NoEndpoint, retryAfter: c.comeBack()}
-	most := share(q.route.Target(), firstShare)
-	switch verdict {
-	case routing.AllBusy:
-		refused.kind = errkind.Overloaded
-	case routing.NotHeld:
-		load := loadTime(q.engine, q.model) + loadMargin
-		refused.retryAfter = load
-		if load < share(q.route.Target(), loadShare) {
-			most = share(q.route.Target(), loadShare)
-		}
-	}
-	if q.again {
-		most = max(most, share(q.deadline.Sub(q.arrived), lastShare))
-	}
-	if waited >= min(most, q.left()*4/5) {
-		return 0, refused
-	}
-	return min(look, max(most-waited, time.Millisecond)), nil
-}
-
-func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
-
-// loadTime is how long the weights of a model take to load.
-func loadTime(engine *fleetconfig.Engine, model string) time.Duration {
-	if engine == nil {
-		return 0
-	}
-	for _, m := range engine.Models {
-		if m.Name == model {
-			return time.Duration(m.LoadTimeS * float64(time.Second))
-		}
-	}
-	return 0
-}
--- a/internal/dataplane/shutdown.go
+++ b/internal/dataplane/shutdown.go
@@ -39,10 +39,10 @@
 // newShutdownSchedule derives the times from the grace period.
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
 	return shutdownSchedule{
-		admitAllUntil: min(excusedFor-signalLag, share(grace, longestFreeShare)),
+		admitAllUntil: min(excusedFor-signalLag, portion(grace, longestFreeShare)),
 		idleFrom:      min(readinessNoticed, grace/2),
-		cutAt:         share(grace, cutShare),
-		closeAt:       share(grace, closeShare),
+		cutAt:         portion(grace, cutShare),
+		closeAt:       portion(grace, closeShare),
 	}
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -131,8 +131,8 @@
 	return names
 }
 
-// want is a wish for further copies of a model.
-type want struct {
+// wish is for further copies of a model.
+type wish struct {
 	model  string
 	copies int
 	// urgency is how many requests wait for each copy there is.
@@ -141,39 +141,39 @@
 
 // placeModels gives models further copies, the most urgent first.
 func (p *planner) placeModels() {
-	var wants []want
+	var wishes []wish
 	for _, name := range p.demanded() {
-		if w := p.want(name); w.copies > 0 {
-			wants = append(wants, w)
+		if w := p.wishFor(name); w.copies > 0 {
+			wishes = append(wishes, w)
 		}
 	}
-	sort.SliceStable(wants, func(i, j int) bool { return wants[i].urgency > wants[j].urgency })
-	for _, w := range wants {
+	sort.SliceStable(wishes, func(i, j int) bool { return wishes[i].urgency > wishes[j].urgency })
+	for _, w := range wishes {
 		for range w.copies {
 			p.place(w.model, w.urgency)
 		}
 	}
 }
 
-// want tells how many copies a model should have beyond those that it has.
-func (p *planner) want(name string) want {
+// wishFor tells how many copies a model should have beyond those that it has.
+func (p *planner) wishFor(name string) wish {
 	const missingUrgency = 2 // a request for a model that is nowhere, against those that wait at a copy
 	need := p.need(p.key(name, ""))
 	copies := float64(p.holders[name])
 	pressure := need.Pressure
 	if copies == 0 {
-		return want{model: name, copies: 1, urgency: missingUrgency * math.Max(pressure, 1)}
+		return wish{model: name, copies: 1, urgency: missingUrgency * math.Max(pressure, 1)}
 	}
 	underWay := float64(need.InFlight)
 	needed := math.Max((pressure-crowdedAbove)/crowded, underWay/full)
 	if needed > copies {
-		return want{model: name, copies: int(math.Min(math.Ceil(needed-copies), mostNewCopies)),
+		return wish{model: name, copies: int(math.Min(math.Ceil(needed-copies), mostNewCopies)),
 			urgency: math.Max(pressure, underWay/full) / copies}
 	}
 	if copies == 1 && need.Rate > secondCopyRate {
-		return want{model: name, copies: 1, urgency: secondCopyUrgency}
+		return wish{model: name, copies: 1, urgency: secondCopyUrgency}
 	}
-	return want{}
+	return wish{}
 }
 
 // place has one more endpoint hold a model, where the room is worth less than the copy.
@@ -189,7 +189,7 @@
 		if e.Leaving || p.taken[e.ID] || e.Models[name] != nil {
 			continue
 		}
-		candidate, cost, ok := p.room(e, model)
+		candidate, cost, ok := p.roomFor(e, model)
 		if ok && cost <= urgency && cost < bestCost {
 			best, victim, bestCost = e, candidate, cost
 		}
@@ -212,8 +212,8 @@
 	p.orders = append(p.orders, order)
 }
 
-// room tells what an endpoint would have to give up for a model, and what that costs.
-func (p *planner) room(e *Endpoint, model fleetconfig.Model) (victim string, cost float64, ok bool) {
+// roomFor tells what an endpoint would have to give up for a model, and what that costs.
+func (p *planner) roomFor(e *Endpoint, model fleetconfig.Model) (victim string, cost float64, ok bool) {
 	free := p.Engine.WeightsSizeMB - p.used(e)
 	if free >= model.WeightsSizeMB {
 		return "", p.load(e) / 1000, true
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -116,18 +116,18 @@
 
 // draw compares random candidates and returns the one with the fewest own calls in flight.
 func (p *Pool) draw(now time.Duration, usable []*Endpoint, affinity uint64) *Endpoint {
-	best := p.random1(now, usable)
+	best := p.drawOne(now, usable)
 	consider := func(other *Endpoint) {
 		if other != best && p.better(now, other, best, affinity) {
 			best = other
 		}
 	}
 	for range candidates - 1 {
-		consider(p.random1(now, usable))
+		consider(p.drawOne(now, usable))
 	}
 	if affinity != 0 {
 		for _, home := range highest(usable, affinity) {
-			if p.random.Float64() <= home.share(now) {
+			if p.random.Float64() <= home.drawShare(now) {
 				consider(home)
 			}
 		}
@@ -190,20 +190,20 @@
 	return x ^ x>>33
 }
 
-// random1 draws one endpoint, ramping ones less often.
-func (p *Pool) random1(now time.Duration, usable []*Endpoint) *Endpoint {
+// drawOne draws one endpoint, ramping ones less often.
+func (p *Pool) drawOne(now time.Duration, usable []*Endpoint) *Endpoint {
 	const tries = 8
 	for range tries {
 		e := usable[p.random.IntN(len(usable))]
-		if p.random.Float64() <= e.share(now) {
+		if p.random.Float64() <= e.drawShare(now) {
 			return e
 		}
 	}
 	return usable[p.random.IntN(len(usable))]
 }
 
-// share is the part of draws that an endpoint takes.
-func (e *Endpoint) share(now time.Duration) float64 {
+// drawShare is the part of draws that an endpoint takes.
+func (e *Endpoint) drawShare(now time.Duration) float64 {
 	if e.mark != Ramping {
 		return 1
 	}
