An idle connection decides among equal endpoints where little is shared

Change: endpoints to which a proxy has an idle connection are compared beside the random ones, after own calls and work, and win ties, for requests that share no long beginning with others.

--- a/internal/dataplane/connections.go
+++ b/internal/dataplane/connections.go
@@ -52,6 +52,14 @@
 	return e
 }
 
+// has tells whether there is an idle connection to an endpoint.
+func (c *connections) has(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.idle[id]
+	return len(idle) > 0 && time.Now().Before(idle[len(idle)-1].until)
+}
+
 // take gives an idle connection that can carry a request; nil for none.
 func (c *connections) take(id string) *http1.EndpointConn {
 	for {
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -104,6 +104,7 @@
 		connections: newConnections(settings.Limits.FileDescriptors),
 		memory:      core.NewMemory(core.Limits{MemoryMB: int64(max(settings.Limits.MemoryMB, leastMemoryMB)), Sockets: max(settings.Limits.FileDescriptors, 1)}),
 	}
+	p.pool.Connected = p.connections.has
 	p.ending, p.end = context.WithCancel(ctx)
 	go p.own()
 	return p
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"dykering/internal/sessions"
 )
 
@@ -147,16 +149,25 @@
 	for range candidates - 1 {
 		consider(p.drawOne(now, usable))
 	}
+	others := p.connectedAmong(usable)
 	if affinity != 0 {
-		for _, home := range highest(usable, affinity) {
-			if p.random.Float64() <= home.drawShare(now) {
-				consider(home)
-			}
+		others = highest(usable, affinity)
+	}
+	for _, other := range others {
+		if p.random.Float64() <= other.drawShare(now) {
+			consider(other)
 		}
 	}
 	return best
 }
 
+// connectedAmong are the endpoints to which there is an idle connection.
+func (p *Pool) connectedAmong(usable []*Endpoint) []*Endpoint {
+	return lo.Filter(usable, func(e *Endpoint, _ int) bool { return p.connected(e) })
+}
+
+func (p *Pool) connected(e *Endpoint) bool { return p.Connected != nil && p.Connected(e.ID) }
+
 // highest are the endpoints that rank highest for an affinity.
 func highest(usable []*Endpoint, affinity uint64) []*Endpoint {
 	var top []*Endpoint
@@ -175,7 +186,7 @@
 
 // better compares two candidates: by own calls in flight, then by what the endpoints say that they have to do. A tie goes
 // to the one that ranks higher for the affinity, so that requests which share a beginning tend to meet where it is kept;
-// without one, to either.
+// without one, to the one to which there is a connection.
 func (p *Pool) better(now time.Duration, a, b *Endpoint, affinity uint64) bool {
 	x, y := a.work(now), b.work(now)
 	switch {
@@ -183,6 +194,8 @@
 		return a.inFlight < b.inFlight
 	case math.Abs(x-y) > sameWork:
 		return x < y
+	case affinity == 0 && p.connected(a) != p.connected(b):
+		return p.connected(a)
 	case affinity != 0:
 		return rendezvous(affinity, a.ID) > rendezvous(affinity, b.ID)
 	case x != y:
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -97,6 +97,8 @@
 	// gone are the endpoints that have deregistered, and since when they are known to have. An id is that of one incarnation:
 	// a control sidecar that names it again has not heard of its end yet.
 	gone map[string]time.Duration
+	// Connected tells whether there is an idle connection to an endpoint; nil where that is not known.
+	Connected func(id string) bool
 }
 
 const (
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -108,6 +108,20 @@
 		Expect(max(first["a"], first["b"])).To(Equal(400))
 	})
 
+	It("takes the endpoint to which there is a connection, among equals", func() {
+		pool.Connected = func(id string) bool { return id == "b" }
+		Expect(picks(start, query)).To(HaveKeyWithValue("b", 400))
+	})
+
+	It("takes another where the connected one has more own calls or more to do", func() {
+		pool.Connected = func(id string) bool { return id == "b" }
+		pool.SetFleetLoads(start, map[string]FleetLoad{"b": {InFlight: 4, Waiting: 4}})
+		Expect(picks(start, query)["a"]).To(BeNumerically("~", 375, 20))
+		pool.SetFleetLoads(start, nil)
+		pool.Begin(pool.Find("b"))
+		Expect(picks(start, query)["a"]).To(BeNumerically("~", 375, 20))
+	})
+
 	Describe("requests that share a beginning, among many endpoints", func() {
 		const endpoints, beginnings = 40, 2000
 		BeforeEach(func() {
