--- /dev/null
+++ b/internal/placement/hardcases_test.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/fleetconfig"
+)
+
+var _ = Describe("hard demands", func() {
+	It("give a model with one copy further ones as soon as its demand has grown fivefold", func() {
+		demand := NewDemand()
+		for i := range 12 {
+			demand.Report(now+time.Duration(i)*250*time.Millisecond, "proxy", []Sample{{Key: key("hot", ""), Requests: 1, InFlight: 2, Waiting: 1}})
+		}
+		at := now + 3*time.Second
+		for i := range 4 {
+			demand.Report(at+time.Duration(i)*250*time.Millisecond, "proxy", []Sample{{Key: key("hot", ""), Requests: 5, InFlight: 8, Waiting: 6}})
+			demand.Need(at+time.Duration(i)*250*time.Millisecond, key("hot", ""))
+		}
+		orders := Plan(at+time.Second, Input{Service: "s", Engine: engine, Demand: demand, Loads: 4,
+			Endpoints: []Endpoint{holding("a", "hot"), holding("b"), holding("c"), holding("d")}})
+		Expect(len(orders)).To(BeNumerically(">=", 2))
+		Expect(orders).To(HaveEach(HaveField("Model", "hot")))
+	})
+
+	It("load two hundred models that are asked for once each in turn, as fast as the store lets them", func() {
+		const models, perS, endpoints = 200, 2.0, 30
+		many := &fleetconfig.Engine{WeightsSizeMB: 210, LoadsPerS: perS}
+		for i := range models {
+			many.Models = append(many.Models, fleetconfig.Model{Name: fmt.Sprint("m", i), WeightsSizeMB: 70, LoadTimeS: 1})
+		}
+		fleet := make([]Endpoint, endpoints)
+		for i := range fleet {
+			fleet[i] = Endpoint{ID: fmt.Sprint("e", i), Models: map[string][]string{}}
+		}
+		demand, ledger, loaded := NewDemand(), NewLedger(5*time.Second, 1.1), map[string]bool{}
+		for step := range models * 2 {
+			at := now + time.Duration(step)*250*time.Millisecond
+			if step%2 == 0 {
+				demand.Report(at, "proxy", []Sample{{Key: key(fmt.Sprint("m", step/2), ""), Requests: 1, Unplaced: 1}})
+			}
+			for _, order := range Plan(at, Input{Service: "s", Engine: many, Endpoints: fleet, Demand: demand, Loads: ledger.Room(at, perS)}) {
+				for i := range fleet {
+					if fleet[i].ID != order.Endpoint {
+						continue
+					}
+					fleet[i].Apply(order)
+					fleet[i].For = order.For
+					if order.Operation == Loading {
+						fleet[i].For = ""
+						loaded[order.Model] = true
+						ledger.Begin(at)
+					}
+				}
+			}
+		}
+		Expect(len(loaded)).To(BeNumerically(">=", models*9/10))
+	})
+})
