--- a/internal/controlplane/explain.go
+++ b/internal/controlplane/explain.go
@@ -17,13 +17,25 @@
 // decisionLog is the last orders of a holder of the placement, the oldest first.
 type decisionLog struct{ decisions []feed.Decision }
 
-// note remembers an order and the demand for its model at that moment.
-func (l *decisionLog) note(now time.Duration, order placement.Order, service string, need placement.Need, copies int) {
-	if len(l.decisions) >= mostDecisions {
-		l.decisions = append(l.decisions[:0], l.decisions[1:]...)
+// note remembers the orders of a plan, with the copies and the demand that the plan went by.
+func (l *decisionLog) note(now time.Duration, service string, orders []placement.Order, input *placement.Input) {
+	if len(orders) == 0 {
+		return
+	}
+	copies := map[string]int{}
+	for i := range input.Endpoints {
+		for model := range input.Endpoints[i].Models {
+			copies[model]++
+		}
+	}
+	for _, order := range orders {
+		need := input.Demand.Need(now, placement.Key{Service: service, Model: order.Model})
+		l.decisions = append(l.decisions, feed.Decision{At: now, Service: service, Endpoint: order.Endpoint, Operation: string(order.Operation),
+			Model: order.Model, Adapter: order.Adapter, For: order.For, Copies: copies[order.Model], Demand: demandOf(need)})
+	}
+	if beyond := len(l.decisions) - mostDecisions; beyond > 0 {
+		l.decisions = append(l.decisions[:0], l.decisions[beyond:]...)
 	}
-	l.decisions = append(l.decisions, feed.Decision{At: now, Service: service, Endpoint: order.Endpoint, Operation: string(order.Operation),
-		Model: order.Model, Adapter: order.Adapter, For: order.For, Copies: copies, Demand: demandOf(need)})
 }
 
 // about are the remembered orders for a model, and those that made room for it.
@@ -41,17 +53,6 @@
 	return feed.ModelDemand{Rate: need.Rate, InFlight: need.InFlight, Waiting: need.Waiting, Pressure: need.Pressure, Unplaced: need.Unplaced}
 }
 
-// copies is how many endpoints hold a model.
-func (pl *placer) copies(model string) int {
-	count := 0
-	for _, e := range pl.process.table.Since(0) {
-		if e.State != sessions.Gone && e.Holds(model, "") {
-			count++
-		}
-	}
-	return count
-}
-
 // AskExplain asks the control sidecar at an internal address why a model stands where it does.
 func AskExplain(address, model string) (feed.Explanation, error) {
 	conn, err := peerlink.Dial(address, statusWithin)
--- a/internal/controlplane/explain_test.go
+++ b/internal/controlplane/explain_test.go
@@ -11,8 +11,10 @@
 
 var _ = Describe("the log of the placement's decisions", func() {
 	note := func(l *decisionLog, model, makesRoomFor string) {
-		l.note(time.Second, placement.Order{Endpoint: "i-1", Operation: placement.Unloading, Model: model, For: makesRoomFor}, "s",
-			placement.Need{Rate: 3, Waiting: 2, Pressure: 1.5, Unplaced: true}, 2)
+		demand := placement.NewDemand()
+		demand.Report(time.Second, "proxy", []placement.Sample{{Key: placement.Key{Service: "s", Model: model}, Requests: 3, Unplaced: 1}})
+		l.note(time.Second, "s", []placement.Order{{Endpoint: "i-1", Operation: placement.Unloading, Model: model, For: makesRoomFor}},
+			&placement.Input{Demand: demand, Endpoints: []placement.Endpoint{{Models: map[string][]string{model: nil}}, {Models: map[string][]string{model: nil}}}})
 	}
 
 	It("tells of the orders for a model and of those that made room for it, with the demand they were given by", func() {
@@ -22,7 +24,8 @@
 		note(&l, "b", "")
 		found := l.about("a")
 		Expect(found).To(HaveLen(2))
-		Expect(found[1].Demand.Pressure).To(Equal(1.5))
+		Expect(found[1].Demand.Rate).To(BeNumerically("~", 1, 0.01))
+		Expect(found[1].Demand.Unplaced).To(BeTrue())
 		Expect(found[1].Copies).To(Equal(2))
 	})
 
--- a/internal/controlplane/orderrun.go
+++ b/internal/controlplane/orderrun.go
@@ -44,7 +44,6 @@
 	if order.Operation == placement.Unloading {
 		pl.overlay(now, order.Endpoint, sessions.Holding{Model: order.Model, Adapter: order.Adapter, Present: false})
 	}
-	pl.decisions.note(now, order, service.Name, pl.demand.Need(now, placement.Key{Service: service.Name, Model: order.Model}), pl.copies(order.Model))
 	p.log.Info("order.begun", "endpoint", order.Endpoint, "operation", string(order.Operation), "model", order.Model, "adapter", order.Adapter)
 	go run.run()
 }
--- a/internal/controlplane/placer.go
+++ b/internal/controlplane/placer.go
@@ -177,7 +177,9 @@
 	for _, service := range pl.services() {
 		input := placement.Input{Service: service.Name, Engine: service.Engine, Demand: pl.demand,
 			Endpoints: pl.endpoints(service.Name), Loads: pl.loads(now, service.Engine)}
-		for _, order := range placement.Plan(now, input) {
+		orders := placement.Plan(now, input)
+		pl.decisions.note(now, service.Name, orders, &input)
+		for _, order := range orders {
 			pl.begin(now, service, order)
 		}
 	}
