A leaving member stays until the others no longer need it, and replicates until then

Cause: a control process that was told to stop exited after half of the grace period even where no majority could agree to it, and was out of the chain from the signal on. With one member cut off and a disk lost meanwhile no majority was left (f = 1 and 2); and where a member was lost while another left, the chain stood still, as the rest was no majority. Change: CanStop also asks that the voters reached are a majority without the member; the process ends at the end of the grace period or by a second signal. A chain that would be too short keeps as few leaving members as it needs; the lease is passed on at once; a core that leaves whole stops at once. Status, metric and events say which further losses can be borne. A connection of a peer ends with the process. The search draws one more fault, remove, and knows the flaw StopWithoutAgreement.

--- a/cmd/dykering/output_test.go
+++ b/cmd/dykering/output_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"dykering/internal/chain"
 	"dykering/internal/fixture"
 	"dykering/internal/protocol"
 	"dykering/internal/sessions"
@@ -37,6 +38,24 @@
 	compareOutput(t, "status-other", func(out io.Writer) error { return showStatus(out, status) })
 }
 
+func TestStatusSaysWhichLossesCanBeBorne(t *testing.T) {
+	leaving, unreachable := []chain.MemberID{"a/0"}, []chain.MemberID{"c/0"}
+	for want, tolerance := range map[string]protocol.Tolerance{
+		"further losses that can be borne: 2":                                   {Losses: 2},
+		"no further loss can be borne":                                          {},
+		"no further loss can be borne: a/0 leaves":                              {Leaving: leaving},
+		"there is no majority without these: a/0 leaves, c/0 cannot be reached": {Losses: -1, Leaving: leaving, Unreachable: unreachable},
+	} {
+		var out bytes.Buffer
+		if err := showStatus(&out, protocol.Status{Tolerance: &tolerance}); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(out.String(), "\n"+want+"\n") {
+			t.Errorf("%+v: %q is not in\n%s", tolerance, want, out.String())
+		}
+	}
+}
+
 func TestModelExplanationIsPrintedAsByReleasedBuilds(t *testing.T) {
 	var model protocol.Explanation
 	fixture.JSON(t, "testdata/compatibility/explain-model.json", &model)
--- a/cmd/dykering/status_command.go
+++ b/cmd/dykering/status_command.go
@@ -34,6 +34,9 @@
 	fmt.Fprintf(out, "%s, view %d%s, configuration %d, entry %d of %d committed, disk behind by %v\n", s.Self.ID, s.View.Number,
 		inForce(s), s.Version, s.Committed, s.Seq, s.DiskBehind)
 	fmt.Fprintf(out, "the placement is held by %s with token %d%s\n", s.View.Holder, s.View.Token, holds(s))
+	if s.Tolerance != nil {
+		fmt.Fprintln(out, describeTolerance(s.Tolerance))
+	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "member\treachable\tin the chain")
 	for _, m := range s.Members {
@@ -72,3 +75,25 @@
 	}
 	return ""
 }
+
+// describeTolerance says how many more members may be lost, and which ones are why there are no more.
+func describeTolerance(tolerance *protocol.Tolerance) string {
+	if tolerance.Losses > 0 {
+		return fmt.Sprintf("further losses that can be borne: %d", tolerance.Losses)
+	}
+	var causes []string
+	for _, id := range tolerance.Leaving {
+		causes = append(causes, fmt.Sprintf("%s leaves", id))
+	}
+	for _, id := range tolerance.Unreachable {
+		causes = append(causes, fmt.Sprintf("%s cannot be reached", id))
+	}
+	text := "no further loss can be borne"
+	if tolerance.Losses < 0 {
+		text = "there is no majority without these"
+	}
+	if len(causes) == 0 {
+		return text
+	}
+	return text + ": " + strings.Join(causes, ", ")
+}
--- a/internal/chain/failuredetector.go
+++ b/internal/chain/failuredetector.go
@@ -167,6 +167,14 @@
 	return n.isReachable(now, member) && n.peers[member.Address].status.Healthy
 }
 
+// canReplicate reports whether a member could be in the chain, also if it leaves: it is reachable and its disk answers.
+func (n *Node) canReplicate(now time.Duration, member Member) bool {
+	if member.ID == n.self.ID {
+		return n.diskHealthy
+	}
+	return n.isReachable(now, member) && n.peers[member.Address].status.DiskHealthy
+}
+
 // reachableVoters returns the number of voters that are reachable, including this member if it is one.
 func (n *Node) reachableVoters(now time.Duration) int {
 	count := 0
@@ -184,6 +192,9 @@
 	return n.view.Number > 0 && n.isVoter() && n.reachableVoters(now) >= n.view.Majority()
 }
 
+// IsLeaving reports whether the last status of a voter, which may have stopped since, was that it leaves.
+func (n *Node) IsLeaving(voter Member) bool { return n.isLeaving(voter) }
+
 // IsReachable reports whether the voter at an address is reachable. It is false for an address of no voter.
 func (n *Node) IsReachable(now time.Duration, address string) bool {
 	for _, voter := range n.view.Voters {
--- a/internal/chain/membership.go
+++ b/internal/chain/membership.go
@@ -31,28 +31,66 @@
 	if len(desired.Chain) < desired.Majority() {
 		return View{}, false
 	}
-	if !slices.Contains(desired.Chain, desired.Holder) {
+	if holder := n.desiredHolder(&desired); holder != desired.Holder {
 		former, _ := n.view.Voter(desired.Holder)
-		desired.transferLease(desired.Chain[0], former.Address)
+		desired.transferLease(holder, former.Address)
 	}
 	return desired, true
 }
 
-// desiredChain returns the eligible members of the present chain in their order, followed by the other eligible voters of
-// the desired view that are up to date.
+// desiredHolder returns the lease holder of a desired view: the present one, unless it is out of the chain or leaves, as a
+// leaving member does not act. If every member of the chain leaves, the present holder or else the head remains.
+func (n *Node) desiredHolder(desired *View) MemberID {
+	holder := desired.Head()
+	if desired.Position(desired.Holder) >= 0 {
+		holder = desired.Holder
+	}
+	for _, id := range slices.Concat([]MemberID{holder}, desired.Chain) {
+		if voter, _ := desired.Voter(id); !n.isLeaving(voter) {
+			return id
+		}
+	}
+	return holder
+}
+
+// desiredChain returns the eligible candidates. Where these are no majority, it retains as few leaving members as are needed
+// for one: the core must not lose its chain while a member that is asked to leave still runs.
 func (n *Node) desiredChain(now time.Duration, desired View) []MemberID {
+	candidates := n.chainCandidates(&desired)
+	vacancies := desired.Majority()
+	for _, voter := range candidates {
+		if n.isEligible(now, voter) {
+			vacancies--
+		}
+	}
 	var chain []MemberID
+	for _, voter := range candidates {
+		switch {
+		case n.isEligible(now, voter):
+			chain = append(chain, voter.ID)
+		case vacancies > 0 && n.canReplicate(now, voter):
+			chain = append(chain, voter.ID)
+			vacancies--
+		}
+	}
+	return chain
+}
+
+// chainCandidates returns the voters of the desired view that may be in its chain: the members of the present chain in their
+// order, followed by the others that are up to date.
+func (n *Node) chainCandidates(desired *View) []Member {
+	var candidates []Member
 	for _, id := range n.view.Chain {
-		if voter, ok := desired.Voter(id); ok && n.isEligible(now, voter) {
-			chain = append(chain, id)
+		if voter, ok := desired.Voter(id); ok {
+			candidates = append(candidates, voter)
 		}
 	}
 	for _, voter := range desired.Voters {
-		if !slices.Contains(chain, voter.ID) && n.isUpToDate(voter) && n.isEligible(now, voter) {
-			chain = append(chain, voter.ID)
+		if n.view.Position(voter.ID) < 0 && n.isUpToDate(voter) {
+			candidates = append(candidates, voter)
 		}
 	}
-	return chain
+	return candidates
 }
 
 // isUpToDate reports whether a member has the view in force, or joins with the next one. A voter with an older view is first
@@ -163,14 +201,49 @@
 
 // Leave marks this member as leaving: the others remove it from the chain and, if there are enough voters without it, from
 // the voters. The caller stops the process once CanStop is true. It cannot be revoked.
-func (n *Node) Leave() { n.leaving = true }
+func (n *Node) Leave(now time.Duration) {
+	n.leaving = true
+	n.leavingSince = now
+}
 
 // CanStop reports whether a leaving member may stop without reducing the number of failures that the core tolerates. It must
 // be out of the chain and no surplus voter, or the next lost disk could leave no majority. At least minReplicas members of
 // the chain must have its view on disk: until then this member's disk may be one of too few that have the committed state.
-func (n *Node) CanStop() bool {
+// The voters that it reaches must be a majority without it, or its vote is needed for the next view. If the whole core stops,
+// none of this can come, and its disks keep the state.
+func (n *Node) CanStop(now time.Duration) bool {
+	if n.wholeCoreLeaves() {
+		return true
+	}
 	surplus := n.isVoter() && len(n.view.Voters) > n.minVoters()
-	return !n.IsInChain() && !surplus && n.persistedReplicas() >= n.minReplicas()
+	isVoteNeeded := n.isVoter() && n.reachableVoters(now)-1 < n.view.Majority()
+	return !n.IsInChain() && !surplus && !isVoteNeeded && n.persistedReplicas() >= n.minReplicas()
+}
+
+// wholeCoreLeaves reports whether every voter leaves, by statuses that have arrived since this member leaves itself: an older
+// one may be that of a process that has stopped since and is about to start again.
+func (n *Node) wholeCoreLeaves() bool {
+	for _, voter := range n.view.Voters {
+		if !n.isLeaving(voter) {
+			return false
+		}
+		if p := n.knownPeer(voter); p != nil && p.lastStatusAt < n.leavingSince {
+			return false
+		}
+	}
+	return len(n.view.Voters) > 0
+}
+
+// TolerableLosses returns how many more voters may be lost before no majority of them is left. Voters that cannot be reached
+// count as lost, and so do those that leave. It is negative if there is no majority without those.
+func (n *Node) TolerableLosses(now time.Duration) int {
+	remaining := 0
+	for _, voter := range n.view.Voters {
+		if n.isReachable(now, voter) && !n.isLeaving(voter) {
+			remaining++
+		}
+	}
+	return remaining - n.view.Majority()
 }
 
 // persistedReplicas returns the number of other members of the chain that report to have this member's view on disk.
--- a/internal/chain/membership_test.go
+++ b/internal/chain/membership_test.go
@@ -82,7 +82,7 @@
 	var node *Node
 	BeforeEach(func() {
 		node = chainOf("a", "b", "c")[2]
-		node.Leave()
+		node.Leave(0)
 	})
 	// install installs the view whose chain does not include the leaving member.
 	install := func(voters ...MemberID) {
@@ -95,29 +95,29 @@
 	persisted := func(id MemberID, view uint64) { answerAs(node, id, 0, Status{View: 2, Healthy: true, Stored: view}) }
 
 	It("cannot stop while it is in the chain", func() {
-		Expect(node.CanStop()).To(BeFalse())
+		Expect(node.CanStop(0)).To(BeFalse())
 	})
 
 	It("can stop once enough members of the chain have persisted the view", func() {
 		install("a", "b", "c")
 		persisted("a", 2)
 		persisted("b", 1)
-		Expect(node.CanStop()).To(BeFalse())
+		Expect(node.CanStop(0)).To(BeFalse())
 		persisted("b", 2)
-		Expect(node.CanStop()).To(BeTrue())
+		Expect(node.CanStop(0)).To(BeTrue())
 	})
 
 	It("cannot stop while it is a surplus voter", func() {
 		install("a", "b", "c", "d")
 		persisted("a", 2)
 		persisted("b", 2)
-		Expect(node.CanStop()).To(BeFalse())
+		Expect(node.CanStop(0)).To(BeFalse())
 	})
 
 	It("can stop if it has never joined", func() {
 		joiner, _ := NewJoiner(node.config, 0, 0)
-		joiner.Leave()
-		Expect(joiner.CanStop()).To(BeTrue())
+		joiner.Leave(0)
+		Expect(joiner.CanStop(0)).To(BeTrue())
 	})
 })
 
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -88,6 +88,8 @@
 	Sealed bool
 	// Healthy reports whether its disk answers and it is not leaving: only then it can be in a chain.
 	Healthy bool
+	// DiskHealthy reports whether its disk answers, also while it leaves. Earlier versions do not send it.
+	DiskHealthy bool
 	// Leaving reports whether the member is to stop as soon as the others no longer need it.
 	Leaving bool
 	// Stored is the number of the latest view that the member has on disk.
--- a/internal/chain/network_test.go
+++ b/internal/chain/network_test.go
@@ -319,7 +319,7 @@
 	case name == "restart" && len(args) == 1:
 		t.restart(t.member(args[0]))
 	case name == "leave" && len(args) == 1:
-		t.member(args[0]).node.Leave()
+		t.member(args[0]).node.Leave(t.now)
 	case name == "stabilize" && len(args) == 0:
 		t.stabilize()
 	case name == "status" && len(args) == 0:
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -64,6 +64,8 @@
 	diskHealthy bool
 	// leaving is true once this member was asked to leave the core.
 	leaving bool
+	// leavingSince is when that was.
+	leavingSince time.Duration
 
 	// Lease of the singleton role.
 
--- a/internal/chain/reconfiguration.go
+++ b/internal/chain/reconfiguration.go
@@ -20,7 +20,8 @@
 	// A voter that is sealed for long without a next view takes no more writes, even if the view should stay as it is: its
 	// proposer has failed. Only another proposal ends this.
 	stuck := n.IsSealed() && now-n.sealedAt > n.config.ProposalTimeout
-	if !ok || sameMembers(desired, n.view) && !stuck {
+	unchanged := ok && sameMembers(desired, n.view) && desired.Holder == n.view.Holder
+	if !ok || unchanged && !stuck {
 		n.reconfigureSince = 0
 		return Output{}
 	}
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -26,12 +26,13 @@
 // status returns what this member reports of itself to others.
 func (n *Node) status() Status {
 	return Status{
-		View:      n.view.Number,
-		Sealed:    n.IsSealed(),
-		Healthy:   n.diskHealthy && !n.leaving,
-		Leaving:   n.leaving,
-		Stored:    n.persistedView,
-		Seq:       n.state.Seq,
-		Committed: n.committed,
+		View:        n.view.Number,
+		Sealed:      n.IsSealed(),
+		Healthy:     n.diskHealthy && !n.leaving,
+		DiskHealthy: n.diskHealthy,
+		Leaving:     n.leaving,
+		Stored:      n.persistedView,
+		Seq:         n.state.Seq,
+		Committed:   n.committed,
 	}
 }
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -48,17 +48,39 @@
 	go func() { finished <- Run(settings, slog.New(slog.DiscardHandler), stop) }()
 }
 
-// end stops the member by a signal, as the platform does, and waits for its end.
-func (m *member) end() {
+// signal sends the signal to stop, as the platform does.
+func (m *member) signal() {
+	if m.stop != nil {
+		m.stop <- syscall.SIGTERM
+	}
+}
+
+// awaitEnd waits for the end of a member that was sent the signal to stop.
+func (m *member) awaitEnd() {
 	if m.stop == nil {
 		return
 	}
-	m.stop <- syscall.SIGTERM
 	eventually(m.finished).Should(Receive(BeNil()))
 	m.stop = nil
 	m.settings.InitialStart = false
 }
 
+// end stops the member and waits for its end.
+func (m *member) end() {
+	m.signal()
+	m.awaitEnd()
+}
+
+// endAll stops members at the same time.
+func endAll(members []*member) {
+	for _, m := range members {
+		m.signal()
+	}
+	for _, m := range members {
+		m.awaitEnd()
+	}
+}
+
 func (m *member) url(path string) string { return "http://" + m.settings.Listen.ControlPlane + path }
 
 // newMembers makes the members of a core that have not been started. Those that run when the spec ends are stopped.
@@ -86,8 +108,8 @@
 	}
 	for _, m := range members {
 		m.settings.SeedNodes = seeds
-		DeferCleanup(m.end)
 	}
+	DeferCleanup(endAll, members)
 	return members
 }
 
--- a/internal/controlplane/eventloop.go
+++ b/internal/controlplane/eventloop.go
@@ -29,11 +29,11 @@
 	}
 }
 
-// runEventLoop runs commands and ticks until a stopping member may end.
+// runEventLoop runs commands and ticks until a stopping member may end. A second signal ends it at once.
 func (s *Server) runEventLoop(stop <-chan os.Signal) {
 	ticker := time.NewTicker(s.timing.tickInterval)
 	defer ticker.Stop()
-	var stopDeadline <-chan time.Time // nil until a signal arrives
+	var graceOver <-chan time.Time // nil until a signal arrives
 	for {
 		select {
 		case command := <-s.commands:
@@ -42,22 +42,36 @@
 		case <-ticker.C:
 			s.tick()
 		case sig := <-stop:
-			s.log.Info("process.stopping", "signal", sig.String())
-			s.chain.Leave()
-			s.endStreams()
-			timer := time.NewTimer(s.timing.stopTimeout)
-			defer timer.Stop()
-			stopDeadline = timer.C
-		case <-stopDeadline:
+			if graceOver != nil {
+				s.stopNeeded()
+				return
+			}
+			graceOver = s.leave(sig)
+		case <-graceOver:
+			s.stopNeeded()
 			return
 		}
 		s.afterBatch()
-		if stopDeadline != nil && s.chain.CanStop() {
+		if graceOver != nil && s.chain.CanStop(s.now()) {
 			return
 		}
 	}
 }
 
+// leave begins a planned stop. It returns a channel that delivers once the grace period is over.
+func (s *Server) leave(sig os.Signal) <-chan time.Time {
+	s.log.Info("process.stopping", "signal", sig.String())
+	s.chain.Leave(s.now())
+	s.endStreams()
+	return time.After(s.timing.gracePeriod)
+}
+
+// stopNeeded reports that this member ends although the others need its vote or its disk.
+func (s *Server) stopNeeded() {
+	view := s.chain.View()
+	s.log.Warn("process.stopped_needed", "view", view.Number, "in_chain", s.chain.IsInChain())
+}
+
 // runQueued runs the commands that are queued already, so that one afterBatch serves all of them.
 func (s *Server) runQueued() {
 	for range commandQueueLength {
@@ -100,6 +114,7 @@
 	s.expireCalls(now)
 	s.expireDepartures()
 	s.placement.tick(now)
+	s.reportTolerance(now)
 }
 
 // rereadSeeds reads the seeds again while this member has no quorum: all that it started with may have been replaced, and
--- a/internal/controlplane/metrics_endpoint.go
+++ b/internal/controlplane/metrics_endpoint.go
@@ -37,6 +37,7 @@
 	gauge("configuration_version", uint64(max(status.Version, 0)))
 	gauge("subscribers", uint64(len(status.Subscribers)))
 	gauge("subscriber_lag_max", longestLag(status.Subscribers))
+	metrics.WriteGaugeFloat64(w, "dykering_control_tolerable_losses", float64(tolerableLosses(status)))
 	metrics.WriteGaugeFloat64(w, "dykering_control_disk_behind_seconds", status.DiskBehind.Seconds())
 	for _, state := range []sessions.State{sessions.Ready, sessions.Expired, sessions.Draining} {
 		gauge(fmt.Sprintf("endpoints{state=%q}", state), uint64(status.Endpoints[state]))
@@ -46,6 +47,14 @@
 	}
 }
 
+// tolerableLosses returns how many more voters may be lost; 0 where the status does not say.
+func tolerableLosses(status *protocol.Status) int {
+	if status.Tolerance == nil {
+		return 0
+	}
+	return status.Tolerance.Losses
+}
+
 // longestLag returns the number of committed changes that the slowest subscriber has not acknowledged.
 func longestLag(subscribers []protocol.SubscriberStatus) uint64 {
 	var longest uint64
--- a/internal/controlplane/rpc.go
+++ b/internal/controlplane/rpc.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -35,10 +36,11 @@
 	}
 }
 
-// servePeer serves one connection. Its first message says what it is for: a proxy's stream of updates, a command of the
+// servePeer serves one connection until it or the process ends. Its first message says what it is for: a proxy's stream of updates, a command of the
 // command line, or a peer's messages.
 func (s *Server) servePeer(conn *peerlink.Conn) {
 	defer conn.Close()
+	defer context.AfterFunc(s.ctx, func() { conn.Close() })()
 	message, err := conn.Receive(firstMessageTimeout)
 	if err != nil {
 		return
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -51,6 +51,8 @@
 
 	placement *placementController
 
+	tolerance toleranceReport
+
 	peerLinks map[string]*peerlink.Link // by the address of a peer
 	lastTick  time.Duration
 	seedsDue  time.Duration // when the seeds are read again
--- a/internal/controlplane/status_endpoint_test.go
+++ b/internal/controlplane/status_endpoint_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dykering/internal/protocol"
 	"dykering/internal/sessions"
 )
 
@@ -21,6 +22,7 @@
 			g.Expect(status.Version).To(Equal(int64(3)))
 			g.Expect(status.Members).To(HaveLen(3))
 			g.Expect(status.InForce).To(BeTrue())
+			g.Expect(status.Tolerance).To(HaveValue(Equal(protocol.Tolerance{Losses: 1})))
 			g.Expect(status.Endpoints).To(HaveKeyWithValue(sessions.Ready, 1))
 		}).Should(Succeed())
 	})
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -33,9 +33,9 @@
 	// drainAckTimeout is the time that all voters have to store a departure before a majority is enough. A voter that is
 	// down must not use up the endpoint's time to drain. Source: the lesser of ContactMs / 6 and DrainTimeoutMs / 4.
 	drainAckTimeout time.Duration
-	// stopTimeout is the time that a stopping member waits to be out of the chain. Source: GracePeriodS / 2, which leaves
-	// the other half to the rest of the shutdown.
-	stopTimeout time.Duration
+	// gracePeriod is the time after the signal to stop at which the platform kills the process. A member that the others
+	// need stays until then: its exit would count as a lost disk. Source: GracePeriodS.
+	gracePeriod time.Duration
 
 	// sessionTTL is the time without a heartbeat after which an endpoint is no longer offered. Source: three heartbeat
 	// intervals, so that two may be lost, and a second for their way.
@@ -76,7 +76,7 @@
 		maxWriteDuration:     contact / 6,
 		callTimeout:          min(900*time.Millisecond, nodefile.Milliseconds(settings.Bounds.AcknowledgeMs)/4),
 		drainAckTimeout:      min(contact/6, nodefile.Milliseconds(settings.Bounds.DrainTimeoutMs)/4),
-		stopTimeout:          nodefile.Seconds(settings.Bounds.GracePeriodS) / 2,
+		gracePeriod:          nodefile.Seconds(settings.Bounds.GracePeriodS),
 		sessionTTL:           3*settings.HeartbeatInterval() + time.Second,
 		renewalInterval:      settings.HeartbeatInterval() / 4,
 		antiEntropyInterval:  settings.HeartbeatInterval(),
--- /dev/null
+++ b/internal/controlplane/tolerance.go
@@ -0,0 +1,43 @@
+package controlplane
+
+import (
+	"time"
+
+	"dykering/internal/protocol"
+)
+
+// toleranceReport is what was last logged about the losses that the core tolerates.
+type toleranceReport struct {
+	losses int
+	known  bool // false before the first report
+}
+
+// reportTolerance logs when the number of further losses that the core tolerates changes: a warning where there is none, with
+// the members that are the cause.
+func (s *Server) reportTolerance(now time.Duration) {
+	tolerance := s.toleranceAt(now)
+	isStarting := !s.tolerance.known && now < s.timing.suspectAfter // the first answers to pings are not in
+	if s.chain.View().Number == 0 || isStarting || s.tolerance.known && s.tolerance.losses == tolerance.Losses {
+		return
+	}
+	s.tolerance = toleranceReport{losses: tolerance.Losses, known: true}
+	if tolerance.Losses > 0 {
+		s.log.Info("chain.tolerance", "losses", tolerance.Losses)
+		return
+	}
+	s.log.Warn("chain.no_tolerance", "losses", tolerance.Losses, "leaving", tolerance.Leaving, "unreachable", tolerance.Unreachable)
+}
+
+// toleranceAt is which further losses the core can bear, as this member sees it.
+func (s *Server) toleranceAt(now time.Duration) *protocol.Tolerance {
+	tolerance := &protocol.Tolerance{Losses: s.chain.TolerableLosses(now)}
+	for _, voter := range s.chain.View().Voters {
+		switch {
+		case s.chain.IsLeaving(voter):
+			tolerance.Leaving = append(tolerance.Leaving, voter.ID)
+		case voter.ID != s.chain.Self().ID && !s.chain.IsReachable(now, voter.Address):
+			tolerance.Unreachable = append(tolerance.Unreachable, voter.ID)
+		}
+	}
+	return tolerance
+}
--- a/internal/lab/coresim/faultbudget.go
+++ b/internal/lab/coresim/faultbudget.go
@@ -45,7 +45,7 @@
 		return true
 	case KillAllLoseDisks, LagThenRecover:
 		return f.otherFailed(noMember) == 0
-	case LoseDisk, Replace, PlannedReplacement, Leave:
+	case LoseDisk, Replace, PlannedReplacement, Leave, Remove:
 		return f.otherFailed(fault.Member) < maxFailures && f.failedUntil[fault.Member] <= f.sim.now
 	}
 	return f.otherFailed(fault.Member) < maxFailures
--- a/internal/lab/coresim/faults.go
+++ b/internal/lab/coresim/faults.go
@@ -70,7 +70,11 @@
 		sim.after(fault.For, func() { replacement.start(false) })
 	case Leave:
 		m.leave(fault.For)
-		f.markFailed(fault.Member, fault.For+leaveTimeout)
+		f.markFailed(fault.Member, fault.For+gracePeriod)
+	case Remove:
+		f.markFailed(fault.Member, max(fault.For, gracePeriod))
+		m.leave(0)
+		sim.after(fault.For, func() { sim.addReplacement(m).start(false) })
 	}
 }
 
@@ -93,7 +97,7 @@
 		m.successor = replacement
 		f.scheduleChange(sim.now)
 		m.leave(0)
-		f.leavingUntil[fault.Member] = sim.now + leaveTimeout
+		f.leavingUntil[fault.Member] = sim.now + gracePeriod
 		f.exceedBudget(max(f.overBudgetUntil, sim.now))
 	}
 	sim.after(fault.For, leave)
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -52,6 +52,7 @@
 const (
 	StopAsSurplusVoter   Flaw = "a leaving member ends while it is one voter too many"
 	StopBeforeReplicated Flaw = "a leaving member ends before others have on disk what it holds"
+	StopWithoutAgreement Flaw = "a leaving member ends after half of the grace period though no majority has agreed"
 )
 
 // Flaws returns all flaws that can be planted.
@@ -60,6 +61,7 @@
 		SendBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
 		ReadUnconfirmed, ReadUncommitted, LeaseUnconfirmed, NoTakeoverDelay, NoReturnDelay, RestartWithLease, ConstantToken,
 		RepeatNonces, RejectUnconfirmed, ForgetApplied, IgnoreBase, StopAsSurplusVoter, StopBeforeReplicated,
+		StopWithoutAgreement,
 	}
 }
 
--- /dev/null
+++ b/internal/lab/coresim/leave_test.go
@@ -0,0 +1,109 @@
+package coresim
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// inject starts a core and injects faults whatever the budget says: planned stops are no failures, and the budget counts them
+// as such. It returns the simulation at its start.
+func inject(options Options, steps ...Fault) *Simulation {
+	sim := NewSimulation(options)
+	injector := newFaultInjector(sim, true)
+	for _, fault := range steps {
+		sim.at(fault.At, func() { injector.injectAtMember(fault, injector.target(fault.Member)) })
+	}
+	return sim
+}
+
+var (
+	threeMembers = Options{Seed: 7, Members: 3, MostFailures: 1}
+	fiveMembers  = Options{Seed: 7, Members: 5, MostFailures: 2}
+)
+
+// removeDuringCut removes the head while one member is isolated, so that no majority can agree to it. The disk of another one
+// is lost before the isolation ends: the head then has the only copy of what was acknowledged meanwhile.
+var (
+	removeDuringCut = []Fault{
+		{3 * s, Isolate, 2, 6 * s}, {3800 * ms, Remove, 0, 9 * s}, {6 * s, LoseDisk, 1, s},
+	}
+	removeDuringTwoCuts = []Fault{
+		{3 * s, Isolate, 3, 6 * s}, {3 * s, Isolate, 4, 6 * s}, {3800 * ms, Remove, 0, 9 * s}, {6 * s, LoseDisk, 1, s}, {6 * s, LoseDisk, 2, s},
+	}
+)
+
+var _ = Describe("a member that leaves where no majority can agree to it", func() {
+	// end runs until every fault is over, and checks that nothing is lost and that the core has recovered.
+	end := func(sim *Simulation) error {
+		if err := sim.Run(25 * s); err != nil {
+			return err
+		}
+		return sim.checkEnd()
+	}
+
+	DescribeTable("stays until the others have what it holds",
+		func(options Options, steps ...Fault) {
+			Expect(end(inject(options, steps...))).To(Succeed())
+		},
+		Entry("leave during a cut, f = 1", threeMembers, Fault{3 * s, Isolate, 2, 6 * s}, Fault{3800 * ms, Leave, 0, s}),
+		Entry("leave during a cut, f = 2", fiveMembers, Fault{3 * s, Isolate, 3, 6 * s}, Fault{3 * s, Isolate, 4, 6 * s}, Fault{3800 * ms, Leave, 0, s}),
+		Entry("two leave at once, f = 1", threeMembers, Fault{3 * s, Leave, 0, s}, Fault{3 * s, Leave, 1, s}),
+		Entry("three leave at once, f = 2", fiveMembers, Fault{3 * s, Leave, 0, s}, Fault{3 * s, Leave, 1, s}, Fault{3 * s, Leave, 2, s}),
+		Entry("leave, then a disk lost within the grace period, f = 1", threeMembers, Fault{3 * s, Leave, 0, s}, Fault{3100 * ms, LoseDisk, 1, s}),
+		Entry("leave, then two disks lost within the grace period, f = 2", fiveMembers,
+			Fault{3 * s, Leave, 0, s}, Fault{3100 * ms, LoseDisk, 1, s}, Fault{3100 * ms, LoseDisk, 2, s}),
+		Entry("all leave at once and come back", threeMembers, Fault{3 * s, Leave, 0, s}, Fault{3 * s, Leave, 1, s}, Fault{3 * s, Leave, 2, s}),
+		Entry("leave and loss of power in the same instant", threeMembers, Fault{3 * s, Leave, 0, s}, Fault{3 * s, Kill, 0, s}),
+		Entry("removed for good during a cut, then a disk lost, f = 1", threeMembers, removeDuringCut[0], removeDuringCut[1], removeDuringCut[2]),
+		Entry("removed for good during a cut, then two disks lost, f = 2", fiveMembers,
+			removeDuringTwoCuts[0], removeDuringTwoCuts[1], removeDuringTwoCuts[2], removeDuringTwoCuts[3], removeDuringTwoCuts[4]),
+	)
+
+	DescribeTable("is detected if it does not",
+		func(options Options, steps ...Fault) {
+			options.Flaw = StopWithoutAgreement
+			Expect(end(inject(options, steps...))).To(MatchError(ContainSubstring("nothing is acknowledged")))
+		},
+		Entry("f = 1", threeMembers, removeDuringCut[0], removeDuringCut[1], removeDuringCut[2]),
+		Entry("f = 2", fiveMembers, removeDuringTwoCuts[0], removeDuringTwoCuts[1], removeDuringTwoCuts[2], removeDuringTwoCuts[3], removeDuringTwoCuts[4]),
+	)
+
+	It("lets the core go on acknowledging until it is killed", func() {
+		sim := inject(threeMembers, Fault{3 * s, Leave, 0, s}, Fault{3 * s, Isolate, 2, 10 * s})
+		Expect(sim.Run(5 * s)).To(Succeed())
+		Expect(sim.MakesProgress(s)).To(BeTrue())
+	})
+
+	It("passes the lease on at once", func() {
+		sim := inject(threeMembers, Fault{3 * s, Isolate, 2, 10 * s}, Fault{4 * s, Leave, 0, s})
+		Expect(sim.Run(8 * s)).To(Succeed())
+		_, holds := sim.machines[1].node.HoldsLease(sim.now)
+		Expect(holds).To(BeTrue())
+	})
+
+	It("counts as itself once it is back on its disk", func() {
+		sim := inject(threeMembers, Fault{3 * s, Leave, 0, s})
+		id := sim.machines[0].node.Self().ID
+		Expect(sim.Run(12 * s)).To(Succeed())
+		Expect(sim.machines[0].incarnation).To(BeNumerically(">", 1))
+		Expect(sim.machines[0].node.Self().ID).To(Equal(id))
+		Expect(sim.machines[1].node.View().Voters).To(HaveLen(3))
+		Expect(sim.machines[1].node.TolerableLosses(sim.now)).To(Equal(1))
+	})
+
+	It("is no longer counted on by the others", func() {
+		sim := inject(threeMembers, Fault{3 * s, Isolate, 2, 10 * s}, Fault{4 * s, Leave, 0, s})
+		Expect(sim.Run(3900 * time.Millisecond)).To(Succeed())
+		Expect(sim.machines[1].node.TolerableLosses(sim.now)).To(Equal(0))
+		Expect(sim.Run(6 * s)).To(Succeed())
+		Expect(sim.machines[1].node.TolerableLosses(sim.now)).To(Equal(-1))
+	})
+
+	It("stops at once where the whole core does", func() {
+		sim := inject(threeMembers, Fault{3 * s, Leave, 0, 20 * s}, Fault{3 * s, Leave, 1, 20 * s}, Fault{3 * s, Leave, 2, 20 * s})
+		Expect(sim.Run(4 * s)).To(Succeed())
+		Expect(sim.runningMachines()).To(BeEmpty())
+	})
+})
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -36,7 +36,7 @@
 	isReplacement bool
 	// isBeingReplaced is set while a replacement joins and this machine is to leave.
 	isBeingReplaced bool
-	// leaveDeadline is when a leaving process stops in any case; 0 if it does not leave.
+	// leaveDeadline is when a leaving process is killed if it has not stopped; 0 if it does not leave.
 	leaveDeadline time.Duration
 	// restartDelay is when a process that has left starts again; 0 for never.
 	restartDelay time.Duration
@@ -257,17 +257,20 @@
 	}
 }
 
-// leaveTimeout is how long a leaving process waits until it can stop.
-const leaveTimeout = 4 * time.Second
+// gracePeriod is how long after the signal to stop the platform kills a process.
+const gracePeriod = 8 * time.Second
 
 // leave begins a planned stop. The process starts again after a delay, or never if that is 0.
 func (m *machine) leave(restartDelay time.Duration) {
-	m.node.Leave()
-	m.leaveDeadline = m.sim.now + leaveTimeout
+	m.node.Leave(m.sim.now)
+	m.leaveDeadline = m.sim.now + gracePeriod
+	if m.sim.options.Flaw == StopWithoutAgreement {
+		m.leaveDeadline = m.sim.now + gracePeriod/2
+	}
 	m.restartDelay = restartDelay
 }
 
-// stopIfLeft stops a leaving process that can stop, or whose time is over. It reports whether it did.
+// stopIfLeft stops a leaving process that can stop, or whose grace period is over. It reports whether it did.
 func (m *machine) stopIfLeft() bool {
 	if m.leaveDeadline == 0 {
 		return false
@@ -299,5 +302,5 @@
 		isSurplus := isVoter && len(view.Voters) > 2*m.sim.options.MostFailures+1
 		return !m.node.IsInChain() && !isSurplus
 	}
-	return m.node.CanStop()
+	return m.node.CanStop(m.sim.now)
 }
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -35,6 +35,8 @@
 	Leave FaultKind = "leave"
 	// PlannedReplacement starts an empty machine at another address and then removes this one as planned.
 	PlannedReplacement FaultKind = "planned-change"
+	// Remove stops the process as planned and removes the machine for good. An empty one starts at another address later.
+	Remove FaultKind = "remove"
 )
 
 // Faults that affect several members.
@@ -58,12 +60,13 @@
 var faultKinds = []FaultKind{
 	Kill, Freeze, Isolate, DropOutbound, DropInbound, StallDisk, LoseDisk, Replace, KillAll, KillAllLoseDisk, KillAllLoseDisks,
 	Split, DelayMessages, DelayInbound, Leave, PlannedReplacement, KillAfterHeal, LagThenRecover,
+	Remove,
 }
 
 // lostDisks returns the number of disks that a fault loses, if at most maxFailures may be lost.
 func (k FaultKind) lostDisks(maxFailures int) int {
 	switch k {
-	case LoseDisk, Replace, KillAllLoseDisk, PlannedReplacement, LagThenRecover:
+	case LoseDisk, Replace, KillAllLoseDisk, PlannedReplacement, LagThenRecover, Remove:
 		return 1
 	case KillAllLoseDisks:
 		return maxFailures
--- a/internal/protocol/status.go
+++ b/internal/protocol/status.go
@@ -29,6 +29,17 @@
 	Endpoints   map[sessions.State]int
 	// DiskBehind is how long the write that is now in progress has taken; 0 if there is none.
 	DiskBehind time.Duration
+	// Tolerance is nil in the answer of an earlier version.
+	Tolerance *Tolerance `json:",omitempty"`
+}
+
+// Tolerance is which further losses the core can bear.
+type Tolerance struct {
+	// Losses is how many more voters may be lost before no majority is left; negative if there is none without those that
+	// leave or cannot be reached.
+	Losses int
+	// Leaving are the voters that have been asked to stop, Unreachable the others that do not answer.
+	Leaving, Unreachable []chain.MemberID
 }
 
 // MemberStatus is what a control process knows of a voter.
