No request waits longer because a load of its model is in progress

Change: modelLoadWaitFraction is out; such a request is rejected after firstWaitFraction with the time of the load, as any other.

--- a/internal/dataplane/selection.go
+++ b/internal/dataplane/selection.go
@@ -13,9 +13,6 @@
 const (
 	// firstWaitFraction is the part of the route's target latency for which a first attempt waits. Half or double: not measured.
 	firstWaitFraction = 0.2
-	// modelLoadWaitFraction is the part of it for which an attempt waits where a load of the model ends within it. Without that wait
-	// F gains 0.016 of worth, with an error of 0.011 (docs/DECISIONS.md, "Ablation"). Half or double: not measured.
-	modelLoadWaitFraction = 0.6
 	// retryWaitFraction is the part of its own time for which a client's retry waits, as there may be no further one. Without it
 	// F loses 0.004 and G 0.007 of worth, within the errors (docs/DECISIONS.md, "Ablation"). Half or double: not measured.
 	retryWaitFraction = 0.5
@@ -106,11 +103,7 @@
 	case routing.NoneAvailable:
 		rejected.kind = errkind.Overloaded
 	case routing.ModelNotLoaded:
-		loadTime := modelLoadTime(req.engine, req.model) + modelLoadMargin
-		rejected.retryAfter = loadTime
-		if limitForLoad := fractionOf(req.route.TargetLatency(), modelLoadWaitFraction); loadTime < limitForLoad {
-			limit = limitForLoad
-		}
+		rejected.retryAfter = modelLoadTime(req.engine, req.model) + modelLoadMargin
 	}
 	if req.isRetry {
 		limit = max(limit, fractionOf(req.deadline.Sub(req.arrivedAt), retryWaitFraction))
