The replica of the sessions is a pure state machine, searched with the core

Cause: the replication of sessions, their comparison by digests and the acknowledgement of departures were part of the control process's event loop, with closures and the clock, so that the search could not play them.

--- a/internal/controlplane/chain_driver.go
+++ b/internal/controlplane/chain_driver.go
@@ -54,5 +54,5 @@
 	view := s.chain.View()
 	s.log.Info("chain.view", "number", view.Number, "voters", len(view.Voters), "chain", len(view.Chain),
 		"head", string(view.Head()), "holder", string(view.Holder), "token", view.Token)
-	s.sessionSync.restart()
+	s.sessions.RestartSync()
 }
--- a/internal/controlplane/doc.go
+++ b/internal/controlplane/doc.go
@@ -7,15 +7,16 @@
 // One Server per process owns, each in a file of its own:
 //
 //   - the replicated configuration, as the driver of a chain.Node (chain_driver.go, chain_store.go, configuration_fsm.go);
-//   - the table of sessions (heartbeat_endpoint.go, session_replication.go, anti_entropy.go, session_store.go), and the
-//     acknowledgement of drains and deregistrations (drain_ack.go);
+//   - the table of sessions, as the driver of a sessionsync.Replica (heartbeat_endpoint.go, session_replication.go,
+//     session_store.go);
 //   - the streams of updates to the proxies (update_stream.go) and the load of every endpoint (endpoint_loads.go);
 //   - the placement controller (placement_controller.go, overlays.go, load_ledger_sync.go) with its orders (order.go,
 //     order_client.go).
 //
 // A resource of the HTTP API or of the command line is served by the file *_endpoint.go of its name; messages of peers are
 // dispatched in rpc.go. What a message or a setting means is defined elsewhere: internal/protocol, internal/nodefile.
-// Decisions are too: internal/chain decides on views and commits, internal/placement on plans, internal/sessions on merges.
+// Decisions are too: internal/chain decides on views and commits, internal/placement on plans, internal/sessions on merges,
+// internal/sessionsync on what replicas of the sessions exchange and when a departure is acknowledged, internal/orders on orders.
 //
 // # Invariants
 //
@@ -43,7 +44,7 @@
 //	updates of a stream          updateQueueLength 64; beyond, the stream ends and the proxy subscribes elsewhere
 //	subscribers                  maxSubscribers 2048; beyond, sent to another member
 //	pending calls to peers       maxPendingCalls 1024; beyond, answered as unavailable
-//	pending departures           maxPendingDepartures 4096; beyond, answered as unavailable
+//	pending departures           sessionsync: maxDepartures 4096; beyond, answered as unavailable
 //	links to peers               maxLinks 64; beyond, all are closed and made again
 //	placement decisions kept     maxDecisions 512, the oldest dropped
 //
--- a/internal/controlplane/eventloop.go
+++ b/internal/controlplane/eventloop.go
@@ -10,9 +10,6 @@
 const (
 	// commandQueueLength bounds the commands that wait for the event loop. A sender waits while the queue is full.
 	commandQueueLength = 4096
-	// maxSessionClockTicks bounds, in ticks, by how much the session clock advances at once. After a pause of the whole
-	// process (a frozen machine) the heartbeats of that time are still unread: no endpoint may expire by it.
-	maxSessionClockTicks = 4
 	// seedRereadInterval is the time between two readings of the settings' seeds while this member has no quorum.
 	seedRereadInterval = time.Second
 )
@@ -88,31 +85,21 @@
 func (s *Server) afterBatch() {
 	now := s.now()
 	s.pendingRequests.AnswerReady(now)
-	s.broadcastSessions(now)
+	s.carryOutSessions(s.sessions.Flush(now, s.core(now)))
 	s.broadcastEndpointLoads(now)
 	s.streamUpdates(now)
 	s.placement.planIfDue(now)
-	s.snapshotSessions(now)
 }
 
 // tick does what time alone makes due.
 func (s *Server) tick() {
 	now := s.now()
-	sinceLastTick := now - s.lastTick
-	s.lastTick = now
-	hasQuorum := s.chain.HasQuorum(now)
-	if hasQuorum {
-		// Without a quorum the session clock stands still: heartbeats are then refused, and no endpoint may expire by that.
-		s.sessionClock += min(sinceLastTick, maxSessionClockTicks*s.timing.tickInterval)
-	}
 	s.chain.SetDiskHealthy(s.chainStore.writeDuration() < s.timing.maxWriteDuration)
-	s.rereadSeeds(now, hasQuorum)
+	s.rereadSeeds(now, s.chain.HasQuorum(now))
 	s.applyOutput(s.chain.Tick(now))
-	s.sessionTable.ExpireTTLs(s.sessionClock)
-	s.updateFullSync(now, hasQuorum)
-	s.runAntiEntropy(now)
+	s.carryOutSessions(s.sessions.Tick(now, s.core(now)))
+	s.broadcastSubscriberCount(now)
 	s.expireCalls(now)
-	s.expireDepartures()
 	s.placement.tick(now)
 	s.reportTolerance(now)
 }
--- a/internal/controlplane/explain_endpoint.go
+++ b/internal/controlplane/explain_endpoint.go
@@ -75,7 +75,7 @@
 func (c *placementController) explain(now time.Duration, model string) protocol.Explanation {
 	explanation := protocol.Explanation{Model: model, Now: now, Holds: c.holder.Lease().Held, Decisions: c.decisions.about(model)}
 	services := map[string]bool{}
-	for _, e := range c.server.sessionTable.Endpoints() {
+	for _, e := range c.server.sessions.Table().Endpoints() {
 		if e.State == sessions.Departed || !e.HasLoaded(model, "") {
 			continue
 		}
--- a/internal/controlplane/heartbeat_endpoint.go
+++ b/internal/controlplane/heartbeat_endpoint.go
@@ -52,36 +52,3 @@
 	}
 	writeEmptyObject(w)
 }
-
-// applyHeartbeat stores a heartbeat of an endpoint. One that announces draining is answered once that is replicated; see
-// pendingDeparture. Without a quorum it is refused, so that the endpoint turns to a member that proxies can follow.
-func (s *Server) applyHeartbeat(id string, heartbeat sessions.Heartbeat, answer func(error)) {
-	if !s.chain.HasQuorum(s.now()) {
-		answer(errNoQuorum())
-		return
-	}
-	s.sessionTable.ApplyHeartbeat(s.sessionClock, id, heartbeat)
-	if heartbeat.State == sessions.Draining {
-		s.replicateDeparture(id, sessions.Draining, answer)
-		return
-	}
-	if _, ok := s.sessionTable.Get(id); !ok {
-		answer(errTableFull())
-		return
-	}
-	answer(nil)
-}
-
-// deregister stores that an endpoint has departed, and answers once that is replicated.
-func (s *Server) deregister(id string, answer func(error)) {
-	if !s.chain.HasQuorum(s.now()) {
-		answer(errNoQuorum())
-		return
-	}
-	s.sessionTable.Deregister(s.sessionClock, id)
-	s.replicateDeparture(id, sessions.Departed, answer)
-}
-
-func errNoQuorum() error { return errkind.New(errkind.Unavailable, "no majority is in touch") }
-
-func errTableFull() error { return errkind.New(errkind.Unavailable, "the table of sessions is full") }
--- a/internal/controlplane/order.go
+++ b/internal/controlplane/order.go
@@ -30,7 +30,7 @@
 
 // address returns the address of an endpoint; empty if it has no session.
 func (c *placementController) address(endpoint string) string {
-	session, ok := c.server.sessionTable.Get(endpoint)
+	session, ok := c.server.sessions.Table().Get(endpoint)
 	if !ok {
 		return ""
 	}
--- a/internal/controlplane/overlays.go
+++ b/internal/controlplane/overlays.go
@@ -35,7 +35,7 @@
 	c.overlayCounter++
 	version := c.holder.Lease().Token<<32 | c.overlayCounter
 	c.overlays[id] = publishedOverlay{overrides: overrides, setAt: now}
-	c.server.sessionTable.SetOverlay(id, sessions.Overlay{Version: version, Holdings: overrides})
+	c.server.sessions.Table().SetOverlay(id, sessions.Overlay{Version: version, Holdings: overrides})
 }
 
 // clearOverrides has an endpoint's heartbeats alone count again.
@@ -55,7 +55,7 @@
 			delete(c.overlays, id)
 		}
 	}
-	for _, session := range c.server.sessionTable.Endpoints() {
+	for _, session := range c.server.sessions.Table().Endpoints() {
 		if _, own := c.overlays[session.ID]; !own && len(session.Overlay.Holdings) > 0 {
 			c.overlays[session.ID] = publishedOverlay{overrides: session.Overlay.Holdings, setAt: now}
 		}
--- a/internal/controlplane/pending_calls_test.go
+++ b/internal/controlplane/pending_calls_test.go
@@ -1,8 +1,6 @@
 package controlplane
 
 import (
-	"time"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -30,7 +28,7 @@
 		before, _, _ = singleMember()
 		after, _, _ = singleMember()
 		for _, server := range []*Server{before, after} {
-			server.pendingCalls, server.pendingDepartures = newPendingCalls(), map[uint64]*pendingDeparture{}
+			server.pendingCalls = newPendingCalls()
 		}
 		return before, after
 	}
@@ -52,12 +50,9 @@
 		Expect(replies).NotTo(Receive())
 	})
 
-	It("counts no acknowledgement of a departure of before", func() {
+	It("numbers its departures otherwise than before", func() {
 		before, after := restarted()
-		departure := &pendingDeparture{deadline: time.Hour, storedAt: map[string]bool{}}
-		after.pendingDepartures[after.pendingCalls.nextNumber()] = departure
-		after.onSessionAck(protocol.SessionAck{From: "b", Ask: before.pendingCalls.nextNumber()})
-		Expect(departure.storedAt).To(BeEmpty())
+		Expect(before.sessionConfig(true).FirstNumber).NotTo(Equal(after.sessionConfig(true).FirstNumber))
 	})
 
 	It("sends pings with other nonces than before", func() {
--- a/internal/controlplane/placement_controller.go
+++ b/internal/controlplane/placement_controller.go
@@ -169,7 +169,7 @@
 // plannerEndpoints lists the endpoints of a service as the planner sees them.
 func (c *placementController) plannerEndpoints(service string) []placement.Endpoint {
 	var endpoints []placement.Endpoint
-	for _, session := range c.server.sessionTable.Endpoints() {
+	for _, session := range c.server.sessions.Table().Endpoints() {
 		if session.Heartbeat.Service != service || session.State == sessions.Departed {
 			continue
 		}
--- a/internal/controlplane/rpc.go
+++ b/internal/controlplane/rpc.go
@@ -71,18 +71,9 @@
 func (s *Server) dispatch(message any) {
 	now := s.now()
 	switch m := message.(type) {
-	case protocol.SessionUpdate:
-		s.onSessionUpdate(m)
-	case protocol.SessionAck:
-		s.onSessionAck(m)
-	case protocol.SessionSnapshotRequest:
-		s.onSessionSnapshotRequest(m)
-	case protocol.SessionSnapshot:
-		s.onSessionSnapshot(m)
-	case protocol.SessionDigest:
-		s.onSessionDigest(m)
-	case protocol.SessionRange:
-		s.onSessionRange(m)
+	case protocol.SessionUpdate, protocol.SessionAck, protocol.SessionSnapshotRequest, protocol.SessionSnapshot,
+		protocol.SessionDigest, protocol.SessionRange:
+		s.receiveSessions(now, m)
 	case protocol.EndpointLoadSync:
 		s.endpointLoads.applyPeerLoads(now, m)
 	case protocol.LoadLedgerSync:
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -14,7 +14,7 @@
 	"dykering/internal/chain"
 	"dykering/internal/nodefile"
 	"dykering/internal/peerlink"
-	"dykering/internal/sessions"
+	"dykering/internal/sessionsync"
 )
 
 // Server is a running control process. All fields but the first block belong to the event loop; see eventloop.go.
@@ -34,28 +34,23 @@
 	pendingCalls     pendingCalls           // to other members
 
 	// The table of sessions.
-	sessionTable *sessions.Table
-	sessionStore *sessionStore
-	sessionSync  sessionSync
-	sessionClock time.Duration // advances while this member has a quorum
-
-	// Departures wait for their acknowledgement by the number of their SessionUpdate. An endpoint whose departure has been
-	// acknowledged up to a state is answered at once when it repeats the notice.
-	pendingDepartures      map[uint64]*pendingDeparture
-	acknowledgedDepartures map[string]sessions.State
+	sessions        *sessionsync.Replica
+	sessionStore    *sessionStore
+	sessionCalls    map[sessionsync.CallID]func(error) // of endpoints, to be answered
+	lastSessionCall sessionsync.CallID
 
 	// The proxies.
-	subscribers     map[*subscriber]bool
-	peerSubscribers map[string]peerSubscriberCount // by the address of a peer
-	endpointLoads   *endpointLoadTable
+	subscribers        map[*subscriber]bool
+	peerSubscribers    map[string]peerSubscriberCount // by the address of a peer
+	subscriberCountDue time.Duration
+	endpointLoads      *endpointLoadTable
 
 	placement *placementController
 
 	tolerance toleranceReport
 
 	peerLinks map[string]*peerlink.Link // by the address of a peer
-	lastTick  time.Duration
-	seedsDue  time.Duration // when the seeds are read again
+	seedsDue  time.Duration             // when the seeds are read again
 }
 
 // Run runs a control process until a signal arrives on stop and the member has left the chain, or the time for that is
@@ -95,16 +90,14 @@
 func newServer(ctx context.Context, settings nodefile.Settings, log *slog.Logger) *Server {
 	s := &Server{
 		settings: settings, timing: newTiming(&settings), log: log, origin: time.Now(), ctx: ctx,
-		commands:               make(chan func(), commandQueueLength),
-		pendingCalls:           newPendingCalls(),
-		pendingDepartures:      map[uint64]*pendingDeparture{},
-		acknowledgedDepartures: map[string]sessions.State{},
-		subscribers:            map[*subscriber]bool{},
-		peerSubscribers:        map[string]peerSubscriberCount{},
-		endpointLoads:          newEndpointLoadTable(),
-		peerLinks:              map[string]*peerlink.Link{},
+		commands:        make(chan func(), commandQueueLength),
+		pendingCalls:    newPendingCalls(),
+		sessionCalls:    map[sessionsync.CallID]func(error){},
+		subscribers:     map[*subscriber]bool{},
+		peerSubscribers: map[string]peerSubscriberCount{},
+		endpointLoads:   newEndpointLoadTable(),
+		peerLinks:       map[string]*peerlink.Link{},
 	}
-	s.sessionTable = sessions.New(s.timing.sessionTTL)
 	s.placement = newPlacementController(s)
 	return s
 }
@@ -115,7 +108,8 @@
 		return err
 	}
 	s.pendingRequests = chain.NewPendingRequests(s.chain, s.timing.callTimeout)
-	s.sessionStore = s.openSessionStore()
+	store, restored := s.openSessionStore()
+	s.sessionStore, s.sessions = store, sessionsync.New(s.sessionConfig(store.ring != nil), restored)
 	return nil
 }
 
--- a/internal/controlplane/session_replication.go
+++ b/internal/controlplane/session_replication.go
@@ -1,116 +1,86 @@
 package controlplane
 
 import (
+	mathrand "math/rand/v2"
 	"time"
 
 	"dykering/internal/protocol"
 	"dykering/internal/sessions"
+	"dykering/internal/sessionsync"
 )
 
-// Sessions are replicated in three ways: each change is broadcast by the member that received the heartbeat (here), a
-// member that comes into a view asks its peers for all sessions (here, sessionSync), and what was lost on the way is
-// found by comparison (anti_entropy.go).
+// What the replicas of the sessions exchange is decided by sessionsync.Replica. The functions here connect it with the event
+// loop: they give it what happens, and carry out what it asks for.
 
-// sessionSync is the progress of the full sync that a member makes before it serves streams, and the times at which the
-// next messages are due.
-type sessionSync struct {
-	complete bool
-	// startedAt is when this member asked its peers for their sessions; 0 before.
-	startedAt time.Duration
-	// awaited are the addresses of the peers that have not sent their sessions since.
-	awaited map[string]bool
+// maxSessionClockTicks bounds, in ticks, by how much the session clock advances at once.
+const maxSessionClockTicks = 4
 
-	renewalsDue    time.Duration
-	antiEntropyDue time.Duration
+// sessionConfig is the configuration of this member's replica.
+func (s *Server) sessionConfig(canStore bool) sessionsync.Config {
+	return sessionsync.Config{
+		Self: s.chain.Self().Address, TTL: s.timing.sessionTTL, RenewalInterval: s.timing.renewalInterval,
+		AntiEntropyInterval: s.timing.antiEntropyInterval, FullSyncTimeout: s.timing.fullSyncTimeout,
+		DepartureTimeout: s.timing.drainAckTimeout, MaxClockStep: maxSessionClockTicks * s.timing.tickInterval,
+		FirstNumber: randomCallNumber(), Choose: mathrand.IntN, CanStore: canStore,
+	}
 }
 
-// restart has the next tick start another full sync.
-func (sync *sessionSync) restart() { sync.complete, sync.startedAt = false, 0 }
+// core is the core as the replica of the sessions needs to see it.
+func (s *Server) core(now time.Duration) sessionsync.Core { return sessionsync.CoreOf(s.chain, now) }
 
-// updateFullSync starts or completes a full sync. One is needed after a start, after a change of the view and after a time
-// without a quorum, as broadcasts of that time are missing here.
-func (s *Server) updateFullSync(now time.Duration, hasQuorum bool) {
-	sync := &s.sessionSync
-	switch {
-	case !hasQuorum:
-		sync.restart()
-	case sync.complete:
-	case sync.startedAt == 0:
-		sync.startedAt, sync.awaited = now, map[string]bool{}
-		for _, peer := range s.peerAddresses() {
-			sync.awaited[peer] = true
-			s.send(peer, protocol.SessionSnapshotRequest{From: s.chain.Self().Address})
-		}
-	case now-sync.startedAt > s.timing.fullSyncTimeout || s.haveReachablePeersAnswered(now):
-		sync.complete = true
-	}
+// sessionCall begins a call of an endpoint that is answered by the replica.
+func (s *Server) sessionCall(answer func(error)) sessionsync.CallID {
+	s.lastSessionCall++
+	s.sessionCalls[s.lastSessionCall] = answer
+	return s.lastSessionCall
 }
 
-// haveReachablePeersAnswered reports whether all peers that can be reached have sent their sessions.
-func (s *Server) haveReachablePeersAnswered(now time.Duration) bool {
-	for peer := range s.sessionSync.awaited {
-		if s.chain.IsReachable(now, peer) {
-			return false
-		}
-	}
-	return true
+// applyHeartbeat stores a heartbeat of an endpoint.
+func (s *Server) applyHeartbeat(id string, heartbeat sessions.Heartbeat, answer func(error)) {
+	now := s.now()
+	s.carryOutSessions(s.sessions.Heartbeat(now, s.core(now), id, heartbeat, s.sessionCall(answer)))
 }
 
-func (s *Server) onSessionSnapshotRequest(m protocol.SessionSnapshotRequest) {
-	s.send(m.From, protocol.SessionSnapshot{From: s.chain.Self().Address, Records: s.sessionTable.AllRecords(s.sessionClock)})
+// deregister stores that an endpoint has departed.
+func (s *Server) deregister(id string, answer func(error)) {
+	now := s.now()
+	s.carryOutSessions(s.sessions.Deregister(now, s.core(now), id, s.sessionCall(answer)))
 }
 
-func (s *Server) onSessionSnapshot(m protocol.SessionSnapshot) {
-	s.mergeSessions(m.Records)
-	delete(s.sessionSync.awaited, m.From)
+// receiveSessions handles a message of a peer about sessions.
+func (s *Server) receiveSessions(now time.Duration, message any) {
+	s.carryOutSessions(s.sessions.Receive(now, s.core(now), message))
 }
 
-// broadcastSessions sends the peers what endpoints have reported to this member since the last time: changed sessions at
-// once, renewals at their interval.
-func (s *Server) broadcastSessions(now time.Duration) {
-	update := protocol.SessionUpdate{From: s.chain.Self().Address, Records: s.sessionTable.FlushModified(s.sessionClock)}
-	if now >= s.sessionSync.renewalsDue {
-		s.sessionSync.renewalsDue = now + s.timing.renewalInterval
-		update.Signs = s.sessionTable.FlushRenewals(s.sessionClock)
-	}
-	if len(update.Records) == 0 && len(update.Signs) == 0 {
-		return
-	}
-	s.broadcast(update)
+// onSessionsStored takes the end of the write of a snapshot.
+func (s *Server) onSessionsStored(err error) {
+	now := s.now()
+	s.carryOutSessions(s.sessions.Stored(now, s.core(now), err))
 }
 
-// onSessionUpdate stores sessions that endpoints have reported to a peer. An update that asks for an acknowledgement, as of
-// a departure, gets it once the sessions are on this member's disk.
-func (s *Server) onSessionUpdate(m protocol.SessionUpdate) {
-	s.mergeSessions(m.Records)
-	unknown := false
-	for _, renewal := range m.Signs {
-		if !s.sessionTable.Renew(s.sessionClock, renewal.ID, renewal.Sequence, renewal.Age) {
-			unknown = true
-		}
+// carryOutSessions does what the replica asks for.
+func (s *Server) carryOutSessions(out sessionsync.Output) {
+	for _, envelope := range out.Messages {
+		s.send(envelope.To, envelope.Message)
 	}
-	if unknown {
-		// The session's record was lost on its way here.
-		s.send(m.From, protocol.SessionSnapshotRequest{From: s.chain.Self().Address})
+	for _, departing := range out.Departing {
+		s.log.Info("endpoint.departing", "id", departing.ID, "state", string(departing.State))
 	}
-	if m.Ask != 0 && s.hasStates(m.Records) {
-		s.afterSessionsStored(func() { s.send(m.From, protocol.SessionAck{From: s.chain.Self().Address, Ask: m.Ask}) })
+	for _, answered := range out.Answers {
+		answer := s.sessionCalls[answered.Call]
+		delete(s.sessionCalls, answered.Call)
+		answer(answered.Err)
 	}
-}
-
-// hasStates reports whether the table has each endpoint at least as far in its life cycle as the records say. It has not
-// where it is full: an acknowledgement would then be given for what was not stored.
-func (s *Server) hasStates(records []sessions.Record) bool {
-	for _, record := range records {
-		if !s.hasReached(record.Endpoint.ID, record.Endpoint.State) {
-			return false
-		}
+	if out.Snapshot != nil {
+		s.sessionStore.snapshots <- out.Snapshot // the replica waits for the end of one before the next
 	}
-	return true
 }
 
-func (s *Server) mergeSessions(records []sessions.Record) {
-	for _, record := range records {
-		s.sessionTable.Merge(s.sessionClock, record)
+// broadcastSubscriberCount tells the peers how many proxies follow this member, at an interval.
+func (s *Server) broadcastSubscriberCount(now time.Duration) {
+	if now < s.subscriberCountDue {
+		return
 	}
+	s.subscriberCountDue = now + s.timing.antiEntropyInterval
+	s.broadcast(protocol.SubscriberCount{From: s.chain.Self().Address, Count: len(s.subscribers)})
 }
--- a/internal/controlplane/status_endpoint.go
+++ b/internal/controlplane/status_endpoint.go
@@ -75,7 +75,7 @@
 		behind := committed.Seq - min(sub.acked.ConfigSeq, committed.Seq)
 		status.Subscribers = append(status.Subscribers, protocol.SubscriberStatus{Name: sub.name, Ack: sub.acked, Behind: behind})
 	}
-	for _, session := range s.sessionTable.Endpoints() {
+	for _, session := range s.sessions.Table().Endpoints() {
 		status.Endpoints[session.State]++
 	}
 	return status
--- a/internal/controlplane/update_stream.go
+++ b/internal/controlplane/update_stream.go
@@ -76,7 +76,7 @@
 
 func (s *Server) addSubscriber(sub *subscriber) {
 	s.subscribers[sub] = true
-	if len(s.subscribers) > maxSubscribers || !s.canStream(s.now()) || !s.sessionSync.complete {
+	if len(s.subscribers) > maxSubscribers || !s.canStream(s.now()) || !s.sessions.IsSynced() {
 		s.endStream(sub)
 	}
 }
@@ -151,15 +151,15 @@
 	loads, loadsDue := s.endpointLoads.totalsIfDue(now)
 	for sub := range s.subscribers {
 		keepaliveDue := now-sub.sentAt >= protocol.Keepalive
-		if sub.fullUpdateSent && !keepaliveDue && !loadsDue && sub.sentIndex >= s.sessionTable.ModifyIndex() && sub.sentConfigSeq >= committed.Seq {
+		if sub.fullUpdateSent && !keepaliveDue && !loadsDue && sub.sentIndex >= s.sessions.Table().ModifyIndex() && sub.sentConfigSeq >= committed.Seq {
 			continue
 		}
 		update := protocol.Update{
-			Revision: s.sessionTable.ModifyIndex(), Subscribers: subscriberCount, Whole: !sub.fullUpdateSent,
+			Revision: s.sessions.Table().ModifyIndex(), Subscribers: subscriberCount, Whole: !sub.fullUpdateSent,
 			HasLoads: loadsDue, Loads: loads,
 		}
 		if update.Whole || sub.sentIndex < update.Revision {
-			update.Endpoints = s.sessionTable.ModifiedSince(sub.sentIndex)
+			update.Endpoints = s.sessions.Table().ModifiedSince(sub.sentIndex)
 		}
 		if sub.sentConfigSeq < committed.Seq {
 			document := committed.Value.(*fleetconfig.State).Document
--- a/internal/lab/coresim/disk.go
+++ b/internal/lab/coresim/disk.go
@@ -89,7 +89,7 @@
 
 // loseDisk empties the disk of a process that does not run.
 func (m *machine) loseDisk() {
-	m.disk = nil
+	m.disk, m.sessionDisk = nil, nil
 	m.lostDisks++
 }
 
--- a/internal/lab/coresim/endchecks.go
+++ b/internal/lab/coresim/endchecks.go
@@ -20,6 +20,9 @@
 	if sim.checker.violation != nil {
 		return sim.checker.violation
 	}
+	if err := sim.checkSessions(); err != nil {
+		return err
+	}
 	return sim.checkPlacement()
 }
 
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -61,13 +61,19 @@
 	ForgetLedger      Flaw = "a new holder of the placement begins with an empty ledger"
 )
 
+// Flaws of the sessions. They are found with Options.Sessions alone.
+const (
+	AckDepartureAtOnce Flaw = "an endpoint's departure is acknowledged before it is on any disk"
+	ServeBeforeSync    Flaw = "a member serves streams before it has its peers' sessions"
+)
+
 // Flaws returns all flaws that can be planted.
 func Flaws() []Flaw {
 	return []Flaw{
 		SendBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
 		ReadUnconfirmed, ReadUncommitted, LeaseUnconfirmed, NoTakeoverDelay, NoReturnDelay, RestartWithLease, ConstantToken,
 		RepeatNonces, RejectUnconfirmed, ForgetApplied, IgnoreBase, StopAsSurplusVoter, StopBeforeReplicated,
-		StopWithoutAgreement, OrderWithoutLease, ForgetLedger,
+		StopWithoutAgreement, OrderWithoutLease, ForgetLedger, AckDepartureAtOnce, ServeBeforeSync,
 	}
 }
 
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -7,6 +7,7 @@
 
 	"dykering/internal/chain"
 	"dykering/internal/protocol"
+	"dykering/internal/sessions"
 )
 
 // machine is one machine of the core with its process and its disk. Its counterpart in the program is the control process
@@ -21,6 +22,8 @@
 	requests *chain.PendingRequests
 	// placer is nil without Options.Placement.
 	placer *placer
+	// sessions is nil without Options.Sessions.
+	sessions *sessionProcess
 	// incarnation counts the starts and ends of the process. Events that an earlier one has scheduled are ignored.
 	incarnation int
 	up          bool
@@ -46,6 +49,8 @@
 
 	// Disk.
 
+	// sessionDisk is the snapshot of the sessions, sessionWrite the one that is being written; nil for none.
+	sessionDisk, sessionWrite []sessions.Record
 	// disk are the records that are stored.
 	disk []any
 	// lostDisks is how often the disk was lost.
@@ -125,7 +130,9 @@
 	if !genesis {
 		m.sim.refreshSeeds()
 	}
-	m.process(m.startNode(genesis))
+	out := m.startNode(genesis)
+	m.startSessions()
+	m.process(out)
 	m.startPlacer()
 	m.tick(m.incarnation)
 }
@@ -167,6 +174,7 @@
 // kill ends the process. A random part of what was being synced is on disk, what was queued is lost.
 func (m *machine) kill() {
 	m.persistTorn()
+	m.killSessions()
 	m.incarnation++
 	m.up = false
 	m.inbox = nil
@@ -195,6 +203,9 @@
 	}
 	m.process(m.node.Tick(m.sim.now))
 	m.observe()
+	if m.sessions != nil {
+		m.sessions.tick()
+	}
 	if m.placer != nil {
 		m.placer.tick()
 	}
@@ -230,12 +241,19 @@
 		m.placer.receiveSync(sync)
 		return
 	}
+	if isSessionMessage(message) {
+		m.sessions.receive(message)
+		return
+	}
 	m.process(m.node.Receive(m.sim.now, message))
 	m.observe()
 }
 
 // process does what an output of the state machine asks for.
 func (m *machine) process(out chain.Output) {
+	if out.ViewInstalled && m.sessions != nil {
+		m.sessions.replica.RestartSync()
+	}
 	for _, envelope := range out.ImmediateMessages {
 		m.sim.send(m, envelope)
 	}
--- a/internal/lab/coresim/search.go
+++ b/internal/lab/coresim/search.go
@@ -24,15 +24,14 @@
 
 // SearchFlaw searches for a planted flaw, with the tables that it takes.
 func SearchFlaw(first, count uint64, flaw Flaw) *Failure {
-	if flaw == OrderWithoutLease || flaw == ForgetLedger {
-		return SearchPlacement(first, count, flaw, nil)
+	options := Options{Flaw: flaw}
+	switch flaw {
+	case OrderWithoutLease, ForgetLedger:
+		options.Placement = true
+	case AckDepartureAtOnce, ServeBeforeSync:
+		options.Sessions = true
 	}
-	return Search(first, count, flaw, nil)
-}
-
-// SearchPlacement is Search with the placement.
-func SearchPlacement(first, count uint64, flaw Flaw, progress func(played uint64)) *Failure {
-	failure, _ := SearchWithCoverage(first, count, Options{Flaw: flaw, Placement: true}, progress)
+	failure, _ := SearchWithCoverage(first, count, options, nil)
 	return failure
 }
 
@@ -52,7 +51,7 @@
 					return
 				}
 				s := Generate(first+i, options.Flaw)
-				s.Options.Placement = options.Placement
+				s.Options.Placement, s.Options.Sessions = options.Placement, options.Sessions
 				reached, err := s.runWithCoverage()
 				n := played.Add(1)
 				mu.Lock()
--- a/internal/lab/coresim/simulation.go
+++ b/internal/lab/coresim/simulation.go
@@ -50,6 +50,8 @@
 	Flaw Flaw
 	// Placement has the lease holder send orders to emulated endpoints.
 	Placement bool `json:",omitempty"`
+	// Sessions has emulated endpoints keep sessions with the members, drain and deregister.
+	Sessions bool `json:",omitempty"`
 }
 
 // Simulation is one simulated core with its clients.
@@ -69,6 +71,7 @@
 	lastArrival   map[link]time.Duration
 	checker       *checker
 	placement     *placementTable // nil without Options.Placement
+	sessions      *sessionTable   // nil without Options.Sessions
 	coverage      Coverage
 	lastOperation uint64
 	replacements  int
@@ -94,6 +97,9 @@
 	if options.Placement {
 		newPlacementTable(sim)
 	}
+	if options.Sessions {
+		sim.sessions = newSessionTable(sim)
+	}
 	for _, m := range sim.machines {
 		m.start(true)
 	}
@@ -163,10 +169,15 @@
 
 // violation returns the first violated guarantee; nil for none.
 func (sim *Simulation) violation() error {
-	if sim.checker.violation == nil && sim.placement != nil {
+	switch {
+	case sim.checker.violation != nil:
+		return sim.checker.violation
+	case sim.placement != nil && sim.placement.checker.violation != nil:
 		return sim.placement.checker.violation
+	case sim.sessions != nil:
+		return sim.sessions.checker.violation
 	}
-	return sim.checker.violation
+	return nil
 }
 
 // jitter returns a random part of a duration.
--- /dev/null
+++ b/internal/sessionsync/core.go
@@ -0,0 +1,32 @@
+package sessionsync
+
+import (
+	"time"
+
+	"dykering/internal/chain"
+)
+
+// Core is how a member sees the core.
+type Core struct {
+	// Voters are the addresses of the voters, with this member's if it is one.
+	Voters []string
+	// Majority is the number of voters that form a majority.
+	Majority int
+	// HasQuorum is true if this member reaches a majority.
+	HasQuorum bool
+	// IsReachable reports whether the voter at an address is reachable.
+	IsReachable func(address string) bool
+}
+
+// CoreOf is the core as a member of the chain sees it.
+func CoreOf(node *chain.Node, now time.Duration) Core {
+	view := node.View()
+	core := Core{
+		Majority: view.Majority(), HasQuorum: node.HasQuorum(now),
+		IsReachable: func(address string) bool { return node.IsReachable(now, address) },
+	}
+	for _, voter := range view.Voters {
+		core.Voters = append(core.Voters, voter.Address)
+	}
+	return core
+}
--- /dev/null
+++ b/internal/sessionsync/sessionsync_test.go
@@ -0,0 +1,236 @@
+package sessionsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/protocol"
+	"dykering/internal/sessions"
+)
+
+func TestSessionsync(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sessionsync")
+}
+
+const departureTimeout = time.Hour
+
+// replicaOf is a replica of the member at an address.
+func replicaOf(self string) *Replica {
+	return New(Config{
+		Self: self, TTL: time.Hour, DepartureTimeout: departureTimeout, MaxClockStep: time.Hour, FullSyncTimeout: time.Second,
+		AntiEntropyInterval: time.Second, Choose: func(int) int { return 0 }, CanStore: true,
+	}, nil)
+}
+
+// threeMembers is the core as a member sees it that reaches both others.
+var threeMembers = Core{
+	Voters: []string{"a", "b", "c"}, Majority: 2, HasQuorum: true, IsReachable: func(string) bool { return true },
+}
+
+// withoutQuorum is the core as a member sees it that reaches no other.
+var withoutQuorum = Core{Voters: threeMembers.Voters, Majority: 2, IsReachable: func(string) bool { return false }}
+
+// messagesTo returns the messages of a type to a member.
+func messagesTo[M any](out Output, to string) (messages []M) {
+	for _, envelope := range out.Messages {
+		if m, ok := envelope.Message.(M); ok && envelope.To == to {
+			messages = append(messages, m)
+		}
+	}
+	return messages
+}
+
+var _ = Describe("the acknowledgement of a departure", func() {
+	var replica *Replica
+	var now time.Duration
+	var lastCall CallID
+	var asked []uint64 // numbers of the departures that the peers were asked to store
+	// call applies an input with a new call and returns the answers to it.
+	note := func(out Output) []Answer {
+		for _, update := range messagesTo[protocol.SessionUpdate](out, "b") {
+			if update.Ask != 0 {
+				asked = append(asked, update.Ask)
+			}
+		}
+		return out.Answers
+	}
+	heartbeat := func(state sessions.State, sequence uint64) []Answer {
+		lastCall++
+		beat := sessions.Heartbeat{Service: "s", Address: "x:1", State: state, Sequence: sequence}
+		return note(replica.Heartbeat(now, threeMembers, "i-1", beat, lastCall))
+	}
+	drain := func(sequence uint64) []Answer { return heartbeat(sessions.Draining, sequence) }
+	deregister := func(id string) []Answer {
+		lastCall++
+		return note(replica.Deregister(now, threeMembers, id, lastCall))
+	}
+	// store writes the snapshot that is due.
+	store := func() []Answer {
+		out := replica.Flush(now, threeMembers)
+		if out.Snapshot == nil {
+			return nil
+		}
+		return replica.Stored(now, threeMembers, nil).Answers
+	}
+	// acknowledge has a peer acknowledge all departures.
+	acknowledge := func(peer string) (answers []Answer) {
+		for _, number := range asked {
+			answers = append(answers, replica.Receive(now, threeMembers, protocol.SessionAck{From: peer, Ask: number}).Answers...)
+		}
+		return answers
+	}
+	given := func() Answer { return Answer{Call: lastCall} }
+	BeforeEach(func() {
+		replica, now, lastCall, asked = replicaOf("a"), 0, 0, nil
+		Expect(heartbeat(sessions.Ready, 1)).To(ConsistOf(given()))
+	})
+
+	It("is given once every voter has it on disk", func() {
+		Expect(drain(2)).To(BeEmpty())
+		Expect(acknowledge("b")).To(BeEmpty())
+		Expect(acknowledge("c")).To(BeEmpty(), "it is not on the own disk yet")
+		Expect(store()).To(ConsistOf(given()))
+	})
+
+	It("is not given to a repeated notice while the first one is pending", func() {
+		drain(2)
+		store()
+		Expect(drain(3)).To(BeEmpty())
+		Expect(store()).To(BeEmpty())
+		Expect(acknowledge("b")).To(BeEmpty())
+		Expect(acknowledge("c")).To(ConsistOf(Answer{Call: lastCall - 1}, given()))
+		Expect(drain(4)).To(ConsistOf(given()), "all have it")
+	})
+
+	It("is not given to a repeated notice after the first one was rejected", func() {
+		drain(2)
+		now = departureTimeout + 1
+		Expect(replica.Tick(now, threeMembers).Answers).To(ConsistOf(HaveField("Err", HaveOccurred())))
+		Expect(drain(3)).To(BeEmpty())
+	})
+
+	It("is given after the deadline when a majority has it on disk", func() {
+		drain(2)
+		store()
+		Expect(acknowledge("c")).To(BeEmpty())
+		now = departureTimeout + 1
+		Expect(replica.Tick(now, threeMembers).Answers).To(ConsistOf(given()))
+	})
+
+	It("is given to a deregistration once the peers have it too, not before", func() {
+		Expect(deregister("i-1")).To(BeEmpty())
+		Expect(store()).To(BeEmpty())
+		Expect(acknowledge("b")).To(BeEmpty())
+		Expect(acknowledge("c")).To(ConsistOf(given()))
+	})
+
+	It("is asked of the peers also for the deregistration of an endpoint unknown here", func() {
+		Expect(deregister("i-2")).To(BeEmpty())
+		Expect(replica.Table().Records(0, []string{"i-2"})).To(ConsistOf(HaveField("Endpoint.State", sessions.Departed)))
+		Expect(asked).To(HaveLen(1))
+	})
+
+	It("waits for the next snapshot when one cannot be written", func() {
+		drain(2)
+		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
+		Expect(replica.Stored(now, threeMembers, context.DeadlineExceeded).Answers).To(BeEmpty())
+		acknowledge("b")
+		Expect(acknowledge("c")).To(BeEmpty())
+		Expect(replica.Flush(now, threeMembers).Snapshot).To(BeNil(), "it is tried again after a while")
+		now += storeRetryInterval
+		Expect(store()).To(ConsistOf(given()))
+	})
+
+	It("is not given by what was stored before it", func() {
+		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
+		drain(2)
+		acknowledge("b")
+		acknowledge("c")
+		Expect(replica.Stored(now, threeMembers, nil).Answers).To(BeEmpty())
+		Expect(store()).To(ConsistOf(given()))
+	})
+
+	It("is sent to a peer only after the next snapshot", func() {
+		record := sessions.Record{Endpoint: sessions.Endpoint{ID: "i-3", State: sessions.Draining}}
+		out := replica.Receive(now, threeMembers, protocol.SessionUpdate{From: "b", Ask: 7, Records: []sessions.Record{record}})
+		Expect(messagesTo[protocol.SessionAck](out, "b")).To(BeEmpty())
+		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
+		out = replica.Stored(now, threeMembers, nil)
+		Expect(messagesTo[protocol.SessionAck](out, "b")).To(ConsistOf(protocol.SessionAck{From: "a", Ask: 7}))
+	})
+
+	It("is never given without a store", func() {
+		replica.config.CanStore = false
+		drain(2)
+		acknowledge("b")
+		Expect(acknowledge("c")).To(BeEmpty())
+		Expect(store()).To(BeEmpty())
+	})
+
+	It("is refused without a quorum", func() {
+		out := replica.Heartbeat(now, withoutQuorum, "i-1", sessions.Heartbeat{State: sessions.Draining, Sequence: 2}, 9)
+		Expect(out.Answers).To(ConsistOf(HaveField("Err", HaveOccurred())))
+		Expect(replica.Deregister(now, withoutQuorum, "i-1", 10).Answers).To(ConsistOf(HaveField("Err", HaveOccurred())))
+	})
+
+	It("counts none of an earlier incarnation", func() {
+		drain(2)
+		store()
+		restarted := replicaOf("a")
+		restarted.lastNumber = 1 << 40
+		restarted.Deregister(now, threeMembers, "i-1", 1)
+		for _, number := range asked {
+			restarted.Receive(now, threeMembers, protocol.SessionAck{From: "b", Ask: number})
+		}
+		for _, pending := range restarted.departures {
+			Expect(pending.storedAt).To(BeEmpty())
+		}
+	})
+})
+
+var _ = Describe("a full sync", func() {
+	It("is complete once all peers that are reachable have answered, and is made again after a time without a quorum", func() {
+		replica := replicaOf("a")
+		out := replica.Tick(time.Second, threeMembers)
+		Expect(messagesTo[protocol.SessionSnapshotRequest](out, "b")).To(HaveLen(1))
+		replica.Receive(time.Second, threeMembers, protocol.SessionSnapshot{From: "b"})
+		replica.Tick(time.Second, threeMembers)
+		Expect(replica.IsSynced()).To(BeFalse())
+		replica.Receive(time.Second, threeMembers, protocol.SessionSnapshot{From: "c"})
+		replica.Tick(time.Second, threeMembers)
+		Expect(replica.IsSynced()).To(BeTrue())
+		replica.Tick(2*time.Second, withoutQuorum)
+		Expect(replica.IsSynced()).To(BeFalse())
+	})
+
+	It("is complete after a time-out", func() {
+		replica := replicaOf("a")
+		replica.Tick(time.Second, threeMembers)
+		replica.Tick(2*time.Second+1, threeMembers)
+		Expect(replica.IsSynced()).To(BeTrue())
+	})
+})
+
+var _ = Describe("replicas that differ", func() {
+	It("become equal by comparing digests", func() {
+		a, b := replicaOf("a"), replicaOf("b")
+		for i, id := range []string{"i-1", "i-2", "i-3"} {
+			beat := sessions.Heartbeat{Service: "s", Address: "x:1", State: sessions.Ready, Sequence: 1}
+			[]*Replica{a, b, a}[i].Heartbeat(0, threeMembers, id, beat, 1)
+		}
+		two := Core{Voters: []string{"a", "b"}, Majority: 2, HasQuorum: true, IsReachable: threeMembers.IsReachable}
+		messages := a.Tick(time.Second, two).Messages
+		for len(messages) > 0 {
+			envelope := messages[0]
+			to := map[string]*Replica{"a": a, "b": b}[envelope.To]
+			messages = append(messages[1:], to.Receive(time.Second, two, envelope.Message).Messages...)
+		}
+		Expect(a.Table().ChildDigests(nil)).To(Equal(b.Table().ChildDigests(nil)))
+		Expect(a.Table().Endpoints()).To(HaveLen(3))
+	})
+})
