dykering-lab upgrade plays a rolling upgrade between two programs, and back

Cause: that builds of different age work together was shown by fixtures, and once by hand. Change: internal/lab/upgrade starts three control processes and two proxies on loopback and replaces each, under changes of the configuration, requests, orders, drains and the loss of a control process while two versions are in the core. Checked: no change is rejected, what was acknowledged is read, no endpoint is called after its acknowledged drain, tokens never fall, a missing model is loaded after each step, answers are 200 or 503.

--- /dev/null
+++ b/cmd/dykering-lab/upgrade.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"dykering/internal/commandline"
+	"dykering/internal/lab/upgrade"
+	"dykering/internal/protocol"
+)
+
+func newUpgrade() *cli.Command {
+	var from, to string
+	c := &cli.Command{
+		Name: "upgrade", Usage: "Play a rolling upgrade of the system from one program to another and back, on loopback",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
+			directory, err := upgrade.TemporaryDirectory()
+			if err != nil {
+				return commandline.Failure(err)
+			}
+			protocol.Register()
+			scenario := upgrade.Scenario{
+				From: upgrade.Program{Command: []string{from}}, To: upgrade.Program{Command: []string{to}},
+				Directory: directory, Progress: c.Root().Writer,
+			}
+			report, err := scenario.Run(ctx)
+			fmt.Fprintf(c.Root().Writer, "changes acknowledged %d, drains acknowledged %d, models loaded %d, answers %v\n", report.Changes,
+				report.Drains, report.Loads, report.Answers)
+			if err != nil {
+				return commandline.Failure(fmt.Errorf("%w (logs: %s)", err, directory))
+			}
+			return os.RemoveAll(directory)
+		}),
+	}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "from", Required: true, Usage: "the program that the system runs at first and in the end", Destination: &from},
+		&cli.StringFlag{Name: "to", Required: true, Usage: "the program that it is upgraded to", Destination: &to},
+	}
+	return c
+}
--- /dev/null
+++ b/internal/lab/upgrade/endpoint.go
@@ -0,0 +1,180 @@
+package upgrade
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dykering/internal/sessions"
+)
+
+const (
+	heartbeatInterval = 300 * time.Millisecond
+	loadTime          = 200 * time.Millisecond
+	// drainBound is the time after the acknowledgement of a drain by which no request may arrive.
+	drainBound = 1200 * time.Millisecond
+)
+
+// endpoint is a stand-in for an endpoint of a service with models.
+type endpoint struct {
+	id       string
+	operator *operator
+	server   *http.Server
+	address  string
+
+	mu           sync.Mutex
+	models       []string
+	busy         bool
+	sequence     uint64 // of orders
+	beats        uint64
+	state        sessions.State
+	drainedAt    time.Time // when its drain was acknowledged; zero before
+	highestToken uint64
+	violations   []string
+}
+
+// startEndpoint starts an endpoint that has some models loaded.
+func startEndpoint(id string, o *operator, models ...string) (*endpoint, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{id: id, operator: o, address: listener.Addr().String(), models: models, state: sessions.Ready}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", e.handleReport)
+	mux.HandleFunc("POST /order", e.handleOrder)
+	mux.HandleFunc("/", e.handleRequest)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go e.server.Serve(listener)
+	return e, nil
+}
+
+// beat sends a heartbeat, and reports whether it was acknowledged.
+func (e *endpoint) beat() bool {
+	e.mu.Lock()
+	e.beats++
+	beat := sessions.Heartbeat{
+		Service: serviceName, Address: e.address, Zone: "zone-0", Version: "v1", Slots: 8, State: e.state, Stage: "both",
+		Models: e.loaded(), Sequence: e.beats,
+	}
+	e.mu.Unlock()
+	return e.operator.post("/instances/"+e.id+"/heartbeat", beat, nil) == http.StatusOK
+}
+
+// loaded lists the loaded models. The caller holds the lock.
+func (e *endpoint) loaded() []sessions.LoadedModel {
+	models := []sessions.LoadedModel{}
+	for _, name := range e.models {
+		models = append(models, sessions.LoadedModel{Name: name, Version: 1, Adapters: []string{}})
+	}
+	return models
+}
+
+// keepSession sends heartbeats until the endpoint drains or the scenario ends.
+func (e *endpoint) keepSession(done <-chan struct{}) {
+	for {
+		e.mu.Lock()
+		ready := e.state == sessions.Ready
+		e.mu.Unlock()
+		if !ready {
+			return
+		}
+		e.beat()
+		select {
+		case <-done:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+// drain announces that the endpoint drains, until that is acknowledged.
+func (e *endpoint) drain(done <-chan struct{}) bool {
+	e.mu.Lock()
+	e.state = sessions.Draining
+	e.mu.Unlock()
+	for !e.beat() {
+		select {
+		case <-done:
+			return false
+		case <-time.After(heartbeatInterval):
+		}
+	}
+	e.mu.Lock()
+	e.drainedAt = time.Now()
+	e.mu.Unlock()
+	return true
+}
+
+func (e *endpoint) handleReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"models": e.loaded(), "busy": e.busy, "sequence": e.sequence})
+}
+
+// handleOrder executes an order that loads or unloads a model, one at a time.
+func (e *endpoint) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation    string `json:"operation"`
+		Model        string `json:"model"`
+		FencingToken uint64 `json:"fencing_token"`
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil {
+		http.Error(w, "order", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.FencingToken < e.highestToken {
+		e.violations = append(e.violations, e.id+" was sent an order with a lower fencing token than before")
+	}
+	e.highestToken = max(e.highestToken, order.FencingToken)
+	if e.busy {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.busy = true
+	e.sequence++
+	time.AfterFunc(loadTime, func() { e.finish(order.Operation, order.Model) })
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *endpoint) finish(operation, model string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy = false
+	e.models = slices.DeleteFunc(e.models, func(loaded string) bool { return loaded == model })
+	if operation == "loading" {
+		e.models = append(e.models, model)
+	}
+}
+
+// handleRequest answers a health check or a request of a client.
+func (e *endpoint) handleRequest(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("X-Instance-Id", e.id)
+	if r.URL.Path == "/health" {
+		return
+	}
+	if !e.drainedAt.IsZero() && time.Since(e.drainedAt) > drainBound {
+		e.violations = append(e.violations, e.id+" got a request after its drain was acknowledged")
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Response-Signature", "stand-in")
+	if !slices.Contains(e.models, r.Header.Get("X-Model")) {
+		w.Header().Set("X-Not-Executed", "model")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("answer of " + e.id))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have gone
+}
