--- a/internal/sessionsync/sessionsync_test.go
+++ b/internal/sessionsync/sessionsync_test.go
@@ -146,6 +146,13 @@
 		Expect(store()).To(ConsistOf(given()))
 	})
 
+	It("is not waited for by a snapshot that could not be written: it is tried again all the same", func() {
+		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
+		replica.Stored(now, threeMembers, context.DeadlineExceeded)
+		now += snapshotInterval + 1
+		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
+	})
+
 	It("is not given by what was stored before it", func() {
 		Expect(replica.Flush(now, threeMembers).Snapshot).NotTo(BeNil())
 		drain(2)
