Locks, numbers, cells and watches for applications, ordered by the chain of the core

Cause: the service was not built. It is now a second table in the value that the chain replicates (internal/coordination, pure; internal/corestate joins it with the configuration). Commands are decided at the head and answered once committed; renewals and rejections once a majority has confirmed the view; reads come from the tail, watches from any member of the chain. A write whose outcome is open is answered 504, never 503.

--- a/internal/chain/log.go
+++ b/internal/chain/log.go
@@ -72,6 +72,19 @@
 	return n.base
 }
 
+// hasCommitted reports whether the entry that this member appended as the head of a view, with a sequence number, is known to
+// be committed. Every log of that view is a prefix of the head's, so that the next view has the entry if its first state is
+// late enough. Of later views that is not known, as this member may have missed one.
+func (n *Node) hasCommitted(view, seq uint64) bool {
+	switch n.view.Number {
+	case view:
+		return n.committed >= seq
+	case view + 1:
+		return n.viewBaseSeq >= seq
+	}
+	return false
+}
+
 // CommittedSeq returns the sequence number up to which this member knows the log to be committed.
 func (n *Node) CommittedSeq() uint64 { return n.committed }
 
--- a/internal/chain/reconfiguration.go
+++ b/internal/chain/reconfiguration.go
@@ -87,6 +87,7 @@
 // majority has accepted and so persisted it.
 func (n *Node) adopt(decided Proposal) {
 	n.view = decided.View
+	n.viewBaseSeq = decided.Base.Seq
 	n.base = decided.Base
 	n.state = decided.Base
 	n.log = nil
--- a/internal/chain/requests.go
+++ b/internal/chain/requests.go
@@ -24,13 +24,15 @@
 // maxPendingRequests bounds the pending writes and the pending reads of a member, each.
 const maxPendingRequests = 1024
 
-// Decision is what Write.Decide returns. It is one of three: rejected, already applied, or an operation to append.
+// Decision is what Write.Decide returns. It is one of four: rejected, already applied, unchanged, or an operation to append.
 type Decision struct {
 	// AlreadyApplied reports whether the value contains the write. It is then acknowledged without being appended again.
 	AlreadyApplied bool
 	// Rejection is why the write is rejected; nil if it is not.
 	Rejection error
-	// Operation is appended to the log if the write is neither rejected nor applied already.
+	// Unchanged reports whether the value stays as it is. The write is then acknowledged under the conditions of a rejection.
+	Unchanged bool
+	// Operation is appended to the log if the write is none of the above.
 	Operation []byte
 }
 
@@ -38,7 +40,8 @@
 type Write struct {
 	// Decide decides on the write by the head's latest value, which may not be committed yet.
 	Decide func(latest any) Decision
-	// IsApplied reports whether a value contains the write.
+	// IsApplied reports whether a value contains the write. If it is nil, the write is contained once its entry is committed:
+	// that is certain only in the view in which the entry was appended, and in the next one.
 	IsApplied func(value any) bool
 	// Respond is called once: with nil once the write is committed, with Decision.Rejection, or with one of this package's
 	// errors.
@@ -55,8 +58,8 @@
 // linearizable:
 //
 //   - A write is acknowledged once it is committed.
-//   - A rejection is returned once the state that it rests on is committed and a majority has confirmed the view since the
-//     write was received.
+//   - A rejection, or the acknowledgement of a write that changes nothing, is returned once the state that it rests on is
+//     committed and a majority has confirmed the view since the write was received.
 //   - A read is answered once a majority has confirmed the view since it was received.
 //
 // Without these confirmations a head or tail that was replaced without knowing it would answer from an old state.
@@ -71,11 +74,14 @@
 
 type pendingWrite struct {
 	write Write
-	// rejection is nil for a write that was appended or is applied already.
+	// rejection is nil for a write that is not rejected.
 	rejection error
+	// needsConfirmation is true for a write that is rejected or changes nothing.
+	needsConfirmation bool
 	// view is the number of the view in which the write was decided on.
 	view uint64
-	// requiredSeq must be committed before the rejection is returned: it rests on the state with this number.
+	// requiredSeq must be committed before the answer is given: it is that of the write's entry or, for a write that appends
+	// nothing, of the state on which the answer rests.
 	requiredSeq uint64
 	receivedAt  time.Duration
 }
@@ -107,24 +113,26 @@
 	}
 	latest := n.LatestState()
 	decision := write.Decide(latest.Value)
+	pending := pendingWrite{
+		write:             write,
+		rejection:         decision.Rejection,
+		needsConfirmation: decision.Rejection != nil || decision.Unchanged,
+		view:              n.view.Number,
+		requiredSeq:       latest.Seq,
+		receivedAt:        now,
+	}
 	var out Output
 	switch {
-	case decision.Rejection != nil:
+	case pending.needsConfirmation:
 		out = n.PingVoters(now)
 	case !decision.AlreadyApplied:
 		var ok bool
-		if _, out, ok = n.Propose(decision.Operation); !ok {
+		if pending.requiredSeq, out, ok = n.Propose(decision.Operation); !ok {
 			write.Respond(ErrNotWritable)
 			return Output{}
 		}
 	}
-	r.writes = append(r.writes, pendingWrite{
-		write:       write,
-		rejection:   decision.Rejection,
-		view:        n.view.Number,
-		requiredSeq: latest.Seq,
-		receivedAt:  now,
-	})
+	r.writes = append(r.writes, pending)
 	return out
 }
 
@@ -152,13 +160,13 @@
 
 // answerWrite answers a write and reports true, or reports false while it must wait.
 func (r *PendingRequests) answerWrite(now time.Duration, w pendingWrite) (answered bool) {
-	if w.rejection != nil {
-		return r.answerRejected(now, w)
+	if w.needsConfirmation {
+		return r.answerConfirmed(now, w)
 	}
 	switch {
-	case w.write.IsApplied(r.node.CommittedState().Value):
+	case r.isApplied(w):
 		w.write.Respond(nil)
-	case now-w.receivedAt > r.timeout:
+	case now-w.receivedAt > r.timeout || w.write.IsApplied == nil && w.view != r.node.view.Number:
 		w.write.Respond(ErrNotConfirmed)
 	default:
 		return false
@@ -166,8 +174,16 @@
 	return true
 }
 
-// answerRejected answers a rejected write and reports true, or reports false while it must wait.
-func (r *PendingRequests) answerRejected(now time.Duration, w pendingWrite) (answered bool) {
+// isApplied reports whether a write is known to be committed.
+func (r *PendingRequests) isApplied(w pendingWrite) bool {
+	if w.write.IsApplied != nil {
+		return w.write.IsApplied(r.node.CommittedState().Value)
+	}
+	return r.node.hasCommitted(w.view, w.requiredSeq)
+}
+
+// answerConfirmed answers a write that is rejected or changes nothing and reports true, or reports false while it must wait.
+func (r *PendingRequests) answerConfirmed(now time.Duration, w pendingWrite) (answered bool) {
 	n := r.node
 	switch {
 	case w.view != n.view.Number:
--- a/internal/controlplane/chain_restore.go
+++ b/internal/controlplane/chain_restore.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"dykering/internal/chain"
-	"dykering/internal/fleetconfig"
+	"dykering/internal/corestate"
 	"dykering/internal/ringlog"
 )
 
@@ -86,9 +86,9 @@
 			view.Chain = append(view.Chain, genesisID(seed))
 		}
 		view.Holder = view.Chain[0]
-		s.chain, out = chain.NewGenesis(s.chainConfig(genesisID(own)), s.now(), view, &fleetconfig.State{})
+		s.chain, out = chain.NewGenesis(s.chainConfig(genesisID(own)), s.now(), view, corestate.Initial())
 	} else {
-		s.chain, out = chain.NewJoiner(s.chainConfig(freshID(own)), s.now(), &fleetconfig.State{})
+		s.chain, out = chain.NewJoiner(s.chainConfig(freshID(own)), s.now(), corestate.Initial())
 	}
 	s.persist(out.Records, nil)
 }
--- a/internal/controlplane/configuration_endpoint.go
+++ b/internal/controlplane/configuration_endpoint.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"dykering/internal/chain"
+	"dykering/internal/corestate"
 	"dykering/internal/errkind"
 	"dykering/internal/fleetconfig"
 	"dykering/internal/protocol"
@@ -102,8 +103,8 @@
 func (s *Server) proposeAtHead(change fleetconfig.Change, answer func(protocol.Reply)) {
 	digests := change.Digests()
 	s.applyOutput(s.pendingRequests.Write(s.now(), chain.Write{
-		Decide:    func(latest any) chain.Decision { return decide(latest.(*fleetconfig.State), digests, change) },
-		IsApplied: func(value any) bool { return value.(*fleetconfig.State).HasAppliedAny(digests) },
+		Decide:    func(latest any) chain.Decision { return decide(corestate.Configuration(latest), digests, change) },
+		IsApplied: func(value any) bool { return corestate.Configuration(value).HasAppliedAny(digests) },
 		Respond:   func(err error) { answer(replyFor(err)) },
 	}))
 }
@@ -132,6 +133,6 @@
 			answer(replyFor(err))
 			return
 		}
-		answer(protocol.Reply{Document: state.Value.(*fleetconfig.State).Document})
+		answer(protocol.Reply{Document: corestate.Configuration(state.Value).Document})
 	}}))
 }
--- a/internal/controlplane/configuration_fsm.go
+++ b/internal/controlplane/configuration_fsm.go
@@ -2,11 +2,14 @@
 
 import (
 	"dykering/internal/chain"
+	"dykering/internal/coordination"
+	"dykering/internal/corestate"
 	"dykering/internal/fleetconfig"
 )
 
-// The value that the chain replicates is a *fleetconfig.State; its operations are encoded fleetconfig.Change values. The
-// functions here are the state machine: they depend on their arguments alone, so all replicas come to the same state.
+// The value that the chain replicates is that of package corestate; its operations are encoded fleetconfig.Change and
+// coordination.Command values. The functions here are the state machine: they depend on their arguments alone, so all
+// replicas come to the same state.
 
 // decide returns what the head does with a change in its newest state.
 func decide(latest *fleetconfig.State, digests [2]fleetconfig.Digest, change fleetconfig.Change) chain.Decision {
@@ -23,24 +26,23 @@
 	return chain.Decision{Operation: operation}
 }
 
-// encodeOperation encodes a change as the records on disk are encoded.
-func encodeOperation(change fleetconfig.Change) ([]byte, error) {
-	return newRecordEncoder().encode(change)
+// encodeOperation encodes a change or a command as the records on disk are encoded.
+func encodeOperation(operation any) ([]byte, error) {
+	return newRecordEncoder().encode(operation)
 }
 
 // applyOperation returns the state after an operation. One that cannot be decoded changes nothing, at any replica.
 func applyOperation(value any, operation []byte) any {
-	state, ok := value.(*fleetconfig.State)
-	if !ok {
-		return value
-	}
 	records, err := decodeRecords([][]byte{operation})
 	if err != nil {
 		return value
 	}
-	change, ok := records[0].(fleetconfig.Change)
-	if !ok {
-		return value
+	switch decoded := records[0].(type) {
+	case fleetconfig.Change:
+		return corestate.WithConfiguration(value, corestate.Configuration(value).Apply(&decoded))
+	case coordination.Command:
+		next, _, _ := corestate.Coordination(value).Execute(decoded) // a command that is rejected here changes nothing, at any replica
+		return corestate.WithCoordination(value, next)
 	}
-	return state.Apply(&change)
+	return value
 }
--- /dev/null
+++ b/internal/controlplane/coordination_endpoint.go
@@ -0,0 +1,295 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/coordination"
+	"dykering/internal/errkind"
+	"dykering/internal/protocol"
+)
+
+const (
+	// maxCoordinationBytes bounds the body of a call: a value with all its characters escaped, and the other fields.
+	maxCoordinationBytes = 8 * coordination.MaxValueBytes
+	// maxWatchWait bounds the time for which a watch waits.
+	maxWatchWait = time.Minute
+	// maxCoordinationCalls bounds the calls that are in progress at one member, watches excepted.
+	maxCoordinationCalls = 512
+	// coordinationRetryAfter is the time, in seconds, after which a rejected call should come again.
+	coordinationRetryAfter = "1"
+)
+
+// The bodies of calls and answers. Unknown fields are ignored.
+type (
+	lockRequest struct {
+		Holder string `json:"lease_holder"`
+		Token  uint64 `json:"fencing_token"`
+		HoldMs int64  `json:"hold_ms"`
+	}
+	lockAnswer struct {
+		Token uint64 `json:"fencing_token"`
+	}
+	numberAnswer struct {
+		Value uint64 `json:"value"`
+	}
+	putRequest struct {
+		Value      *string `json:"value"`
+		IfRevision *uint64 `json:"if_revision"`
+	}
+	revisionAnswer struct {
+		Revision uint64 `json:"revision"`
+	}
+	cellAnswer struct {
+		Value    string `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	eventAnswer struct {
+		Name     string `json:"name"`
+		Value    string `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	eventsAnswer struct {
+		Events   []eventAnswer `json:"events"`
+		Revision uint64        `json:"revision"`
+	}
+)
+
+// addRoutes adds the calls of the coordination service to the HTTP API.
+func (c *coordinationService) addRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /locks/{id}/begin", c.handleLock(coordination.BeginLock))
+	mux.HandleFunc("POST /locks/{id}/heartbeat", c.handleLock(coordination.RenewLock))
+	mux.HandleFunc("POST /locks/{id}/finish", c.handleLock(coordination.FinishLock))
+	mux.HandleFunc("POST /numbers/{id}", c.handleNumber)
+	mux.HandleFunc("POST /cells/{id}/replace", c.handlePut)
+	mux.HandleFunc("GET /cells/{id}/read", c.handleRead)
+	mux.HandleFunc("GET /watch/{id}", c.handleWatch)
+}
+
+// handleLock serves the three calls on a lock.
+func (c *coordinationService) handleLock(operation coordination.Operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body lockRequest
+		if err := readJSON(r, &body); err != nil {
+			writeCoordinationError(w, err)
+			return
+		}
+		result, err := c.awaitWrite(r, coordination.Command{
+			Operation: operation,
+			Name:      r.PathValue("id"),
+			Holder:    body.Holder,
+			Token:     body.Token,
+			HoldMs:    body.HoldMs,
+		})
+		switch {
+		case err != nil:
+			writeCoordinationError(w, err)
+		case operation == coordination.BeginLock:
+			writeJSON(w, http.StatusOK, lockAnswer{Token: result.Token})
+		default:
+			writeEmptyObject(w)
+		}
+	}
+}
+
+// handleNumber serves POST /numbers/{id}.
+func (c *coordinationService) handleNumber(w http.ResponseWriter, r *http.Request) {
+	result, err := c.awaitWrite(r, coordination.Command{Operation: coordination.NextNumber, Name: r.PathValue("id")})
+	if err != nil {
+		writeCoordinationError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, numberAnswer{Value: result.Number})
+}
+
+// handlePut serves POST /cells/{id}/replace.
+func (c *coordinationService) handlePut(w http.ResponseWriter, r *http.Request) {
+	var body putRequest
+	if err := readJSON(r, &body); err != nil {
+		writeCoordinationError(w, err)
+		return
+	}
+	if body.Value == nil {
+		writeCoordinationError(w, errkind.New(errkind.Malformed, "value"))
+		return
+	}
+	command := coordination.Command{Operation: coordination.PutCell, Name: r.PathValue("id"), Value: *body.Value}
+	if body.IfRevision != nil {
+		command.Conditional = true
+		command.IfRevision = *body.IfRevision
+	}
+	result, err := c.awaitWrite(r, command)
+	switch {
+	case err != nil && errkind.KindOf(err) == errkind.RevisionConflict:
+		writeJSON(w, http.StatusPreconditionFailed, revisionAnswer{Revision: result.Revision})
+	case err != nil:
+		writeCoordinationError(w, err)
+	default:
+		writeJSON(w, http.StatusOK, revisionAnswer{Revision: result.Revision})
+	}
+}
+
+// handleRead serves GET /cells/{id}/read.
+func (c *coordinationService) handleRead(w http.ResponseWriter, r *http.Request) {
+	result, err := c.awaitRead(r, r.PathValue("id"), "")
+	switch {
+	case err != nil:
+		writeCoordinationError(w, err)
+	case !result.Found:
+		writeCoordinationError(w, errkind.New(errkind.NotFound, ""))
+	default:
+		writeJSON(w, http.StatusOK, cellAnswer{Value: result.Value, Revision: result.Revision})
+	}
+}
+
+// handleWatch serves GET /watch/{id}.
+func (c *coordinationService) handleWatch(w http.ResponseWriter, r *http.Request) {
+	group := r.PathValue("id")
+	after, wait, err := readWatch(r)
+	if err != nil {
+		writeCoordinationError(w, err)
+		return
+	}
+	var answer watchAnswer
+	if after == 0 {
+		var result coordination.Result
+		result, answer.err = c.awaitRead(r, "", group)
+		answer.revision = result.Revision
+	} else {
+		answer = c.awaitWatch(r, group, after, wait)
+	}
+	if answer.err != nil {
+		writeCoordinationError(w, answer.err)
+		return
+	}
+	body := eventsAnswer{Events: []eventAnswer{}, Revision: answer.revision}
+	for _, event := range answer.events {
+		body.Events = append(body.Events, eventAnswer(event))
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+// readWatch reads the query of a watch.
+func readWatch(r *http.Request) (after uint64, wait time.Duration, err error) {
+	query := r.URL.Query()
+	if text := query.Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, errkind.New(errkind.Malformed, "after")
+		}
+	}
+	if text := query.Get("wait_ms"); text != "" {
+		milliseconds, err := strconv.ParseFloat(text, 64)
+		if err != nil || milliseconds < 0 {
+			return 0, 0, errkind.New(errkind.Malformed, "wait_ms")
+		}
+		wait = time.Duration(min(milliseconds, float64(maxWatchWait.Milliseconds())) * float64(time.Millisecond))
+	}
+	return after, wait, nil
+}
+
+// awaitWrite executes a command and waits for its result.
+func (c *coordinationService) awaitWrite(r *http.Request, command coordination.Command) (coordination.Result, error) {
+	if err := command.Validate(); err != nil {
+		return coordination.Result{}, err
+	}
+	reply, err := c.await(r, func(answer func(protocol.Reply)) { c.write(command, answer) })
+	if errkind.KindOf(err) == errkind.Unavailable {
+		err = errkind.New(errkind.OutcomeUnknown, "no answer in time")
+	}
+	return reply.Coordination, err
+}
+
+// awaitRead reads a cell, or the revision of a group, and waits for the result.
+func (c *coordinationService) awaitRead(r *http.Request, cell, group string) (coordination.Result, error) {
+	reply, err := c.await(r, func(answer func(protocol.Reply)) { c.read(cell, group, answer) })
+	return reply.Coordination, err
+}
+
+// await has the event loop start a call and waits for its reply. A call that the event loop reaches too late, or whose caller
+// has gone, is not started: the process may have been frozen.
+func (c *coordinationService) await(r *http.Request, start func(answer func(protocol.Reply))) (protocol.Reply, error) {
+	s := c.server
+	select {
+	case s.coordinationSlots <- struct{}{}:
+		defer func() { <-s.coordinationSlots }()
+	default:
+		return protocol.Reply{}, errkind.New(errkind.RateLimited, "too many calls are in progress")
+	}
+	var reply protocol.Reply
+	deadline := s.now() + s.timing.callTimeout
+	err := s.awaitOutcome(func(answer func(error)) {
+		if r.Context().Err() != nil || s.now() > deadline {
+			answer(errkind.New(errkind.NotReady, "the call came too late"))
+			return
+		}
+		start(func(received protocol.Reply) {
+			reply = received
+			if received.Failed {
+				answer(&errkind.Error{Kind: errkind.Kind(received.Kind), Detail: received.Detail})
+				return
+			}
+			answer(nil)
+		})
+	})
+	if err != nil && errkind.KindOf(err) == errkind.Unavailable {
+		return protocol.Reply{}, err // the reply may still come, and belongs to the event loop
+	}
+	return reply, err
+}
+
+// awaitWatch waits for the puts of a group above a revision.
+func (c *coordinationService) awaitWatch(r *http.Request, group string, after uint64, wait time.Duration) watchAnswer {
+	s := c.server
+	answers := make(chan watchAnswer, 1)
+	w := &watch{group: group, after: after, answer: func(answer watchAnswer) { answers <- answer }}
+	s.enqueue(func() {
+		now := s.now()
+		w.deadline = now + wait
+		c.watches.add(now, w)
+	})
+	select {
+	case answer := <-answers:
+		return answer
+	case <-r.Context().Done():
+		s.enqueue(func() { c.watches.remove(w) })
+		return watchAnswer{err: errkind.New(errkind.NotReady, "the caller has gone")}
+	case <-s.ctx.Done():
+		return watchAnswer{err: errkind.New(errkind.NotReady, "the process stops")}
+	}
+}
+
+// readJSON reads the body of a call. An empty one stands for an empty object.
+func readJSON(r *http.Request, body any) error {
+	text, err := readBody(r, maxCoordinationBytes)
+	if err != nil || len(text) == 0 {
+		return err
+	}
+	if err := json.Unmarshal(text, body); err != nil {
+		return errkind.New(errkind.Malformed, err.Error())
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		writeError(w, errors.Wrap(err, "answer"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(text)
+}
+
+// writeCoordinationError responds with the status that belongs to the kind of an error, and says when to come again where the
+// call was not executed.
+func writeCoordinationError(w http.ResponseWriter, err error) {
+	if errkind.AnswerOf(errkind.KindOf(err)).NotExecuted {
+		w.Header().Set("Retry-After", coordinationRetryAfter)
+	}
+	writeError(w, err)
+}
--- a/internal/controlplane/eventloop.go
+++ b/internal/controlplane/eventloop.go
@@ -60,6 +60,7 @@
 	s.log.Info("process.stopping", "signal", sig.String())
 	s.chain.Leave(s.now())
 	s.endStreams()
+	s.coordination.watches.stop()
 	return time.After(s.timing.gracePeriod)
 }
 
@@ -88,6 +89,7 @@
 	s.carryOutSessions(s.sessions.Flush(now, s.core(now)))
 	s.broadcastEndpointLoads(now)
 	s.streamUpdates(now)
+	s.coordination.watches.answerReady(now)
 	s.placement.planIfDue(now)
 }
 
@@ -101,6 +103,7 @@
 	s.broadcastSubscriberCount(now)
 	s.expireCalls(now)
 	s.placement.tick(now)
+	s.coordination.tick(now)
 	s.reportTolerance(now)
 }
 
--- a/internal/controlplane/http_server.go
+++ b/internal/controlplane/http_server.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc("POST /configuration/replace", s.handleConfigurationChange(fleetconfig.Replace))
 	mux.HandleFunc("POST /configuration/modify", s.handleConfigurationChange(fleetconfig.Modify))
 	mux.HandleFunc("GET /configuration/read", s.handleConfigurationRead)
+	s.coordination.addRoutes(mux)
 	mux.HandleFunc("GET /metrics", s.handleMetrics)
 	return mux
 }
--- a/internal/controlplane/placement_controller.go
+++ b/internal/controlplane/placement_controller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dykering/internal/corestate"
 	"dykering/internal/fleetconfig"
 	"dykering/internal/nodefile"
 	"dykering/internal/orders"
@@ -137,16 +138,13 @@
 // modelServices lists the services of the committed configuration that have an engine, that is, endpoints with models.
 func (c *placementController) modelServices() []fleetconfig.Service {
 	state := c.server.chain.CommittedState()
-	if c.parsed == nil || c.parsedSeq != state.Seq {
-		value, ok := state.Value.(*fleetconfig.State)
-		if !ok {
-			return nil
-		}
-		parsed, err := fleetconfig.Parse(&value.Document)
+	seq := corestate.ConfigurationSeq(state)
+	if c.parsed == nil || c.parsedSeq != seq {
+		parsed, err := fleetconfig.Parse(&corestate.Configuration(state.Value).Document)
 		if err != nil {
 			return nil
 		}
-		c.parsed, c.parsedSeq = parsed, state.Seq
+		c.parsed, c.parsedSeq = parsed, seq
 	}
 	var services []fleetconfig.Service
 	for _, service := range c.parsed.Services {
--- a/internal/controlplane/rpc.go
+++ b/internal/controlplane/rpc.go
@@ -84,6 +84,10 @@
 		s.proposeAtHead(m.Change, s.replyTo(m.From, m.ID))
 	case protocol.Read:
 		s.readAtTail(s.replyTo(m.From, m.ID))
+	case protocol.CoordinationWrite:
+		s.coordination.receiveWrite(now, m)
+	case protocol.CoordinationRead:
+		s.coordination.readAtTail(m.Cell, m.Group, s.replyTo(m.From, m.ID))
 	case protocol.Reply:
 		s.onReply(m)
 	case protocol.DemandReport:
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -47,6 +47,10 @@
 
 	placement *placementController
 
+	// The coordination service. coordinationSlots bounds its calls in progress; it belongs to the handlers.
+	coordination      *coordinationService
+	coordinationSlots chan struct{}
+
 	tolerance toleranceReport
 
 	peerLinks map[string]*peerlink.Link // by the address of a peer
@@ -99,6 +103,8 @@
 		peerLinks:       map[string]*peerlink.Link{},
 	}
 	s.placement = newPlacementController(s)
+	s.coordination = newCoordinationService(s)
+	s.coordinationSlots = make(chan struct{}, maxCoordinationCalls)
 	return s
 }
 
--- a/internal/controlplane/status_endpoint.go
+++ b/internal/controlplane/status_endpoint.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"dykering/internal/fleetconfig"
+	"dykering/internal/corestate"
 	"dykering/internal/peerlink"
 	"dykering/internal/protocol"
 	"dykering/internal/sessions"
@@ -63,16 +63,15 @@
 		Endpoints: map[sessions.State]int{}, DiskBehind: s.chainStore.writeDuration(),
 		Tolerance: s.toleranceAt(now),
 	}
-	if value, ok := committed.Value.(*fleetconfig.State); ok {
-		status.Version = value.Document.Version
-	}
+	status.Version = corestate.Configuration(committed.Value).Document.Version
+	configurationSeq := corestate.ConfigurationSeq(committed)
 	for _, voter := range status.View.Voters {
 		status.Members = append(status.Members, protocol.MemberStatus{
 			ID: voter.ID, Reachable: s.chain.IsReachable(now, voter.Address), InChain: status.View.Position(voter.ID) >= 0,
 		})
 	}
 	for sub := range s.subscribers {
-		behind := committed.Seq - min(sub.acked.ConfigSeq, committed.Seq)
+		behind := configurationSeq - min(sub.acked.ConfigSeq, configurationSeq)
 		status.Subscribers = append(status.Subscribers, protocol.SubscriberStatus{Name: sub.name, Ack: sub.acked, Behind: behind})
 	}
 	for _, session := range s.sessions.Table().Endpoints() {
--- a/internal/controlplane/timing.go
+++ b/internal/controlplane/timing.go
@@ -37,6 +37,13 @@
 	// need stays until then: its exit would count as a lost disk. Source: GracePeriodS.
 	gracePeriod time.Duration
 
+	// holdMargin is added to the time for which a lock is held, for the difference between the clocks of its holder and of
+	// the head. Source: FreeMs / 10.
+	holdMargin time.Duration
+	// historyKept is how long the puts of a group are kept for watches. Source: twice HistoryS, as a watch may have been
+	// given its revision by a member that was behind.
+	historyKept time.Duration
+
 	// sessionTTL is the time without a heartbeat after which an endpoint is no longer offered. Source: three heartbeat
 	// intervals, so that two may be lost, and a second for their way.
 	sessionTTL time.Duration
@@ -77,6 +84,8 @@
 		callTimeout:          min(900*time.Millisecond, nodefile.Milliseconds(settings.Bounds.AcknowledgeMs)/4),
 		drainAckTimeout:      min(contact/6, nodefile.Milliseconds(settings.Bounds.DrainTimeoutMs)/4),
 		gracePeriod:          nodefile.Seconds(settings.Bounds.GracePeriodS),
+		holdMargin:           nodefile.Milliseconds(settings.Bounds.FreeMs) / 10,
+		historyKept:          2 * nodefile.Seconds(settings.Bounds.HistoryS),
 		sessionTTL:           3*settings.HeartbeatInterval() + time.Second,
 		renewalInterval:      settings.HeartbeatInterval() / 4,
 		antiEntropyInterval:  settings.HeartbeatInterval(),
--- a/internal/controlplane/update_stream.go
+++ b/internal/controlplane/update_stream.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dykering/internal/fleetconfig"
+	"dykering/internal/corestate"
 	"dykering/internal/peerlink"
 	"dykering/internal/protocol"
 )
@@ -147,11 +147,12 @@
 		return
 	}
 	committed := s.chain.CommittedState()
+	configurationSeq := corestate.ConfigurationSeq(committed)
 	subscriberCount := s.subscriberCount(now)
 	loads, loadsDue := s.endpointLoads.totalsIfDue(now)
 	for sub := range s.subscribers {
 		keepaliveDue := now-sub.sentAt >= protocol.Keepalive
-		if sub.fullUpdateSent && !keepaliveDue && !loadsDue && sub.sentIndex >= s.sessions.Table().ModifyIndex() && sub.sentConfigSeq >= committed.Seq {
+		if sub.fullUpdateSent && !keepaliveDue && !loadsDue && sub.sentIndex >= s.sessions.Table().ModifyIndex() && sub.sentConfigSeq >= configurationSeq {
 			continue
 		}
 		update := protocol.Update{
@@ -161,14 +162,14 @@
 		if update.Whole || sub.sentIndex < update.Revision {
 			update.Endpoints = s.sessions.Table().ModifiedSince(sub.sentIndex)
 		}
-		if sub.sentConfigSeq < committed.Seq {
-			document := committed.Value.(*fleetconfig.State).Document
-			update.Configuration = &protocol.Configuration{Seq: committed.Seq, Document: document}
+		if sub.sentConfigSeq < configurationSeq {
+			document := corestate.Configuration(committed.Value).Document
+			update.Configuration = &protocol.Configuration{Seq: configurationSeq, Document: document}
 		}
 		if update.Whole || keepaliveDue {
 			update.Members = s.streamMembers(now)
 		}
-		if !sub.queue(now, update, committed.Seq) {
+		if !sub.queue(now, update, configurationSeq) {
 			s.endStream(sub) // it does not keep up: it gets a full update elsewhere
 		}
 	}
--- a/internal/errkind/doc.go
+++ b/internal/errkind/doc.go
@@ -12,7 +12,7 @@
 //
 //   - Each kind has an answer with an error status and a text.
 //   - NotExecuted is set only for kinds where the request provably was not and will not be executed: a client may then
-//     repeat any request. Its status is 503.
+//     repeat any request. Its status is 503, or 412 or 429 for calls of the coordination service, which promise the same.
 //   - The numbers of the kinds are sent between builds of different age. New kinds are added at the end; none is removed or
 //     moved.
 //
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -38,6 +38,20 @@
 	EndpointTimeout
 	// DeadlineExceeded is a client's deadline that passed before the request was sent to an endpoint. It was not executed.
 	DeadlineExceeded
+	// LockHeld is a lock that another holder has.
+	LockHeld
+	// LockLost is a renewal of a lock that its caller holds no longer.
+	LockLost
+	// RevisionConflict is a put whose condition on the key's revision does not hold. It was not executed.
+	RevisionConflict
+	// NotFound is a key that does not exist.
+	NotFound
+	// HistoryGone is a watch from a revision that is older than the history that is kept.
+	HistoryGone
+	// RateLimited is a request beyond a caller's share or beyond the space of a table. It was not executed.
+	RateLimited
+	// OutcomeUnknown is a write without an answer in time: it may have been executed, or may still be.
+	OutcomeUnknown
 
 	numKinds
 )
@@ -64,6 +78,13 @@
 	EndpointFailed:   {http.StatusBadGateway, "the endpoint broke off", false},
 	EndpointTimeout:  {http.StatusGatewayTimeout, "the endpoint did not answer in time", false},
 	DeadlineExceeded: {http.StatusServiceUnavailable, "no time left", true},
+	LockHeld:         {http.StatusConflict, "another holder has the lock", false},
+	LockLost:         {http.StatusConflict, "the lock is lost", false},
+	RevisionConflict: {http.StatusPreconditionFailed, "the key has another revision", true},
+	NotFound:         {http.StatusNotFound, "no such key", false},
+	HistoryGone:      {http.StatusGone, "the history begins later", false},
+	RateLimited:      {http.StatusTooManyRequests, "too many requests", true},
+	OutcomeUnknown:   {http.StatusGatewayTimeout, "the outcome is not known", false},
 }
 
 // AnswerOf returns the answer to errors of a kind. An unknown kind, as a newer build may send, is answered as Internal.
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -22,15 +22,32 @@
 		}
 	})
 
-	It("have status 503 where they promise that the request was not executed", func() {
+	It("have status 503 where they promise that the request was not executed, 412 and 429 for coordination alone", func() {
 		for kind := Kind(0); kind < numKinds; kind++ {
 			answer := AnswerOf(kind)
-			if answer.NotExecuted {
+			if !answer.NotExecuted {
+				continue
+			}
+			switch kind {
+			case RevisionConflict:
+				Expect(answer.Status).To(Equal(http.StatusPreconditionFailed))
+			case RateLimited:
+				Expect(answer.Status).To(Equal(http.StatusTooManyRequests))
+			default:
 				Expect(answer.Status).To(Equal(http.StatusServiceUnavailable))
 			}
 		}
 	})
 
+	It("promise by status 503 only where nothing was executed, but for calls that are known again when they are repeated", func() {
+		for kind := Kind(0); kind < numKinds; kind++ {
+			if answer := AnswerOf(kind); answer.Status == http.StatusServiceUnavailable && kind != Unavailable {
+				Expect(answer.NotExecuted).To(BeTrue(), answer.Text)
+			}
+		}
+		Expect(AnswerOf(OutcomeUnknown).Status).To(Equal(http.StatusGatewayTimeout))
+	})
+
 	It("are found behind wrapping errors, and are Internal where there is none", func() {
 		Expect(KindOf(errors.Wrap(New(NoRoute, "x"), "y"))).To(Equal(NoRoute))
 		Expect(KindOf(errors.New("z"))).To(Equal(Internal))
--- a/internal/nodefile/compatibility_test.go
+++ b/internal/nodefile/compatibility_test.go
@@ -9,6 +9,9 @@
 	"dykering/internal/fixture"
 )
 
+// addedBounds are the bounds that have come since the file was written, with their defaults.
+var addedBounds = map[string]any{"history_s": 20.0, "free_ms": 1500.0}
+
 // Each key of the settings file is read, and by the name that the platform writes it with.
 func TestSettingsFileOfPlatformIsReadByItsKeys(t *testing.T) {
 	const path = "testdata/compatibility/boot.toml"
@@ -39,6 +42,9 @@
 	if err := toml.Unmarshal(again, &got); err != nil {
 		t.Fatal(err)
 	}
+	for key, value := range addedBounds {
+		wanted["bounds"].(map[string]any)[key] = value
+	}
 	if !reflect.DeepEqual(wanted, got) {
 		t.Errorf("%s: the keys have changed\n was %v\n now %v", path, wanted, got)
 	}
--- a/internal/nodefile/load.go
+++ b/internal/nodefile/load.go
@@ -105,6 +105,8 @@
 		{"budget_window_s", b.BudgetWindowS},
 		{"lease_duration_ms", b.LeaseDurationMs},
 		{"ceiling_window_s", b.CeilingWindowS},
+		{"history_s", b.HistoryS},
+		{"free_ms", b.FreeMs},
 	}
 	for _, bound := range positive {
 		if bound.value <= 0 {
--- a/internal/nodefile/settings.go
+++ b/internal/nodefile/settings.go
@@ -138,6 +138,11 @@
 	ThawSlackMs float64 `toml:"thaw_slack_ms"`
 	// CeilingWindowS is the window of the weight store's rate limit (loads_per_s of a service). Above 0. Default: 5.
 	CeilingWindowS float64 `toml:"ceiling_window_s"`
+	// HistoryS is the time, in seconds, for which a watch can be resumed from a revision that it was given. Above 0.
+	// Default: 20.
+	HistoryS float64 `toml:"history_s"`
+	// FreeMs is the time within which a lock whose hold is over is handed out again. Above 0. Default: 1500.
+	FreeMs float64 `toml:"free_ms"`
 	// OriginRateOvershoot is the factor by which loads in a window may exceed the rate limit. Default: 1.
 	OriginRateOvershoot float64 `toml:"origin_rate_overshoot"`
 }
@@ -167,6 +172,8 @@
 			LeaseDurationMs:     3000,
 			ThawSlackMs:         300,
 			CeilingWindowS:      5,
+			HistoryS:            20,
+			FreeMs:              1500,
 			OriginRateOvershoot: 1,
 		},
 	}
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -4,6 +4,8 @@
 	"encoding/gob"
 
 	"dykering/internal/chain"
+	"dykering/internal/coordination"
+	"dykering/internal/corestate"
 	"dykering/internal/fleetconfig"
 )
 
@@ -55,7 +57,14 @@
 	{"dykering/internal/feed.Read", Read{}},
 	{"dykering/internal/feed.Reply", Reply{}},
 
-	// The replicated value, and a change to it.
+	// Messages of the coordination service between members of the core.
+	{"dykering/internal/protocol.CoordinationWrite", CoordinationWrite{}},
+	{"dykering/internal/protocol.CoordinationRead", CoordinationRead{}},
+
+	// The replicated value, and the changes to it. While nothing was written to the coordination service, the value is the
+	// configuration alone, as in builds without that service.
+	{"dykering/internal/corestate.State", &corestate.State{}},
+	{"dykering/internal/coordination.Command", coordination.Command{}},
 	{"*fleetconfig.State", &fleetconfig.State{}},
 	{"dykering/internal/fleetconfig.Change", fleetconfig.Change{}},
 
