A hold's timer is kept while its begin waits for the commit

Cause: the look for expired holds forgot the timers of all locks that the committed state does not have.

Change: a timer is forgotten only once it has ended.

--- a/internal/coordination/hold_timers.go
+++ b/internal/coordination/hold_timers.go
@@ -51,8 +51,8 @@
 	return t.resetAt + time.Duration(lock.HoldMs)*time.Millisecond + t.margin
 }
 
-// Expired returns the tokens of the holds that have been over for longer than a grace time, by lock, and forgets the timers of
-// locks that are not held.
+// Expired returns the tokens of the holds that have been over for longer than a grace time, by lock. It forgets the timers that
+// have ended of locks that are not held: others may be of a begin that is not part of the state yet.
 func (t *HoldTimers) Expired(now time.Duration, state *State, grace time.Duration) map[string]uint64 {
 	expired := map[string]uint64{}
 	for iterator := state.locks.Iterator(); !iterator.Done(); {
@@ -61,8 +61,8 @@
 			expired[name] = lock.Token
 		}
 	}
-	for name := range t.timers {
-		if _, held := state.locks.Get(name); !held {
+	for name, timer := range t.timers {
+		if _, held := state.locks.Get(name); !held && now >= timer.endsAt {
 			delete(t.timers, name)
 		}
 	}
