The decisions of a coordination head and its watches move into internal/coordination

Need: the simulation of the core is to run the same decisions as the control process.

Change: coordination.Head decides on commands, classifies failures and compacts; coordination.WatchTable and RecentCalls serve any member. internal/controlplane drives them.

--- a/internal/controlplane/chain_driver.go
+++ b/internal/controlplane/chain_driver.go
@@ -55,5 +55,5 @@
 	s.log.Info("chain.view", "number", view.Number, "voters", len(view.Voters), "chain", len(view.Chain),
 		"head", string(view.Head()), "holder", string(view.Holder), "token", view.Token)
 	s.sessions.RestartSync()
-	s.coordination.holds.Reset(s.now())
+	s.coordination.head.ViewInstalled(s.now())
 }
--- a/internal/controlplane/coordination_endpoint.go
+++ b/internal/controlplane/coordination_endpoint.go
@@ -154,20 +154,20 @@
 		writeCoordinationError(w, err)
 		return
 	}
-	var answer watchAnswer
+	var answer coordination.WatchAnswer
 	if after == 0 {
 		var result coordination.Result
-		result, answer.err = c.awaitRead(r, "", group)
-		answer.revision = result.Revision
+		result, answer.Err = c.awaitRead(r, "", group)
+		answer.Revision = result.Revision
 	} else {
 		answer = c.awaitWatch(r, group, after, wait)
 	}
-	if answer.err != nil {
-		writeCoordinationError(w, answer.err)
+	if answer.Err != nil {
+		writeCoordinationError(w, answer.Err)
 		return
 	}
-	body := eventsAnswer{Events: []eventAnswer{}, Revision: answer.revision}
-	for _, event := range answer.events {
+	body := eventsAnswer{Events: []eventAnswer{}, Revision: answer.Revision}
+	for _, event := range answer.Events {
 		body.Events = append(body.Events, eventAnswer(event))
 	}
 	writeJSON(w, http.StatusOK, body)
@@ -242,23 +242,23 @@
 }
 
 // awaitWatch waits for the puts of a group above a revision.
-func (c *coordinationService) awaitWatch(r *http.Request, group string, after uint64, wait time.Duration) watchAnswer {
+func (c *coordinationService) awaitWatch(r *http.Request, group string, after uint64, wait time.Duration) coordination.WatchAnswer {
 	s := c.server
-	answers := make(chan watchAnswer, 1)
-	w := &watch{group: group, after: after, answer: func(answer watchAnswer) { answers <- answer }}
+	answers := make(chan coordination.WatchAnswer, 1)
+	w := &coordination.Watch{Group: group, After: after, Answer: func(answer coordination.WatchAnswer) { answers <- answer }}
 	s.enqueue(func() {
 		now := s.now()
-		w.deadline = now + wait
-		c.watches.add(now, w)
+		w.Deadline = now + wait
+		c.watches.Add(now, c.watchSource(now), w)
 	})
 	select {
 	case answer := <-answers:
 		return answer
 	case <-r.Context().Done():
-		s.enqueue(func() { c.watches.remove(w) })
-		return watchAnswer{err: errkind.New(errkind.NotReady, "the caller has gone")}
+		s.enqueue(func() { c.watches.Remove(w) })
+		return coordination.WatchAnswer{Err: errkind.New(errkind.NotReady, "the caller has gone")}
 	case <-s.ctx.Done():
-		return watchAnswer{err: errkind.New(errkind.NotReady, "the process stops")}
+		return coordination.WatchAnswer{Err: errkind.New(errkind.NotReady, "the process stops")}
 	}
 }
 
--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"dykering/internal/chain"
 	"dykering/internal/coordination"
 	"dykering/internal/corestate"
@@ -21,23 +19,27 @@
 
 // coordinationService is this member's part of the coordination service. All of it belongs to the event loop.
 type coordinationService struct {
-	server *Server
-	// holds and retention are the volatile times of a head. They mean nothing at other members.
-	holds     *coordination.HoldTimers
-	retention *coordination.Retention
-	watches   *watchTable
+	server  *Server
+	head    *coordination.Head
+	watches *coordination.WatchTable
 	// received are the calls of peers that this member has taken: a link may deliver one twice.
-	received      *recentCalls
-	compactionDue time.Duration
+	received *coordination.RecentCalls
 }
 
 func newCoordinationService(s *Server) *coordinationService {
+	head := coordination.NewHead(s.now(), coordination.HeadConfig{
+		HoldMargin:         s.timing.holdMargin,
+		HistoryKept:        s.timing.historyKept,
+		CompactionInterval: compactionInterval,
+		ExpiredHoldGrace:   expiredHoldGrace,
+		StateOf:            corestate.Coordination,
+		Encode:             func(command coordination.Command) ([]byte, error) { return encodeOperation(command) },
+	})
 	return &coordinationService{
-		server:    s,
-		holds:     coordination.NewHoldTimers(s.now(), s.timing.holdMargin),
-		retention: coordination.NewRetention(s.timing.historyKept),
-		watches:   newWatchTable(s),
-		received:  newRecentCalls(),
+		server:   s,
+		head:     head,
+		watches:  coordination.NewWatchTable(),
+		received: coordination.NewRecentCalls(),
 	}
 }
 
@@ -71,7 +73,7 @@
 // receiveWrite executes a command that a peer has forwarded. A second delivery is dropped: the first one may have been
 // rejected with the promise that the command is never executed.
 func (c *coordinationService) receiveWrite(now time.Duration, call protocol.CoordinationWrite) {
-	if c.received.isRepeated(call.From, call.ID) {
+	if c.received.IsRepeated(call.From, call.ID) {
 		return
 	}
 	c.executeAtHead(now, call.Command, c.server.replyTo(call.From, call.ID))
@@ -79,65 +81,18 @@
 
 // executeAtHead executes a command where this member is the head; the chain answers that it is not otherwise.
 func (c *coordinationService) executeAtHead(now time.Duration, command coordination.Command, answer func(protocol.Reply)) {
-	var result coordination.Result
-	appended := false
-	c.server.applyOutput(c.server.pendingRequests.Write(now, chain.Write{
-		Decide: func(latest any) chain.Decision {
-			decision, decided := c.decide(now, corestate.Coordination(latest), command)
-			result = decided
-			appended = decision.Operation != nil
-			return decision
-		},
-		Respond: func(err error) { answer(coordinationReply(result, err, appended)) },
-	}))
-}
-
-// decide returns what the head does with a command in its latest state. A hold that is over is named in the operation, so that
-// all members replace the same one.
-func (c *coordinationService) decide(now time.Duration, latest *coordination.State, command coordination.Command) (chain.Decision, coordination.Result) {
-	if lock, held := latest.Lock(command.Name); held && command.Operation == coordination.BeginLock && c.holds.IsOver(now, command.Name, lock) {
-		command.ExpiredToken = lock.Token
-	}
-	next, result, rejection := latest.Execute(command)
-	if rejection != nil {
-		return chain.Decision{Rejection: rejection}, result
-	}
-	c.extendHold(now, next, command)
-	if next == latest {
-		return chain.Decision{Unchanged: true}, result
-	}
-	operation, err := encodeOperation(command)
-	if err != nil {
-		return chain.Decision{Rejection: err}, result
-	}
-	return chain.Decision{Operation: operation}, result
-}
-
-// extendHold notes how long the holder of a lock may count on it after a command that takes or renews it. The caller has sent
-// the command before now.
-func (c *coordinationService) extendHold(now time.Duration, next *coordination.State, command coordination.Command) {
-	if command.Operation != coordination.BeginLock && command.Operation != coordination.RenewLock {
-		return
-	}
-	if lock, held := next.Lock(command.Name); held {
-		c.holds.Extend(now, command.Name, lock, time.Duration(command.HoldMs)*time.Millisecond)
-	}
+	respond := func(result coordination.Result, err error) { answer(coordinationReply(result, err)) }
+	c.server.applyOutput(c.server.pendingRequests.Write(now, c.head.Write(now, command, respond)))
 }
 
-// coordinationReply returns the reply to a command that was appended to the log, or not, and ended with an error or nil.
-func coordinationReply(result coordination.Result, err error, appended bool) protocol.Reply {
-	var classified *errkind.Error
-	switch {
-	case err == nil:
+// coordinationReply returns the reply to a command. One that failed has a result too: the revision at a conflict.
+func coordinationReply(result coordination.Result, err error) protocol.Reply {
+	if err == nil {
 		return protocol.Reply{Coordination: result}
-	case errors.As(err, &classified):
-		reply := errorReply(err)
-		reply.Coordination = result
-		return reply
-	case appended && !errors.Is(err, chain.ErrNotWritable):
-		return errorReply(errkind.New(errkind.OutcomeUnknown, err.Error()))
 	}
-	return errorReply(errkind.New(errkind.NotReady, err.Error()))
+	reply := errorReply(err)
+	reply.Coordination = result
+	return reply
 }
 
 // read has the tail return a cell, or the revision of a group. The other name is empty.
@@ -179,20 +134,10 @@
 func (c *coordinationService) tick(now time.Duration) {
 	s := c.server
 	if !s.chain.IsHead() || !s.chain.IsViewConfirmed(now) {
-		c.retention.Reset()
-		return
-	}
-	if now < c.compactionDue {
+		c.head.Pause()
 		return
 	}
-	c.compactionDue = now + compactionInterval
-	table := corestate.Coordination(s.chain.CommittedState().Value)
-	command := coordination.Command{
-		Operation:    coordination.Compact,
-		Floors:       c.retention.Sample(now, table),
-		ExpiredHolds: c.holds.Expired(now, table, expiredHoldGrace),
-	}
-	if len(command.Floors) > 0 || len(command.ExpiredHolds) > 0 {
+	if command, ok := c.head.Compaction(now, s.chain.CommittedState().Value); ok {
 		c.executeAtHead(now, command, func(protocol.Reply) {}) // made again where it fails
 	}
 }
--- a/internal/controlplane/eventloop.go
+++ b/internal/controlplane/eventloop.go
@@ -60,7 +60,7 @@
 	s.log.Info("process.stopping", "signal", sig.String())
 	s.chain.Leave(s.now())
 	s.endStreams()
-	s.coordination.watches.stop()
+	s.coordination.watches.Stop()
 	return time.After(s.timing.gracePeriod)
 }
 
@@ -89,7 +89,7 @@
 	s.carryOutSessions(s.sessions.Flush(now, s.core(now)))
 	s.broadcastEndpointLoads(now)
 	s.streamUpdates(now)
-	s.coordination.watches.answerReady(now)
+	s.coordination.answerWatches(now)
 	s.placement.planIfDue(now)
 }
 
--- a/internal/coordination/doc.go
+++ b/internal/coordination/doc.go
@@ -27,7 +27,8 @@
 // # Files
 //
 // state.go has the state, command.go the commands, locks.go, numbers.go and cells.go the three tables, history.go what watches
-// read, hold_timers.go and retention.go the volatile times of a head, encoding.go the stored form.
+// read, hold_timers.go and retention.go the volatile times of a head, encoding.go the stored form. head.go decides on commands
+// at the head of the chain, watch_table.go serves watches at each member, recent_calls.go recognises repeated deliveries.
 //
-// internal/controlplane runs it as a part of the value that the chain replicates; docs/COORDINATION.md has the design.
+// internal/controlplane and the simulation in internal/lab/coresim run it as a part of the value that the chain replicates; docs/COORDINATION.md has the design.
 package coordination
--- a/internal/controlplane/coordination_calls.go
+++ b/internal/coordination/recent_calls.go
@@ -1,4 +1,4 @@
-package controlplane
+package coordination
 
 // maxRecentCalls bounds the calls of peers that are remembered. A second delivery follows the first one within the time that a
 // link needs to connect again.
@@ -10,18 +10,19 @@
 	id   uint64
 }
 
-// recentCalls are the last calls of peers, to recognise one that is delivered twice.
-type recentCalls struct {
+// RecentCalls are the last calls of peers, to recognise one that is delivered twice.
+type RecentCalls struct {
 	known map[recentCall]bool
 	// order has the known calls, the oldest at next once it is full.
 	order []recentCall
 	next  int
 }
 
-func newRecentCalls() *recentCalls { return &recentCalls{known: map[recentCall]bool{}} }
+// NewRecentCalls returns a memory without calls.
+func NewRecentCalls() *RecentCalls { return &RecentCalls{known: map[recentCall]bool{}} }
 
-// isRepeated reports whether a call was seen before, and remembers it.
-func (r *recentCalls) isRepeated(from string, id uint64) bool {
+// IsRepeated reports whether a call was seen before, and remembers it.
+func (r *RecentCalls) IsRepeated(from string, id uint64) bool {
 	call := recentCall{from: from, id: id}
 	if r.known[call] {
 		return true
