A call with a shorter hold does not shorten a hold that a new head takes over

Cause: a head whose timers were reset by a new view counts a hold from the view's installation. The first call of the holder then replaced that time by its own, also where it asked for less.

Change: HoldTimers.Extend keeps the later time.

Measured: TestShorterCallAfterANewViewShortensNoHold fails without the change and passes with it.

--- a/internal/coordination/hold_timers.go
+++ b/internal/coordination/hold_timers.go
@@ -31,10 +31,7 @@
 
 // Extend notes that the holder of a lock may count on it for hold from now on. It never shortens the time of a hold.
 func (t *HoldTimers) Extend(now time.Duration, name string, lock Lock, hold time.Duration) {
-	endsAt := now + hold + t.margin
-	if timer, ok := t.timers[name]; ok && timer.firstToken == lock.FirstToken {
-		endsAt = max(endsAt, timer.endsAt)
-	}
+	endsAt := max(now+hold+t.margin, t.endsAt(name, lock))
 	t.timers[name] = holdTimer{firstToken: lock.FirstToken, endsAt: endsAt}
 }
 
