--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -190,7 +190,7 @@
 	command := coordination.Command{
 		Operation:    coordination.Compact,
 		Floors:       c.retention.Sample(now, table),
-		ExpiredHolds: c.holds.Expired(now, table, expiredHoldGrace),
+		ExpiredHolds: c.holds.Expired(now, corestate.Coordination(s.chain.LatestState().Value), expiredHoldGrace),
 	}
 	if len(command.Floors) > 0 || len(command.ExpiredHolds) > 0 {
 		c.executeAtHead(now, command, func(protocol.Reply) {}) // made again where it fails
--- /dev/null
+++ b/internal/controlplane/coordination_timers_test.go
@@ -0,0 +1,74 @@
+package controlplane
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/chain"
+	"dykering/internal/coordination"
+	"dykering/internal/corestate"
+	"dykering/internal/protocol"
+)
+
+// headAlone makes a server that is the only member of its core and runs no goroutine: what it appends is not committed until
+// commitAll is called.
+func headAlone() *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	s := newServer(ctx, newMembers(1)[0].settings, slog.New(slog.DiscardHandler))
+	Expect(s.openStores()).To(Succeed())
+	self := chain.Member{ID: "a", Address: s.settings.InternalAddress(s.settings.IPAddress)}
+	view := chain.View{Number: 1, Voters: []chain.Member{self}, Chain: []chain.MemberID{self.ID}, Holder: self.ID, Token: 1}
+	config := s.chainConfig(self.ID)
+	config.Self = self
+	s.chain, _ = chain.NewGenesis(config, s.now(), view, corestate.Initial())
+	s.pendingRequests = chain.NewPendingRequests(s.chain, s.timing.callTimeout)
+	return s
+}
+
+// commitAll takes it that what was appended is stored, and answers what waits for it.
+func commitAll(s *Server) {
+	for len(s.chainStore.jobs) > 0 {
+		s.onPersisted((<-s.chainStore.jobs).messages)
+	}
+	s.applyOutput(s.chain.Tick(s.now()))
+	s.pendingRequests.AnswerReady(s.now())
+}
+
+// execute executes a command at the head; the reply is sent to the channel that it returns.
+func execute(s *Server, command coordination.Command) <-chan protocol.Reply {
+	replies := make(chan protocol.Reply, 1)
+	s.coordination.executeAtHead(s.now(), command, func(reply protocol.Reply) { replies <- reply })
+	return replies
+}
+
+var _ = Describe("the head's timers of holds", func() {
+	const hold = 10 * time.Second
+	begin := coordination.Command{Operation: coordination.BeginLock, Name: "l", Holder: "a", HoldMs: hold.Milliseconds()}
+
+	// The look at what may be dropped took the locks of the committed state: the timer of a hold that was not committed yet
+	// was forgotten, so that the hold counted as over at once and another caller could have the lock.
+	It("keep the time of a hold that is not committed yet", func() {
+		s := headAlone()
+		s.coordination.holds.Reset(s.now() - time.Hour)
+		reply := execute(s, begin)
+		Expect(reply).NotTo(Receive())
+		s.coordination.compactionDue = 0
+		s.coordination.tick(s.now())
+		commitAll(s)
+		Expect(reply).To(Receive(HaveField("Failed", false)))
+
+		lock, held := corestate.Coordination(s.chain.CommittedState().Value).Lock("l")
+		Expect(held).To(BeTrue())
+		Expect(s.coordination.holds.IsOver(s.now(), "l", lock)).To(BeFalse())
+		other := begin
+		other.Holder = "b"
+		rejected := execute(s, other)
+		commitAll(s)
+		Expect(rejected).To(Receive(HaveField("Failed", true)))
+	})
+})
--- a/internal/coordination/hold_timers.go
+++ b/internal/coordination/hold_timers.go
@@ -52,7 +52,7 @@
 }
 
 // Expired returns the tokens of the holds that have been over for longer than a grace time, by lock, and forgets the timers of
-// locks that are not held.
+// locks that are not held. The state must be the head's latest one: a hold that is not committed yet keeps its timer.
 func (t *HoldTimers) Expired(now time.Duration, state *State, grace time.Duration) map[string]uint64 {
 	expired := map[string]uint64{}
 	for iterator := state.locks.Iterator(); !iterator.Done(); {
