Coordination: tests by table, property, fuzz target and fixture; three faults that they found

Need: the package came with tests of the HTTP calls alone.

Faults found and mended, each with a test that fails without the change: - wait_ms=NaN gave a wait of -292 years (FuzzWatchQuery, a seed). It is malformed. - A stored form with a gap in its history was decoded; a watch then failed with an index of -1 (FuzzDecode, a seed). Forms that no state has are rejected, and the state stays as it was. - A name may have the byte 0 (%00 in a path), which separates name and value in the history: two puts could count as one. Names with it, and names that are not UTF-8, are malformed.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # Each fuzz target for FUZZTIME, one after another; what it finds goes into testdata, which `make test` plays.
 FUZZTIME := 60s
-FUZZ := discovery:FuzzLists http1:FuzzHead http1:FuzzAnswer http1:FuzzChunked http1:FuzzPassage core:FuzzList settings:FuzzParse operator:FuzzParse wire:FuzzRun
+FUZZ := discovery:FuzzLists http1:FuzzHead http1:FuzzAnswer http1:FuzzChunked http1:FuzzPassage core:FuzzList settings:FuzzParse operator:FuzzParse wire:FuzzRun coordination:FuzzDecode controlplane:FuzzCoordinationBody controlplane:FuzzWatchQuery
 
 .PHONY: fuzz
 fuzz:
--- a/internal/controlplane/coordination_endpoint.go
+++ b/internal/controlplane/coordination_endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -183,7 +184,7 @@
 	}
 	if text := query.Get("wait_ms"); text != "" {
 		milliseconds, err := strconv.ParseFloat(text, 64)
-		if err != nil || milliseconds < 0 {
+		if err != nil || milliseconds < 0 || math.IsNaN(milliseconds) {
 			return 0, 0, errkind.New(errkind.Malformed, "wait_ms")
 		}
 		wait = time.Duration(min(milliseconds, float64(maxWatchWait.Milliseconds())) * float64(time.Millisecond))
--- a/internal/coordination/command.go
+++ b/internal/coordination/command.go
@@ -1,6 +1,9 @@
 package coordination
 
 import (
+	"strings"
+	"unicode/utf8"
+
 	"dykering/internal/errkind"
 )
 
@@ -57,7 +60,7 @@
 
 // Validate returns an error of kind errkind.Malformed for a command that no state can execute.
 func (c *Command) Validate() error {
-	if c.Name == "" || len(c.Name) > MaxNameBytes {
+	if c.Name == "" || len(c.Name) > MaxNameBytes || !utf8.ValidString(c.Name) || strings.ContainsRune(c.Name, 0) {
 		return errkind.New(errkind.Malformed, "name")
 	}
 	isHold := c.Operation == BeginLock || c.Operation == RenewLock
--- a/internal/coordination/encoding.go
+++ b/internal/coordination/encoding.go
@@ -45,6 +45,12 @@
 
 // GobEncode returns the stored form. Equal states have equal forms: all tables are sorted.
 func (s *State) GobEncode() ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(s.stored())
+	return buffer.Bytes(), errors.Wrap(err, "coordination state")
+}
+
+func (s *State) stored() storedState {
 	stored := storedState{Version: storedVersion, LastToken: s.lastToken}
 	for iterator := s.locks.Iterator(); !iterator.Done(); {
 		name, lock, _ := iterator.Next()
@@ -62,9 +68,7 @@
 		name, g, _ := iterator.Next()
 		stored.Groups = append(stored.Groups, g.stored(name))
 	}
-	var buffer bytes.Buffer
-	err := gob.NewEncoder(&buffer).Encode(stored)
-	return buffer.Bytes(), errors.Wrap(err, "coordination state")
+	return stored
 }
 
 func (g *group) stored(name string) storedGroup {
@@ -85,6 +89,9 @@
 	if stored.Version != storedVersion {
 		return errors.Errorf("coordination state: version %d is not known", stored.Version)
 	}
+	if err := stored.validate(); err != nil {
+		return errors.Wrap(err, "coordination state")
+	}
 	*s = *Empty()
 	s.lastToken = stored.LastToken
 	s.locks = s.decodeLocks(stored.Locks)
--- a/internal/coordination/history.go
+++ b/internal/coordination/history.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// putKey identifies a put by its cell and value. A name has no byte 0: it comes from a path.
+// putKey identifies a put by its cell and value. A name has no byte 0: see Command.Validate.
 func putKey(name, value string) string { return name + "\x00" + value }
 
 // revisionOf returns the revision of a put that the history has.
--- /dev/null
+++ b/internal/protocol/coordination_compatibility_test.go
@@ -0,0 +1,156 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dykering/internal/coordination"
+	"dykering/internal/corestate"
+	"dykering/internal/fixture"
+	"dykering/internal/fleetconfig"
+	"dykering/internal/peerlink"
+)
+
+// The fixtures of the types of the coordination service were written by the first build that has it.
+const (
+	coordinationStreamFile   = "testdata/coordination.peerlink"     // one message of each type, as a connection carries them
+	coordinationRenderedFile = "testdata/coordination.txt"          // what the messages hold
+	coordinationSchemasFile  = "testdata/coordination-schemas.json" // the structure of their types
+	coordinationStateFile    = "testdata/coordination-state.peerlink"
+	coordinationStateText    = "testdata/coordination-state.txt"
+)
+
+// coordinationTypes are the registered types of the service, and the type that got a field for it. The replicated value has
+// tests of its own: its tables are encoded by a method.
+var coordinationTypes = []any{CoordinationWrite{}, CoordinationRead{}, coordination.Command{}, Reply{}}
+
+func filledCoordinationMessages() []any {
+	var messages []any
+	for _, value := range coordinationTypes {
+		message := reflect.New(reflect.TypeOf(value))
+		fixture.Fill(message.Interface())
+		messages = append(messages, message.Elem().Interface())
+	}
+	return messages
+}
+
+// receiveCount reads a number of messages of a recorded stream with the present code.
+func receiveCount(t *testing.T, stream []byte, count int) []any {
+	t.Helper()
+	raw := &recordedConn{}
+	raw.Buffer.Write(stream)
+	conn := peerlink.NewConn(raw)
+	var messages []any
+	for range count {
+		message, err := conn.Receive(time.Second)
+		if err != nil {
+			t.Fatalf("message %d: %v", len(messages), err)
+		}
+		messages = append(messages, message)
+	}
+	if raw.Len() > 0 {
+		t.Fatalf("%d bytes are left after %d messages", raw.Len(), count)
+	}
+	return messages
+}
+
+func coordinationFixture(t *testing.T) []any {
+	t.Helper()
+	Register()
+	stream := fixture.Bytes(t, coordinationStreamFile, func() []byte { return sendAll(t, filledCoordinationMessages()) })
+	return receiveCount(t, stream, len(coordinationTypes))
+}
+
+// Messages of the service of an earlier build are read in full.
+func TestCoordinationMessagesOfEarlierBuildAreRead(t *testing.T) {
+	fixture.Text(t, coordinationRenderedFile, renderAll(coordinationFixture(t)))
+}
+
+// The types of an earlier build read in full what the present types of the service encode.
+func TestEarlierTypesReadPresentCoordinationMessages(t *testing.T) {
+	messages := coordinationFixture(t)
+	text := fixture.Bytes(t, coordinationSchemasFile, func() []byte {
+		var lines []string
+		for _, value := range coordinationTypes {
+			line, err := json.Marshal(schema{Name: typeName(value), Schema: fixture.SchemaOf(reflect.TypeOf(value))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines = append(lines, string(line))
+		}
+		return []byte("[\n" + strings.Join(lines, ",\n") + "\n]\n")
+	})
+	var earlierTypes []schema
+	if err := json.Unmarshal(text, &earlierTypes); err != nil {
+		t.Fatal(err)
+	}
+	var rendered strings.Builder
+	for i, earlier := range earlierTypes {
+		decoded, err := fixture.RecodeGob(messages[i], &earlier.Schema)
+		if err != nil {
+			t.Fatalf("%s: %v", earlier.Name, err)
+		}
+		rendered.WriteString(earlier.Name + "\n" + fixture.Render("\t", decoded))
+	}
+	fixture.Text(t, coordinationRenderedFile, rendered.String())
+}
+
+// replicatedValue is a value of the chain once the service is in use.
+func replicatedValue(t *testing.T) any {
+	t.Helper()
+	configuration := &fleetconfig.State{}
+	fixture.Fill(configuration)
+	value := any(configuration)
+	for _, command := range []coordination.Command{
+		{Operation: coordination.BeginLock, Name: "l", Holder: "a", HoldMs: 3000},
+		{Operation: coordination.NextNumber, Name: "n"},
+		{Operation: coordination.PutCell, Name: "g.a", Value: "1"},
+		{Operation: coordination.PutCell, Name: "g.b", Value: "2"},
+		{Operation: coordination.Compact, Floors: map[string]uint64{"g.": 1}},
+	} {
+		next, _, err := corestate.Coordination(value).Execute(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		value = corestate.WithCoordination(value, next)
+	}
+	return value
+}
+
+// renderValue lists what a replicated value holds. Its coordination part is rendered by what callers read of it.
+func renderValue(value any) string {
+	state, ok := value.(*corestate.State)
+	if !ok {
+		return fmt.Sprintf("%T\n", value)
+	}
+	lock, held := state.Coordination.Lock("l")
+	events, upTo, complete := state.Coordination.EventsAfter("g.", 1, 10)
+	_, _, fromStart := state.Coordination.EventsAfter("g.", 0, 10)
+	_, number, _ := state.Coordination.Execute(coordination.Command{Operation: coordination.NextNumber, Name: "n"})
+	_, token, _ := state.Coordination.Execute(coordination.Command{Operation: coordination.BeginLock, Name: "other", Holder: "b", HoldMs: 1})
+	return strings.Join(slices.Concat([]string{
+		fmt.Sprintf("lock %+v %v", lock, held),
+		fmt.Sprintf("next number %d, next token %d", number.Number, token.Token),
+		fmt.Sprintf("cells %+v %+v", state.Coordination.ReadCell("g.a"), state.Coordination.ReadCell("g.b")),
+		fmt.Sprintf("events %+v up to %d, complete %v, from the start %v", events, upTo, complete, fromStart),
+		fmt.Sprintf("counts %+v, bytes %d", state.Coordination.Counts(), state.Coordination.Bytes()),
+		fmt.Sprintf("operations %d", state.CoordinationOperations),
+	}, []string{fixture.Render("configuration", state.Configuration)}), "\n")
+}
+
+// A replicated value of an earlier build is read in full, and what the present code sends of it is read in full again.
+func TestReplicatedValueOfEarlierBuildIsRead(t *testing.T) {
+	Register()
+	stream := fixture.Bytes(t, coordinationStateFile, func() []byte { return sendAll(t, []any{replicatedValue(t)}) })
+	received := receiveCount(t, stream, 1)
+	fixture.Text(t, coordinationStateText, renderValue(received[0]))
+	fixture.Text(t, coordinationStateText, renderValue(receiveCount(t, sendAll(t, received), 1)[0]))
+	if name := typeName(received[0]); name != "dykering/internal/corestate.State" || !strings.Contains(string(stream), name) {
+		t.Errorf("the value is sent as %q", name)
+	}
+}
