Chain: tests of writes that are known by their entry, and of writes that change nothing

The tests cover: acknowledged when the own entry is committed; in the next view only if that began from a state with it; not confirmed where a view was missed, the entry was lost or another has its number; an unchanged write needs a majority since it was received, the state that it rests on committed, and the same view.

--- a/internal/chain/requests_test.go
+++ b/internal/chain/requests_test.go
@@ -92,6 +92,116 @@
 		Expect(states).To(Receive(HaveField("Value", 0)))
 	})
 
+	Context("to write that is contained once its entry is committed", func() {
+		writeEntry := func(now time.Duration) {
+			GinkgoHelper()
+			requests.Write(now, Write{
+				Decide:  func(any) Decision { return Decision{Operation: []byte("x")} },
+				Respond: func(err error) { answers <- err },
+			})
+			Expect(answers).NotTo(Receive())
+		}
+		// install puts a view into force at the head that began from a state with a number of entries.
+		install := func(number, baseSeq uint64) {
+			view := head.View()
+			view.Number = number
+			base := State{Seq: baseSeq, Value: int(baseSeq)}
+			head.Receive(0, Install{Proposal: Proposal{View: view, Base: base}})
+		}
+
+		It("is acknowledged once the tail has committed the entry, not an earlier one", func() {
+			head.Propose([]byte("earlier"))
+			writeEntry(0)
+			head.Receive(0, Committed{From: "c", View: 1, Seq: 1})
+			requests.AnswerReady(0)
+			Expect(answers).NotTo(Receive())
+			head.Receive(0, Committed{From: "c", View: 1, Seq: 2})
+			requests.AnswerReady(0)
+			Expect(answers).To(Receive(BeNil()))
+		})
+
+		for _, next := range []struct {
+			name          string
+			view, baseSeq uint64
+			expected      any
+		}{
+			{"the next view has the entry", 2, 2, BeNil()},
+			{"the next view has it and later ones", 2, 5, BeNil()},
+			{"the next view does not have it", 2, 1, MatchError(ErrNotConfirmed)},
+			{"a view was missed", 3, 2, MatchError(ErrNotConfirmed)},
+			{"a view was missed, and the state is later", 3, 5, MatchError(ErrNotConfirmed)},
+		} {
+			It("is answered when a new view is in force by the state that it began from: "+next.name, func() {
+				head.Propose([]byte("earlier"))
+				writeEntry(0)
+				install(next.view, next.baseSeq)
+				requests.AnswerReady(0)
+				Expect(answers).To(Receive(next.expected))
+			})
+		}
+
+		It("does not take an entry of the next view for its own", func() {
+			writeEntry(0)
+			install(2, 0)
+			head.Propose([]byte("other"))
+			head.Receive(0, Committed{From: "c", View: 2, Seq: 1})
+			Expect(head.CommittedSeq()).To(Equal(uint64(1)))
+			requests.AnswerReady(0)
+			Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
+		})
+
+		It("waits while the next view is being agreed on, and is not confirmed once the timeout has passed", func() {
+			writeEntry(0)
+			head.Receive(0, Prepare{From: "b", Number: 2, Ballot: ProposalNumber{Counter: 1, Proposer: "b"}})
+			Expect(head.IsSealed()).To(BeTrue())
+			requests.AnswerReady(timeout)
+			Expect(answers).NotTo(Receive())
+			requests.AnswerReady(timeout + 1)
+			Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
+		})
+	})
+
+	Context("to write that changes nothing", func() {
+		It("is acknowledged without an entry, once a majority has confirmed the view since it was received", func() {
+			write(time.Millisecond, Decision{Unchanged: true})
+			Expect(head.LatestState().Seq).To(BeZero())
+			requests.AnswerReady(time.Millisecond)
+			Expect(answers).NotTo(Receive(), "the confirming pings were sent before")
+			confirm(head, 2*time.Millisecond)
+			requests.AnswerReady(2 * time.Millisecond)
+			Expect(answers).To(Receive(BeNil()))
+		})
+
+		It("is not acknowledged without a majority", func() {
+			write(time.Millisecond, Decision{Unchanged: true})
+			requests.AnswerReady(timeout + time.Millisecond)
+			Expect(answers).NotTo(Receive())
+			requests.AnswerReady(timeout + 2*time.Millisecond)
+			Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
+		})
+
+		It("waits until the state that it rests on is committed", func() {
+			head.Propose([]byte("x"))
+			write(0, Decision{Unchanged: true})
+			confirm(head, time.Millisecond)
+			requests.AnswerReady(time.Millisecond)
+			Expect(answers).NotTo(Receive())
+			head.Receive(time.Millisecond, Committed{From: "c", View: 1, Seq: 1})
+			requests.AnswerReady(time.Millisecond)
+			Expect(answers).To(Receive(BeNil()))
+		})
+
+		It("is not confirmed by a new view, whose state may be another", func() {
+			write(0, Decision{Unchanged: true})
+			view := head.View()
+			view.Number = 2
+			head.Receive(0, Install{Proposal: Proposal{View: view, Base: State{Value: 0}}})
+			confirm(head, time.Millisecond)
+			requests.AnswerReady(time.Millisecond)
+			Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
+		})
+	})
+
 	It("is rejected if too many are pending", func() {
 		for range maxPendingRequests {
 			write(0, Decision{Operation: []byte("x")})
