Package client: locks, elections, numbers, keys and watches for programs that embed it

Applications need to call the coordination service of the control processes, and to do so by its rules: another address after a failure, what is known of a call without a clear answer, and a holder's time by a steady clock.

New is dykering/client, which imports nothing of dykering itself. A call goes to one control_plane address after another with growing random pauses, honours Retry-After, and ends with ErrUnavailable (nothing was done) or ErrOutcomeUnknown.

Not yet run against the service itself.

--- /dev/null
+++ b/client/call.go
@@ -0,0 +1,180 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/pkg/errors"
+)
+
+const (
+	maxAnswerBytes  = 64 << 20         // of a body that is read; a watch may have many events
+	maxErrorText    = 200              // bytes of a body that a StatusError shows
+	maxRetryAfter   = 10 * time.Second // a longer Retry-After is cut to this
+	retryAfterSpare = 10               // up to a tenth of a wait for Retry-After is added at random
+)
+
+// call is a request that may be sent to any address.
+type call struct {
+	operation string // for error texts
+	method    string
+	path      string
+	query     any           // struct with url tags, nil for none
+	body      any           // struct with json tags, nil for none
+	timeout   time.Duration // of one attempt
+}
+
+// answer is a final answer of the service.
+type answer struct {
+	status int
+	body   []byte
+	sent   time.Time // when the answered attempt was sent
+	// earlierUnclear is true if an earlier attempt of the same call may have taken effect.
+	earlierUnclear bool
+}
+
+// failure is an attempt without a final answer.
+type failure struct {
+	cause      error
+	unclear    bool // it may have taken effect
+	retryAfter time.Duration
+}
+
+// newPost returns a call that changes something.
+func (c *Client) newPost(operation, path string, body any) call {
+	return call{operation: operation, method: http.MethodPost, path: path, body: body, timeout: c.options.AttemptTimeout}
+}
+
+// newGet returns a call that only reads.
+func (c *Client) newGet(operation, path string, query any) call {
+	return call{operation: operation, method: http.MethodGet, path: path, query: query, timeout: c.options.AttemptTimeout}
+}
+
+// do sends a call to one address after another, until there is a final answer or the time is over.
+func (c *Client) do(ctx context.Context, call call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	address, unclear := noAddress, false
+	var last error
+	for attempt := 0; ; attempt++ {
+		var err error
+		address, err = c.awaitAddress(ctx, attempt, address)
+		if err != nil {
+			return answer{}, call.failed(unclear, err, last)
+		}
+		final, failed := c.attempt(ctx, call, c.addresses.names[address])
+		if failed == nil {
+			final.earlierUnclear = unclear
+			return final, nil
+		}
+		c.addresses.fail(address, failed.retryAfter)
+		unclear = unclear || failed.unclear
+		last = errors.Wrap(failed.cause, c.addresses.names[address])
+	}
+}
+
+// awaitAddress pauses before an attempt, and returns the address to send it to.
+func (c *Client) awaitAddress(ctx context.Context, attempt, failed int) (index int, err error) {
+	if err := sleep(ctx, backoff(attempt, c.options.MaxPause)); err != nil {
+		return failed, err
+	}
+	index, notBefore := c.addresses.next(failed)
+	wait := time.Until(notBefore)
+	if wait <= 0 {
+		return index, nil
+	}
+	return index, sleep(ctx, wait+between(0, wait/retryAfterSpare))
+}
+
+// attempt sends a call to one address.
+func (c *Client) attempt(ctx context.Context, call call, address string) (answer, *failure) {
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
+	defer cancel()
+	request, err := call.request(address)
+	if err != nil {
+		return answer{}, &failure{cause: err}
+	}
+	sent := time.Now()
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return answer{}, &failure{cause: err, unclear: !neverSent(err)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	switch status := response.StatusCode; {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return answer{}, &failure{cause: errors.Errorf("status %d", status), retryAfter: retryAfter(response.Header)}
+	case status >= http.StatusInternalServerError:
+		return answer{}, &failure{cause: errors.Errorf("status %d", status), unclear: true}
+	case err != nil:
+		return answer{}, &failure{cause: errors.Wrap(err, "body"), unclear: true}
+	}
+	return answer{status: response.StatusCode, body: body, sent: sent}, nil
+}
+
+// request builds the HTTP request for one address.
+func (c call) request(address string) (*http.Request, error) {
+	builder := sling.New().Base("http://" + address)
+	if c.method == http.MethodGet {
+		builder = builder.Get(c.path)
+	} else {
+		builder = builder.Post(c.path).BodyJSON(c.body)
+	}
+	if c.query != nil {
+		builder = builder.QueryStruct(c.query)
+	}
+	return builder.Request()
+}
+
+// failed is the error of a call without a final answer. Reads have no outcome that could be unknown.
+func (c call) failed(unclear bool, ended, last error) error {
+	kind := ErrUnavailable
+	if unclear && c.method != http.MethodGet {
+		kind = ErrOutcomeUnknown
+	}
+	return &callError{operation: c.operation, kind: kind, ended: ended, last: last}
+}
+
+// unexpected is the error for a status that the operation does not have.
+func (c call) unexpected(final answer) error {
+	text := string(final.body[:min(len(final.body), maxErrorText)])
+	return &StatusError{Operation: c.operation, Status: final.status, Text: text}
+}
+
+// decode reads the body of a final answer.
+func (c call) decode(final answer, into any) error {
+	if err := json.Unmarshal(final.body, into); err != nil {
+		return c.failed(true, nil, errors.Wrap(err, "malformed answer"))
+	}
+	return nil
+}
+
+// neverSent reports whether no connection was made, so that the request cannot have arrived.
+func neverSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// retryAfter reads the header of that name in seconds, which may have a fraction. It is 0 if there is none.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// pathOf returns the path for a name: "/locks/", the name, and "/begin".
+func pathOf(prefix, name, suffix string) (string, error) {
+	if name == "" || name == "." || name == ".." {
+		return "", errors.Errorf("%q is not a name", name)
+	}
+	return prefix + url.PathEscape(name) + suffix, nil
+}
--- /dev/null
+++ b/client/key.go
@@ -0,0 +1,80 @@
+package client
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// putBody is the body of a put.
+type putBody struct {
+	Value      string  `json:"value"`
+	IfRevision *uint64 `json:"if_revision,omitempty"`
+}
+
+// Put sets a key, and returns its new revision. The value must differ from those of all other puts of the key: by it the
+// service recognises an attempt that comes again, and answers with the first revision.
+//
+// After ErrOutcomeUnknown, the same value may be put again.
+func (c *Client) Put(ctx context.Context, key, value string) (revision uint64, err error) {
+	return c.put(ctx, key, putBody{Value: value})
+}
+
+// PutIf sets a key if it has a revision, or if it does not exist where the revision is 0. Otherwise the error is a
+// *ConflictError with the key's present revision. Values are as with Put.
+func (c *Client) PutIf(ctx context.Context, key, value string, ifRevision uint64) (revision uint64, err error) {
+	return c.put(ctx, key, putBody{Value: value, IfRevision: &ifRevision})
+}
+
+func (c *Client) put(ctx context.Context, key string, body putBody) (revision uint64, err error) {
+	path, err := pathOf("/cells/", key, "/replace")
+	if err != nil {
+		return 0, err
+	}
+	call := c.newPost("put "+key, path, body)
+	final, err := c.do(ctx, call)
+	if err != nil {
+		return 0, err
+	}
+	if final.status != http.StatusOK && final.status != http.StatusPreconditionFailed {
+		return 0, call.unexpected(final)
+	}
+	var cell struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err := call.decode(final, &cell); err != nil {
+		return 0, err
+	}
+	if final.status == http.StatusPreconditionFailed {
+		return 0, &ConflictError{Key: key, Revision: cell.Revision, OutcomeUnknown: final.earlierUnclear}
+	}
+	return cell.Revision, nil
+}
+
+// Get reads a key. The answer is at least as new as every put that was acknowledged before the call. If there is no such
+// key, the error is ErrNotFound and the revision 0.
+func (c *Client) Get(ctx context.Context, key string) (value string, revision uint64, err error) {
+	path, err := pathOf("/cells/", key, "/read")
+	if err != nil {
+		return "", 0, err
+	}
+	call := c.newGet("get "+key, path, nil)
+	final, err := c.do(ctx, call)
+	if err != nil {
+		return "", 0, err
+	}
+	switch final.status {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return "", 0, errors.Wrap(ErrNotFound, key)
+	default:
+		return "", 0, call.unexpected(final)
+	}
+	var cell struct {
+		Value    string `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	err = call.decode(final, &cell)
+	return cell.Value, cell.Revision, err
+}
--- /dev/null
+++ b/client/service_test.go
@@ -0,0 +1,281 @@
+package client
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// service is the coordination service in memory, as the tests need it.
+type service struct {
+	mu       sync.Mutex
+	locks    map[string]serviceLock
+	token    uint64
+	number   uint64
+	cells    map[string]Event
+	first    map[string]uint64 // by key and value: the revision of the first put
+	log      []Event
+	kept     uint64 // events up to it are gone
+	changed  chan struct{}
+	requests []string // host, method and path of each request, in their order
+}
+
+type serviceLock struct {
+	holder string
+	token  uint64
+	until  time.Time
+}
+
+func newService() *service {
+	return &service{
+		locks: map[string]serviceLock{}, cells: map[string]Event{}, first: map[string]uint64{}, changed: make(chan struct{}),
+	}
+}
+
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /locks/{id}/begin", s.begin)
+	mux.HandleFunc("POST /locks/{id}/heartbeat", s.heartbeat)
+	mux.HandleFunc("POST /locks/{id}/finish", s.finish)
+	mux.HandleFunc("POST /numbers/{id}", s.next)
+	mux.HandleFunc("POST /cells/{id}/replace", s.replace)
+	mux.HandleFunc("GET /cells/{id}/read", s.read)
+	mux.HandleFunc("GET /watch/{id}", s.watch)
+	mux.ServeHTTP(w, r)
+}
+
+func answerJSON(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(body)
+}
+
+func lockRequest(r *http.Request) (body struct {
+	LeaseHolder  string `json:"lease_holder"`
+	FencingToken uint64 `json:"fencing_token"`
+	HoldMs       int64  `json:"hold_ms"`
+},
+) {
+	json.NewDecoder(r.Body).Decode(&body)
+	return body
+}
+
+func (s *service) begin(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, body := r.PathValue("id"), lockRequest(r)
+	lock := s.locks[id]
+	if lock.holder != body.LeaseHolder && time.Now().Before(lock.until) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.token++
+	until := time.Now().Add(time.Duration(body.HoldMs) * time.Millisecond)
+	s.locks[id] = serviceLock{holder: body.LeaseHolder, token: s.token, until: until}
+	answerJSON(w, http.StatusOK, map[string]uint64{"fencing_token": s.token})
+}
+
+func (s *service) heartbeat(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, body := r.PathValue("id"), lockRequest(r)
+	lock := s.locks[id]
+	if lock.holder != body.LeaseHolder || lock.token != body.FencingToken || !time.Now().Before(lock.until) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	lock.until = time.Now().Add(time.Duration(body.HoldMs) * time.Millisecond)
+	s.locks[id] = lock
+}
+
+func (s *service) finish(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, body := r.PathValue("id"), lockRequest(r)
+	if lock := s.locks[id]; lock.holder == body.LeaseHolder && lock.token == body.FencingToken {
+		delete(s.locks, id)
+	}
+}
+
+func (s *service) next(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	answerJSON(w, http.StatusOK, map[string]uint64{"value": s.number})
+}
+
+func (s *service) replace(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var body struct {
+		Value      string  `json:"value"`
+		IfRevision *uint64 `json:"if_revision"`
+	}
+	json.NewDecoder(r.Body).Decode(&body)
+	id := r.PathValue("id")
+	if first := s.first[id+" "+body.Value]; first > 0 {
+		answerJSON(w, http.StatusOK, map[string]uint64{"revision": first})
+		return
+	}
+	if present := s.cells[id].Revision; body.IfRevision != nil && *body.IfRevision != present {
+		answerJSON(w, http.StatusPreconditionFailed, map[string]uint64{"revision": present})
+		return
+	}
+	event := Event{Key: id, Value: body.Value, Revision: uint64(len(s.log)) + 1}
+	s.cells[id], s.first[id+" "+body.Value] = event, event.Revision
+	s.log = append(s.log, event)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	answerJSON(w, http.StatusOK, map[string]uint64{"revision": event.Revision})
+}
+
+func (s *service) read(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cell, ok := s.cells[r.PathValue("id")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answerJSON(w, http.StatusOK, cell)
+}
+
+// watch serves one group: all keys.
+func (s *service) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	waitMs, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events, revision, changed := s.log[min(after, uint64(len(s.log))):], uint64(len(s.log)), s.changed
+		gone := after > 0 && after < s.kept
+		s.mu.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case after == 0:
+			answerJSON(w, http.StatusOK, watchAnswer{Revision: revision})
+			return
+		case len(events) > 0:
+			answerJSON(w, http.StatusOK, watchAnswer{Events: events, Revision: revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			answerJSON(w, http.StatusOK, watchAnswer{Revision: revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// reaction is what becomes of one request; serve lets the service answer it.
+type reaction func(r *http.Request, serve func() *http.Response) (*http.Response, error)
+
+// network carries requests to the service in the time of a synctest bubble. Each request takes the next planned reaction
+// of its host, or of any host, and is served if there is none.
+type network struct {
+	*service
+	plan  map[string][]reaction // by host; "" for any
+	atEnd func(cleanup func())  // registers what ends the test's goroutines
+}
+
+func newNetwork(t *testing.T) *network {
+	t.Helper()
+	return &network{service: newService(), plan: map[string][]reaction{}, atEnd: t.Cleanup}
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	serve := func() *http.Response {
+		recorder := httptest.NewRecorder()
+		n.ServeHTTP(recorder, r)
+		return recorder.Result()
+	}
+	n.mu.Lock()
+	n.requests = append(n.requests, r.URL.Host+" "+r.Method+" "+r.URL.Path)
+	planned := n.nextReaction(r.URL.Host)
+	n.mu.Unlock()
+	if planned != nil {
+		return planned(r, serve)
+	}
+	return served(0)(r, serve)
+}
+
+func (n *network) nextReaction(host string) reaction {
+	for _, key := range []string{host, ""} {
+		if planned := n.plan[key]; len(planned) > 0 {
+			n.plan[key] = planned[1:]
+			return planned[0]
+		}
+	}
+	return nil
+}
+
+// react plans the reactions to the next requests to a host.
+func (n *network) react(host string, reactions ...reaction) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.plan[host] = append(n.plan[host], reactions...)
+}
+
+// count returns how many requests had a path with this end.
+func (n *network) count(suffix string) (count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, request := range n.requests {
+		if strings.HasSuffix(request, suffix) {
+			count++
+		}
+	}
+	return count
+}
+
+// served lets the service answer, and returns the answer after a delay.
+func served(delay time.Duration) reaction {
+	return func(r *http.Request, serve func() *http.Response) (*http.Response, error) {
+		response := serve()
+		if err := sleep(r.Context(), delay); err != nil {
+			return nil, err
+		}
+		return response, nil
+	}
+}
+
+// answered answers with a status in the service's place.
+func answered(status int, header ...string) reaction {
+	return func(*http.Request, func() *http.Response) (*http.Response, error) {
+		recorder := httptest.NewRecorder()
+		for i := 0; i+1 < len(header); i += 2 {
+			recorder.Header().Set(header[i], header[i+1])
+		}
+		recorder.WriteHeader(status)
+		return recorder.Result(), nil
+	}
+}
+
+// silent never answers.
+func silent(r *http.Request, _ func() *http.Response) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// lost lets the call take effect, and loses the answer.
+func lost(_ *http.Request, serve func() *http.Response) (*http.Response, error) {
+	serve()
+	return nil, errors.New("connection reset")
+}
+
+// refused makes no connection.
+func refused(*http.Request, func() *http.Response) (*http.Response, error) {
+	return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+}
