--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -24,7 +24,7 @@
 	heading  = regexp.MustCompile(`(?m)^#+ (.+)$`)
 	notWords = regexp.MustCompile(`[^\w\s-]`) // what an anchor leaves out of its heading
 	code     = regexp.MustCompile("`([^`\n]+)`")
-	filePath = regexp.MustCompile(`^(internal|cmd|deploy|docs|lab|tools)/[\w./-]+$`)
+	filePath = regexp.MustCompile(`^(internal|cmd|client|deploy|docs|lab|tools)/[\w./-]+$`)
 	goFile   = regexp.MustCompile(`^[\w/]*\w+\.go$`)
 	place    = regexp.MustCompile("`([\\w/]+\\.go)`((?:, `\\w+`)+)")
 	testName = regexp.MustCompile(`^(Test|Fuzz|Example)[A-Z]\w*$`)
@@ -226,7 +226,7 @@
 func goFiles(t *testing.T) []string {
 	t.Helper()
 	var paths []string
-	for _, folder := range []string{"internal", "cmd", "docs"} {
+	for _, folder := range []string{"internal", "cmd", "docs", "client"} {
 		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
 			if strings.HasSuffix(path, ".go") {
 				paths = append(paths, filepath.ToSlash(path))
