The local system of the rolling upgrade is a package of its own, localsystem

A demo of the system needs the same control processes, proxies, endpoints, operator and clients on loopback. They move from internal/lab/upgrade to internal/lab/localsystem, which a System ties together; the scenario keeps its steps. The moved tests assert the same. TestRollingUpgradeInShort passes, also with the race detector.

--- a/cmd/dykering-lab/upgrade.go
+++ b/cmd/dykering-lab/upgrade.go
@@ -8,8 +8,8 @@
 	"github.com/urfave/cli/v3"
 
 	"dykering/internal/commandline"
+	"dykering/internal/lab/localsystem"
 	"dykering/internal/lab/upgrade"
-	"dykering/internal/protocol"
 )
 
 func newUpgrade() *cli.Command {
@@ -21,9 +21,8 @@
 			if err != nil {
 				return commandline.Failure(err)
 			}
-			protocol.Register()
 			scenario := upgrade.Scenario{
-				From: upgrade.Program{Command: []string{from}}, To: upgrade.Program{Command: []string{to}},
+				From: localsystem.Program{Command: []string{from}}, To: localsystem.Program{Command: []string{to}},
 				Directory: directory, Progress: c.Root().Writer,
 			}
 			report, err := scenario.Run(ctx)
--- a/cmd/dykering/upgrade_test.go
+++ b/cmd/dykering/upgrade_test.go
@@ -4,16 +4,15 @@
 	"os"
 	"testing"
 
+	"dykering/internal/lab/localsystem"
 	"dykering/internal/lab/upgrade"
-	"dykering/internal/protocol"
 )
 
 // The short form of the laboratory's scenario: a control process is replaced, and again, under changes, requests, orders and
 // drains. What an earlier build has stored and sent is read by tests of the packages, from fixtures; `dykering-lab upgrade` plays
 // two builds.
 func TestRollingUpgradeInShort(t *testing.T) {
-	protocol.Register()
-	program := upgrade.Program{Command: []string{os.Args[0]}, Env: []string{"BE_DYKERING=1"}}
+	program := localsystem.Program{Command: []string{os.Args[0]}, Env: []string{"BE_DYKERING=1"}}
 	scenario := upgrade.Scenario{From: program, To: program, Short: true, Directory: t.TempDir(), Progress: t.Output()}
 	report, err := scenario.Run(t.Context())
 	if err != nil {
--- a/internal/lab/upgrade/endpoint.go
+++ b/internal/lab/localsystem/endpoint.go
@@ -1,4 +1,4 @@
-package upgrade
+package localsystem
 
 import (
 	"encoding/json"
@@ -18,10 +18,10 @@
 	drainBound = 1200 * time.Millisecond
 )
 
-// endpoint is a stand-in for an endpoint of a service with models.
-type endpoint struct {
+// Endpoint is a stand-in for an endpoint of a service with models.
+type Endpoint struct {
 	id       string
-	operator *operator
+	operator *Operator
 	server   *http.Server
 	address  string
 
@@ -37,12 +37,12 @@
 }
 
 // startEndpoint starts an endpoint that has some models loaded.
-func startEndpoint(id string, o *operator, models ...string) (*endpoint, error) {
+func startEndpoint(id string, o *Operator, models ...string) (*Endpoint, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{id: id, operator: o, address: listener.Addr().String(), models: models, state: sessions.Ready}
+	e := &Endpoint{id: id, operator: o, address: listener.Addr().String(), models: models, state: sessions.Ready}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.handleReport)
 	mux.HandleFunc("POST /order", e.handleOrder)
@@ -53,7 +53,7 @@
 }
 
 // beat sends a heartbeat, and reports whether it was acknowledged.
-func (e *endpoint) beat() bool {
+func (e *Endpoint) beat() bool {
 	e.mu.Lock()
 	e.beats++
 	beat := sessions.Heartbeat{
@@ -65,7 +65,7 @@
 }
 
 // loaded lists the loaded models. The caller holds the lock.
-func (e *endpoint) loaded() []sessions.LoadedModel {
+func (e *Endpoint) loaded() []sessions.LoadedModel {
 	models := []sessions.LoadedModel{}
 	for _, name := range e.models {
 		models = append(models, sessions.LoadedModel{Name: name, Version: 1, Adapters: []string{}})
@@ -74,7 +74,7 @@
 }
 
 // keepSession sends heartbeats until the endpoint drains or the scenario ends.
-func (e *endpoint) keepSession(done <-chan struct{}) {
+func (e *Endpoint) keepSession(done <-chan struct{}) {
 	for {
 		e.mu.Lock()
 		ready := e.state == sessions.Ready
@@ -92,7 +92,7 @@
 }
 
 // drain announces that the endpoint drains, until that is acknowledged.
-func (e *endpoint) drain(done <-chan struct{}) bool {
+func (e *Endpoint) drain(done <-chan struct{}) bool {
 	e.mu.Lock()
 	e.state = sessions.Draining
 	e.mu.Unlock()
@@ -109,14 +109,14 @@
 	return true
 }
 
-func (e *endpoint) handleReport(w http.ResponseWriter, _ *http.Request) {
+func (e *Endpoint) handleReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"models": e.loaded(), "busy": e.busy, "sequence": e.sequence})
 }
 
 // handleOrder executes an order that loads or unloads a model, one at a time.
-func (e *endpoint) handleOrder(w http.ResponseWriter, r *http.Request) {
+func (e *Endpoint) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Operation    string `json:"operation"`
 		Model        string `json:"model"`
@@ -142,7 +142,7 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-func (e *endpoint) finish(operation, model string) {
+func (e *Endpoint) finish(operation, model string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.busy = false
@@ -153,7 +153,7 @@
 }
 
 // handleRequest answers a health check or a request of a client.
-func (e *endpoint) handleRequest(w http.ResponseWriter, r *http.Request) {
+func (e *Endpoint) handleRequest(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.Header().Set("X-Instance-Id", e.id)
--- a/internal/lab/upgrade/upgrade_test.go
+++ b/internal/lab/localsystem/localsystem_test.go
@@ -1,4 +1,4 @@
-package upgrade
+package localsystem
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 )
 
 // controlThatAnswers is an operator whose control process answers with a status and a body.
-func controlThatAnswers(t *testing.T, status int, body string) *operator {
+func controlThatAnswers(t *testing.T, status int, body string) *Operator {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(status)
@@ -42,7 +42,7 @@
 }
 
 func TestEndpointDetectsRequestsAfterItsDrainAndLowerTokens(t *testing.T) {
-	e := &endpoint{id: "e-1", models: []string{"a"}}
+	e := &Endpoint{id: "e-1", models: []string{"a"}}
 	request := func() {
 		r := httptest.NewRequest(http.MethodGet, requestPath, http.NoBody)
 		r.Header.Set("X-Model", "a")
@@ -74,7 +74,7 @@
 	c := newClients([]string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")})
 	var requests sync.WaitGroup
 	for range 50 {
-		requests.Go(func() { c.request("a") })
+		requests.Go(func() { c.Request("a") })
 	}
 	requests.Wait()
 	if c.answers[http.StatusOK] != 50 {
--- a/internal/lab/upgrade/operator.go
+++ b/internal/lab/localsystem/operator.go
@@ -1,4 +1,4 @@
-package upgrade
+package localsystem
 
 import (
 	"bytes"
@@ -15,13 +15,15 @@
 	requestPath   = "/drafts/"
 	callTimeout   = time.Second
 	changePause   = 150 * time.Millisecond
-	modelCount    = 8
 	modelSizeMB   = 40
 	weightsSizeMB = 200
 )
 
-// operator calls the control processes: for itself, and for the endpoints.
-type operator struct {
+// ModelCount is the number of models of the configuration.
+const ModelCount = 8
+
+// Operator calls the control processes: for itself, and for the endpoints.
+type Operator struct {
 	addresses []string // of the control processes
 	client    http.Client
 
@@ -32,12 +34,12 @@
 	violations   []string
 }
 
-func newOperator(addresses []string) *operator {
-	return &operator{addresses: addresses, client: http.Client{Timeout: callTimeout}}
+func newOperator(addresses []string) *Operator {
+	return &Operator{addresses: addresses, client: http.Client{Timeout: callTimeout}}
 }
 
 // address returns the address to call; another one after a failure.
-func (o *operator) address(failed bool) string {
+func (o *Operator) address(failed bool) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if failed {
@@ -47,7 +49,7 @@
 }
 
 // post posts a body and returns the status of the answer; 0 if there was none.
-func (o *operator) post(path string, body any, header map[string]string) int {
+func (o *Operator) post(path string, body any, header map[string]string) int {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return 0
@@ -74,9 +76,9 @@
 // configuration is a whole configuration of a version.
 func configuration(version int) map[string]any {
 	var models []map[string]any
-	for i := range modelCount {
+	for i := range ModelCount {
 		models = append(models, map[string]any{
-			"name": modelName(i), "weights_size_mb": modelSizeMB, "load_time_s": loadTime.Seconds(), "adapters": 0, "adapter_size_mb": 1,
+			"name": ModelName(i), "weights_size_mb": modelSizeMB, "load_time_s": loadTime.Seconds(), "adapters": 0, "adapter_size_mb": 1,
 		})
 	}
 	return map[string]any{
@@ -95,10 +97,11 @@
 	}
 }
 
-func modelName(i int) string { return fmt.Sprint("model-", i) }
+// ModelName returns the name of a model of the configuration.
+func ModelName(i int) string { return fmt.Sprint("model-", i) }
 
 // change sends the next version until it is acknowledged or the scenario ends. It must never be rejected.
-func (o *operator) change(done <-chan struct{}) {
+func (o *Operator) change(done <-chan struct{}) {
 	o.mu.Lock()
 	base := o.acknowledged
 	o.mu.Unlock()
@@ -121,8 +124,15 @@
 	}
 }
 
+// Changes returns the number of changes that were acknowledged.
+func (o *Operator) Changes() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changes
+}
+
 // read reads the configuration at the address in use. What was acknowledged before must be there.
-func (o *operator) read() bool {
+func (o *Operator) read() bool {
 	o.mu.Lock()
 	acknowledged := o.acknowledged
 	o.mu.Unlock()
@@ -146,14 +156,14 @@
 }
 
 // run changes and reads until the scenario ends.
-func (o *operator) run(done <-chan struct{}) {
+func (o *Operator) run(done <-chan struct{}) {
 	for pause(done, changePause) {
 		o.change(done)
 		o.read()
 	}
 }
 
-func (o *operator) violate(format string, arguments ...any) {
+func (o *Operator) violate(format string, arguments ...any) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.violations = append(o.violations, fmt.Sprintf(format, arguments...))
--- a/internal/lab/upgrade/process.go
+++ b/internal/lab/localsystem/process.go
@@ -1,4 +1,4 @@
-package upgrade
+package localsystem
 
 import (
 	"bytes"
@@ -55,8 +55,8 @@
 lease_duration_ms = 1500
 `))
 
-// process is one process of the system, which may be started again with another program.
-type process struct {
+// Process is one process of the system, which may be started again with another program.
+type Process struct {
 	Name, IP, Public, Readiness string
 	Directory                   string // of a control process
 	Zone, InternalPort          int
@@ -76,15 +76,15 @@
 }
 
 // newProcesses makes the control processes and the proxies, which are not started yet.
-func newProcesses(ctx context.Context, directory string) ([]*process, error) {
+func newProcesses(ctx context.Context, directory string) ([]*Process, error) {
 	port, err := freePort(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var processes []*process
+	var processes []*Process
 	var seeds []string
 	for i := range hostCount {
-		p := &process{
+		p := &Process{
 			Name: fmt.Sprintf("proxy-%d", i), IP: host(i), Zone: i % controlCount, InternalPort: port, InitialStart: true, role: "proxy",
 			Public: fmt.Sprintf("%s:%d", host(i), port+1), Readiness: fmt.Sprintf("%s:%d", host(i), port+2),
 		}
@@ -112,8 +112,8 @@
 	return listener.Addr().(*net.TCPAddr).Port, nil
 }
 
-// start starts the process with a program.
-func (p *process) start(program Program) error {
+// Start starts the process with a program.
+func (p *Process) Start(program Program) error {
 	var settings bytes.Buffer
 	if err := settingsText.Execute(&settings, p); err != nil {
 		return errors.Wrap(err, p.Name)
@@ -149,18 +149,18 @@
 	return nil
 }
 
-// stop sends SIGTERM and, after the grace period, SIGKILL, as the platform does.
-func (p *process) stop() {
+// Stop sends SIGTERM and, after the grace period, SIGKILL, as the platform does.
+func (p *Process) Stop() {
 	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended
 	select {
 	case <-p.ended:
 	case <-time.After(gracePeriod):
-		p.kill()
+		p.Kill()
 	}
 }
 
-// kill kills the process and waits for its end.
-func (p *process) kill() {
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() {
 	if p.command == nil {
 		return
 	}
@@ -169,4 +169,4 @@
 }
 
 // internalAddress is where other processes of the system reach this one.
-func (p *process) internalAddress() string { return fmt.Sprintf("%s:%d", p.IP, p.InternalPort) }
+func (p *Process) internalAddress() string { return fmt.Sprintf("%s:%d", p.IP, p.InternalPort) }
--- a/internal/lab/upgrade/doc.go
+++ b/internal/lab/upgrade/doc.go
@@ -2,6 +2,5 @@
 // replaced one after another, under changes of the configuration, requests, orders to endpoints and drains, while a control
 // process is killed in between. What is stored by one program is read by the other, and both talk to each other.
 //
-// The endpoints, the operator and the clients run in this process; the programs are started as the platform does, with a settings
-// file each. Scenario.Run returns a Report; it is an error if a promise was broken.
+// Package localsystem has the processes and the load. Scenario.Run returns a Report; it is an error if a promise was broken.
 package upgrade
