dykering-lab system-demo shows the whole system on loopback; make demo plays it too

The demo showed the sidecar alone. The new one starts the laboratory's binary again as three control processes and two proxies (the roles are run by internal/roles, which cmd/dykering uses too), serves requests, has a model loaded that is asked for, kills the head of the chain and starts it again. Its part with a lock, a number and a watch calls the control processes by HTTP behind the interface Coordinator and checks the answers; where they answer 404, as now, it says that coordination is not served. Played against a stand-in it passes with a lost answer among four, and detects eight broken promises.

TestSystemDemo passes with the race detector.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Tests that search with all processors: they run first and alone, as they would crowd out all others.
 SEARCHES := internal/lab/coresim
 
-.PHONY: test lint demo
+.PHONY: test lint demo demo-sidecar demo-system
 
 # The linter and formatter with the rules of .golangci.yml; the first run builds it.
 lint:
@@ -28,9 +28,15 @@
 	go test -race -count=1 -timeout 300s $(addprefix ./,$(REAL_SCENARIOS))
 	go test -race -count=1 -timeout 300s $(addprefix ./,$(ON_THE_WALLS_CLOCK))
 
-demo:
+# The sidecar, then the whole system, each on loopback.
+demo: demo-sidecar demo-system
+
+demo-sidecar:
 	go run ./cmd/dykering-lab demo
 
+demo-system:
+	go run ./cmd/dykering-lab system-demo
+
 # Each fuzz target for FUZZTIME, one after another; what it finds goes into testdata, which `make test` plays.
 FUZZTIME := 60s
 FUZZ := discovery:FuzzLists http1:FuzzHead http1:FuzzAnswer http1:FuzzChunked http1:FuzzPassage core:FuzzList settings:FuzzParse operator:FuzzParse wire:FuzzRun
--- a/cmd/dykering-lab/main.go
+++ b/cmd/dykering-lab/main.go
@@ -48,7 +48,7 @@
 		Name: "dykering-lab", Usage: "The laboratory of the broker",
 		Commands: []*cli.Command{
 			newCheck(), newSim(), newReal(), newWhole(in), newExplore(in), newRun(in), newCompare(), newLoad(),
-			newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newTrial(), newUpgrade(),
+			newBench(), newDemo(), newBroker(), newReverseProxy(), newFleetView(), newCoreSearch(), newTrial(), newUpgrade(), newSystemDemo(), newRole(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/dykering-lab/systemdemo.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"dykering/internal/commandline"
+	"dykering/internal/lab/localsystem"
+	"dykering/internal/lab/systemdemo"
+	"dykering/internal/roles"
+)
+
+func newSystemDemo() *cli.Command {
+	return &cli.Command{
+		Name:   "system-demo",
+		Usage:  "Show the whole system on loopback: requests, a model that is loaded, a lock that is passed on, and a loss in the core",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error { return commandline.Failure(systemDemo(ctx, c)) }),
+	}
+}
+
+// systemDemo plays the demo with this program as each process. Its logs are kept if it fails.
+func systemDemo(ctx context.Context, c *cli.Command) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	directory, err := os.MkdirTemp("", "dykering-demo-")
+	if err != nil {
+		return err
+	}
+	demo := systemdemo.Demo{
+		Program: localsystem.Program{Command: []string{self, "role"}}, Directory: directory, Out: c.Root().Writer,
+	}
+	if _, err := demo.Run(ctx); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("%w (logs: %s)", err, directory)
+	}
+	return os.RemoveAll(directory)
+}
+
+// newRole is a process of the system, as the demo starts it: the same as that command of dykering.
+func newRole() *cli.Command {
+	return &cli.Command{
+		Name: "role", Hidden: true, Usage: "A process of the system", Action: commandline.MissingCommand,
+		Commands: []*cli.Command{
+			{Name: "control", Action: commandline.NoArgs(func(context.Context, *cli.Command) error {
+				return commandline.Failure(roles.RunControl())
+			})},
+			{Name: "proxy", Action: commandline.NoArgs(func(context.Context, *cli.Command) error {
+				return commandline.Failure(roles.RunProxy())
+			})},
+		},
+	}
+}
--- /dev/null
+++ b/cmd/dykering/systemdemo_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"dykering/internal/lab/localsystem"
+	"dykering/internal/lab/systemdemo"
+)
+
+// The demo of the whole system, with this program as its processes: it loses the head of its chain and breaks no promise.
+func TestSystemDemo(t *testing.T) {
+	demo := systemdemo.Demo{
+		Program:   localsystem.Program{Command: []string{os.Args[0]}, Env: []string{"BE_DYKERING=1"}},
+		Directory: t.TempDir(), Out: t.Output(),
+	}
+	report, err := demo.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Served == 0 || report.Changes == 0 {
+		t.Errorf("not all was shown: %+v", report)
+	}
+}
--- a/internal/lab/localsystem/process.go
+++ b/internal/lab/localsystem/process.go
@@ -170,3 +170,6 @@
 
 // internalAddress is where other processes of the system reach this one.
 func (p *Process) internalAddress() string { return fmt.Sprintf("%s:%d", p.IP, p.InternalPort) }
+
+// PID returns the id of the process that was started last.
+func (p *Process) PID() int { return p.command.Process.Pid }
--- a/internal/lab/localsystem/system.go
+++ b/internal/lab/localsystem/system.go
@@ -145,7 +145,7 @@
 				continue
 			}
 			for _, p := range s.Control {
-				if p.Name == voter.Name {
+				if p.internalAddress() == voter.Address {
 					replicas = append(replicas, p)
 				}
 			}
@@ -167,6 +167,9 @@
 	return Answer{}, 0, errors.Errorf("%s was asked for and not loaded within %v", model, stepTimeout)
 }
 
+// Pause waits. It reports false if the load ends meanwhile.
+func (s *System) Pause(duration time.Duration) bool { return pause(s.done, duration) }
+
 // EndLoad ends the load and waits for its end. Then the configuration must be read as it was last acknowledged.
 func (s *System) EndLoad() error {
 	s.endLoad()
--- /dev/null
+++ b/internal/lab/systemdemo/coordination.go
@@ -0,0 +1,135 @@
+package systemdemo
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	lockName    = "demo-lock"
+	firstHolder = "alice"
+	nextHolder  = "bob"
+	// askPause is the time between two calls of a caller.
+	askPause = 50 * time.Millisecond
+	// passTimeout is within what time the lock must pass on to the next holder.
+	passTimeout = 20 * time.Second
+)
+
+// coordination is the part of the demo with a lock, a number and a watch.
+type coordination struct {
+	coordinator Coordinator
+	hold        time.Duration                         // for which a lock is taken
+	say         func(format string, arguments ...any) // tells a step
+	killHead    func() error                          // kills the head of the chain
+}
+
+// play has one caller take a lock and stop renewing it, and another take it over, while the head of the chain is killed. Meanwhile
+// others draw numbers, put keys and watch them. It returns ErrNotServed if the control processes do not serve coordination.
+func (c *coordination) play(ctx context.Context) error {
+	if _, err := retry(ctx, func() (uint64, error) { return c.coordinator.NextNumber(ctx, numberName) }); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, passTimeout+10*c.hold)
+	defer cancel()
+	passed := make(chan struct{}) // closed when the lock has passed on
+	all, ctx := errgroup.WithContext(ctx)
+	all.Go(func() error { return c.drawNumbers(ctx, passed) })
+	all.Go(func() error { return c.putAndWatch(ctx, passed) })
+	all.Go(func() error {
+		defer close(passed)
+		return c.passLock(ctx)
+	})
+	return all.Wait()
+}
+
+// passLock has the lock pass from the first holder, who stops renewing it, to the next.
+func (c *coordination) passLock(ctx context.Context) error {
+	first, err := c.acquire(ctx, firstHolder)
+	if err != nil {
+		return err
+	}
+	c.say("%s takes the lock, with fencing token %d", firstHolder, first)
+	renewed, err := c.renew(ctx, first)
+	if err != nil {
+		return errors.Wrap(err, "renewal by the holder")
+	}
+	if _, err := c.acquire(ctx, nextHolder); !errors.Is(err, ErrLockHeld) {
+		return errors.Errorf("%s asks for a lock that %s holds: %v, expected %v", nextHolder, firstHolder, err, ErrLockHeld)
+	}
+	c.say("%s has renewed it, and asks for %v are refused; now %s stops renewing", firstHolder, nextHolder, firstHolder)
+	if err := c.killHead(); err != nil {
+		return err
+	}
+	second, err := c.awaitLock(ctx, nextHolder)
+	if err != nil {
+		return err
+	}
+	took := time.Since(renewed)
+	if took < c.hold {
+		return errors.Errorf("%s got the lock %v after the renewal by %s for %v", nextHolder, took, firstHolder, c.hold)
+	}
+	if second <= first {
+		return errors.Errorf("fencing token %d is not above the former holder's %d", second, first)
+	}
+	c.say("%s gets the lock with fencing token %d, %v after the last renewal for %v", nextHolder, second, round(took), c.hold)
+	if _, err := c.renew(ctx, first); !errors.Is(err, ErrLockLost) {
+		return errors.Errorf("renewal by the former holder: %v, expected %v", err, ErrLockLost)
+	}
+	c.say("%s is told that the lock is lost", firstHolder)
+	_, err = retry(ctx, func() (struct{}, error) {
+		return struct{}{}, c.coordinator.ReleaseLock(ctx, lockName, nextHolder, second)
+	})
+	return errors.Wrap(err, "release")
+}
+
+func (c *coordination) acquire(ctx context.Context, holder string) (uint64, error) {
+	return retry(ctx, func() (uint64, error) { return c.coordinator.AcquireLock(ctx, lockName, holder, c.hold) })
+}
+
+// renew renews the lock for the first holder, whose time runs from the last sending, which is returned.
+func (c *coordination) renew(ctx context.Context, token uint64) (sent time.Time, err error) {
+	return retry(ctx, func() (time.Time, error) {
+		sent := time.Now()
+		return sent, c.coordinator.RenewLock(ctx, lockName, firstHolder, token, c.hold)
+	})
+}
+
+// awaitLock asks for the lock until it is granted.
+func (c *coordination) awaitLock(ctx context.Context, holder string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	for {
+		token, err := c.acquire(ctx, holder)
+		if !errors.Is(err, ErrLockHeld) {
+			return token, errors.Wrapf(err, "%s waits for the lock", holder)
+		}
+		if !pause(ctx) {
+			return 0, errors.Errorf("%s did not get the lock within %v", holder, passTimeout)
+		}
+	}
+}
+
+// retry makes a call again until it has a clear answer or the context ends.
+func retry[T any](ctx context.Context, call func() (T, error)) (T, error) {
+	for {
+		result, err := call()
+		if !errors.Is(err, ErrUnavailable) || !pause(ctx) {
+			return result, err
+		}
+	}
+}
+
+// pause waits between two calls. It reports false if the context ends meanwhile.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(askPause):
+		return true
+	}
+}
+
+func round(duration time.Duration) time.Duration { return duration.Round(time.Millisecond) }
--- /dev/null
+++ b/internal/lab/systemdemo/coordination_test.go
@@ -0,0 +1,87 @@
+package systemdemo
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// playWithStandIn plays the part against a stand-in, and returns what was told.
+func playWithStandIn(t *testing.T, f flaw) (told string, killed int, err error) {
+	t.Helper()
+	var mu sync.Mutex
+	part := &coordination{
+		coordinator: NewHTTPCoordinator([]string{refusingAddress(t), startStandIn(t, f)}),
+		hold:        time.Second,
+		say: func(format string, arguments ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			told += fmt.Sprintf(format, arguments...) + "\n"
+		},
+		killHead: func() error {
+			killed++
+			return nil
+		},
+	}
+	err = part.play(t.Context())
+	return told, killed, err
+}
+
+// refusingAddress is an address that nothing listens on any more.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func TestCoordinationIsShown(t *testing.T) {
+	for _, f := range []flaw{none, answersAreLost} {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			told, killed, err := playWithStandIn(t, f)
+			if err != nil || killed != 1 {
+				t.Errorf("%v, %d killed\n%s", err, killed, told)
+			}
+			for _, step := range []string{"alice takes the lock", "bob gets the lock", "numbers were drawn", "the watch has shown"} {
+				if !strings.Contains(told, step) {
+					t.Errorf("%q is not told:\n%s", step, told)
+				}
+			}
+		})
+	}
+}
+
+func TestControlProcessesWithoutCoordinationAreNoticedFirst(t *testing.T) {
+	told, killed, err := playWithStandIn(t, notServed)
+	if !errors.Is(err, ErrNotServed) || killed != 0 || told != "" {
+		t.Errorf("%v, %d killed, told %q", err, killed, told)
+	}
+}
+
+func TestEachBrokenPromiseIsDetected(t *testing.T) {
+	for f, want := range map[flaw]string{
+		numberRepeats:     "number 3 was given after 3",
+		tokenRepeats:      "is not above the former holder's",
+		lockPassesEarly:   "after the renewal by alice",
+		lostLockIsRenewed: "renewal by the former holder: <nil>",
+		watchSkips:        "the watch has shown",
+		watchChanges:      "the watch has shown",
+		readIsOld:         "was put and",
+		revisionRepeats:   "a put got revision 3 after",
+	} {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			if _, _, err := playWithStandIn(t, f); err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%v, want %q", err, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/systemdemo/demo.go
@@ -0,0 +1,242 @@
+package systemdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/lab/localsystem"
+)
+
+const (
+	// Timeout bounds the whole demo, beside the end of its processes.
+	Timeout = 55 * time.Second
+	// servingTime is for how long requests are sent before anything happens.
+	servingTime = 3 * time.Second
+	lockHold    = 3 * time.Second
+	viewTimeout = 15 * time.Second
+)
+
+// Demo shows a system.
+type Demo struct {
+	// Program is started as each process of the system.
+	Program localsystem.Program
+	// Directory has settings, data and logs of the processes.
+	Directory string
+	// Out is where the steps are told.
+	Out io.Writer
+}
+
+// Report is what was shown.
+type Report struct {
+	Served       int  // requests
+	Changes      int  // of the configuration, acknowledged
+	Coordination bool // the control processes serve it
+}
+
+// show is one run of a demo.
+type show struct {
+	*localsystem.System
+	Demo
+	report     Report
+	killed     *localsystem.Process
+	beforeLoss map[int]int // answers to requests before it was killed
+
+	mu    sync.Mutex // guards Out
+	began time.Time
+}
+
+// Run plays the demo. It returns an error if a promise was broken or a step was not done in time.
+func (d Demo) Run(ctx context.Context) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	system, err := localsystem.New(ctx, d.Directory)
+	if err != nil {
+		return Report{}, err
+	}
+	defer system.Close()
+	s := &show{System: system, Demo: d, began: time.Now()}
+	coordinate := func() error { return s.coordinate(ctx) }
+	for _, step := range []func() error{s.start, s.serve, s.loadModel, coordinate, s.lose, s.restart, s.finish} {
+		if err := step(); err != nil {
+			return s.report, err
+		}
+	}
+	return s.report, nil
+}
+
+// say tells a step, with the time since the start.
+func (s *show) say(format string, arguments ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(s.Out, "%5.1f s  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+// start starts the system and its load.
+func (s *show) start() error {
+	s.say("%d control processes and %d proxies start, on %s and the like", len(s.Control), len(s.Proxies), s.Control[0].IP)
+	if err := s.Start(s.Program); err != nil {
+		return err
+	}
+	took, err := s.AwaitWhole()
+	if err != nil {
+		return err
+	}
+	s.say("they are one system after %v, and have the operator's first configuration", took)
+	s.StartLoad()
+	return s.sayView()
+}
+
+func (s *show) sayView() error {
+	view, replicas, err := s.View()
+	if err != nil {
+		return err
+	}
+	s.say("view %d, chain %s", view.Number, names(replicas))
+	return nil
+}
+
+func names(processes []*localsystem.Process) string {
+	var list []string
+	for _, p := range processes {
+		list = append(list, p.Name)
+	}
+	return strings.Join(list, " > ")
+}
+
+// serve has the clients send requests for a while.
+func (s *show) serve() error {
+	before := s.Clients.Answers()
+	if !s.Pause(servingTime) {
+		return errors.New("interrupted")
+	}
+	s.sayAnswers("in "+servingTime.String(), before)
+	return nil
+}
+
+// sayAnswers tells what came of the requests since an earlier count.
+func (s *show) sayAnswers(when string, before map[int]int) {
+	now := s.Clients.Answers()
+	text := fmt.Sprintf("%d served", now[http.StatusOK]-before[http.StatusOK])
+	for _, status := range slices.Sorted(maps.Keys(now)) {
+		if count := now[status] - before[status]; status != http.StatusOK && count > 0 {
+			text += fmt.Sprintf(", %d answered with %d", count, status)
+		}
+	}
+	s.say("requests %s: %s", when, text)
+}
+
+// loadModel asks for a model that no endpoint has.
+func (s *show) loadModel() error {
+	model := localsystem.ModelName(1)
+	before := s.Clients.Answers()
+	s.say("a client asks for %s, which no endpoint has", model)
+	answer, took, err := s.AwaitLoad(model)
+	if err != nil {
+		return err
+	}
+	s.say("it was loaded, and the request is served after %v: %q", took, answer.Body)
+	s.sayAnswers("meanwhile", before)
+	return nil
+}
+
+// coordinate plays the part with a lock, a number and a watch, in which the head of the chain is killed.
+func (s *show) coordinate(ctx context.Context) error {
+	s.beforeLoss = s.Clients.Answers()
+	part := &coordination{
+		coordinator: NewHTTPCoordinator(s.controlAddresses()), hold: lockHold, say: s.say, killHead: s.killHead,
+	}
+	err := part.play(ctx)
+	if errors.Is(err, ErrNotServed) && s.killed == nil {
+		s.say("coordination is not served by these control processes")
+		return nil
+	}
+	s.report.Coordination = err == nil
+	return err
+}
+
+// lose has the head of the chain killed, if it is not yet, and waits for a chain without it.
+func (s *show) lose() error {
+	if s.killed == nil {
+		if err := s.killHead(); err != nil {
+			return err
+		}
+	}
+	if err := s.awaitViewWithout(s.killed); err != nil {
+		return err
+	}
+	s.sayAnswers("meanwhile", s.beforeLoss)
+	return nil
+}
+
+func (s *show) controlAddresses() (addresses []string) {
+	for _, p := range s.Control {
+		addresses = append(addresses, p.Public)
+	}
+	return addresses
+}
+
+// killHead kills the head of the chain.
+func (s *show) killHead() error {
+	_, replicas, err := s.View()
+	if err != nil {
+		return err
+	}
+	if len(replicas) == 0 {
+		return errors.New("the chain has no head")
+	}
+	s.killed = replicas[0]
+	s.say("the head of the chain, %s, is killed (process %d)", s.killed.Name, s.killed.PID())
+	s.killed.Kill()
+	return nil
+}
+
+// awaitViewWithout waits for a view whose chain has not the process that was killed.
+func (s *show) awaitViewWithout(killed *localsystem.Process) error {
+	for began := time.Now(); time.Since(began) < viewTimeout; {
+		view, replicas, err := s.View()
+		if err == nil && len(replicas) > 0 && !slices.Contains(replicas, killed) {
+			s.say("view %d, chain %s", view.Number, names(replicas))
+			return nil
+		}
+		if !s.Pause(askPause) {
+			return errors.New("interrupted")
+		}
+	}
+	return errors.Errorf("no view without %s within %v", killed.Name, viewTimeout)
+}
+
+// restart starts the process again that was killed.
+func (s *show) restart() error {
+	if err := s.killed.Start(s.Program); err != nil {
+		return err
+	}
+	took, err := s.AwaitWhole()
+	if err != nil {
+		return err
+	}
+	s.say("%s is started again, and a replica after %v", s.killed.Name, took)
+	return s.sayView()
+}
+
+// finish ends the load and tells what came of all.
+func (s *show) finish() error {
+	if err := s.EndLoad(); err != nil {
+		return err
+	}
+	s.report.Served, s.report.Changes = s.Clients.Answers()[http.StatusOK], s.Operator.Changes()
+	s.sayAnswers("in all", nil)
+	s.say("%d changes of the configuration were acknowledged, and the last one is read back", s.report.Changes)
+	if violations := s.Violations(); len(violations) > 0 {
+		return errors.New(strings.Join(violations, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/systemdemo/numbers.go
@@ -0,0 +1,45 @@
+package systemdemo
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const numberName = "demo-number"
+
+// drawNumbers draws numbers until the lock has passed on. Each must be above the one before.
+func (c *coordination) drawNumbers(ctx context.Context, passed <-chan struct{}) error {
+	var count int
+	var first, last uint64
+	var longest time.Duration
+	for !isClosed(passed) {
+		began := time.Now()
+		number, err := retry(ctx, func() (uint64, error) { return c.coordinator.NextNumber(ctx, numberName) })
+		if err != nil {
+			return errors.Wrap(err, "number")
+		}
+		if number <= last {
+			return errors.Errorf("number %d was given after %d", number, last)
+		}
+		if count == 0 {
+			first = number
+		}
+		count++
+		last = number
+		longest = max(longest, time.Since(began))
+		pause(ctx)
+	}
+	c.say("%d numbers were drawn, rising from %d to %d; the longest wait was %v", count, first, last, round(longest))
+	return nil
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
