--- a/cmd/dykering/systemdemo_test.go
+++ b/cmd/dykering/systemdemo_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if report.Served == 0 || report.Changes == 0 {
+	if report.Served == 0 || report.Changes == 0 || !report.Coordination {
 		t.Errorf("not all was shown: %+v", report)
 	}
 }
--- a/internal/lab/systemdemo/coordination.go
+++ b/internal/lab/systemdemo/coordination.go
@@ -14,6 +14,9 @@
 	nextHolder  = "bob"
 	// askPause is the time between two calls of a caller.
 	askPause = 50 * time.Millisecond
+	// renewals is how often the first holder renews the lock, renewalsPerHold how often in the time for which it is taken.
+	renewals        = 3
+	renewalsPerHold = 4
 	// passTimeout is within what time the lock must pass on to the next holder.
 	passTimeout = 20 * time.Second
 )
@@ -52,14 +55,11 @@
 		return err
 	}
 	c.say("%s takes the lock, with fencing token %d", firstHolder, first)
-	renewed, err := c.renew(ctx, first)
+	renewed, err := c.keepLock(ctx, first)
 	if err != nil {
-		return errors.Wrap(err, "renewal by the holder")
-	}
-	if _, err := c.acquire(ctx, nextHolder); !errors.Is(err, ErrLockHeld) {
-		return errors.Errorf("%s asks for a lock that %s holds: %v, expected %v", nextHolder, firstHolder, err, ErrLockHeld)
+		return err
 	}
-	c.say("%s has renewed it, and asks for %v are refused; now %s stops renewing", firstHolder, nextHolder, firstHolder)
+	c.say("%s has renewed it %d times, and %s was refused it; now %s stops renewing", firstHolder, renewals, nextHolder, firstHolder)
 	if err := c.killHead(); err != nil {
 		return err
 	}
@@ -85,6 +85,21 @@
 	return errors.Wrap(err, "release")
 }
 
+// keepLock has the first holder renew the lock for a while, and the next one ask for it in vain. It returns when the last renewal
+// was sent.
+func (c *coordination) keepLock(ctx context.Context, token uint64) (renewed time.Time, err error) {
+	for range renewals {
+		if renewed, err = c.renew(ctx, token); err != nil {
+			return renewed, errors.Wrap(err, "renewal by the holder")
+		}
+		if _, err := c.acquire(ctx, nextHolder); !errors.Is(err, ErrLockHeld) {
+			return renewed, errors.Errorf("%s asks for a lock that %s holds: %v, expected %v", nextHolder, firstHolder, err, ErrLockHeld)
+		}
+		pause(ctx, c.hold/renewalsPerHold)
+	}
+	return renewed, nil
+}
+
 func (c *coordination) acquire(ctx context.Context, holder string) (uint64, error) {
 	return retry(ctx, func() (uint64, error) { return c.coordinator.AcquireLock(ctx, lockName, holder, c.hold) })
 }
@@ -106,7 +121,7 @@
 		if !errors.Is(err, ErrLockHeld) {
 			return token, errors.Wrapf(err, "%s waits for the lock", holder)
 		}
-		if !pause(ctx) {
+		if !pause(ctx, askPause) {
 			return 0, errors.Errorf("%s did not get the lock within %v", holder, passTimeout)
 		}
 	}
@@ -116,18 +131,18 @@
 func retry[T any](ctx context.Context, call func() (T, error)) (T, error) {
 	for {
 		result, err := call()
-		if !errors.Is(err, ErrUnavailable) || !pause(ctx) {
+		if !errors.Is(err, ErrUnavailable) || !pause(ctx, askPause) {
 			return result, err
 		}
 	}
 }
 
-// pause waits between two calls. It reports false if the context ends meanwhile.
-func pause(ctx context.Context) bool {
+// pause waits. It reports false if the context ends meanwhile.
+func pause(ctx context.Context, duration time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(askPause):
+	case <-time.After(duration):
 		return true
 	}
 }
--- a/internal/lab/systemdemo/numbers.go
+++ b/internal/lab/systemdemo/numbers.go
@@ -29,7 +29,7 @@
 		count++
 		last = number
 		longest = max(longest, time.Since(began))
-		pause(ctx)
+		pause(ctx, askPause)
 	}
 	c.say("%d numbers were drawn, rising from %d to %d; the longest wait was %v", count, first, last, round(longest))
 	return nil
--- a/internal/lab/systemdemo/standin_test.go
+++ b/internal/lab/systemdemo/standin_test.go
@@ -87,7 +87,7 @@
 	if held {
 		s.refusals++
 	}
-	passesEarly := s.flaw == lockPassesEarly && s.refusals > 1
+	passesEarly := s.flaw == lockPassesEarly && s.refusals > renewals
 	if held && !passesEarly {
 		w.WriteHeader(http.StatusConflict)
 		return
--- a/internal/lab/systemdemo/watch.go
+++ b/internal/lab/systemdemo/watch.go
@@ -31,7 +31,7 @@
 			if err := w.put(ctx); err != nil {
 				return err
 			}
-			pause(ctx)
+			pause(ctx, askPause)
 		}
 		last <- w.puts[len(w.puts)-1].Revision
 		return w.readBack(ctx)
