--- a/client/client_test.go
+++ b/client/client_test.go
@@ -218,3 +218,14 @@
 		g.Expect(err).To(HaveOccurred(), strings.Join(addresses, " "))
 	}
 }
+
+func TestCallAvoidsTheAddressThatFailedForItThoughItAnsweredAnother(t *testing.T) {
+	g := NewWithT(t)
+	l := newAddressList([]string{"a:1", "b:1"})
+	l.current = 0
+	l.fail(0, 0)
+	l.fail(1, 0) // another call's failure, so that calls begin with the first again
+	index, notBefore := l.next(0)
+	g.Expect(index).To(Equal(1))
+	g.Expect(notBefore).To(BeZero())
+}
