--- a/cmd/dykering/fixed_test.go
+++ b/cmd/dykering/fixed_test.go
@@ -104,7 +104,7 @@
 
 var (
 	headerName = regexp.MustCompile(`^(X-[A-Za-z-]+|Idempotency-Key|Retry-After)$`)
-	pathName   = regexp.MustCompile(`^((GET|POST) )?/(-/[a-z/]+|v1/[a-z]+|ready|report|order|metrics|explain|status|heartbeat|drain|[a-z]+/\{id\}/[a-z]+|configuration/[a-z]+)$`)
+	pathName   = regexp.MustCompile(`^((GET|POST) )?/(-/[a-z/]+|v1/[a-z]+|ready|report|order|metrics|explain|status|heartbeat|drain|[a-z]+/\{id\}/[a-z]+|(numbers|watch)/\{id\}|configuration/[a-z]+)$`)
 	eventName  = regexp.MustCompile(`^[a-z]+(\.[a-z_]+)+$`)
 )
 
