The head takes coordination commands only if all of the chain understands them

Need: in a rolling upgrade a member of an earlier build would apply none of the commands and come to another state than its peers, without an error. Change: members report the version of operations that they understand with each ping; the head answers 503 while one in the chain is of an earlier version or has not been heard from.

--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -10,6 +10,9 @@
 	Self Member
 	// Apply returns the value after an operation. It must be deterministic and must not modify the given value.
 	Apply func(value any, operation []byte) any
+	// OperationVersion is the highest version of operations that Apply understands. A caller that proposes an operation of a
+	// version asks Node.OperationVersion first: a member that does not understand it would come to another state.
+	OperationVersion int
 	// Seeds are the addresses that a member pings while it is in no view, or reaches no majority of its view's voters.
 	Seeds []string
 	// MaxFailures is the number f of members that may fail at the same time. The core aims at 2f+1 voters.
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -98,6 +98,8 @@
 	Seq uint64
 	// Committed is the sequence number up to which the member knows the log to be committed.
 	Committed uint64
+	// OperationVersion is the highest version of operations that the member understands. Earlier versions do not send it.
+	OperationVersion int
 }
 
 // Envelope is a message with the address of its receiver.
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -18,6 +18,25 @@
 // IsTail reports whether this member is the tail of the chain of its view.
 func (n *Node) IsTail() bool { return n.view.Number > 0 && n.view.Tail() == n.self.ID }
 
+// OperationVersion returns the highest version of operations that every member of the chain understands. A member that has not
+// been heard from counts as one that understands version 0 alone.
+func (n *Node) OperationVersion() int {
+	lowest := n.config.OperationVersion
+	for _, id := range n.view.Chain {
+		if id == n.self.ID {
+			continue
+		}
+		version := 0
+		if voter, ok := n.view.Voter(id); ok {
+			if p := n.knownPeer(voter); p != nil {
+				version = p.status.OperationVersion
+			}
+		}
+		lowest = min(lowest, version)
+	}
+	return lowest
+}
+
 func (n *Node) isVoter() bool {
 	_, ok := n.view.Voter(n.self.ID)
 	return ok
@@ -34,5 +53,7 @@
 		Stored:      n.persistedView,
 		Seq:         n.state.Seq,
 		Committed:   n.committed,
+
+		OperationVersion: n.config.OperationVersion,
 	}
 }
--- a/internal/controlplane/configuration_fsm.go
+++ b/internal/controlplane/configuration_fsm.go
@@ -11,6 +11,10 @@
 // coordination.Command values. The functions here are the state machine: they depend on their arguments alone, so all
 // replicas come to the same state.
 
+// coordinationOperationVersion is the version of the operations that the coordination service brought. Those of the
+// configuration have version 0.
+const coordinationOperationVersion = 1
+
 // decide returns what the head does with a change in its newest state.
 func decide(latest *fleetconfig.State, digests [2]fleetconfig.Digest, change fleetconfig.Change) chain.Decision {
 	if latest.HasAppliedAny(digests) {
--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -81,6 +81,10 @@
 
 // executeAtHead executes a command where this member is the head; the chain answers that it is not otherwise.
 func (c *coordinationService) executeAtHead(now time.Duration, command coordination.Command, answer func(protocol.Reply)) {
+	if c.server.chain.OperationVersion() < coordinationOperationVersion {
+		answer(errorReply(errkind.New(errkind.NotReady, "a member of the chain is of an earlier version")))
+		return
+	}
 	respond := func(result coordination.Result, err error) { answer(coordinationReply(result, err)) }
 	c.server.applyOutput(c.server.pendingRequests.Write(now, c.head.Write(now, command, respond)))
 }
