--- /dev/null
+++ b/internal/lab/history/keys.go
@@ -0,0 +1,197 @@
+package history
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// put is a put of a key with all its tries: values are unique.
+type put struct {
+	key      string
+	tries    []*Call
+	revision uint64 // 0 where it is not known
+	shown    *Call  // the first answer that shows the revision
+}
+
+// first returns the put's first try.
+func (p *put) first() *Call { return p.tries[0] }
+
+// isRejected reports whether the put can never take effect. A 412 says so for all tries: a revision that the key once passed
+// doesn't come again. Another rejection holds for its own try only.
+func (p *put) isRejected() bool {
+	return lo.SomeBy(p.tries, func(try *Call) bool { return try.Status == http.StatusPreconditionFailed }) ||
+		lo.EveryBy(p.tries, func(try *Call) bool { return try.rejected() })
+}
+
+// showing is a value of a key at a revision, as an answer shows it.
+type showing struct {
+	Event
+	call *Call
+}
+
+// keyChecker checks the keys of one group.
+type keyChecker struct {
+	*checker
+	group      string
+	calls      []*Call
+	puts       map[string]*put // by value
+	byRevision map[uint64]*put
+	showings   []showing
+}
+
+// groupOf returns the group of a key: all up to its first dot.
+func groupOf(name string) string {
+	prefix, _, found := strings.Cut(name, ".")
+	if !found {
+		return name
+	}
+	return prefix + "."
+}
+
+// checkKeys checks each group of keys.
+func (c *checker) checkKeys() {
+	calls := lo.Filter(c.calls, func(call *Call, _ int) bool {
+		return call.Operation == Put || call.Operation == Read || call.Operation == Watch
+	})
+	for group, ofGroup := range lo.GroupBy(calls, func(call *Call) string { return groupOf(call.Name) }) {
+		k := &keyChecker{checker: c, group: group, calls: ofGroup, puts: map[string]*put{}, byRevision: map[uint64]*put{}}
+		k.collect()
+		k.checkShowings()
+		k.checkRevisions()
+		k.checkReads()
+		k.checkPreconditions()
+		k.checkWatches()
+	}
+}
+
+// collect finds the puts, and what answers show of them.
+func (k *keyChecker) collect() {
+	for _, call := range k.calls {
+		switch {
+		case call.Operation == Put:
+			p := k.puts[call.Value]
+			if p == nil {
+				p = &put{key: call.Name}
+				k.puts[call.Value] = p
+			}
+			p.tries = append(p.tries, call)
+			if call.succeeded() {
+				k.show(call, Event{Name: call.Name, Value: call.Value, Revision: call.Revision})
+			}
+		case call.Operation == Read && call.succeeded():
+			k.show(call, Event{Name: call.Name, Value: call.Value, Revision: call.Revision})
+		case call.Operation == Watch && call.succeeded():
+			for _, event := range call.Events {
+				k.show(call, event)
+			}
+		}
+	}
+}
+
+func (k *keyChecker) show(call *Call, event Event) {
+	k.showings = append(k.showings, showing{Event: event, call: call})
+}
+
+// checkShowings checks each value that was shown: that it was put to its key and not rejected, under one revision of its own.
+func (k *keyChecker) checkShowings() {
+	for _, s := range k.showings {
+		p := k.puts[s.Value]
+		if p == nil || p.key != s.Name || p.first().Sent > s.call.Received {
+			k.violate(Mixed, fmt.Sprintf("value %s was not put to %s", s.Value, s.Name), s.call)
+			continue
+		}
+		if p.isRejected() {
+			k.violate(Refused, fmt.Sprintf("value %s of %s is shown, and its put was rejected", s.Value, s.Name), append(p.tries, s.call)...)
+		}
+		if p.revision != 0 && p.revision != s.Revision {
+			k.violate(Mixed, fmt.Sprintf("value %s of %s is shown under %d and %d", s.Value, s.Name, p.revision, s.Revision), p.shown, s.call)
+			continue
+		}
+		if other := k.byRevision[s.Revision]; other != nil && other != p {
+			k.violate(Order, fmt.Sprintf("revision %d of %s is handed out twice", s.Revision, k.group), other.shown, s.call)
+			continue
+		}
+		if s.Revision == 0 {
+			k.violate(Order, fmt.Sprintf("value %s of %s has revision 0", s.Value, s.Name), s.call)
+			continue
+		}
+		if p.revision == 0 {
+			p.revision, p.shown = s.Revision, s.call
+			k.byRevision[s.Revision] = p
+		}
+	}
+}
+
+// checkRevisions checks that a put has a revision above all that were shown before it was sent, and that the precondition of one
+// that took effect held.
+func (k *keyChecker) checkRevisions() {
+	for _, p := range k.byRevision {
+		for _, call := range k.calls {
+			known := call.succeeded() || call.Status == http.StatusPreconditionFailed
+			if known && call.answeredBefore(p.first()) && call.Revision >= p.revision {
+				k.violate(Order, fmt.Sprintf("a put of %s gets revision %d after %d was known", p.key, p.revision, call.Revision),
+					call, p.first(), p.shown)
+				break
+			}
+		}
+		if !p.first().Conditional {
+			continue
+		}
+		required := p.first().IfRevision
+		for _, other := range k.byRevision {
+			if other.key == p.key && required < other.revision && other.revision < p.revision {
+				k.violate(Order, fmt.Sprintf("a put of %s if at revision %d succeeds over %d", p.key, required, other.revision),
+					other.first(), other.shown, p.first(), p.shown)
+			}
+		}
+	}
+}
+
+// checkReads checks that a read of a key shows the puts that were acknowledged before it was sent. A 404 is revision 0.
+func (k *keyChecker) checkReads() {
+	acknowledged := lo.Filter(k.calls, func(call *Call, _ int) bool { return call.Operation == Put && call.succeeded() })
+	for _, read := range k.calls {
+		if read.Operation != Read || !read.succeeded() && read.Status != http.StatusNotFound {
+			continue
+		}
+		for _, write := range acknowledged {
+			if write.Name == read.Name && write.answeredBefore(read) && read.Revision < write.Revision {
+				k.violateAt(read, Stale, fmt.Sprintf("%s is read at revision %d after %d was acknowledged", read.Name, read.Revision,
+					write.Revision), write)
+				break
+			}
+		}
+	}
+}
+
+// checkPreconditions checks that the revision that a 412 names is one of its key. A put with no clear answer that nobody saw may
+// have any one revision.
+func (k *keyChecker) checkPreconditions() {
+	unexplained := map[string]map[uint64]*Call{} // by key
+	for _, call := range k.calls {
+		if call.Operation != Put || call.Status != http.StatusPreconditionFailed || call.Revision == 0 {
+			continue
+		}
+		p := k.byRevision[call.Revision]
+		if p == nil {
+			if unexplained[call.Name] == nil {
+				unexplained[call.Name] = map[uint64]*Call{}
+			}
+			unexplained[call.Name][call.Revision] = call
+			continue
+		}
+		if p.key != call.Name || p.first().Sent > call.Received {
+			k.violate(Mixed, fmt.Sprintf("a 412 of %s names revision %d of another put", call.Name, call.Revision), p.first(), call)
+		}
+	}
+	for key, revisions := range unexplained {
+		unseen := lo.CountBy(lo.Values(k.puts), func(p *put) bool { return p.key == key && p.revision == 0 && !p.isRejected() })
+		if len(revisions) > unseen {
+			k.violate(Mixed, fmt.Sprintf("412s of %s name %d revisions of unknown puts, and only %d puts are open", key, len(revisions), unseen),
+				lo.Values(revisions)...)
+		}
+	}
+}
