--- a/cmd/dykering-lab/upgrade.go
+++ b/cmd/dykering-lab/upgrade.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dykering/internal/commandline"
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/upgrade"
 	"dykering/internal/protocol"
 )
@@ -23,7 +24,7 @@
 			}
 			protocol.Register()
 			scenario := upgrade.Scenario{
-				From: upgrade.Program{Command: []string{from}}, To: upgrade.Program{Command: []string{to}},
+				From: localprocess.Program{Command: []string{from}}, To: localprocess.Program{Command: []string{to}},
 				Directory: directory, Progress: c.Root().Writer,
 			}
 			report, err := scenario.Run(ctx)
--- a/internal/lab/history/configurations.go
+++ b/internal/lab/history/configurations.go
@@ -2,10 +2,18 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 
 	"github.com/samber/lo"
 )
 
+// refusals are the statuses that end an operator's change. All others, 503 too, leave open whether it is in force.
+var refusals = []int{
+	http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge,
+	http.StatusUnprocessableEntity,
+}
+
 // checkConfigurations checks the changes of operators: one on top of each version, and read as it was acknowledged.
 func (c *checker) checkConfigurations() {
 	tries := lo.Filter(c.calls, func(call *Call, _ int) bool { return call.Operation == Configure })
@@ -41,7 +49,7 @@
 		c.violate(Config, fmt.Sprintf("version %d was not sent as it is read", read.Version), read)
 		return
 	}
-	if lo.EveryBy(tries, func(try *Call) bool { return try.rejected() }) {
+	if lo.EveryBy(tries, func(try *Call) bool { return slices.Contains(refusals, try.Status) }) {
 		c.violate(Config, fmt.Sprintf("version %d is in force, and was rejected", read.Version), append(tries, read)...)
 	}
 }
--- a/internal/lab/history/history_test.go
+++ b/internal/lab/history/history_test.go
@@ -228,6 +228,9 @@
 	Entry("is bad if a rejected change is in force", []Call{
 		answered(change(0, 5).configuration(1, 2, "x"), 412), at(6, 8, ReadConfiguration, "", 200).configuration(0, 2, "x"),
 	}, Config),
+	Entry("is good if a change is in force that was answered with 503", []Call{
+		answered(change(0, 5).configuration(1, 2, "x"), 503), at(6, 8, ReadConfiguration, "", 200).configuration(0, 2, "x"),
+	}),
 	Entry("is bad if the newest version is lost in the end", []Call{
 		change(0, 5).configuration(0, 1, "x"), at(6, 8, ReadConfiguration, "", 200).final(),
 	}, Lost),
