dykering-lab soak plays control processes under faults and checks what clients see

Real control processes on loopback meet a drawn series of SIGTERM, SIGKILL, SIGSTOP, SIGHUP and restarts with and without their data, as many at once as machine_failures allows, while contenders, counters, editors, watchers and two operators record a history that package history judges; in the end each process is asked for all that was acknowledged.

--- /dev/null
+++ b/cmd/dykering-lab/soak.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"dykering/internal/commandline"
+	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/soak"
+)
+
+// newSoak plays control processes under faults, with clients whose history is checked.
+func newSoak() *cli.Command {
+	var scenario soak.Scenario
+	var program, logs string
+	c := &cli.Command{
+		Name: "soak", Usage: "Play control processes on loopback under faults, and check what clients of the coordination service see",
+		Action: commandline.NoArgs(func(ctx context.Context, c *cli.Command) error {
+			if scenario.Cores != 3 && scenario.Cores != 5 {
+				return errors.Errorf("--cores %d: 3 or 5", scenario.Cores)
+			}
+			directory, err := os.MkdirTemp(logs, fmt.Sprintf("soak-%d-%d-", scenario.Cores, scenario.Seed))
+			if err != nil {
+				return commandline.Failure(err)
+			}
+			scenario.Directory = directory
+			if scenario.Program, err = soakProgram(ctx, program, directory); err != nil {
+				return commandline.Failure(err)
+			}
+			return commandline.Failure(runSoak(ctx, c, scenario))
+		}),
+	}
+	c.Flags = []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the seed", Destination: &scenario.Seed},
+		&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "how long faults are drawn", Destination: &scenario.For},
+		&cli.IntFlag{Name: "cores", Value: 3, Usage: "control processes: 3 or 5", Destination: &scenario.Cores},
+		&cli.StringFlag{Name: "program", Usage: "the program; without it, it is built from the sources here", Destination: &program},
+		&cli.StringFlag{Name: "logs", Usage: "the folder for logs and the history, which are kept if a rule was broken", Destination: &logs},
+	}
+	return c
+}
+
+// soakProgram returns the program to play, built if none is named.
+func soakProgram(ctx context.Context, program, directory string) (localprocess.Program, error) {
+	if program == "" {
+		program = filepath.Join(directory, "dykering")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/dykering").CombinedOutput(); err != nil {
+			return localprocess.Program{}, errors.Wrapf(err, "build: %s", out)
+		}
+	}
+	return localprocess.Program{Command: []string{program}}, nil
+}
+
+// runSoak plays a scenario and prints what came of it.
+func runSoak(ctx context.Context, c *cli.Command, scenario soak.Scenario) error {
+	report, err := scenario.Run(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "logs: %s", scenario.Directory)
+	}
+	fmt.Fprintf(c.Root().Writer, "seed %d, %d cores, %d faults: %s\n", scenario.Seed, scenario.Cores, len(report.Faults), report.Summary())
+	if len(report.Violations) == 0 {
+		return os.RemoveAll(scenario.Directory)
+	}
+	for _, violation := range report.Violations {
+		fmt.Fprintln(c.Root().Writer, violation)
+	}
+	return errors.Errorf("%d times a rule was broken (logs: %s)", len(report.Violations), scenario.Directory)
+}
--- /dev/null
+++ b/internal/lab/soak/caller.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"dykering/internal/lab/history"
+)
+
+// callTimeout is how long a caller waits for an answer before it calls another address.
+const callTimeout = time.Second
+
+// caller calls the control processes over a connection that it keeps open, and records each call. It is used by one goroutine.
+type caller struct {
+	name      string
+	addresses []string
+	next      int // the index of the address in use
+	client    *http.Client
+	recorder  *history.Recorder
+	random    *rand.Rand
+	done      <-chan struct{}
+	final     bool
+}
+
+// newCaller returns a caller that draws from a stream of its own of the seed.
+func (s *system) newCaller(name string, stream uint64) *caller {
+	return &caller{
+		name: name, addresses: s.addresses, next: int(stream) % len(s.addresses), recorder: s.recorder, done: s.done,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		random: rand.New(rand.NewPCG(s.Seed, stream)),
+	}
+}
+
+// request is what a call sends.
+type request struct {
+	method, path string
+	body         any
+	header       map[string]string
+	wait         time.Duration // for which the answer may take longer than callTimeout
+}
+
+// call sends a request, and records the call with its answer. answer is decoded into, and then copied to the call by keep.
+func (c *caller) call(call history.Call, r request, answer any, keep func(*history.Call)) history.Call {
+	call.Client, call.Final, call.Address = c.name, c.final, c.addresses[c.next]
+	call.Sent = c.recorder.Now()
+	call.Status = c.send(r, answer)
+	call.Received = c.recorder.Now()
+	if keep != nil && (call.Status == http.StatusOK || call.Status == http.StatusPreconditionFailed) {
+		keep(&call)
+	}
+	if call.Status == 0 || call.Status >= http.StatusInternalServerError || call.Status == http.StatusTooManyRequests {
+		c.next = (c.next + 1) % len(c.addresses)
+	}
+	c.recorder.Add(call)
+	return call
+}
+
+// send returns the status of the answer; 0 if there was none that is complete.
+func (c *caller) send(r request, answer any) int {
+	var body io.Reader
+	if r.body != nil {
+		text, err := json.Marshal(r.body)
+		if err != nil {
+			return 0
+		}
+		body = bytes.NewReader(text)
+	}
+	httpRequest, err := http.NewRequest(r.method, "http://"+c.addresses[c.next]+r.path, body)
+	if err != nil {
+		return 0
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	for name, value := range r.header {
+		httpRequest.Header.Set(name, value)
+	}
+	c.client.Timeout = callTimeout + r.wait
+	response, err := c.client.Do(httpRequest)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0
+	}
+	hasBody := response.StatusCode == http.StatusOK || response.StatusCode == http.StatusPreconditionFailed
+	if hasBody && answer != nil && json.Unmarshal(text, answer) != nil && response.StatusCode == http.StatusOK {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// pause waits a drawn time. It reports false if the scenario ends meanwhile.
+func (c *caller) pause(least, most time.Duration) bool {
+	return pause(c.done, drawDuration(c.random, least, most))
+}
+
+func drawDuration(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)+1))
+}
+
+func draw[T any](random *rand.Rand, choices []T) T { return choices[random.IntN(len(choices))] }
+
+// pause waits. It reports false if done is closed meanwhile.
+func pause(done <-chan struct{}, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/scenario.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/lab/history"
+	"dykering/internal/lab/localprocess"
+)
+
+const (
+	contenders = 6
+	counters   = 2
+	editors    = 4
+	operators  = 2
+	// watcherStream is the first stream of the seed for watchers.
+	watcherStream = 1 << 16
+	// startTime is how long the system has until the first fault.
+	startTime = 10 * time.Second
+	// historyKeptS is the bound history_s of the scenario, in seconds. Watchers resume from revisions that are a second younger.
+	historyKeptS = 8
+)
+
+var (
+	locks   = []string{"l1", "l2", "l3"}
+	numbers = []string{"n1", "n2"}
+	groups  = []string{"g1.", "g2."}
+	keys    = []string{"g1.a", "g1.b", "g1.c", "g1.d", "g2.a", "g2.b"}
+)
+
+// Scenario is a soak of control processes.
+type Scenario struct {
+	Program localprocess.Program
+	Seed    uint64
+	For     time.Duration
+	// Cores is the number of control processes: 3, of which one may be lost at a time, or 5, of which two may.
+	Cores int
+	// Directory has settings, data and logs of the processes, and the history of a run that broke a rule.
+	Directory string
+}
+
+// Report is what came of a run.
+type Report struct {
+	Calls      []history.Call
+	Faults     []string
+	Violations []history.Violation
+	// Pause is the longest time between two puts that succeeded.
+	Pause time.Duration
+}
+
+// system is the system of a run.
+type system struct {
+	Scenario
+	bounds    localprocess.Bounds
+	processes []*localprocess.Process
+	addresses []string
+	recorder  *history.Recorder
+	done      chan struct{}   // closed when clients and faults end
+	unwatched chan struct{}   // closed when watchers end, once all processes are back
+	stopped   <-chan struct{} // closed when the run is to end early
+}
+
+// Run plays the scenario. It returns an error if it could not be played; broken rules are in the report.
+func (s Scenario) Run(ctx context.Context) (*Report, error) {
+	bounds := localprocess.ShortBounds()
+	bounds.HistoryS = historyKeptS
+	processes, err := localprocess.New(ctx, localprocess.Layout{
+		Directory: s.Directory, Controls: s.Cores, MachineFailures: (s.Cores - 1) / 2, Bounds: bounds,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r := &system{
+		Scenario: s, bounds: bounds, processes: processes, recorder: history.NewRecorder(), done: make(chan struct{}),
+		unwatched: make(chan struct{}), stopped: ctx.Done(),
+	}
+	defer r.close()
+	for _, p := range processes {
+		r.addresses = append(r.addresses, p.Public)
+		if err := p.Start(s.Program); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.awaitStart(); err != nil {
+		return nil, err
+	}
+	return r.play(ctx)
+}
+
+// awaitStart waits until a first configuration is acknowledged.
+func (s *system) awaitStart() error {
+	c := s.newCaller("first", 0)
+	for began := time.Now(); time.Since(began) < startTime; {
+		if c.configure(0, 1, "first").Status == http.StatusOK {
+			return nil
+		}
+		pause(s.stopped, resendPause)
+	}
+	return errors.Errorf("no configuration is acknowledged within %v", startTime)
+}
+
+// play runs clients and faults, then what is asked in the end, and checks the history.
+func (s *system) play(ctx context.Context) (*Report, error) {
+	var clients, watching, lanes sync.WaitGroup
+	s.startClients(&clients)
+	watchers := s.startWatchers(&watching)
+	f := &faults{system: s, lost: map[*localprocess.Process]bool{}}
+	for lane := range (s.Cores - 1) / 2 {
+		lanes.Go(func() { f.runLane(lane) })
+	}
+	lanes.Go(f.runHangups)
+	pause(s.stopped, s.For)
+	close(s.done)
+	clients.Wait()
+	lanes.Wait()
+	close(s.unwatched)
+	watching.Wait()
+	if f.err != nil {
+		return nil, f.err
+	}
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "not played to its end")
+	}
+	unanswered := s.askFinally(watchers)
+	for _, p := range s.processes {
+		if p.HasEnded() {
+			f.tell(p.Name + " had ended by itself")
+			unanswered = append(unanswered, history.Violation{Rule: history.Lost, Reason: p.Name + " had ended by itself"})
+		}
+	}
+	calls := s.recorder.Calls()
+	report := &Report{Calls: calls, Faults: f.events, Pause: longestPause(calls)}
+	report.Violations = append(unanswered, history.Check(calls, time.Duration(s.bounds.HistoryS)*time.Second)...)
+	if len(report.Violations) > 0 {
+		return report, s.save(report)
+	}
+	return report, nil
+}
+
+// startClients starts the clients and the operators.
+func (s *system) startClients(clients *sync.WaitGroup) {
+	stream := uint64(0)
+	start := func(kind string, count int, run func(c *caller)) {
+		for i := range count {
+			stream++
+			c := s.newCaller(fmt.Sprintf("%s-%d", kind, i), stream)
+			clients.Go(func() { run(c) })
+		}
+	}
+	start("contender", contenders, func(c *caller) { c.contend(locks) })
+	start("counter", counters, func(c *caller) { c.count(numbers) })
+	start("editor", editors, func(c *caller) { c.edit(keys) })
+	start("operator", operators, func(c *caller) { c.operate() })
+}
+
+// watcher is a client that watches a group, and what it may resume from in the end.
+type watcher struct {
+	name, group string
+	saved       []saved
+}
+
+// startWatchers starts a watcher for each group.
+func (s *system) startWatchers(watching *sync.WaitGroup) []*watcher {
+	var watchers []*watcher
+	for i, group := range groups {
+		w := &watcher{name: "watcher-" + group, group: group}
+		watchers = append(watchers, w)
+		c := s.newCaller(w.name, watcherStream+uint64(i))
+		c.done = s.unwatched
+		watching.Go(func() { w.saved = c.follow(group, (historyKeptS-1)*time.Second) })
+	}
+	return watchers
+}
+
+// longestPause returns the longest time between two puts that succeeded.
+func longestPause(calls []history.Call) time.Duration {
+	var longest, last time.Duration
+	for _, call := range calls {
+		if call.Operation != history.Put || call.Status != http.StatusOK {
+			continue
+		}
+		if last > 0 {
+			longest = max(longest, call.Received-last)
+		}
+		last = call.Received
+	}
+	return longest
+}
+
+// save writes the history and the faults of a run.
+func (s *system) save(report *Report) error {
+	file, err := os.Create(filepath.Join(s.Directory, "history.jsonl"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := history.Write(file, report.Calls); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(s.Directory, "faults.txt"), []byte(strings.Join(report.Faults, "\n")+"\n"), 0o600)
+}
+
+// close ends all processes.
+func (s *system) close() {
+	for _, p := range s.processes {
+		p.Kill()
+	}
+}
+
+// Summary lists the answers by operation and status.
+func (r *Report) Summary() string {
+	counts := map[string]int{}
+	for _, call := range r.Calls {
+		counts[fmt.Sprintf("%s %d", call.Operation, call.Status)]++
+	}
+	var parts []string
+	for _, answer := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", answer, counts[answer]))
+	}
+	return fmt.Sprintf("%d calls (%s); longest time without a put %v", len(r.Calls), strings.Join(parts, ", "), r.Pause.Round(time.Millisecond))
+}
