--- a/internal/lab/history/call.go
+++ b/internal/lab/history/call.go
@@ -23,6 +23,11 @@
 	ReadConfiguration Operation = "read configuration"
 )
 
+// Operations returns all operations.
+func Operations() []Operation {
+	return []Operation{Begin, Heartbeat, Finish, Number, Put, Read, Watch, Configure, ReadConfiguration}
+}
+
 // Event is a put that a watch shows.
 type Event struct {
 	Name     string `json:"name"`
--- a/internal/lab/localprocess/process.go
+++ b/internal/lab/localprocess/process.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// SiteBounds are the bounds of the sites with a coordination service.
+func SiteBounds() Bounds {
+	return Bounds{
+		ContactMs: 4000, AcknowledgeMs: 5000, DrainTimeoutMs: 2500, GracePeriodS: 8, LeaseDurationMs: 3000, CatchUpS: 6, HistoryS: 20,
+	}
+}
+
 // Layout says which processes there are.
 type Layout struct {
 	// Directory has settings, data and logs of the processes.
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -23,15 +23,18 @@
 	recorder  *history.Recorder
 	random    *rand.Rand
 	done      <-chan struct{}
-	final     bool
+	// acknowledged takes the addresses of acknowledgements, while a fault waits for one.
+	acknowledged chan<- string
+	final        bool
 }
 
 // newCaller returns a caller that draws from a stream of its own of the seed.
 func (s *system) newCaller(name string, stream uint64) *caller {
 	return &caller{
 		name: name, addresses: s.addresses, next: int(stream) % len(s.addresses), recorder: s.recorder, done: s.done,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
-		random: rand.New(rand.NewPCG(s.Seed, stream)),
+		acknowledged: s.acknowledged,
+		client:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		random:       rand.New(rand.NewPCG(s.Seed, stream)),
 	}
 }
 
@@ -56,9 +59,20 @@
 		c.next = (c.next + 1) % len(c.addresses)
 	}
 	c.recorder.Add(call)
+	if call.Status == http.StatusOK && r.method == http.MethodPost {
+		c.tellAcknowledged(call.Address)
+	}
 	return call
 }
 
+// tellAcknowledged tells a fault that waits for an acknowledgement.
+func (c *caller) tellAcknowledged(address string) {
+	select {
+	case c.acknowledged <- address:
+	default:
+	}
+}
+
 // send returns the status of the answer; 0 if there was none that is complete.
 func (c *caller) send(r request, answer any) int {
 	var body io.Reader
--- a/internal/lab/soak/finals.go
+++ b/internal/lab/soak/finals.go
@@ -10,26 +10,27 @@
 )
 
 const (
-	// finalTime is how long a call of the end is repeated.
-	finalTime = 5 * time.Second
+	// recoveryTime is how long after the return of all processes all calls of the end must be answered (recovery_s).
+	recoveryTime = 15 * time.Second
 	// finalWait is how long a watch of the end waits where there is nothing new.
 	finalWait = 300 * time.Millisecond
 )
 
-// askFinally asks each process for all that was acknowledged. It returns a violation for each question without an answer.
-func (s *system) askFinally(watchers []*watcher) []history.Violation {
+// askFinally asks each process for all that was acknowledged, all processes being back since a time. It returns a violation for
+// each question without an answer.
+func (s *system) askFinally(watchers []*watcher, back time.Duration) []history.Violation {
 	var mu sync.Mutex
 	var unanswered []history.Violation
 	var asked sync.WaitGroup
 	for i, address := range s.addresses {
 		asked.Go(func() {
 			for _, question := range s.questions(i, watchers) {
-				if s.answeredInTime(question.ask) {
+				if s.answeredBy(back+recoveryTime, question.ask) {
 					continue
 				}
 				mu.Lock()
 				unanswered = append(unanswered, history.Violation{
-					Rule: history.Lost, Reason: fmt.Sprintf("%s at %s has no answer after %v", question.name, address, finalTime),
+					Rule: history.Lost, Reason: fmt.Sprintf("%s at %s has no answer %v after all processes are back", question.name, address, recoveryTime),
 				})
 				mu.Unlock()
 			}
@@ -76,14 +77,16 @@
 	return append(all, question{"configuration", c.readConfiguration})
 }
 
-// answeredInTime repeats a call until it is answered; a 404 and a 410 are answers, and are judged with the history.
-func (s *system) answeredInTime(ask func() history.Call) bool {
-	for began := time.Now(); time.Since(began) < finalTime; {
+// answeredBy repeats a call until it is answered or the time is over; a 404 and a 410 are answers, and are judged with the
+// history.
+func (s *system) answeredBy(end time.Duration, ask func() history.Call) bool {
+	for {
 		switch ask().Status {
 		case http.StatusOK, http.StatusNotFound, http.StatusGone:
 			return true
 		}
-		pause(s.stopped, resendPause)
+		if s.recorder.Now() > end || !pause(s.stopped, resendPause) {
+			return false
+		}
 	}
-	return false
 }
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"dykering/internal/lab/history"
 	"dykering/internal/lab/localprocess"
@@ -27,8 +28,6 @@
 	watcherStream = 1 << 16
 	// startTime is how long the system has until the first fault.
 	startTime = 10 * time.Second
-	// historyKeptS is the bound history_s of the scenario, in seconds. Watchers resume from revisions that are a second younger.
-	historyKeptS = 8
 )
 
 var (
@@ -56,6 +55,10 @@
 	Violations []history.Violation
 	// Pause is the longest time between two puts that succeeded.
 	Pause time.Duration
+	// Recovery is the time from the return of all processes, in the end, to the first answer from each.
+	Recovery time.Duration
+	// TimerDelay and SyncTime are the longest delay of a timer and the longest sync of a file, as the machine was.
+	TimerDelay, SyncTime time.Duration
 }
 
 // system is the system of a run.
@@ -65,15 +68,16 @@
 	processes []*localprocess.Process
 	addresses []string
 	recorder  *history.Recorder
-	done      chan struct{}   // closed when clients and faults end
-	unwatched chan struct{}   // closed when watchers end, once all processes are back
+	calm      chan struct{}   // closed when faults end
+	done      chan struct{}   // closed when clients end, once all processes are back
 	stopped   <-chan struct{} // closed when the run is to end early
+	// acknowledged takes the address that a call was acknowledged by, while a fault waits for it.
+	acknowledged chan string
 }
 
 // Run plays the scenario. It returns an error if it could not be played; broken rules are in the report.
 func (s Scenario) Run(ctx context.Context) (*Report, error) {
-	bounds := localprocess.ShortBounds()
-	bounds.HistoryS = historyKeptS
+	bounds := localprocess.SiteBounds()
 	processes, err := localprocess.New(ctx, localprocess.Layout{
 		Directory: s.Directory, Controls: s.Cores, MachineFailures: (s.Cores - 1) / 2, Bounds: bounds,
 	})
@@ -81,8 +85,8 @@
 		return nil, err
 	}
 	r := &system{
-		Scenario: s, bounds: bounds, processes: processes, recorder: history.NewRecorder(), done: make(chan struct{}),
-		unwatched: make(chan struct{}), stopped: ctx.Done(),
+		Scenario: s, bounds: bounds, processes: processes, recorder: history.NewRecorder(), calm: make(chan struct{}),
+		done: make(chan struct{}), stopped: ctx.Done(), acknowledged: make(chan string),
 	}
 	defer r.close()
 	for _, p := range processes {
@@ -111,36 +115,34 @@
 
 // play runs clients and faults, then what is asked in the end, and checks the history.
 func (s *system) play(ctx context.Context) (*Report, error) {
-	var clients, watching, lanes sync.WaitGroup
+	var clients, lanes sync.WaitGroup
+	var machine probe
+	clients.Go(func() { _ = machine.run(s.done, s.Directory) }) // without it, less is known of the machine
 	s.startClients(&clients)
-	watchers := s.startWatchers(&watching)
+	watchers := s.startWatchers(&clients)
 	f := &faults{system: s, lost: map[*localprocess.Process]bool{}}
 	for lane := range (s.Cores - 1) / 2 {
 		lanes.Go(func() { f.runLane(lane) })
 	}
 	lanes.Go(f.runHangups)
+	lanes.Go(f.runBlackouts)
 	pause(s.stopped, s.For)
+	close(s.calm)
+	lanes.Wait()
+	back, err := f.blackOutFinally()
 	close(s.done)
 	clients.Wait()
-	lanes.Wait()
-	close(s.unwatched)
-	watching.Wait()
-	if f.err != nil {
-		return nil, f.err
+	if err := firstError(f.firstErr, err, ctx.Err()); err != nil {
+		return nil, errors.Wrap(err, "not played to its end")
 	}
-	if ctx.Err() != nil {
-		return nil, errors.Wrap(ctx.Err(), "not played to its end")
-	}
-	unanswered := s.askFinally(watchers)
+	unanswered := s.askFinally(watchers, back)
 	for _, p := range s.processes {
-		if p.HasEnded() {
-			f.tell(p.Name + " had ended by itself")
-			unanswered = append(unanswered, history.Violation{Rule: history.Lost, Reason: p.Name + " had ended by itself"})
-		}
+		f.endedByItself(p)
 	}
 	calls := s.recorder.Calls()
-	report := &Report{Calls: calls, Faults: f.events, Pause: longestPause(calls)}
-	report.Violations = append(unanswered, history.Check(calls, time.Duration(s.bounds.HistoryS)*time.Second)...)
+	report := &Report{Calls: calls, Faults: f.events, Pause: longestPause(calls), Recovery: recovery(calls, back)}
+	report.Violations = slices.Concat(f.ownEnds, unanswered, history.Check(calls, time.Duration(s.bounds.HistoryS)*time.Second))
+	report.TimerDelay, report.SyncTime = machine.delay, machine.sync
 	if len(report.Violations) > 0 {
 		return report, s.save(report)
 	}
@@ -170,14 +172,13 @@
 }
 
 // startWatchers starts a watcher for each group.
-func (s *system) startWatchers(watching *sync.WaitGroup) []*watcher {
+func (s *system) startWatchers(clients *sync.WaitGroup) []*watcher {
 	var watchers []*watcher
 	for i, group := range groups {
 		w := &watcher{name: "watcher-" + group, group: group}
 		watchers = append(watchers, w)
 		c := s.newCaller(w.name, watcherStream+uint64(i))
-		c.done = s.unwatched
-		watching.Go(func() { w.saved = c.follow(group, (historyKeptS-1)*time.Second) })
+		clients.Go(func() { w.saved = c.follow(group, time.Duration(s.bounds.HistoryS-1)*time.Second) })
 	}
 	return watchers
 }
@@ -197,6 +198,24 @@
 	return longest
 }
 
+// recovery returns the time from the return of all processes to the latest of their first answers to reads of keys.
+func recovery(calls []history.Call, back time.Duration) time.Duration {
+	first := map[string]time.Duration{}
+	for _, call := range calls {
+		answered := call.Operation == history.Read && (call.Status == http.StatusOK || call.Status == http.StatusNotFound)
+		if answered && call.Sent >= back && first[call.Address] == 0 {
+			first[call.Address] = call.Received - back
+		}
+	}
+	return lo.Max(lo.Values(first))
+}
+
+// firstError returns the first error that is not nil.
+func firstError(all ...error) error {
+	err, _ := lo.Find(all, func(err error) bool { return err != nil })
+	return err
+}
+
 // save writes the history and the faults of a run.
 func (s *system) save(report *Report) error {
 	file, err := os.Create(filepath.Join(s.Directory, "history.jsonl"))
@@ -217,6 +236,11 @@
 	}
 }
 
+// Succeeded returns how many calls of an operation were answered with 200.
+func (r *Report) Succeeded(operation history.Operation) int {
+	return lo.CountBy(r.Calls, func(call history.Call) bool { return call.Operation == operation && call.Status == http.StatusOK })
+}
+
 // Summary lists the answers by operation and status.
 func (r *Report) Summary() string {
 	counts := map[string]int{}
@@ -227,5 +251,7 @@
 	for _, answer := range slices.Sorted(maps.Keys(counts)) {
 		parts = append(parts, fmt.Sprintf("%s: %d", answer, counts[answer]))
 	}
-	return fmt.Sprintf("%d calls (%s); longest time without a put %v", len(r.Calls), strings.Join(parts, ", "), r.Pause.Round(time.Millisecond))
+	return fmt.Sprintf("%d calls (%s); longest time without a put %v; recovery in the end %v; "+
+		"timers up to %v late, syncs up to %v", len(r.Calls), strings.Join(parts, ", "), r.Pause.Round(time.Millisecond),
+		r.Recovery.Round(time.Millisecond), r.TimerDelay.Round(time.Millisecond), r.SyncTime.Round(time.Millisecond))
 }
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/lab/history"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak of control processes")
+}
+
+var _ = Describe("a caller", func() {
+	var s *system
+
+	// serve adds a control process that answers with a status and a body.
+	serve := func(status int, body string) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			io.WriteString(w, body)
+		}))
+		DeferCleanup(server.Close)
+		s.addresses = append(s.addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+
+	BeforeEach(func() {
+		s = &system{recorder: history.NewRecorder(), done: make(chan struct{}), acknowledged: make(chan string, 1)}
+	})
+
+	It("records what it asks and is answered, and stays at its address", func() {
+		serve(http.StatusPreconditionFailed, `{"revision":7}`)
+		serve(http.StatusOK, "")
+		c, revision := s.newCaller("a", 0), uint64(3)
+		c.put("g.k", "x", &revision)
+		call := c.put("g.k", "x", &revision)
+		Expect(s.recorder.Calls()).To(HaveLen(2))
+		Expect(call.Address).To(Equal(s.addresses[0]))
+		Expect(call).To(And(HaveField("Client", "a"), HaveField("Status", 412), HaveField("Revision", uint64(7)),
+			HaveField("IfRevision", uint64(3)), HaveField("Conditional", true)))
+		Expect(call.Received).To(BeNumerically(">=", call.Sent))
+	})
+
+	It("calls another address after a failure or a rejection, and tells acknowledgements", func() {
+		s.addresses = []string{"127.0.0.1:1"}
+		serve(http.StatusServiceUnavailable, "")
+		serve(http.StatusTooManyRequests, "")
+		serve(http.StatusOK, `{"value":9}`)
+		c := s.newCaller("a", 0)
+		var statuses []int
+		for range 4 {
+			statuses = append(statuses, c.number("n").Status)
+		}
+		Expect(statuses).To(Equal([]int{0, 503, 429, 200}))
+		Expect(s.recorder.Calls()[3].Number).To(Equal(uint64(9)))
+		Expect(s.acknowledged).To(Receive(Equal(s.addresses[3])))
+	})
+
+	It("takes an answer that is cut short for none", func() {
+		serve(http.StatusOK, `{"value":`)
+		Expect(s.newCaller("a", 0).number("n").Status).To(BeZero())
+	})
+})
+
+var _ = Describe("the faults", func() {
+	It("are the same for a seed, and of each kind", func() {
+		a, b := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(1, 2))
+		kinds := map[fault]bool{}
+		for range 100 {
+			drawn := drawFault(a)
+			Expect(drawn).To(Equal(drawFault(b)))
+			drawn.away, drawn.afterAnswer = 0, false
+			kinds[drawn] = true
+		}
+		Expect(kinds).To(HaveLen(5))
+	})
+})
+
+var _ = Describe("a report", func() {
+	at := func(address string, operation history.Operation, sent, received time.Duration) history.Call {
+		return history.Call{Address: address, Operation: operation, Sent: sent, Received: received, Status: http.StatusOK}
+	}
+
+	It("has the longest time without a put that succeeded", func() {
+		late := at("a", history.Put, 6, 6)
+		late.Status = http.StatusServiceUnavailable
+		Expect(longestPause([]history.Call{at("a", history.Put, 1, 1), at("a", history.Read, 5, 5), late, at("a", history.Put, 9, 9)})).
+			To(Equal(time.Duration(8)))
+	})
+
+	It("has the time until each process answers again", func() {
+		Expect(recovery([]history.Call{
+			at("a", history.Read, 1, 2), at("a", history.Read, 11, 12), at("a", history.Read, 13, 19), at("b", history.Read, 12, 14),
+		}, 10)).To(Equal(time.Duration(4)))
+	})
+})
