--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -197,8 +197,8 @@
 }
 
 // blackOutFinally kills all processes at once, after an acknowledgement, and as many as may be lost come back without their data.
-// It returns the time at which all were back.
-func (f *faults) blackOutFinally() (time.Duration, error) {
+// It returns the time at which all were back, and for how long the machine had been calm by then.
+func (f *faults) blackOutFinally() (back, calm time.Duration, err error) {
 	random := rand.New(rand.NewPCG(f.Seed, blackoutStream+1))
 	losing := random.Perm(len(f.processes))[:f.Cores/2]
 	defer f.awaitPresent()
@@ -207,8 +207,8 @@
 	case <-f.stopped:
 	case <-time.After(callTimeout):
 	}
-	err := f.blackOut(drawDuration(random, 0, time.Second), losing)
-	return f.recorder.Now(), err
+	err = f.blackOut(drawDuration(random, 0, time.Second), losing)
+	return f.recorder.Now(), f.machine.calmTime(), err
 }
 
 // blackOut kills all processes at once and starts them again. Those of some indices lose their data.
