--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -11,8 +11,12 @@
 	"dykering/internal/lab/history"
 )
 
-// callTimeout is how long a caller waits for an answer before it calls another address.
-const callTimeout = time.Second
+const (
+	// callTimeout is how long a caller waits for an answer before it calls another address.
+	callTimeout = time.Second
+	// callsPerLostAnswer is how many answers reach a caller, on average, for each that is lost on its way.
+	callsPerLostAnswer = 30
+)
 
 // caller calls the control processes over a connection that it keeps open, and records each call. It is used by one goroutine.
 type caller struct {
@@ -52,6 +56,9 @@
 	call.Sent = c.recorder.Now()
 	call.Status = c.send(r, answer)
 	call.Received = c.recorder.Now()
+	if !c.final && r.method == http.MethodPost && c.random.IntN(callsPerLostAnswer) == 0 {
+		call.Status = 0
+	}
 	if keep != nil && (call.Status == http.StatusOK || call.Status == http.StatusPreconditionFailed) {
 		keep(&call)
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -65,6 +65,18 @@
 		Expect(s.acknowledged).To(Receive(Equal(s.addresses[3])))
 	})
 
+	It("loses some answers on their way", func() {
+		serve(http.StatusOK, `{"value":9}`)
+		c, lost := s.newCaller("a", 0), 0
+		for range 10 * callsPerLostAnswer {
+			if call := c.number("n"); call.Status == 0 {
+				Expect(call.Number).To(BeZero())
+				lost++
+			}
+		}
+		Expect(lost).To(BeNumerically("~", 10, 9))
+	})
+
 	It("takes an answer that is cut short for none", func() {
 		serve(http.StatusOK, `{"value":`)
 		Expect(s.newCaller("a", 0).number("n").Status).To(BeZero())
