--- a/cmd/dykering-lab/systemdemo.go
+++ b/cmd/dykering-lab/systemdemo.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dykering/internal/commandline"
-	"dykering/internal/lab/localsystem"
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/systemdemo"
 	"dykering/internal/roles"
 )
@@ -32,7 +32,7 @@
 		return err
 	}
 	demo := systemdemo.Demo{
-		Program: localsystem.Program{Command: []string{self, "role"}}, Directory: directory, Out: c.Root().Writer,
+		Program: localprocess.Program{Command: []string{self, "role"}}, Directory: directory, Out: c.Root().Writer,
 	}
 	if _, err := demo.Run(ctx); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("%w (logs: %s)", err, directory)
--- a/cmd/dykering-lab/upgrade.go
+++ b/cmd/dykering-lab/upgrade.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dykering/internal/commandline"
-	"dykering/internal/lab/localsystem"
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/upgrade"
 )
 
@@ -22,7 +22,7 @@
 				return commandline.Failure(err)
 			}
 			scenario := upgrade.Scenario{
-				From: localsystem.Program{Command: []string{from}}, To: localsystem.Program{Command: []string{to}},
+				From: localprocess.Program{Command: []string{from}}, To: localprocess.Program{Command: []string{to}},
 				Directory: directory, Progress: c.Root().Writer,
 			}
 			report, err := scenario.Run(ctx)
--- a/cmd/dykering/upgrade_test.go
+++ b/cmd/dykering/upgrade_test.go
@@ -4,7 +4,7 @@
 	"os"
 	"testing"
 
-	"dykering/internal/lab/localsystem"
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/upgrade"
 )
 
@@ -12,7 +12,7 @@
 // drains. What an earlier build has stored and sent is read by tests of the packages, from fixtures; `dykering-lab upgrade` plays
 // two builds.
 func TestRollingUpgradeInShort(t *testing.T) {
-	program := localsystem.Program{Command: []string{os.Args[0]}, Env: []string{"BE_DYKERING=1"}}
+	program := localprocess.Program{Command: []string{os.Args[0]}, Env: []string{"BE_DYKERING=1"}}
 	scenario := upgrade.Scenario{From: program, To: program, Short: true, Directory: t.TempDir(), Progress: t.Output()}
 	report, err := scenario.Run(t.Context())
 	if err != nil {
--- a/internal/lab/localsystem/process.go
+++ b/internal/lab/localprocess/process.go
@@ -1,4 +1,4 @@
-package localsystem
+package localprocess
 
 import (
 	"bytes"
@@ -22,12 +22,46 @@
 }
 
 const (
-	gracePeriod   = 4 * time.Second
-	hostCount     = 5 // three control processes, two proxies
-	controlCount  = 3
 	firstHostByte = 160
+	zoneCount     = 3
+	seedCount     = 3 // as the platform gives to each process
 )
 
+// Roles of processes, as the program's subcommands name them.
+const (
+	Control = "control"
+	Proxy   = "proxy"
+)
+
+// Bounds are the settings that bound how fast the system reacts, in short form for scenarios of seconds.
+type Bounds struct {
+	ContactMs, AcknowledgeMs, DrainTimeoutMs, GracePeriodS, LeaseDurationMs, CatchUpS, HistoryS int
+}
+
+// ShortBounds are bounds for a scenario of a minute.
+func ShortBounds() Bounds {
+	return Bounds{
+		ContactMs: 1500, AcknowledgeMs: 3000, DrainTimeoutMs: 1500, GracePeriodS: 4, LeaseDurationMs: 1500, CatchUpS: 4, HistoryS: 20,
+	}
+}
+
+// SiteBounds are the bounds of the sites with a coordination service.
+func SiteBounds() Bounds {
+	return Bounds{
+		ContactMs: 4000, AcknowledgeMs: 5000, DrainTimeoutMs: 2500, GracePeriodS: 8, LeaseDurationMs: 3000, CatchUpS: 6, HistoryS: 20,
+	}
+}
+
+// Layout says which processes there are.
+type Layout struct {
+	// Directory has settings, data and logs of the processes.
+	Directory         string
+	Controls, Proxies int
+	// MachineFailures is how many control processes may be lost at once.
+	MachineFailures int
+	Bounds          Bounds
+}
+
 // settingsText is the settings file of a process.
 var settingsText = template.Must(template.New("settings").Parse(`node_name = "{{.Name}}"
 ip_address = "{{.IP}}"
@@ -35,7 +69,8 @@
 internal_port_range = [{{.InternalPort}}, {{.InternalPort}}]
 seed_nodes = [{{range .Seeds}}"{{.}}",{{end}}]
 initial_start = {{.InitialStart}}
-{{if .Directory}}data_directory = "{{.Directory}}"{{end}}
+{{if .Directory}}data_directory = "{{.Directory}}"
+counts_for_quorum = true{{end}}
 heartbeat_interval_ms = 600
 [listen_addresses]
 {{if .Directory}}control_plane = "{{.Public}}"
@@ -47,23 +82,32 @@
 memory_mb = 256
 file_descriptors = 1000
 disk_mb = 16
+[fault_tolerance]
+machine_failures = {{.MachineFailures}}
 [bounds]
-contact_ms = 1500
-acknowledge_ms = 3000
-drain_timeout_ms = 1500
-grace_period_s = 4
-lease_duration_ms = 1500
+contact_ms = {{.Bounds.ContactMs}}
+acknowledge_ms = {{.Bounds.AcknowledgeMs}}
+drain_timeout_ms = {{.Bounds.DrainTimeoutMs}}
+grace_period_s = {{.Bounds.GracePeriodS}}
+lease_duration_ms = {{.Bounds.LeaseDurationMs}}
+catch_up_s = {{.Bounds.CatchUpS}}
+history_s = {{.Bounds.HistoryS}}
 `))
 
-// Process is one process of the system, which may be started again with another program.
+// Process is one process of the system, which may be started again with another program. Its methods are called by one
+// goroutine at a time.
 type Process struct {
 	Name, IP, Public, Readiness string
-	Directory                   string // of a control process
-	Zone, InternalPort          int
-	Seeds                       []string
-	InitialStart                bool
+	// Directory has the data of a control process.
+	Directory       string
+	Zone            int
+	InternalPort    int
+	Seeds           []string
+	InitialStart    bool
+	MachineFailures int
+	Bounds          Bounds
+	Role            string
 
-	role    string // the subcommand
 	file    string // the settings file
 	logFile string
 	command *exec.Cmd
@@ -75,28 +119,29 @@
 	return fmt.Sprintf("127.%d.%d.%d", firstHostByte+index, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 }
 
-// newProcesses makes the control processes and the proxies, which are not started yet.
-func newProcesses(ctx context.Context, directory string) ([]*Process, error) {
+// New makes the processes of a layout, first the control processes, which are not started yet.
+func New(ctx context.Context, layout Layout) ([]*Process, error) {
 	port, err := freePort(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var processes []*Process
 	var seeds []string
-	for i := range hostCount {
+	for i := range layout.Controls + layout.Proxies {
 		p := &Process{
-			Name: fmt.Sprintf("proxy-%d", i), IP: host(i), Zone: i % controlCount, InternalPort: port, InitialStart: true, role: "proxy",
+			Name: fmt.Sprintf("proxy-%d", i), IP: host(i), Zone: i % zoneCount, InternalPort: port, InitialStart: true, Role: Proxy,
 			Public: fmt.Sprintf("%s:%d", host(i), port+1), Readiness: fmt.Sprintf("%s:%d", host(i), port+2),
+			MachineFailures: layout.MachineFailures, Bounds: layout.Bounds,
 		}
-		if i < controlCount {
-			p.Name, p.role, p.Directory = fmt.Sprintf("control-%d", i), "control", filepath.Join(directory, fmt.Sprint("data-", i))
+		if i < layout.Controls {
+			p.Name, p.Role, p.Directory = fmt.Sprintf("control-%d", i), Control, filepath.Join(layout.Directory, fmt.Sprint("data-", i))
 			seeds = append(seeds, p.Public)
 		}
-		p.file, p.logFile = filepath.Join(directory, p.Name+".toml"), filepath.Join(directory, p.Name+".log")
+		p.file, p.logFile = filepath.Join(layout.Directory, p.Name+".toml"), filepath.Join(layout.Directory, p.Name+".log")
 		processes = append(processes, p)
 	}
 	for _, p := range processes {
-		p.Seeds = seeds
+		p.Seeds = seeds[:min(len(seeds), seedCount)]
 	}
 	return processes, nil
 }
@@ -131,7 +176,7 @@
 		return err
 	}
 	defer log.Close()
-	p.command = exec.Command(program.Command[0], append(program.Command[1:len(program.Command):len(program.Command)], p.role)...)
+	p.command = exec.Command(program.Command[0], append(program.Command[1:len(program.Command):len(program.Command)], p.Role)...)
 	p.command.Env = append(append(os.Environ(), program.Env...), "DYKERING_NODE_FILE="+p.file)
 	p.command.Stdout, p.command.Stderr = log, log
 	// The child ends with this process, whatever ends that.
@@ -154,7 +199,7 @@
 	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended
 	select {
 	case <-p.ended:
-	case <-time.After(gracePeriod):
+	case <-time.After(time.Duration(p.Bounds.GracePeriodS) * time.Second):
 		p.Kill()
 	}
 }
@@ -168,8 +213,26 @@
 	<-p.ended
 }
 
-// internalAddress is where other processes of the system reach this one.
-func (p *Process) internalAddress() string { return fmt.Sprintf("%s:%d", p.IP, p.InternalPort) }
+// InternalAddress is where other processes of the system reach this one.
+func (p *Process) InternalAddress() string { return fmt.Sprintf("%s:%d", p.IP, p.InternalPort) }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) {
+	_ = p.command.Process.Signal(signal) // it may have ended
+}
+
+// LoseData removes the data of a control process that has ended.
+func (p *Process) LoseData() error { return os.RemoveAll(p.Directory) }
+
+// HasEnded reports whether the process has ended since it was last started.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
 
 // PID returns the id of the process that was started last.
 func (p *Process) PID() int { return p.command.Process.Pid }
--- a/internal/lab/localsystem/system.go
+++ b/internal/lab/localsystem/system.go
@@ -11,19 +11,25 @@
 
 	"dykering/internal/chain"
 	"dykering/internal/controlplane"
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/protocol"
 )
 
 // stepTimeout is within what time the system must be whole again after a step.
 const stepTimeout = 20 * time.Second
 
+const (
+	controlCount = 3
+	proxyCount   = 2
+)
+
 // initialEndpoints is the number of endpoints that serve from the start. They have the first model loaded.
 const initialEndpoints = 2
 
 // System is a system on loopback. Its methods are called by one goroutine.
 type System struct {
-	Control   []*Process
-	Proxies   []*Process
+	Control   []*localprocess.Process
+	Proxies   []*localprocess.Process
 	Operator  *Operator
 	Clients   *Clients
 	Endpoints []*Endpoint
@@ -36,7 +42,9 @@
 // New makes a system that is not started yet, with settings, data and logs in a directory. It serves until the context ends.
 func New(ctx context.Context, directory string) (*System, error) {
 	protocol.Register()
-	processes, err := newProcesses(ctx, directory)
+	processes, err := localprocess.New(ctx, localprocess.Layout{
+		Directory: directory, Controls: controlCount, Proxies: proxyCount, MachineFailures: 1, Bounds: localprocess.ShortBounds(),
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +56,7 @@
 	return s, nil
 }
 
-func publicAddresses(processes []*Process) (addresses []string) {
+func publicAddresses(processes []*localprocess.Process) (addresses []string) {
 	for _, p := range processes {
 		addresses = append(addresses, p.Public)
 	}
@@ -56,8 +64,8 @@
 }
 
 // Start starts the processes with a program and two endpoints, and sends the first configuration. The load begins with StartLoad.
-func (s *System) Start(program Program) error {
-	for _, p := range append(append([]*Process{}, s.Control...), s.Proxies...) {
+func (s *System) Start(program localprocess.Program) error {
+	for _, p := range append(append([]*localprocess.Process{}, s.Control...), s.Proxies...) {
 		if err := p.Start(program); err != nil {
 			return err
 		}
@@ -110,7 +118,7 @@
 // missing says what the system lacks to be whole; empty if it is.
 func (s *System) missing() string {
 	for _, p := range s.Control {
-		status, err := controlplane.AskStatus(p.internalAddress())
+		status, err := controlplane.AskStatus(p.InternalAddress())
 		switch {
 		case err != nil:
 			return p.Name + ": " + err.Error()
@@ -125,10 +133,10 @@
 }
 
 // View returns the view of the first control process that answers, and the processes of its chain in their order.
-func (s *System) View() (chain.View, []*Process, error) {
+func (s *System) View() (chain.View, []*localprocess.Process, error) {
 	var failure error
 	for _, asked := range s.Control {
-		status, err := controlplane.AskStatus(asked.internalAddress())
+		status, err := controlplane.AskStatus(asked.InternalAddress())
 		if err != nil {
 			failure = err
 			continue
@@ -138,14 +146,14 @@
 	return chain.View{}, nil, failure
 }
 
-func (s *System) processesOf(view chain.View) (replicas []*Process) {
+func (s *System) processesOf(view chain.View) (replicas []*localprocess.Process) {
 	for _, id := range view.Chain {
 		for _, voter := range view.Voters {
 			if voter.ID != id {
 				continue
 			}
 			for _, p := range s.Control {
-				if p.internalAddress() == voter.Address {
+				if p.InternalAddress() == voter.Address {
 					replicas = append(replicas, p)
 				}
 			}
--- a/internal/lab/systemdemo/demo.go
+++ b/internal/lab/systemdemo/demo.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/localsystem"
 )
 
@@ -28,7 +29,7 @@
 // Demo shows a system.
 type Demo struct {
 	// Program is started as each process of the system.
-	Program localsystem.Program
+	Program localprocess.Program
 	// Directory has settings, data and logs of the processes.
 	Directory string
 	// Out is where the steps are told.
@@ -47,7 +48,7 @@
 	*localsystem.System
 	Demo
 	report     Report
-	killed     *localsystem.Process
+	killed     *localprocess.Process
 	beforeLoss map[int]int // answers to requests before it was killed
 
 	mu    sync.Mutex // guards Out
@@ -104,7 +105,7 @@
 	return nil
 }
 
-func names(processes []*localsystem.Process) string {
+func names(processes []*localprocess.Process) string {
 	var list []string
 	for _, p := range processes {
 		list = append(list, p.Name)
@@ -200,7 +201,7 @@
 }
 
 // awaitViewWithout waits for a view whose chain has not the process that was killed.
-func (s *show) awaitViewWithout(killed *localsystem.Process) error {
+func (s *show) awaitViewWithout(killed *localprocess.Process) error {
 	for began := time.Now(); time.Since(began) < viewTimeout; {
 		view, replicas, err := s.View()
 		if err == nil && len(replicas) > 0 && !slices.Contains(replicas, killed) {
--- a/internal/lab/upgrade/scenario.go
+++ b/internal/lab/upgrade/scenario.go
@@ -10,12 +10,13 @@
 
 	"github.com/pkg/errors"
 
+	"dykering/internal/lab/localprocess"
 	"dykering/internal/lab/localsystem"
 )
 
 // Scenario is a rolling upgrade from one program to another and back.
 type Scenario struct {
-	From, To localsystem.Program
+	From, To localprocess.Program
 	// Short replaces one control process, and it alone comes back.
 	Short bool
 	// Directory has settings, data and logs of the processes.
@@ -66,7 +67,7 @@
 		return r.replace(r.Control[0], r.From)
 	}
 	processes := slices.Concat(r.Control, r.Proxies)
-	for _, program := range []localsystem.Program{r.To, r.From} {
+	for _, program := range []localprocess.Program{r.To, r.From} {
 		for i, p := range processes {
 			if err := r.replace(p, program); err != nil {
 				return err
@@ -95,7 +96,7 @@
 
 // replace stops a process and starts it with a program. Meanwhile another endpoint comes, drains and is not to be called any
 // more, and a model is asked for that is not loaded.
-func (r *run) replace(p *localsystem.Process, program localsystem.Program) error {
+func (r *run) replace(p *localprocess.Process, program localprocess.Program) error {
 	id := fmt.Sprintf("d-%d", len(r.Endpoints))
 	draining, err := r.AddEndpoint(id, localsystem.ModelName(0))
 	if err != nil {
@@ -115,7 +116,7 @@
 }
 
 // lose kills a process and starts it again with the same program.
-func (r *run) lose(p *localsystem.Process, program localsystem.Program) error {
+func (r *run) lose(p *localprocess.Process, program localprocess.Program) error {
 	p.Kill()
 	if err := p.Start(program); err != nil {
 		return err
