Coordination: metrics, a line of the status, takeovers in the log and 'explain lock'

Need: an operator could not see how much the service holds, how its calls end, or who has a lock and why others do not get it.

Fixtures of the new messages and of Status with its part stand in files of their own.

--- a/cmd/dykering/explain_command.go
+++ b/cmd/dykering/explain_command.go
@@ -22,8 +22,8 @@
 
 func newExplain() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "Why a model stands where it does, or why requests were late, refused or failed",
-		Commands: []*cli.Command{newExplainModel(), newExplainRequests()},
+		Name: "explain", Usage: "Why a model stands where it does, who has a lock, or why requests were late, refused or failed",
+		Commands: []*cli.Command{newExplainModel(), newExplainLock(), newExplainRequests()},
 	}
 }
 
--- a/cmd/dykering/explain_command_test.go
+++ b/cmd/dykering/explain_command_test.go
@@ -66,3 +66,29 @@
 		t.Error("nobody answers, and no error is told")
 	}
 }
+
+func TestExplainLockShowsTheHoldAndWhatOthersMet(t *testing.T) {
+	held := protocol.LockExplanation{
+		Lock: "l", Now: 10 * time.Second, Head: "core-0/1", IsHead: true, Held: true, Holder: "a3.7", FirstToken: 40, Token: 41,
+		HoldMs: 3000, EndsAt: 12 * time.Second,
+		Events: []protocol.LockEvent{
+			{At: 8 * time.Second, Count: 7, Lock: "l", Kind: protocol.LockRefused, Caller: "a4.1", Holder: "a3.7", HolderToken: 41},
+		},
+	}
+	over, free, elsewhere := held, held, held
+	over.EndsAt = 9 * time.Second
+	free.Held = false
+	elsewhere.IsHead = false
+	for expected, explanation := range map[string]protocol.LockExplanation{
+		"l is held by a3.7 with token 41, taken with token 40, for at most 3s without a renewal; free in 2s unless it is renewed\n": held,
+		"2s   refused  7      a4.1    0      a3.7     41":            held,
+		"; its time has been over for 1s, the next caller gets it\n": over,
+		"l is free\n": free,
+		"is not the head: ask core-0/1 for the end of the hold, refusals and takeovers\n": elsewhere,
+	} {
+		var out strings.Builder
+		if err := showLockExplanation(&out, explanation); err != nil || !strings.Contains(out.String(), expected) {
+			t.Errorf("%v: %q is not in\n%s", err, expected, out.String())
+		}
+	}
+}
--- a/cmd/dykering/output_test.go
+++ b/cmd/dykering/output_test.go
@@ -56,6 +56,18 @@
 	}
 }
 
+func TestStatusHasALineOfTheCoordinationService(t *testing.T) {
+	var out strings.Builder
+	tables := &protocol.CoordinationStatus{Locks: 1, Numbers: 2, Cells: 3, Groups: 4, Events: 5, Bytes: 6, Watches: 7}
+	if err := showStatus(&out, protocol.Status{Coordination: tables}); err != nil {
+		t.Fatal(err)
+	}
+	const want = "\ncoordination: 1 locks held, 2 numbers, 3 cells in 4 groups, 5 puts kept, 6 bytes, 7 watches wait\n"
+	if !strings.Contains(out.String(), want) {
+		t.Errorf("%q is not in\n%s", want, out.String())
+	}
+}
+
 func TestModelExplanationIsPrintedAsByReleasedBuilds(t *testing.T) {
 	var model protocol.Explanation
 	fixture.JSON(t, "testdata/compatibility/explain-model.json", &model)
--- a/cmd/dykering/status_command.go
+++ b/cmd/dykering/status_command.go
@@ -37,6 +37,9 @@
 	if s.Tolerance != nil {
 		fmt.Fprintln(out, describeTolerance(s.Tolerance))
 	}
+	if s.Coordination != nil {
+		fmt.Fprintln(out, describeCoordination(s.Coordination))
+	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "member\treachable\tin the chain")
 	for _, m := range s.Members {
@@ -97,3 +100,8 @@
 	}
 	return text + ": " + strings.Join(causes, ", ")
 }
+
+func describeCoordination(c *protocol.CoordinationStatus) string {
+	return fmt.Sprintf("coordination: %d locks held, %d numbers, %d cells in %d groups, %d puts kept, %d bytes, %d watches wait",
+		c.Locks, c.Numbers, c.Cells, c.Groups, c.Events, c.Bytes, c.Watches)
+}
--- a/internal/controlplane/coordination_endpoint.go
+++ b/internal/controlplane/coordination_endpoint.go
@@ -62,13 +62,16 @@
 
 // addRoutes adds the calls of the coordination service to the HTTP API.
 func (c *coordinationService) addRoutes(mux *http.ServeMux) {
-	mux.HandleFunc("POST /locks/{id}/begin", c.handleLock(coordination.BeginLock))
-	mux.HandleFunc("POST /locks/{id}/heartbeat", c.handleLock(coordination.RenewLock))
-	mux.HandleFunc("POST /locks/{id}/finish", c.handleLock(coordination.FinishLock))
-	mux.HandleFunc("POST /numbers/{id}", c.handleNumber)
-	mux.HandleFunc("POST /cells/{id}/replace", c.handlePut)
-	mux.HandleFunc("GET /cells/{id}/read", c.handleRead)
-	mux.HandleFunc("GET /watch/{id}", c.handleWatch)
+	handle := func(pattern, operation string, handler http.HandlerFunc) {
+		mux.HandleFunc(pattern, c.metrics.measure(operation, handler))
+	}
+	handle("POST /locks/{id}/begin", "begin", c.handleLock(coordination.BeginLock))
+	handle("POST /locks/{id}/heartbeat", "renew", c.handleLock(coordination.RenewLock))
+	handle("POST /locks/{id}/finish", "finish", c.handleLock(coordination.FinishLock))
+	handle("POST /numbers/{id}", "number", c.handleNumber)
+	handle("POST /cells/{id}/replace", "put", c.handlePut)
+	handle("GET /cells/{id}/read", "read", c.handleRead)
+	handle("GET /watch/{id}", "watch", c.handleWatch)
 }
 
 // handleLock serves the three calls on a lock.
@@ -126,6 +129,7 @@
 	result, err := c.awaitWrite(r, command)
 	switch {
 	case err != nil && errkind.KindOf(err) == errkind.RevisionConflict:
+		noteOutcome(w, err)
 		writeJSON(w, http.StatusPreconditionFailed, revisionAnswer{Revision: result.Revision})
 	case err != nil:
 		writeCoordinationError(w, err)
@@ -289,6 +293,7 @@
 // writeCoordinationError responds with the status that belongs to the kind of an error, and says when to come again where the
 // call was not executed.
 func writeCoordinationError(w http.ResponseWriter, err error) {
+	noteOutcome(w, err)
 	if errkind.AnswerOf(errkind.KindOf(err)).NotExecuted {
 		w.Header().Set("Retry-After", coordinationRetryAfter)
 	}
--- /dev/null
+++ b/internal/controlplane/coordination_explain.go
@@ -0,0 +1,159 @@
+package controlplane
+
+import (
+	"log/slog"
+	"time"
+
+	"dykering/internal/coordination"
+	"dykering/internal/corestate"
+	"dykering/internal/errkind"
+	"dykering/internal/peerlink"
+	"dykering/internal/protocol"
+)
+
+const (
+	// maxLockEvents bounds the refusals and takeovers that a head keeps, of all locks together.
+	maxLockEvents = 512
+	// takeoverLogInterval is the time for which maxLoggedTakeovers are logged at most.
+	takeoverLogInterval = time.Second
+	maxLoggedTakeovers  = 20
+)
+
+// lockLog holds the last refusals and takeovers of locks that this member has decided on as the head, the oldest first. It
+// belongs to the event loop.
+type lockLog struct {
+	log    *slog.Logger
+	events []protocol.LockEvent
+	// Takeovers that were logged, or not for their number, in the interval that began at intervalStart.
+	intervalStart      time.Duration
+	logged, suppressed int
+}
+
+func newLockLog(log *slog.Logger) *lockLog { return &lockLog{log: log} }
+
+// observeLock returns a function that records how a command ends, with the hold that it meets. It is called before the head
+// decides on the command.
+func (c *coordinationService) observeLock(command coordination.Command) func(coordination.Result, error) {
+	before, _ := corestate.Coordination(c.server.chain.LatestState().Value).Lock(command.Name)
+	return func(result coordination.Result, err error) {
+		c.lockLog.record(c.server.now(), command, before, result, err)
+	}
+}
+
+// record adds the event that a command was for the callers of its lock, if it was one. The hold before the command is zero
+// for a lock that nobody held.
+func (l *lockLog) record(now time.Duration, command coordination.Command, before coordination.Lock, result coordination.Result, err error) {
+	event := protocol.LockEvent{
+		At:          now,
+		Count:       1,
+		Lock:        command.Name,
+		Caller:      command.Holder,
+		Token:       command.Token,
+		Holder:      before.Holder,
+		HolderToken: before.Token,
+	}
+	isTaken := err == nil && command.Operation == coordination.BeginLock
+	switch {
+	case isTaken && before.Holder != "" && before.Holder != command.Holder:
+		event.Kind = protocol.LockTakenOver
+		event.Token = result.Token
+		l.logTakeover(event)
+	case err != nil && errkind.KindOf(err) == errkind.LockHeld:
+		event.Kind = protocol.LockRefused
+	case err != nil && errkind.KindOf(err) == errkind.LockLost:
+		event.Kind = protocol.LockRenewalRefused
+	default:
+		return
+	}
+	l.add(event)
+}
+
+// add appends an event. One that repeats an earlier one is counted with it, as callers ask again and again for a lock.
+func (l *lockLog) add(event protocol.LockEvent) {
+	for i, earlier := range l.events {
+		if isRepeated(earlier, event) {
+			event.Count += earlier.Count
+			l.events = append(l.events[:i], l.events[i+1:]...)
+			break
+		}
+	}
+	l.events = append(l.events, event)
+	if excess := len(l.events) - maxLockEvents; excess > 0 {
+		l.events = append(l.events[:0], l.events[excess:]...)
+	}
+}
+
+func isRepeated(earlier, event protocol.LockEvent) bool {
+	earlier.At = event.At
+	earlier.Count = event.Count
+	return earlier == event
+}
+
+// about returns the events of a lock.
+func (l *lockLog) about(lock string) []protocol.LockEvent {
+	var found []protocol.LockEvent
+	for _, event := range l.events {
+		if event.Lock == lock {
+			found = append(found, event)
+		}
+	}
+	return found
+}
+
+// logTakeover logs that a hold that was over went to another caller. Beyond a number in an interval it counts them alone.
+func (l *lockLog) logTakeover(event protocol.LockEvent) {
+	if event.At-l.intervalStart >= takeoverLogInterval {
+		l.intervalStart = event.At
+		l.logged = 0
+	}
+	if l.logged >= maxLoggedTakeovers {
+		l.suppressed++
+		return
+	}
+	l.logged++
+	l.log.Info("lock.taken_over", "lock", event.Lock, "holder", event.Caller, "token", event.Token,
+		"former_holder", event.Holder, "former_token", event.HolderToken, "suppressed", l.suppressed)
+	l.suppressed = 0
+}
+
+// AskLockExplain asks the control process at an internal address who has a lock.
+func AskLockExplain(address, lock string) (protocol.LockExplanation, error) {
+	return ask[protocol.LockExplanation](address, protocol.LockExplainRequest{Lock: lock}, "explain")
+}
+
+// serveLockExplain replies to a protocol.LockExplainRequest.
+func (s *Server) serveLockExplain(conn *peerlink.Conn, ask protocol.LockExplainRequest) {
+	explanation, ok := query(s, func() protocol.LockExplanation { return s.coordination.explainLock(s.now(), ask.Lock) })
+	if !ok {
+		return
+	}
+	if err := conn.Send(explanation, statusTimeout); err != nil {
+		s.log.Debug("lock.explanation_not_sent", "error", err)
+	}
+}
+
+// explainLock returns who has a lock in the committed state and, at the head, until when and what other callers have met.
+func (c *coordinationService) explainLock(now time.Duration, name string) protocol.LockExplanation {
+	node := c.server.chain
+	view := node.View()
+	lock, held := corestate.Coordination(node.CommittedState().Value).Lock(name)
+	explanation := protocol.LockExplanation{
+		Lock:       name,
+		Now:        now,
+		Head:       view.Head(),
+		IsHead:     node.IsHead() && node.IsViewConfirmed(now),
+		Held:       held,
+		Holder:     lock.Holder,
+		FirstToken: lock.FirstToken,
+		Token:      lock.Token,
+		HoldMs:     lock.HoldMs,
+	}
+	if !explanation.IsHead {
+		return explanation
+	}
+	explanation.Events = c.lockLog.about(name)
+	if held {
+		explanation.EndsAt = c.head.HoldEndsAt(name, lock)
+	}
+	return explanation
+}
--- /dev/null
+++ b/internal/controlplane/coordination_metrics.go
@@ -0,0 +1,97 @@
+package controlplane
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"dykering/internal/corestate"
+	"dykering/internal/errkind"
+	"dykering/internal/protocol"
+)
+
+const (
+	// coordinationMetricPrefix begins the names of the service's metrics.
+	coordinationMetricPrefix = "dykering_control_coordination_"
+	// outcomeOK is the outcome of a call that did not fail. That of others is the name of the errkind.Kind.
+	outcomeOK = "ok"
+)
+
+// callSecondsBounds are the upper bounds of the histogram of calls. Watches wait for up to maxWatchWait.
+var callSecondsBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60}
+
+// coordinationMetrics counts the calls of the coordination service at this process, by operation and outcome. It belongs to
+// no goroutine.
+type coordinationMetrics struct{ set *metrics.Set }
+
+func newCoordinationMetrics() *coordinationMetrics {
+	return &coordinationMetrics{set: metrics.NewSet()}
+}
+
+// outcomeWriter is a ResponseWriter that knows how the call ended.
+type outcomeWriter struct {
+	http.ResponseWriter
+	outcome string
+}
+
+// noteOutcome notes why a call failed, for its metrics.
+func noteOutcome(w http.ResponseWriter, err error) {
+	if noting, ok := w.(*outcomeWriter); ok {
+		noting.outcome = errkind.KindOf(err).Name()
+	}
+}
+
+// measure returns a handler that counts and times the calls of an operation.
+func (m *coordinationMetrics) measure(operation string, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		begun := time.Now()
+		noting := &outcomeWriter{ResponseWriter: w, outcome: outcomeOK}
+		handler(noting, r)
+		m.record(operation, noting.outcome, time.Since(begun))
+	}
+}
+
+func (m *coordinationMetrics) record(operation, outcome string, took time.Duration) {
+	labels := fmt.Sprintf("{operation=%q,outcome=%q}", operation, outcome)
+	m.set.GetOrCreateCounter(coordinationMetricPrefix + "calls_total" + labels).Inc()
+	name := coordinationMetricPrefix + "call_seconds" + labels
+	m.set.GetOrCreatePrometheusHistogramExt(name, callSecondsBounds).Update(took.Seconds())
+}
+
+// write writes the counters and the histogram.
+func (m *coordinationMetrics) write(w io.Writer) { m.set.WritePrometheus(w) }
+
+// writeCoordinationGauges writes the sizes of the tables. Nothing is written for the status of an earlier version.
+func writeCoordinationGauges(w io.Writer, status *protocol.CoordinationStatus) {
+	if status == nil {
+		return
+	}
+	gauge := func(name string, value int) {
+		metrics.WriteGaugeUint64(w, coordinationMetricPrefix+name, uint64(max(value, 0)))
+	}
+	gauge("locks", status.Locks)
+	gauge("numbers", status.Numbers)
+	gauge("cells", status.Cells)
+	gauge("groups", status.Groups)
+	gauge("events", status.Events)
+	gauge("state_bytes", status.Bytes)
+	gauge("watches", status.Watches)
+}
+
+// status returns the sizes of the tables in the committed state, and of the watches that wait here.
+func (c *coordinationService) status() *protocol.CoordinationStatus {
+	table := corestate.Coordination(c.server.chain.CommittedState().Value)
+	counts := table.Counts()
+	return &protocol.CoordinationStatus{
+		Locks:   counts.Locks,
+		Numbers: counts.Numbers,
+		Cells:   counts.Cells,
+		Groups:  counts.Groups,
+		Events:  counts.Events,
+		Bytes:   table.Bytes(),
+		Watches: c.watches.Len(),
+	}
+}
--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -24,6 +24,8 @@
 	watches *coordination.WatchTable
 	// received are the calls of peers that this member has taken: a link may deliver one twice.
 	received *coordination.RecentCalls
+	lockLog  *lockLog
+	metrics  *coordinationMetrics
 }
 
 func newCoordinationService(s *Server) *coordinationService {
@@ -40,6 +42,8 @@
 		head:     head,
 		watches:  coordination.NewWatchTable(),
 		received: coordination.NewRecentCalls(),
+		lockLog:  newLockLog(s.log),
+		metrics:  newCoordinationMetrics(),
 	}
 }
 
@@ -85,7 +89,11 @@
 		answer(errorReply(errkind.New(errkind.NotReady, "a member of the chain is of an earlier version")))
 		return
 	}
-	respond := func(result coordination.Result, err error) { answer(coordinationReply(result, err)) }
+	observe := c.observeLock(command)
+	respond := func(result coordination.Result, err error) {
+		observe(result, err)
+		answer(coordinationReply(result, err))
+	}
 	c.server.applyOutput(c.server.pendingRequests.Write(now, c.head.Write(now, command, respond)))
 }
 
--- a/internal/controlplane/metrics_endpoint.go
+++ b/internal/controlplane/metrics_endpoint.go
@@ -21,6 +21,7 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	writeMetrics(w, &status)
+	s.coordination.metrics.write(w)
 }
 
 func writeMetrics(w io.Writer, status *protocol.Status) {
@@ -42,6 +43,7 @@
 	for _, state := range []sessions.State{sessions.Ready, sessions.Expired, sessions.Draining} {
 		gauge(fmt.Sprintf("endpoints{state=%q}", state), uint64(status.Endpoints[state]))
 	}
+	writeCoordinationGauges(w, status.Coordination)
 	for _, member := range status.Members {
 		gauge(fmt.Sprintf("member_reachable{member=%q}", member.ID), lo.Ternary[uint64](member.Reachable, 1, 0))
 	}
--- a/internal/controlplane/metrics_names_test.go
+++ b/internal/controlplane/metrics_names_test.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"dykering/internal/fixture"
 	"dykering/internal/protocol"
 )
 
 func TestMetricsAreThoseOfThePage(t *testing.T) {
-	status := protocol.Status{Members: []protocol.MemberStatus{{ID: "a/0"}}}
+	status := protocol.Status{Members: []protocol.MemberStatus{{ID: "a/0"}}, Coordination: &protocol.CoordinationStatus{}}
 	var text bytes.Buffer
 	writeMetrics(&text, &status)
+	calls := newCoordinationMetrics()
+	calls.record("begin", outcomeOK, time.Millisecond)
+	calls.write(&text)
 	page := fixture.Names(t, "../../docs/FIXED.md", "Metrics of the control process")
 	fixture.SameNames(t, "metrics", page, fixture.MetricNames(text.String()))
 }
--- a/internal/controlplane/rpc.go
+++ b/internal/controlplane/rpc.go
@@ -52,6 +52,8 @@
 		s.serveStatus(conn)
 	case protocol.ExplainRequest:
 		s.serveExplain(conn, m)
+	case protocol.LockExplainRequest:
+		s.serveLockExplain(conn, m)
 	default:
 		s.servePeerMessages(conn, message)
 	}
--- a/internal/controlplane/status_endpoint.go
+++ b/internal/controlplane/status_endpoint.go
@@ -61,7 +61,7 @@
 		Self: s.chain.Self(), View: s.chain.View(), InForce: s.chain.IsViewConfirmed(now), Sealed: s.chain.IsSealed(),
 		Seq: s.chain.LatestState().Seq, Committed: committed.Seq, Holds: holds,
 		Endpoints: map[sessions.State]int{}, DiskBehind: s.chainStore.writeDuration(),
-		Tolerance: s.toleranceAt(now),
+		Tolerance: s.toleranceAt(now), Coordination: s.coordination.status(),
 	}
 	status.Version = corestate.Configuration(committed.Value).Document.Version
 	configurationSeq := corestate.ConfigurationSeq(committed)
--- a/internal/coordination/head.go
+++ b/internal/coordination/head.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// HoldEndsAt returns when another holder can have a lock that is held in the head's latest state.
+func (h *Head) HoldEndsAt(name string, lock Lock) time.Duration { return h.holds.endsAt(name, lock) }
+
 // classify returns an error of the chain as the caller of a command sees it. The outcome of an accepted command without a clear
 // end is unknown, also where it changed nothing: it may repeat one that has been executed.
 func classify(err error, accepted bool) error {
--- a/internal/coordination/watch_table.go
+++ b/internal/coordination/watch_table.go
@@ -76,6 +76,9 @@
 // IsEmpty reports whether no watch waits.
 func (t *WatchTable) IsEmpty() bool { return len(t.waiting) == 0 }
 
+// Len returns how many watches wait.
+func (t *WatchTable) Len() int { return len(t.waiting) }
+
 // Stop ends all watches: their callers go on at another member.
 func (t *WatchTable) Stop() {
 	t.stopping = true
--- a/internal/protocol/coordination_compatibility_test.go
+++ b/internal/protocol/coordination_compatibility_test.go
@@ -16,22 +16,40 @@
 	"dykering/internal/peerlink"
 )
 
-// The fixtures of the types of the coordination service were written by the first build that has it.
+// The fixtures of the types of the coordination service were written by the first builds that have them.
 const (
-	coordinationStreamFile   = "testdata/coordination.peerlink"     // one message of each type, as a connection carries them
-	coordinationRenderedFile = "testdata/coordination.txt"          // what the messages hold
-	coordinationSchemasFile  = "testdata/coordination-schemas.json" // the structure of their types
-	coordinationStateFile    = "testdata/coordination-state.peerlink"
-	coordinationStateText    = "testdata/coordination-state.txt"
+	coordinationStateFile = "testdata/coordination-state.peerlink"
+	coordinationStateText = "testdata/coordination-state.txt"
 )
 
-// coordinationTypes are the registered types of the service, and the type that got a field for it. The replicated value has
-// tests of its own: its tables are encoded by a method.
-var coordinationTypes = []any{CoordinationWrite{}, CoordinationRead{}, coordination.Command{}, Reply{}}
+// messageFixture is one message of each of some types.
+type messageFixture struct {
+	types    []any
+	stream   string // the messages, as a connection carries them
+	rendered string // what they hold
+	schemas  string // the structure of their types
+}
+
+// coordinationFixtures have the registered types of the service, and the types that got a field for it. The replicated value
+// has tests of its own: its tables are encoded by a method.
+var coordinationFixtures = []messageFixture{
+	{
+		types:    []any{CoordinationWrite{}, CoordinationRead{}, coordination.Command{}, Reply{}},
+		stream:   "testdata/coordination.peerlink",
+		rendered: "testdata/coordination.txt",
+		schemas:  "testdata/coordination-schemas.json",
+	},
+	{
+		types:    []any{LockExplainRequest{}, LockExplanation{}, Status{}},
+		stream:   "testdata/coordination-operator.peerlink",
+		rendered: "testdata/coordination-operator.txt",
+		schemas:  "testdata/coordination-operator-schemas.json",
+	},
+}
 
-func filledCoordinationMessages() []any {
+func (f messageFixture) filled() []any {
 	var messages []any
-	for _, value := range coordinationTypes {
+	for _, value := range f.types {
 		message := reflect.New(reflect.TypeOf(value))
 		fixture.Fill(message.Interface())
 		messages = append(messages, message.Elem().Interface())
@@ -39,6 +57,33 @@
 	return messages
 }
 
+func (f messageFixture) messages(t *testing.T) []any {
+	t.Helper()
+	Register()
+	stream := fixture.Bytes(t, f.stream, func() []byte { return sendAll(t, f.filled()) })
+	return receiveCount(t, stream, len(f.types))
+}
+
+// earlierSchemas reads the structures of the types.
+func (f messageFixture) earlierSchemas(t *testing.T) (earlier []schema) {
+	t.Helper()
+	text := fixture.Bytes(t, f.schemas, func() []byte {
+		var lines []string
+		for _, value := range f.types {
+			line, err := json.Marshal(schema{Name: typeName(value), Schema: fixture.SchemaOf(reflect.TypeOf(value))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines = append(lines, string(line))
+		}
+		return []byte("[\n" + strings.Join(lines, ",\n") + "\n]\n")
+	})
+	if err := json.Unmarshal(text, &earlier); err != nil {
+		t.Fatal(err)
+	}
+	return earlier
+}
+
 // receiveCount reads a number of messages of a recorded stream with the present code.
 func receiveCount(t *testing.T, stream []byte, count int) []any {
 	t.Helper()
@@ -59,45 +104,27 @@
 	return messages
 }
 
-func coordinationFixture(t *testing.T) []any {
-	t.Helper()
-	Register()
-	stream := fixture.Bytes(t, coordinationStreamFile, func() []byte { return sendAll(t, filledCoordinationMessages()) })
-	return receiveCount(t, stream, len(coordinationTypes))
-}
-
 // Messages of the service of an earlier build are read in full.
 func TestCoordinationMessagesOfEarlierBuildAreRead(t *testing.T) {
-	fixture.Text(t, coordinationRenderedFile, renderAll(coordinationFixture(t)))
+	for _, f := range coordinationFixtures {
+		fixture.Text(t, f.rendered, renderAll(f.messages(t)))
+	}
 }
 
 // The types of an earlier build read in full what the present types of the service encode.
 func TestEarlierTypesReadPresentCoordinationMessages(t *testing.T) {
-	messages := coordinationFixture(t)
-	text := fixture.Bytes(t, coordinationSchemasFile, func() []byte {
-		var lines []string
-		for _, value := range coordinationTypes {
-			line, err := json.Marshal(schema{Name: typeName(value), Schema: fixture.SchemaOf(reflect.TypeOf(value))})
+	for _, f := range coordinationFixtures {
+		messages := f.messages(t)
+		var rendered strings.Builder
+		for i, earlier := range f.earlierSchemas(t) {
+			decoded, err := fixture.RecodeGob(messages[i], &earlier.Schema)
 			if err != nil {
-				t.Fatal(err)
+				t.Fatalf("%s: %v", earlier.Name, err)
 			}
-			lines = append(lines, string(line))
-		}
-		return []byte("[\n" + strings.Join(lines, ",\n") + "\n]\n")
-	})
-	var earlierTypes []schema
-	if err := json.Unmarshal(text, &earlierTypes); err != nil {
-		t.Fatal(err)
-	}
-	var rendered strings.Builder
-	for i, earlier := range earlierTypes {
-		decoded, err := fixture.RecodeGob(messages[i], &earlier.Schema)
-		if err != nil {
-			t.Fatalf("%s: %v", earlier.Name, err)
+			rendered.WriteString(earlier.Name + "\n" + fixture.Render("\t", decoded))
 		}
-		rendered.WriteString(earlier.Name + "\n" + fixture.Render("\t", decoded))
+		fixture.Text(t, f.rendered, rendered.String())
 	}
-	fixture.Text(t, coordinationRenderedFile, rendered.String())
 }
 
 // replicatedValue is a value of the chain once the service is in use.
--- a/internal/protocol/doc.go
+++ b/internal/protocol/doc.go
@@ -6,7 +6,8 @@
 // in frames over TCP. A connection serves one purpose, which its first message determines:
 //
 //   - Subscribe: a proxy follows the stream of updates of a control process (stream.go, demand.go).
-//   - StatusRequest, ExplainRequest: an operator's command makes one call (status.go, explain.go).
+//   - StatusRequest, ExplainRequest, LockExplainRequest: an operator's command makes one call (status.go, explain.go,
+//     coordination.go).
 //   - any other: a control process sends its messages to a peer; the answers come on the peer's own connection.
 //
 // The package owns the form of the messages and the names under which gob knows their types (registry.go). It has no
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -60,6 +60,8 @@
 	// Messages of the coordination service between members of the core.
 	{"dykering/internal/protocol.CoordinationWrite", CoordinationWrite{}},
 	{"dykering/internal/protocol.CoordinationRead", CoordinationRead{}},
+	{"dykering/internal/protocol.LockExplainRequest", LockExplainRequest{}},
+	{"dykering/internal/protocol.LockExplanation", LockExplanation{}},
 
 	// The replicated value, and the changes to it. While nothing was written to the coordination service, the value is the
 	// configuration alone, as in builds without that service.
--- a/internal/protocol/status.go
+++ b/internal/protocol/status.go
@@ -31,6 +31,8 @@
 	DiskBehind time.Duration
 	// Tolerance is nil in the answer of an earlier version.
 	Tolerance *Tolerance `json:",omitempty"`
+	// Coordination is nil in the answer of an earlier version.
+	Coordination *CoordinationStatus `json:",omitempty"`
 }
 
 // Tolerance is which further losses the core can bear.
