A replaced head does not take a later state of the next view for its own entries

Cause: Node.hasCommitted took the first state of the next view as proof that an entry of the replaced head is committed. A member that missed the Install is sent the view by sendViewIfOutdated with a later, compacted state, whose sequence number may be that of another head's entry.

Change: Install.BaseIsLater says that the state may be later than the one that the view began from. viewBaseSeq is then not known, and the write is answered that its outcome is not known. A replayed InstallRecord does not set it either, as the record may have such a state.

--- /dev/null
+++ b/internal/chain/late_messages_test.go
@@ -0,0 +1,40 @@
+package chain
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2/dsl/core"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a late message", func() {
+	It("that brings a later state of the next view does not pass off its entry for one of the replaced head", func() {
+		nodes := chainOf("a", "b", "c")
+		replaced, head := nodes[0], nodes[1]
+		confirm(replaced, 0)
+		answers := make(chan error, 1)
+		requests := NewPendingRequests(replaced, time.Minute)
+		requests.Write(0, Write{
+			Decide:  func(any) Decision { return Decision{Operation: []byte("lost")} },
+			Respond: func(err error) { answers <- err },
+		})
+
+		// The next view begins without the entry, and the new head commits another one under its sequence number.
+		next := head.View()
+		next.Number, next.Chain = 2, []MemberID{"b", "c"}
+		head.Receive(0, Install{Proposal: Proposal{View: next, Base: State{Value: 0}}})
+		_, _, proposed := head.Propose([]byte("other"))
+		Expect(proposed).To(BeTrue())
+		head.Receive(0, Committed{From: "c", View: 2, Seq: 1})
+		head.Snapshot()
+
+		out := head.Receive(time.Second, Ping{From: replaced.Self(), Nonce: 1, Status: Status{View: 1}})
+		Expect(out.Messages).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(Install{}))))
+		for _, envelope := range out.Messages {
+			replaced.Receive(time.Second, envelope.Message)
+		}
+		Expect(replaced.View().Number).To(Equal(uint64(2)))
+		requests.AnswerReady(time.Second)
+		Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
+	})
+})
--- a/internal/chain/log.go
+++ b/internal/chain/log.go
@@ -74,7 +74,8 @@
 
 // hasCommitted reports whether the entry that this member appended as the head of a view, with a sequence number, is known to
 // be committed. Every log of that view is a prefix of the head's, so that the next view has the entry if its first state is
-// late enough. Of later views that is not known, as this member may have missed one.
+// late enough. A later state of the next view says nothing, as it may have another entry under that number. Of later views it
+// is not known, as this member may have missed one.
 func (n *Node) hasCommitted(view, seq uint64) bool {
 	switch n.view.Number {
 	case view:
--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -61,6 +61,9 @@
 	Install struct {
 		From     MemberID
 		Proposal Proposal
+		// BaseIsLater reports whether Base may be later than the state that the view began from. Earlier versions do not
+		// send it.
+		BaseIsLater bool
 	}
 	// Append carries log entries from a member of the chain to its successor.
 	Append struct {
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -24,7 +24,8 @@
 	// Replication.
 
 	view View
-	// viewBaseSeq is the sequence number of the state that the view started from; 0 if this incarnation did not install it.
+	// viewBaseSeq is the sequence number of the state that the view started from; 0 if this incarnation does not know it, as
+	// it has not installed the view or was sent it with a later state.
 	viewBaseSeq uint64
 	// base is the state before log: the one that the view started from, or a later committed one.
 	base State
--- a/internal/chain/reconfiguration.go
+++ b/internal/chain/reconfiguration.go
@@ -63,13 +63,18 @@
 	if m.Proposal.View.Number <= n.view.Number {
 		return Output{}
 	}
-	return n.install(now, m.Proposal)
+	out := n.install(now, m.Proposal)
+	if m.BaseIsLater {
+		n.viewBaseSeq = 0
+	}
+	return out
 }
 
 // install puts a decided view into force at this member.
 func (n *Node) install(now time.Duration, decided Proposal) Output {
 	remainsHolder := n.view.Holder == n.self.ID && n.view.Token == decided.View.Token
 	n.adopt(decided)
+	n.viewBaseSeq = decided.Base.Seq
 	n.proposer = nil
 	n.commitKnown = true
 	n.reconfigureSince = 0
@@ -87,7 +92,7 @@
 // majority has accepted and so persisted it.
 func (n *Node) adopt(decided Proposal) {
 	n.view = decided.View
-	n.viewBaseSeq = decided.Base.Seq
+	n.viewBaseSeq = 0
 	n.base = decided.Base
 	n.state = decided.Base
 	n.log = nil
@@ -109,6 +114,10 @@
 		return nil
 	}
 	p.viewSentAt = now
-	install := Install{From: n.self.ID, Proposal: Proposal{View: n.view, Base: n.base}}
+	install := Install{
+		From:        n.self.ID,
+		Proposal:    Proposal{View: n.view, Base: n.base},
+		BaseIsLater: n.base.Seq != n.viewBaseSeq,
+	}
 	return []Envelope{{To: member.Address, Message: install}}
 }
