A pong that a later one has overtaken does not count as newer than it is

Callers could have been acknowledged a renewal of a lock, or shown an old value, by a head or tail that was being replaced: two connections of one peer, as after a reset, can deliver its pongs in another order. The older pong's status (not sealed) was then taken together with the time of the later ping, so that the view counted as confirmed by a majority that was sealed already.

Change: a pong to an earlier ping than the latest answered one is dropped. Evidence: the spec in late_messages_test.go fails before (confirmed at 2 s, not before 1 s) and passes now.

--- a/internal/chain/failuredetector.go
+++ b/internal/chain/failuredetector.go
@@ -25,6 +25,8 @@
 	// lastAnsweredPingAt is when the latest ping that was answered was sent. Unlike the time of the answer, which may have
 	// been delayed, it proves that the peer was alive, and in the reported view, at that time or later.
 	lastAnsweredPingAt time.Duration
+	// lastAnsweredNonce is the nonce of that ping.
+	lastAnsweredNonce uint64
 	// unansweredPings are the times at which pings were sent, by nonce.
 	unansweredPings map[uint64]time.Duration
 	// lastPingReceivedAt is when the peer last sent a ping.
@@ -142,10 +144,16 @@
 		return Output{}
 	}
 	delete(p.unansweredPings, m.Nonce)
+	if p.member.ID == m.From.ID && m.Nonce < p.lastAnsweredNonce {
+		// The answer to a later ping has overtaken this one, whose status is older: it may say that the peer is not sealed,
+		// and the time of the later ping must not confirm that.
+		return Output{}
+	}
 	p.member = m.From
 	p.status = m.Status
 	p.lastStatusAt = now
-	p.lastAnsweredPingAt = max(p.lastAnsweredPingAt, sentAt)
+	p.lastAnsweredPingAt = sentAt
+	p.lastAnsweredNonce = m.Nonce
 	n.handleCommitted(m.From.ID, m.Status.View, m.Status.Committed)
 	return Output{Messages: n.sendViewIfOutdated(now, m.From, m.Status)}
 }
--- a/internal/chain/late_messages_test.go
+++ b/internal/chain/late_messages_test.go
@@ -37,4 +37,17 @@
 		requests.AnswerReady(time.Second)
 		Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
 	})
+
+	It("that says that a voter is not sealed does not count for a ping which it has answered since as a sealed one", func() {
+		head := chainOf("a", "b", "c")[0]
+		pings := func(now time.Duration) uint64 {
+			return head.PingVoters(now).ImmediateMessages[0].Message.(Ping).Nonce
+		}
+		voter := head.View().Voters[1]
+		earlier := pings(time.Second)
+		later := pings(2 * time.Second)
+		head.Receive(2*time.Second, Pong{From: voter, Nonce: later, Status: Status{View: 1, Sealed: true, Healthy: true}})
+		head.Receive(2*time.Second, Pong{From: voter, Nonce: earlier, Status: Status{View: 1, Healthy: true}})
+		Expect(head.QuorumConfirmedAt(2 * time.Second)).To(BeNumerically("<", time.Second))
+	})
 })
