A pong that arrives late does not take a sealed member for an unsealed one

Cause: handlePong kept the status of the pong that arrived last beside the time of the latest ping that was answered. Pongs are reordered where a link connects anew, as the old connection and the new one are read side by side. The earlier status (unsealed) then stood at the time of the later answer (sealed), and QuorumConfirmedAt counted the member as unsealed at that time: a replaced head could acknowledge a renewal or a rejection, and a replaced tail a read, and a lease holder act.

Change: a pong to a ping that was sent before the latest answered one of the same member says nothing new and is dropped.

Result: the new test failed before (confirmed at the later time) and passes. go test of chain, controlplane and lab/coresim, and make lint, pass.

--- a/internal/chain/failuredetector.go
+++ b/internal/chain/failuredetector.go
@@ -142,6 +142,11 @@
 		return Output{}
 	}
 	delete(p.unansweredPings, m.Nonce)
+	if p.member.ID == m.From.ID && sentAt < p.lastAnsweredPingAt {
+		// Pongs may be reordered. An earlier status must not stand beside the time of a later answer: the member may have
+		// been sealed in between, and QuorumConfirmedAt would count it as unsealed at that time.
+		return Output{}
+	}
 	p.member = m.From
 	p.status = m.Status
 	p.lastStatusAt = now
--- a/internal/chain/late_messages_test.go
+++ b/internal/chain/late_messages_test.go
@@ -37,4 +37,21 @@
 		requests.AnswerReady(time.Second)
 		Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
 	})
+
+	It("that answers an earlier ping does not unseal a member which a later answer has reported as sealed", func() {
+		nodes := chainOf("a", "b", "c")
+		head := nodes[0]
+		ping := func(now time.Duration) (nonce uint64) {
+			return head.PingVoters(now).ImmediateMessages[0].Message.(Ping).Nonce
+		}
+		earlier := ping(time.Millisecond)
+		later := ping(2 * time.Millisecond)
+		for _, name := range []string{"b", "c"} {
+			member := Member{ID: MemberID(name), Address: name}
+			head.Receive(3*time.Millisecond, Pong{From: member, Nonce: later, Status: Status{View: 1, Sealed: true}})
+			head.Receive(3*time.Millisecond, Pong{From: member, Nonce: earlier, Status: Status{View: 1}})
+		}
+		Expect(head.QuorumConfirmedAt(3*time.Millisecond)).To(BeNumerically("<", 2*time.Millisecond),
+			"at that time both others were sealed already")
+	})
 })
