--- a/cmd/dykering-lab/soak.go
+++ b/cmd/dykering-lab/soak.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +29,7 @@
 				return commandline.Failure(err)
 			}
 			scenario.Directory = directory
-			if scenario.Program, err = soakProgram(ctx, program, directory); err != nil {
+			if scenario.Program, err = soakProgram(program); err != nil {
 				return commandline.Failure(err)
 			}
 			return commandline.Failure(runSoak(ctx, c, scenario))
@@ -41,21 +39,19 @@
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the seed", Destination: &scenario.Seed},
 		&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "how long faults are drawn", Destination: &scenario.For},
 		&cli.IntFlag{Name: "cores", Value: 3, Usage: "control processes: 3 or 5", Destination: &scenario.Cores},
-		&cli.StringFlag{Name: "program", Usage: "the program; without it, it is built from the sources here", Destination: &program},
+		&cli.StringFlag{Name: "program", Usage: "the program; without it, this one", Destination: &program},
 		&cli.StringFlag{Name: "logs", Usage: "the folder for logs and the history, which are kept if a rule was broken", Destination: &logs},
 	}
 	return c
 }
 
-// soakProgram returns the program to play, built if none is named.
-func soakProgram(ctx context.Context, program, directory string) (localprocess.Program, error) {
-	if program == "" {
-		program = filepath.Join(directory, "dykering")
-		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/dykering").CombinedOutput(); err != nil {
-			return localprocess.Program{}, errors.Wrapf(err, "build: %s", out)
-		}
+// soakProgram returns the program to play: a named one, or this one.
+func soakProgram(program string) (localprocess.Program, error) {
+	if program != "" {
+		return localprocess.Program{Command: []string{program}}, nil
 	}
-	return localprocess.Program{Command: []string{program}}, nil
+	self, err := os.Executable()
+	return localprocess.Program{Command: []string{self, "role"}}, err
 }
 
 // runSoak plays a scenario and prints what came of it.
@@ -64,7 +60,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "logs: %s", scenario.Directory)
 	}
-	fmt.Fprintf(c.Root().Writer, "seed %d, %d cores, %d faults: %s\n", scenario.Seed, scenario.Cores, len(report.Faults), report.Summary())
+	fmt.Fprintf(c.Root().Writer, "seed %d, %d cores: %s\n", scenario.Seed, scenario.Cores, report.Summary())
+	for _, fault := range report.Faults {
+		fmt.Fprintln(c.Root().Writer, fault)
+	}
 	if len(report.Violations) == 0 {
 		return os.RemoveAll(scenario.Directory)
 	}
--- a/internal/lab/history/recorder.go
+++ b/internal/lab/history/recorder.go
@@ -21,6 +21,9 @@
 // Now is the time since the history's beginning, by the steady clock.
 func (r *Recorder) Now() time.Duration { return time.Since(r.began) }
 
+// Began is when the history began.
+func (r *Recorder) Began() time.Time { return r.began }
+
 // Add adds a call that has ended.
 func (r *Recorder) Add(call Call) {
 	r.mu.Lock()
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -1,14 +1,19 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
 	// probeInterval is how often the machine is probed.
 	probeInterval = 50 * time.Millisecond
+	// notedTime is the delay or the time of a sync from which on the trace of the run has it.
+	notedTime = 500 * time.Millisecond
 	// troubleTime is the delay of a timer or the time of a sync from which on the machine counts as slowed.
 	troubleTime = 100 * time.Millisecond
 )
@@ -20,6 +25,14 @@
 	delay, sync time.Duration
 	// calm is the time in which the machine was not slowed.
 	calm time.Duration
+	// slow has the times from notedTime on.
+	slow []slowness
+}
+
+// slowness is a time of the machine that is worth noting.
+type slowness struct {
+	at          time.Time
+	delay, sync time.Duration
 }
 
 // run probes until done is closed, with a file of its own. A sync that fails counts as one that takes its time.
@@ -41,6 +54,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.delay, p.sync = max(p.delay, delay), max(p.sync, sync)
+	if max(delay, sync) >= notedTime {
+		p.slow = append(p.slow, slowness{at: time.Now(), delay: delay, sync: sync})
+	}
 	if delay < troubleTime && sync < troubleTime {
 		p.calm += probeInterval + delay + sync
 	}
@@ -58,3 +74,13 @@
 	_, _, calm := p.measured()
 	return calm
 }
+
+// trace describes the times at which the machine was slow, from a beginning on.
+func (p *probe) trace(began time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.Map(p.slow, func(s slowness, _ int) string {
+		return fmt.Sprintf("%.3f s: the machine is slow: a timer %v late, a sync of %v", s.at.Sub(began).Seconds(),
+			s.delay.Round(time.Millisecond), s.sync.Round(time.Millisecond))
+	})
+}
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -50,11 +50,12 @@
 
 // Report is what came of a run.
 type Report struct {
-	Calls      []history.Call
+	Calls []history.Call
+	// Faults are what was done to the processes, and then when other work slowed the machine.
 	Faults     []string
 	Violations []history.Violation
-	// Pause is the longest time between two puts that succeeded.
-	Pause time.Duration
+	// Pause is the longest time between two puts that succeeded, and PauseEnd when it ended.
+	Pause, PauseEnd time.Duration
 	// Recovery is the time from the return of all processes, in the end, to the first answer from each.
 	Recovery time.Duration
 	// TimerDelay and SyncTime are the longest delay of a timer and the longest sync of a file, as the machine was.
@@ -160,7 +161,8 @@
 		f.endedByItself(p)
 	}
 	calls := s.recorder.Calls()
-	report := &Report{Calls: calls, Faults: f.events, Pause: longestPause(calls), Recovery: recovery(calls, back)}
+	report := &Report{Calls: calls, Faults: slices.Concat(f.events, s.machine.trace(s.recorder.Began())), Recovery: recovery(calls, back)}
+	report.Pause, report.PauseEnd = longestPause(calls)
 	report.Violations = slices.Concat(f.ownEnds, unanswered, history.Check(calls, time.Duration(s.bounds.HistoryS)*time.Second))
 	report.TimerDelay, report.SyncTime, report.Calm = s.machine.measured()
 	if len(report.Violations) > 0 {
@@ -203,19 +205,19 @@
 	return watchers
 }
 
-// longestPause returns the longest time between two puts that succeeded.
-func longestPause(calls []history.Call) time.Duration {
-	var longest, last time.Duration
+// longestPause returns the longest time between two puts that succeeded, and when it ended.
+func longestPause(calls []history.Call) (longest, end time.Duration) {
+	var last time.Duration
 	for _, call := range calls {
 		if call.Operation != history.Put || call.Status != http.StatusOK {
 			continue
 		}
-		if last > 0 {
-			longest = max(longest, call.Received-last)
+		if pause := call.Received - last; last > 0 && pause > longest {
+			longest, end = pause, call.Received
 		}
 		last = call.Received
 	}
-	return longest
+	return longest, end
 }
 
 // recovery returns the time from the return of all processes to the latest of their first answers to reads of keys.
@@ -273,7 +275,7 @@
 	for _, answer := range slices.Sorted(maps.Keys(counts)) {
 		parts = append(parts, fmt.Sprintf("%s: %d", answer, counts[answer]))
 	}
-	return fmt.Sprintf("%d calls (%s); longest time without a put %v; recovery in the end %v; "+
+	return fmt.Sprintf("%d calls (%s); longest time without a put %v until %.3f s; recovery in the end %v; "+
 		"timers up to %v late, syncs up to %v, the machine calm for %v", len(r.Calls), strings.Join(parts, ", "), r.Pause.Round(time.Millisecond),
-		r.Recovery.Round(time.Millisecond), r.TimerDelay.Round(time.Millisecond), r.SyncTime.Round(time.Millisecond), r.Calm.Round(time.Second))
+		r.PauseEnd.Seconds(), r.Recovery.Round(time.Millisecond), r.TimerDelay.Round(time.Millisecond), r.SyncTime.Round(time.Millisecond), r.Calm.Round(time.Second))
 }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -105,8 +105,9 @@
 	It("has the longest time without a put that succeeded", func() {
 		late := at("a", history.Put, 6, 6)
 		late.Status = http.StatusServiceUnavailable
-		Expect(longestPause([]history.Call{at("a", history.Put, 1, 1), at("a", history.Read, 5, 5), late, at("a", history.Put, 9, 9)})).
-			To(Equal(time.Duration(8)))
+		pause, end := longestPause([]history.Call{at("a", history.Put, 1, 1), at("a", history.Read, 5, 5), late, at("a", history.Put, 9, 9)})
+		Expect(pause).To(Equal(time.Duration(8)))
+		Expect(end).To(Equal(time.Duration(9)))
 	})
 
 	It("has the time until each process answers again", func() {
