--- a/internal/controlplane/coordination_endpoint.go
+++ b/internal/controlplane/coordination_endpoint.go
@@ -19,8 +19,6 @@
 	maxCoordinationBytes = 8 * coordination.MaxValueBytes
 	// maxWatchWait bounds the time for which a watch waits.
 	maxWatchWait = time.Minute
-	// maxCoordinationCalls bounds the calls that are in progress at one member, watches excepted.
-	maxCoordinationCalls = 512
 	// coordinationRetryAfter is the time, in seconds, after which a rejected call should come again.
 	coordinationRetryAfter = "1"
 )
@@ -218,12 +216,11 @@
 // has gone, is not started: the process may have been frozen.
 func (c *coordinationService) await(r *http.Request, start func(answer func(protocol.Reply))) (protocol.Reply, error) {
 	s := c.server
-	select {
-	case s.coordinationSlots <- struct{}{}:
-		defer func() { <-s.coordinationSlots }()
-	default:
-		return protocol.Reply{}, errkind.New(errkind.RateLimited, "too many calls are in progress")
+	caller := callerOf(r)
+	if err := c.admission.begin(caller); err != nil {
+		return protocol.Reply{}, err
 	}
+	defer c.admission.end(caller)
 	var reply protocol.Reply
 	deadline := s.now() + s.timing.callTimeout
 	err := s.awaitOutcome(func(answer func(error)) {
--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -26,6 +26,8 @@
 	received *coordination.RecentCalls
 	lockLog  *lockLog
 	metrics  *coordinationMetrics
+	// admission belongs to the handlers.
+	admission *callAdmission
 }
 
 func newCoordinationService(s *Server) *coordinationService {
@@ -44,6 +46,8 @@
 		received: coordination.NewRecentCalls(),
 		lockLog:  newLockLog(s.log),
 		metrics:  newCoordinationMetrics(),
+
+		admission: newCallAdmission(),
 	}
 }
 
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -47,9 +47,7 @@
 
 	placement *placementController
 
-	// The coordination service. coordinationSlots bounds its calls in progress; it belongs to the handlers.
-	coordination      *coordinationService
-	coordinationSlots chan struct{}
+	coordination *coordinationService
 
 	tolerance toleranceReport
 
@@ -104,7 +102,6 @@
 	}
 	s.placement = newPlacementController(s)
 	s.coordination = newCoordinationService(s)
-	s.coordinationSlots = make(chan struct{}, maxCoordinationCalls)
 	return s
 }
 
