The answer to a watch is bounded in bytes, not only in events

Need: an answer had up to 512 events of 16 KiB each. Each caller that catches up gets a copy as JSON, and there may be 2,048 watches at a member of 280 MB.

Change: EventsAfter ends an answer at 512 KiB as the state counts events, which is 256 KiB of names and values, and has one event at least. The caller goes on from the answer's revision, as with more than 512 events.

Result: the new test failed before (1 MiB in one answer) and passes. go test of coordination and docs, and make lint, pass.

--- a/internal/coordination/history.go
+++ b/internal/coordination/history.go
@@ -4,6 +4,10 @@
 	"github.com/benbjohnson/immutable"
 )
 
+// maxEventBytesPerAnswer bounds what the events of one answer count by Event.bytes, which is twice their names and values: each
+// caller that catches up is sent a copy of them.
+const maxEventBytesPerAnswer = 512 << 10
+
 // Event is one put in the history of a group. Its field names are fixed: it is stored with gob.
 type Event struct {
 	Name     string
@@ -69,8 +73,9 @@
 	return &shortened, freed
 }
 
-// EventsAfter returns the puts of a group above a revision, at most a number of them, and the revision up to which they are
-// complete. It reports false if the history begins later. A revision that this replica has not reached yet has no events.
+// EventsAfter returns the puts of a group above a revision, at most a number of them and of their bytes, and the revision up
+// to which they are complete. It reports false if the history begins later. A revision that this replica has not reached yet
+// has no events.
 func (s *State) EventsAfter(groupName string, after uint64, most int) (events []Event, upTo uint64, ok bool) {
 	g, known := s.groups.Get(groupName)
 	if !known || after >= g.revision {
@@ -79,9 +84,14 @@
 	if after < g.floor {
 		return nil, 0, false
 	}
+	size := 0
 	iterator := g.events.Iterator()
 	for iterator.Seek(after + 1); !iterator.Done() && len(events) < most; {
 		_, event, _ := iterator.Next()
+		size += event.bytes()
+		if len(events) > 0 && size > maxEventBytesPerAnswer {
+			break
+		}
 		events = append(events, event)
 	}
 	return events, events[len(events)-1].Revision, true
