The head forgets the timer of a hold that was given back

Cause: timers were dropped only a minute after the end of their holds.

Change: once a finish is committed, its hold's timer is dropped (HoldTimers.Forget), by the token with which the hold was taken. It stays while the outcome is open, after a finish that gave nothing back, and where the next hold has it already.

--- a/internal/coordination/head.go
+++ b/internal/coordination/head.go
@@ -55,15 +55,25 @@
 //   - errkind.NotReady if it has not been executed and never will be.
 func (h *Head) Write(now time.Duration, command Command, respond func(Result, error)) chain.Write {
 	var result Result
+	var finished Lock // by the command; without a token if it finishes none
 	accepted := false
 	return chain.Write{
 		Decide: func(latest any) chain.Decision {
+			state := h.config.StateOf(latest)
 			var decision chain.Decision
-			decision, result = h.decide(now, h.config.StateOf(latest), command)
+			decision, result = h.decide(now, state, command)
 			accepted = decision.Rejection == nil
+			if command.Operation == FinishLock && decision.Operation != nil {
+				finished, _ = state.Lock(command.Name)
+			}
 			return decision
 		},
-		Respond: func(err error) { respond(result, classify(err, accepted)) },
+		Respond: func(err error) {
+			if err == nil {
+				h.holds.Forget(command.Name, finished)
+			}
+			respond(result, classify(err, accepted))
+		},
 	}
 }
 
--- a/internal/coordination/hold_timers.go
+++ b/internal/coordination/hold_timers.go
@@ -35,6 +35,14 @@
 	t.timers[name] = holdTimer{firstToken: lock.FirstToken, endsAt: endsAt}
 }
 
+// Forget drops the timer of a hold that was given back, once that is committed. Without it a finished hold of a day would be
+// remembered for a day. The timer of another hold of the lock is kept.
+func (t *HoldTimers) Forget(name string, finished Lock) {
+	if timer, ok := t.timers[name]; ok && timer.firstToken == finished.FirstToken {
+		delete(t.timers, name)
+	}
+}
+
 // IsOver reports whether the holder of a lock cannot count on it any more.
 func (t *HoldTimers) IsOver(now time.Duration, name string, lock Lock) bool {
 	return now >= t.endsAt(name, lock)
