dykering-lab coordination measures the coordination service on real processes

Need: nothing measured calls a second and times of locks, numbers and keys on real control processes.

The table has times by operation, failures by status, the mean time of a sync before and after the run, the syncs that a write takes in a row, changes of the view and the load average.

Tests: the new package, ./docs, ./cmd/dykering -run 'Page|Fixed' and make lint pass.

--- /dev/null
+++ b/internal/lab/coordinationload/load.go
@@ -0,0 +1,201 @@
+package coordinationload
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dykering/internal/controlplane"
+	"dykering/internal/lab/localprocess"
+	"dykering/internal/protocol"
+)
+
+const (
+	// startTime is how long the system has until all members are in the chain and the service answers.
+	startTime = 30 * time.Second
+	// startPause is between two questions whether it has started.
+	startPause = 100 * time.Millisecond
+	// maxInFlight bounds the operations of an open loop that are in flight at a time.
+	maxInFlight = 1024
+
+	maxCallers   = maxInFlight
+	maxGroups    = 1000
+	maxPerSecond = 100_000
+	maxLasts     = 10 * time.Minute
+)
+
+// Load is a load on the coordination service of control processes.
+type Load struct {
+	Program localprocess.Program
+	// Directory has settings, data and logs of the processes.
+	Directory string
+	// Cores is the number of control processes; fewer than half of them may be lost.
+	Cores int
+	// Groups is the number of groups that names of keys, locks and numbers are spread over.
+	Groups int
+	// Callers is the number of callers of a closed loop.
+	Callers int
+	// PerSecond is the rate of an open loop, and 0 for a closed one.
+	PerSecond float64
+	Lasts     time.Duration
+	Mix       Mix
+	Seed      uint64
+}
+
+// Check returns an error that names what is wrong.
+func (l *Load) Check() error {
+	switch {
+	case l.Cores != 1 && l.Cores != 3 && l.Cores != 5 && l.Cores != 9:
+		return errors.Errorf("%d cores: 1, 3, 5 or 9", l.Cores)
+	case l.Groups < 1 || l.Groups > maxGroups:
+		return errors.Errorf("%d groups: 1 to %d", l.Groups, maxGroups)
+	case l.Callers < 1 || l.Callers > maxCallers:
+		return errors.Errorf("%d callers: 1 to %d", l.Callers, maxCallers)
+	case !(l.PerSecond >= 0 && l.PerSecond <= maxPerSecond):
+		return errors.Errorf("rate %v: up to %d a second", l.PerSecond, maxPerSecond)
+	case l.Lasts <= 0 || l.Lasts > maxLasts:
+		return errors.Errorf("for %v: up to %v", l.Lasts, maxLasts)
+	}
+	return nil
+}
+
+// Run starts the processes, loads them and ends them.
+func (l *Load) Run(ctx context.Context) (*Report, error) {
+	if err := l.Check(); err != nil {
+		return nil, err
+	}
+	protocol.Register()
+	report := &Report{tally: newTally(), LoadBefore: loadAverage()}
+	var err error
+	if report.SyncBefore, err = meanSyncTime(l.Directory); err != nil {
+		return nil, err
+	}
+	processes, err := localprocess.New(ctx, localprocess.Layout{
+		Directory: l.Directory, Controls: l.Cores, MachineFailures: (l.Cores - 1) / 2, Bounds: localprocess.SiteBounds(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer endAll(processes)
+	for _, p := range processes {
+		if err := p.Start(l.Program); err != nil {
+			return nil, err
+		}
+	}
+	if report.Before, err = l.awaitStart(ctx, processes); err != nil {
+		return nil, err
+	}
+	l.play(ctx, processes, report)
+	report.LoadAfter = loadAverage()
+	if report.SyncAfter, err = meanSyncTime(l.Directory); err != nil {
+		return nil, err
+	}
+	if report.After, err = viewOf(processes[0]); err != nil { //nolint:contextcheck // AskStatus bounds each of its steps itself
+		return nil, err
+	}
+	return report, ctx.Err()
+}
+
+func endAll(processes []*localprocess.Process) {
+	for _, p := range processes {
+		p.Kill()
+	}
+}
+
+// awaitStart waits until all processes are in the chain and the service gives a number. It returns the view.
+func (l *Load) awaitStart(ctx context.Context, processes []*localprocess.Process) (View, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	client := newClient()
+	defer client.CloseIdleConnections()
+	first := l.newCallers(1, []string{processes[0].Public}, client, newTally())[0]
+	var view View
+	var err error
+	for ctx.Err() == nil {
+		view, err = viewOf(processes[0]) //nolint:contextcheck // AskStatus bounds each of its steps itself
+		if err == nil && view.Chain == l.Cores && first.send(ctx, http.MethodPost, "/numbers/first", struct{}{}, nil) == http.StatusOK {
+			return view, nil
+		}
+		pause(ctx, startPause)
+	}
+	return view, errors.Errorf("not started within %v: %d of %d in the chain (%v)", startTime, view.Chain, l.Cores, err)
+}
+
+// pause waits, or returns early once the context ends.
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// viewOf asks a process for its view.
+func viewOf(p *localprocess.Process) (View, error) {
+	status, err := controlplane.AskStatus(p.InternalAddress())
+	return View{Number: status.View.Number, Chain: len(status.View.Chain)}, err
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight}}
+}
+
+// play sends the load, and returns once the last operation has ended.
+func (l *Load) play(ctx context.Context, processes []*localprocess.Process, report *Report) {
+	var addresses []string
+	for _, p := range processes {
+		addresses = append(addresses, p.Public)
+	}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	began := time.Now()
+	if l.PerSecond > 0 {
+		report.Unsent = l.playOpen(ctx, began, l.newCallers(maxInFlight, addresses, client, report.tally))
+	} else {
+		l.playClosed(ctx, began, l.newCallers(l.Callers, addresses, client, report.tally))
+	}
+	report.Lasted = time.Since(began)
+}
+
+// playClosed has each caller send one operation after another.
+func (l *Load) playClosed(ctx context.Context, began time.Time, callers []*caller) {
+	var running sync.WaitGroup
+	for _, c := range callers {
+		running.Go(func() {
+			for time.Since(began) < l.Lasts && ctx.Err() == nil {
+				c.operate(ctx, time.Now())
+				if wait := c.pauseAfterFailures(); wait > 0 {
+					pause(ctx, wait)
+				}
+			}
+		})
+	}
+	running.Wait()
+}
+
+// playOpen sends operations when they are due, each by a caller that is free. It returns how many found none, and were not sent.
+func (l *Load) playOpen(ctx context.Context, began time.Time, callers []*caller) (unsent int) {
+	free := make(chan *caller, len(callers))
+	for _, c := range callers {
+		free <- c
+	}
+	var running sync.WaitGroup
+	plan := schedule{perSecond: l.PerSecond, lasts: l.Lasts}
+	plan.play(ctx, began, func(_ int, due time.Time) {
+		select {
+		case c := <-free:
+			running.Go(func() {
+				c.operate(ctx, due)
+				free <- c
+			})
+		default:
+			unsent++
+		}
+	})
+	running.Wait()
+	return unsent
+}
--- /dev/null
+++ b/internal/lab/coordinationload/schedule.go
@@ -0,0 +1,38 @@
+package coordinationload
+
+import (
+	"context"
+	"time"
+)
+
+// schedule says when the operations of an open loop are due, evenly spread.
+type schedule struct {
+	perSecond float64
+	lasts     time.Duration
+}
+
+// due returns when an operation is due, counted from the begin of the load. It is calculated from the number of the operation, so
+// that rounding does not add up.
+func (s schedule) due(number int) time.Duration {
+	return time.Duration(float64(number) / s.perSecond * float64(time.Second))
+}
+
+// play calls start for each operation once it is due, at once for those that are overdue, until the time is over.
+func (s schedule) play(ctx context.Context, began time.Time, start func(number int, due time.Time)) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for number := 0; s.due(number) < s.lasts; number++ {
+		due := began.Add(s.due(number))
+		if wait := time.Until(due); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		start(number, due)
+	}
+}
