A control process that stops answers the coordination calls in progress before it ends

Callers could see a closed connection in place of an answer when a member stopped as planned: the event loop ended in the turn in which it answered, and the server was closed at once. Found by review.

--- a/internal/controlplane/coordination_admission_test.go
+++ b/internal/controlplane/coordination_admission_test.go
@@ -35,6 +35,15 @@
 		beginMany("e", 1)
 	})
 
+	It("rejects calls of a process that is to stop, which is idle once those in progress have ended", func() {
+		beginMany("a", 1)
+		admission.stop()
+		Expect(errkind.KindOf(admission.begin("b"))).To(Equal(errkind.NotReady))
+		Expect(admission.isIdle()).To(BeFalse())
+		admission.end("a")
+		Expect(admission.isIdle()).To(BeTrue())
+	})
+
 	It("keeps nothing of callers whose calls have ended", func() {
 		beginMany("a", 2)
 		admission.end("a")
--- a/internal/controlplane/coordination_service.go
+++ b/internal/controlplane/coordination_service.go
@@ -146,6 +146,12 @@
 	}}))
 }
 
+// stop ends the watches and rejects further calls: the process is to stop, and those in progress are answered first.
+func (c *coordinationService) stop() {
+	c.watches.Stop()
+	c.admission.stop()
+}
+
 // tick drops, at the head, history and holds that are old enough.
 func (c *coordinationService) tick(now time.Duration) {
 	s := c.server
--- a/internal/controlplane/eventloop.go
+++ b/internal/controlplane/eventloop.go
@@ -49,7 +49,7 @@
 			return
 		}
 		s.afterBatch()
-		if graceOver != nil && s.chain.CanStop(s.now()) {
+		if graceOver != nil && s.chain.CanStop(s.now()) && s.coordination.admission.isIdle() {
 			return
 		}
 	}
@@ -60,7 +60,7 @@
 	s.log.Info("process.stopping", "signal", sig.String())
 	s.chain.Leave(s.now())
 	s.endStreams()
-	s.coordination.watches.Stop()
+	s.coordination.stop()
 	return time.After(s.timing.gracePeriod)
 }
 
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -81,13 +81,22 @@
 	}
 	server := &http.Server{Handler: s.httpHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	go server.Serve(external)
-	defer server.Close()
+	defer closeServer(server)
 
 	log.Info("process.serving", "role", settings.Role, "name", settings.NodeName, "view", s.chain.View().Number)
 	s.runEventLoop(stop)
 	return nil
 }
 
+// closeServer closes an HTTP server once the answers that are being written are complete, or after answerTimeout.
+func closeServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		server.Close()
+	}
+}
+
 // newServer makes a server that has neither state nor addresses yet.
 func newServer(ctx context.Context, settings nodefile.Settings, log *slog.Logger) *Server {
 	s := &Server{
