Only a finish with a lock's latest token gives it back

Change: a finish releases with the latest token alone; Lock.ActiveToken is gone. If a begin that was repeated for want of an answer arrives after the one that was answered, the finish releases nothing and the hold ends by its time.

Measured: TestLateRenewalAndFinishOfAnEarlierIncarnationKeepTheLock fails without the change and passes with it.

--- a/internal/coordination/late_calls_test.go
+++ b/internal/coordination/late_calls_test.go
@@ -37,3 +37,28 @@
 	g.Expect(timers.IsOver(viewInstalledAt+2*time.Second, "l", lock)).To(BeFalse())
 	g.Expect(timers.IsOver(viewInstalledAt+3*time.Second, "l", lock)).To(BeTrue())
 }
+
+// A holder dies with a renewal and a finish on their way, comes back and takes its lock again. The late calls then end nothing.
+func TestLateRenewalAndFinishOfAnEarlierIncarnationKeepTheLock(t *testing.T) {
+	g := NewWithT(t)
+	state := Empty()
+	execute := func(command Command) Result {
+		next, result, err := state.Execute(command)
+		g.Expect(err).NotTo(HaveOccurred())
+		state = next
+		return result
+	}
+	call := func(operation Operation, token uint64) Command {
+		return Command{Operation: operation, Name: "l", Holder: "a", Token: token, HoldMs: 3000}
+	}
+	earlier := execute(call(BeginLock, 0)).Token
+	present := execute(call(BeginLock, 0)).Token
+	execute(call(RenewLock, earlier))
+	execute(call(FinishLock, earlier))
+	lock, held := state.Lock("l")
+	g.Expect(held).To(BeTrue())
+	g.Expect(lock.Token).To(Equal(present))
+	execute(call(FinishLock, present))
+	_, held = state.Lock("l")
+	g.Expect(held).To(BeFalse())
+}
--- a/internal/coordination/locks.go
+++ b/internal/coordination/locks.go
@@ -8,11 +8,9 @@
 type Lock struct {
 	Holder string
 	// FirstToken is the token with which the holder took the lock, and Token the latest one, as each further begin of the
-	// holder gets another token. In between lie those of begins whose answers may have been lost.
+	// holder gets another token. In between lie those of begins whose answers may have been lost. Only a finish with the
+	// latest one gives the lock back: one with another token may be a late one of the holder's earlier incarnation.
 	FirstToken, Token uint64
-	// ActiveToken is the one that the holder has used last. Only a finish with it gives the lock back: one with another
-	// token may be a late one of the holder's earlier incarnation.
-	ActiveToken uint64
 	// HoldMs is the longest time, in milliseconds, for which the holder has asked since it took the lock.
 	HoldMs int64
 }
@@ -40,11 +38,10 @@
 	}
 	token := s.lastToken + 1
 	lock := Lock{
-		Holder:      command.Holder,
-		FirstToken:  token,
-		Token:       token,
-		ActiveToken: token,
-		HoldMs:      command.HoldMs,
+		Holder:     command.Holder,
+		FirstToken: token,
+		Token:      token,
+		HoldMs:     command.HoldMs,
 	}
 	if held && !isOver {
 		lock.FirstToken = current.FirstToken
@@ -62,11 +59,10 @@
 	if !held || !lock.IsHeldBy(command.Holder, command.Token) {
 		return s, Result{}, errkind.New(errkind.LockLost, "")
 	}
-	if lock.ActiveToken == command.Token && lock.HoldMs >= command.HoldMs {
+	if lock.HoldMs >= command.HoldMs {
 		return s, Result{}, nil
 	}
-	lock.ActiveToken = command.Token
-	lock.HoldMs = max(lock.HoldMs, command.HoldMs)
+	lock.HoldMs = command.HoldMs
 	next := *s
 	next.locks = s.locks.Set(command.Name, lock)
 	return &next, Result{}, nil
@@ -74,7 +70,7 @@
 
 func (s *State) finishLock(command Command) *State {
 	lock, held := s.locks.Get(command.Name)
-	if !held || lock.Holder != command.Holder || lock.ActiveToken != command.Token {
+	if !held || lock.Holder != command.Holder || lock.Token != command.Token {
 		return s
 	}
 	return s.withoutLock(command.Name)
