--- a/cmd/dykering-lab/coresearch.go
+++ b/cmd/dykering-lab/coresearch.go
@@ -25,12 +25,13 @@
 func newCoreExplore() *cli.Command {
 	var first, schedules uint64
 	var flaw, file, table string
-	var placement, sessions bool
+	var placement, sessions, coordination bool
 	c := &cli.Command{
 		Name: "explore", Usage: "Draw schedules of troubles until a promise is broken",
 		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			began := time.Now()
-			failure, covered := coresim.SearchWithCoverage(first, schedules, coresim.Options{Flaw: coresim.Flaw(flaw), Placement: placement, Sessions: sessions}, func(played uint64) {
+			options := coresim.Options{Flaw: coresim.Flaw(flaw), Placement: placement, Sessions: sessions, Coordination: coordination}
+			failure, covered := coresim.SearchWithCoverage(first, schedules, options, func(played uint64) {
 				left := time.Duration(float64(time.Since(began)) / float64(played) * float64(schedules-played))
 				fmt.Fprintf(c.Root().ErrWriter, "%d of %d played, %v left\n", played, schedules, left.Round(time.Second))
 			})
@@ -63,6 +64,7 @@
 		&cli.StringFlag{Name: "flaw", Usage: "a flaw to plant, by its name", Destination: &flaw},
 		&cli.BoolFlag{Name: "placement", Usage: "let the lease holder send orders to emulated endpoints", Destination: &placement},
 		&cli.BoolFlag{Name: "sessions", Usage: "let emulated endpoints keep sessions, drain and deregister", Destination: &sessions},
+		&cli.BoolFlag{Name: "coordination", Usage: "let emulated applications call for locks, numbers, cells and watches", Destination: &coordination},
 		&cli.StringFlag{Name: "table", Usage: "where the table of the pairs that were reached is written", Destination: &table},
 		&cli.StringFlag{Name: "out", Usage: "where a failing schedule is written", Destination: &file},
 	}
--- /dev/null
+++ b/internal/lab/coresim/coordination_flaws.go
@@ -0,0 +1,88 @@
+package coresim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dykering/internal/coordination"
+	"dykering/internal/errkind"
+	"dykering/internal/protocol"
+)
+
+// flawedCoordination has the state of the planted flaws of the coordination service in one process.
+type flawedCoordination struct {
+	m *machine
+	// tokens and numbers count what this process has handed out.
+	tokens  uint64
+	numbers map[string]uint64
+	puts    int
+}
+
+func newFlawedCoordination(m *machine) flawedCoordination {
+	return flawedCoordination{m: m, numbers: map[string]uint64{}}
+}
+
+// putMark separates a value from what makes a repeated put another one.
+const putMark = "#"
+
+// command returns a command as a head with the flaw executes it.
+func (f *flawedCoordination) command(command coordination.Command) coordination.Command {
+	switch f.m.sim.options.Flaw {
+	case FinishAnyToken:
+		lock, held := coordinationOf(f.m.node.LatestState().Value).Lock(command.Name)
+		if command.Operation == coordination.FinishLock && held && lock.Holder == command.Holder {
+			command.Token = lock.Token
+		}
+	case RepeatedPutIsNew:
+		if command.Operation == coordination.PutCell {
+			f.puts++
+			command.Value = fmt.Sprintf("%s%s%s/%d/%d", command.Value, putMark, f.m.address, f.m.incarnation, f.puts)
+		}
+	}
+	return command
+}
+
+// earlyReply returns the reply that a head with the flaw sends at once; ok is false for none.
+func (f *flawedCoordination) earlyReply(now time.Duration, command coordination.Command) (reply protocol.Reply, ok bool) {
+	isRenewal := command.Operation == coordination.RenewLock
+	if f.m.sim.options.Flaw != RenewUnconfirmed || !isRenewal || !f.m.node.IsHead() {
+		return protocol.Reply{}, false
+	}
+	_, result, err := coordinationOf(f.m.node.LatestState().Value).Execute(command)
+	return coordinationReply(result, err), err == nil
+}
+
+// reply returns the reply of a head with the flaw.
+func (f *flawedCoordination) reply(command coordination.Command, result coordination.Result, err error) protocol.Reply {
+	flaw := f.m.sim.options.Flaw
+	switch {
+	case flaw == TokensPerIncarnation && err == nil && command.Operation == coordination.BeginLock:
+		f.tokens++
+		result.Token = f.tokens
+	case flaw == NumbersPerIncarnation && err == nil && command.Operation == coordination.NextNumber:
+		f.numbers[command.Name]++
+		result.Number = f.numbers[command.Name]
+	case flaw == UnknownAsNotExecuted && errkind.KindOf(err) == errkind.OutcomeUnknown:
+		err = errkind.New(errkind.NotReady, "")
+	}
+	return coordinationReply(result, err)
+}
+
+// events returns the events of a watch as a process with the flaw answers them.
+func (f *flawedCoordination) events(events []coordination.Event) []coordination.Event {
+	if f.m.sim.options.Flaw == WatchSkipsEvent && len(events) > 1 {
+		events = events[1:]
+	}
+	events = slices.Clone(events)
+	for i := range events {
+		events[i].Value = withoutPutMark(events[i].Value)
+	}
+	return events
+}
+
+func withoutPutMark(value string) string {
+	original, _, _ := strings.Cut(value, putMark)
+	return original
+}
--- /dev/null
+++ b/internal/lab/coresim/coordination_process.go
@@ -0,0 +1,253 @@
+package coresim
+
+import (
+	"fmt"
+	"time"
+
+	"dykering/internal/chain"
+	"dykering/internal/coordination"
+	"dykering/internal/errkind"
+	"dykering/internal/protocol"
+)
+
+// Faults of the calls between members, as one of so many calls.
+const (
+	lostForwardFraction      = 50
+	duplicateForwardFraction = 20
+	// maxDuplicateDelay is how much later a call is delivered for the second time.
+	maxDuplicateDelay = 400 * time.Millisecond
+)
+
+// coordinationProcess is the coordination service in one process: the state machines that ship, driven as internal/controlplane
+// does.
+type coordinationProcess struct {
+	m        *machine
+	head     *coordination.Head
+	watches  *coordination.WatchTable
+	received *coordination.RecentCalls
+	flawed   flawedCoordination
+	// lastCall numbers the calls to other members. Those in pending wait for a reply, the oldest first.
+	lastCall uint64
+	pending  []pendingForward
+}
+
+type pendingForward struct {
+	number   uint64
+	deadline time.Duration
+	answer   func(protocol.Reply)
+}
+
+// startCoordination starts the service in a process.
+func (m *machine) startCoordination() {
+	if m.sim.coordination == nil {
+		return
+	}
+	m.coordination = &coordinationProcess{
+		m: m,
+		head: coordination.NewHead(m.sim.now, coordination.HeadConfig{
+			HoldMargin:         holdMargin,
+			HistoryKept:        2 * historyS,
+			CompactionInterval: compactionInterval,
+			ExpiredHoldGrace:   expiredHoldGrace,
+			StateOf:            coordinationOf,
+			Encode:             m.sim.coordination.encodeCommand,
+		}),
+		watches:  coordination.NewWatchTable(),
+		received: coordination.NewRecentCalls(),
+		flawed:   newFlawedCoordination(m),
+		lastCall: m.firstNonce(),
+	}
+}
+
+// viewInstalled tells the head's part of a new view.
+func (p *coordinationProcess) viewInstalled() {
+	if p.m.sim.options.Flaw != KeepHoldTimers {
+		p.head.ViewInstalled(p.m.sim.now)
+	}
+}
+
+// write has the head execute a command.
+func (p *coordinationProcess) write(command coordination.Command, answer func(protocol.Reply)) {
+	node := p.m.node
+	if node.IsHead() {
+		p.executeAtHead(command, answer)
+		return
+	}
+	view := node.View()
+	head, ok := view.Voter(view.Head())
+	if !ok || !node.IsReachable(p.m.sim.now, head.Address) {
+		answer(failedReply(errkind.NotReady))
+		return
+	}
+	p.forward(head.Address, func(number uint64) any {
+		return protocol.CoordinationWrite{From: p.m.address, ID: number, Command: command}
+	}, answer)
+}
+
+// forward calls another member. The message may be lost, or be delivered twice.
+func (p *coordinationProcess) forward(to string, message func(number uint64) any, answer func(protocol.Reply)) {
+	sim, t := p.m.sim, p.m.sim.coordination
+	p.lastCall++
+	p.pending = append(p.pending, pendingForward{number: p.lastCall, deadline: sim.now + callTimeout, answer: answer})
+	envelope := chain.Envelope{To: to, Message: message(p.lastCall)}
+	if !t.strikes(lostForwardFraction) {
+		sim.send(p.m, envelope)
+	}
+	if t.strikes(duplicateForwardFraction) {
+		sim.after(t.duration(0, maxDuplicateDelay), func() { sim.send(p.m, envelope) })
+	}
+}
+
+// executeAtHead executes a command where this member is the head.
+func (p *coordinationProcess) executeAtHead(command coordination.Command, answer func(protocol.Reply)) {
+	now := p.m.sim.now
+	command = p.flawed.command(command)
+	if reply, ok := p.flawed.earlyReply(now, command); ok {
+		answer(reply)
+	}
+	t := p.m.sim.coordination
+	t.tell("%s decides on %s", p.m.address, describeCommand(command))
+	respond := func(result coordination.Result, err error) {
+		t.tell("%s answers %s: %+v %v", p.m.address, describeCommand(command), result, err)
+		answer(p.flawed.reply(command, result, err))
+	}
+	p.m.process(p.m.requests.Write(now, p.head.Write(now, command, respond)))
+}
+
+// describeCommand returns a command as a trace shows it.
+func describeCommand(command coordination.Command) string {
+	return fmt.Sprintf("%s %s %s token %d hold %d value %q if %d", command.Operation, command.Name, command.Holder, command.Token,
+		command.HoldMs, command.Value, command.IfRevision)
+}
+
+// coordinationReply returns the reply to a command.
+func coordinationReply(result coordination.Result, err error) protocol.Reply {
+	if err == nil {
+		return protocol.Reply{Coordination: result}
+	}
+	reply := failedReply(errkind.KindOf(err))
+	reply.Coordination = result
+	return reply
+}
+
+func failedReply(kind errkind.Kind) protocol.Reply {
+	return protocol.Reply{Failed: true, Kind: int(kind)}
+}
+
+// read has the tail return a cell, or the revision of a group.
+func (p *coordinationProcess) read(cell, group string, answer func(protocol.Reply)) {
+	node := p.m.node
+	if node.IsTail() || p.m.sim.options.Flaw == ReadAtAnyMember {
+		p.readAtTail(cell, group, answer)
+		return
+	}
+	view := node.View()
+	tail, ok := view.Voter(view.Tail())
+	if !ok || !node.IsReachable(p.m.sim.now, tail.Address) {
+		answer(failedReply(errkind.NotReady))
+		return
+	}
+	p.forward(tail.Address, func(number uint64) any {
+		return protocol.CoordinationRead{From: p.m.address, ID: number, Cell: cell, Group: group}
+	}, answer)
+}
+
+func (p *coordinationProcess) readAtTail(cell, group string, answer func(protocol.Reply)) {
+	respond := func(state chain.State, err error) {
+		if err != nil {
+			answer(failedReply(errkind.NotReady))
+			return
+		}
+		table := coordinationOf(state.Value)
+		if group != "" {
+			answer(protocol.Reply{Coordination: table.ReadGroup(group)})
+			return
+		}
+		answer(protocol.Reply{Coordination: table.ReadCell(cell)})
+	}
+	if p.m.sim.options.Flaw == ReadAtAnyMember {
+		respond(p.m.node.CommittedState(), nil)
+		return
+	}
+	p.m.process(p.m.requests.Read(p.m.sim.now, chain.Read{Respond: respond}))
+}
+
+// receive handles a call or a reply of another member.
+func (p *coordinationProcess) receive(message any) {
+	switch call := message.(type) {
+	case protocol.CoordinationWrite:
+		if !p.received.IsRepeated(call.From, call.ID) {
+			p.executeAtHead(call.Command, p.replyTo(call.From, call.ID))
+		}
+	case protocol.CoordinationRead:
+		p.readAtTail(call.Cell, call.Group, p.replyTo(call.From, call.ID))
+	case protocol.Reply:
+		p.onReply(call)
+	}
+}
+
+func (p *coordinationProcess) replyTo(address string, id uint64) func(protocol.Reply) {
+	return func(reply protocol.Reply) {
+		reply.ID = id
+		p.m.sim.send(p.m, chain.Envelope{To: address, Message: reply})
+	}
+}
+
+func (p *coordinationProcess) onReply(reply protocol.Reply) {
+	for i, call := range p.pending {
+		if call.number == reply.ID {
+			p.pending = append(p.pending[:i:i], p.pending[i+1:]...)
+			call.answer(reply)
+			return
+		}
+	}
+}
+
+// tick ends calls without a reply, and drops, at the head, what is old enough.
+func (p *coordinationProcess) tick() {
+	now := p.m.sim.now
+	for len(p.pending) > 0 && now > p.pending[0].deadline {
+		call := p.pending[0]
+		p.pending = p.pending[1:]
+		call.answer(failedReply(errkind.Unavailable))
+	}
+	node := p.m.node
+	if !node.IsHead() || !node.IsViewConfirmed(now) {
+		p.head.Pause()
+		return
+	}
+	if command, ok := p.head.Compaction(now, node.CommittedState().Value); ok {
+		p.executeAtHead(command, func(protocol.Reply) {})
+	}
+}
+
+// watchSource returns the committed state from which this member serves watches now, as internal/controlplane decides it.
+func (p *coordinationProcess) watchSource() coordination.WatchSource {
+	node, now := p.m.node, p.m.sim.now
+	source := coordination.WatchSource{
+		Seq:        node.CommittedSeq(),
+		State:      coordinationOf(node.CommittedState().Value),
+		CanServe:   node.IsInChain() && node.IsCommitKnown() && now-node.QuorumConfirmedAt(now) < maxUnconfirmed,
+		IsChanging: node.IsSealed() && node.HasQuorum(now),
+	}
+	if p.m.sim.options.Flaw == WatchUncommitted {
+		source.Seq, source.State = node.LatestState().Seq, coordinationOf(node.LatestState().Value)
+	}
+	return source
+}
+
+// answerWatches answers the watches that are ready.
+func (p *coordinationProcess) answerWatches() {
+	if !p.watches.IsEmpty() {
+		p.watches.AnswerReady(p.m.sim.now, p.watchSource())
+	}
+}
+
+// isCoordinationMessage reports whether a message is for the coordination service.
+func isCoordinationMessage(message any) bool {
+	switch message.(type) {
+	case protocol.CoordinationWrite, protocol.CoordinationRead, protocol.Reply:
+		return true
+	}
+	return false
+}
--- a/internal/lab/coresim/endchecks.go
+++ b/internal/lab/coresim/endchecks.go
@@ -23,6 +23,9 @@
 	if err := sim.checkSessions(); err != nil {
 		return err
 	}
+	if err := sim.checkCoordination(); err != nil {
+		return err
+	}
 	return sim.checkPlacement()
 }
 
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -67,14 +67,34 @@
 	ServeBeforeSync    Flaw = "a member serves streams before it has its peers' sessions"
 )
 
+// Flaws of the coordination service. They are found with Options.Coordination alone.
+const (
+	KeepHoldTimers        Flaw = "hold timers are not reset when a view is installed"
+	RenewUnconfirmed      Flaw = "a renewal is answered without a majority's word"
+	TokensPerIncarnation  Flaw = "fencing tokens are counted by each process"
+	FinishAnyToken        Flaw = "a finish with an old token gives the lock back"
+	NumbersPerIncarnation Flaw = "a number is counted by each process"
+	RepeatedPutIsNew      Flaw = "a put that comes again gets another revision"
+	WatchSkipsEvent       Flaw = "a watch skips an event"
+	WatchUncommitted      Flaw = "a watch shows what is not committed"
+	ReadAtAnyMember       Flaw = "a read is answered by any member"
+	UnknownAsNotExecuted  Flaw = "an unknown outcome is answered as not executed"
+)
+
+// coordinationFlaws are those of the coordination service.
+var coordinationFlaws = []Flaw{
+	KeepHoldTimers, RenewUnconfirmed, TokensPerIncarnation, FinishAnyToken, NumbersPerIncarnation, RepeatedPutIsNew,
+	WatchSkipsEvent, WatchUncommitted, ReadAtAnyMember, UnknownAsNotExecuted,
+}
+
 // Flaws returns all flaws that can be planted.
 func Flaws() []Flaw {
-	return []Flaw{
+	return append([]Flaw{
 		SendBeforeSync, AckAtHead, EarlyCommit, VoteAfterWipe, ForgetPromise, RestartBehind, ShortPromise, ShortInstall,
 		ReadUnconfirmed, ReadUncommitted, LeaseUnconfirmed, NoTakeoverDelay, NoReturnDelay, RestartWithLease, ConstantToken,
 		RepeatNonces, RejectUnconfirmed, ForgetApplied, IgnoreBase, StopAsSurplusVoter, StopBeforeReplicated,
 		StopWithoutAgreement, OrderWithoutLease, ForgetLedger, AckDepartureAtOnce, ServeBeforeSync,
-	}
+	}, coordinationFlaws...)
 }
 
 // withoutLatest returns a state without its latest operation.
@@ -83,7 +103,8 @@
 	if !ok || len(value.operations) == 0 {
 		return state
 	}
-	return chain.State{Seq: state.Seq - 1, Value: log{operations: value.operations[:len(value.operations)-1]}}
+	value.operations = value.operations[:len(value.operations)-1]
+	return chain.State{Seq: state.Seq - 1, Value: value}
 }
 
 // message returns a message as a process with the flaw sends it.
--- a/internal/lab/coresim/machine.go
+++ b/internal/lab/coresim/machine.go
@@ -24,6 +24,8 @@
 	placer *placer
 	// sessions is nil without Options.Sessions.
 	sessions *sessionProcess
+	// coordination is nil without Options.Coordination.
+	coordination *coordinationProcess
 	// incarnation counts the starts and ends of the process. Events that an earlier one has scheduled are ignored.
 	incarnation int
 	up          bool
@@ -80,7 +82,7 @@
 	}
 	return chain.Config{
 		Self:            chain.Member{ID: m.id(), Name: m.address, Address: m.address},
-		Apply:           apply,
+		Apply:           m.sim.apply,
 		Seeds:           m.sim.seeds,
 		MaxFailures:     m.sim.options.MostFailures,
 		PingInterval:    pingInterval,
@@ -132,6 +134,7 @@
 	}
 	out := m.startNode(genesis)
 	m.startSessions()
+	m.startCoordination()
 	m.process(out)
 	m.startPlacer()
 	m.tick(m.incarnation)
@@ -209,6 +212,9 @@
 	if m.placer != nil {
 		m.placer.tick()
 	}
+	if m.coordination != nil {
+		m.coordination.tick()
+	}
 	if m.stopIfLeft() {
 		return
 	}
@@ -245,15 +251,35 @@
 		m.sessions.receive(message)
 		return
 	}
+	if m.coordination != nil && m.receiveCoordination(message) {
+		return
+	}
 	m.process(m.node.Receive(m.sim.now, message))
 	m.observe()
 }
 
+// receiveCoordination handles a message for the coordination service. It reports whether it is one.
+func (m *machine) receiveCoordination(message any) bool {
+	call, isCall := message.(waitingCall)
+	switch {
+	case isCall:
+		m.coordination.resume(call)
+	case isCoordinationMessage(message):
+		m.coordination.receive(message)
+	default:
+		return false
+	}
+	return true
+}
+
 // process does what an output of the state machine asks for.
 func (m *machine) process(out chain.Output) {
 	if out.ViewInstalled && m.sessions != nil {
 		m.sessions.replica.RestartSync()
 	}
+	if out.ViewInstalled && m.coordination != nil {
+		m.coordination.viewInstalled()
+	}
 	for _, envelope := range out.ImmediateMessages {
 		m.sim.send(m, envelope)
 	}
@@ -286,6 +312,9 @@
 	m.sim.checker.observe(m)
 	if m.isRunning() {
 		m.requests.AnswerReady(m.sim.now)
+		if m.coordination != nil {
+			m.coordination.answerWatches()
+		}
 	}
 }
 
@@ -295,6 +324,9 @@
 // leave begins a planned stop. The process starts again after a delay, or never if that is 0.
 func (m *machine) leave(restartDelay time.Duration) {
 	m.node.Leave(m.sim.now)
+	if m.coordination != nil {
+		m.coordination.watches.Stop()
+	}
 	m.leaveDeadline = m.sim.now + gracePeriod
 	if m.sim.options.Flaw == StopWithoutAgreement {
 		m.leaveDeadline = m.sim.now + gracePeriod/2
--- a/internal/lab/coresim/search.go
+++ b/internal/lab/coresim/search.go
@@ -31,6 +31,7 @@
 	case AckDepartureAtOnce, ServeBeforeSync:
 		options.Sessions = true
 	}
+	options.Coordination = slices.Contains(coordinationFlaws, flaw)
 	failure, _ := SearchWithCoverage(first, count, options, nil)
 	return failure
 }
@@ -52,6 +53,7 @@
 				}
 				s := Generate(first+i, options.Flaw)
 				s.Options.Placement, s.Options.Sessions = options.Placement, options.Sessions
+				s.Options.Coordination = options.Coordination
 				reached, err := s.runWithCoverage()
 				n := played.Add(1)
 				mu.Lock()
--- a/internal/lab/coresim/simulation.go
+++ b/internal/lab/coresim/simulation.go
@@ -52,6 +52,8 @@
 	Placement bool `json:",omitempty"`
 	// Sessions has emulated endpoints keep sessions with the members, drain and deregister.
 	Sessions bool `json:",omitempty"`
+	// Coordination has emulated applications call for locks, numbers, cells and watches.
+	Coordination bool `json:",omitempty"`
 }
 
 // Simulation is one simulated core with its clients.
@@ -70,8 +72,9 @@
 	delayed       map[link]*delayedLink
 	lastArrival   map[link]time.Duration
 	checker       *checker
-	placement     *placementTable // nil without Options.Placement
-	sessions      *sessionTable   // nil without Options.Sessions
+	placement     *placementTable    // nil without Options.Placement
+	sessions      *sessionTable      // nil without Options.Sessions
+	coordination  *coordinationTable // nil without Options.Coordination
 	coverage      Coverage
 	lastOperation uint64
 	replacements  int
@@ -100,6 +103,9 @@
 	if options.Sessions {
 		sim.sessions = newSessionTable(sim)
 	}
+	if options.Coordination {
+		sim.coordination = newCoordinationTable(sim)
+	}
 	for _, m := range sim.machines {
 		m.start(true)
 	}
@@ -174,8 +180,10 @@
 		return sim.checker.violation
 	case sim.placement != nil && sim.placement.checker.violation != nil:
 		return sim.placement.checker.violation
-	case sim.sessions != nil:
+	case sim.sessions != nil && sim.sessions.checker.violation != nil:
 		return sim.sessions.checker.violation
+	case sim.coordination != nil:
+		return sim.coordination.violation()
 	}
 	return nil
 }
--- a/internal/lab/coresim/value.go
+++ b/internal/lab/coresim/value.go
@@ -1,15 +1,25 @@
 package coresim
 
-import "encoding/binary"
+import (
+	"encoding/binary"
 
-// log is the replicated value: the list of the operations. It is never modified in place.
-type log struct{ operations []operation }
+	"dykering/internal/coordination"
+)
+
+// log is the replicated value: the list of the operations of the operators. It is never modified in place.
+type log struct {
+	operations []operation
+	// coordination is the state of the coordination service; nil while nothing was written to it.
+	coordination *coordination.State
+}
 
 // apply is chain.Config.Apply: it appends an operation.
 func apply(value any, encoded []byte) any {
-	old := value.(log).operations
+	next := value.(log)
+	old := next.operations
 	op := operation{number: binary.BigEndian.Uint64(encoded), base: binary.BigEndian.Uint64(encoded[8:])}
-	return log{operations: append(old[:len(old):len(old)], op)}
+	next.operations = append(old[:len(old):len(old)], op)
+	return next
 }
 
 // encode returns the form of an operation in the chain's log.
