--- a/internal/lab/coresim/cell_callers.go
+++ b/internal/lab/coresim/cell_callers.go
@@ -19,7 +19,9 @@
 	maxCallPause      = 400 * time.Millisecond
 	// readFraction is the mean number of calls on cells of which one is a read.
 	readFraction = 3
-	watchWait    = 700 * time.Millisecond
+	// singlePutFraction is the mean number of puts of which one is sent once alone.
+	singlePutFraction = 3
+	watchWait         = 700 * time.Millisecond
 )
 
 func (t *coordinationTable) startNumberCallers() {
@@ -85,7 +87,8 @@
 }
 
 // put puts a new value, in one of two cases on the condition that the cell has the latest revision that was shown. The call is
-// sent again with the same value until there is a clear answer, and now and then once more.
+// sent again with the same value until there is a clear answer, and now and then once more; some callers send it once alone, so
+// that a promise that nothing was done is never made up for by a later call.
 func (t *coordinationTable) put(cell string, done func(coordinationAnswer)) {
 	t.lastValue++
 	put := putRecord{cell: cell, value: fmt.Sprintf("v%d", t.lastValue), conditional: t.oneOf(2)}
@@ -93,16 +96,20 @@
 		put.ifRevision = t.cells.highestOfCell[cell]
 	}
 	t.cells.begin(put)
-	t.sendPut(put, func(answer coordinationAnswer) {
+	persist := persistence
+	if t.oneOf(singlePutFraction) {
+		persist = 0
+	}
+	t.sendPut(put, persist, func(answer coordinationAnswer) {
 		if t.oneOf(resendFraction) && !answer.failed && !answer.missing {
-			t.sim.after(t.duration(0, maxCallPause), func() { t.sendPut(put, done) })
+			t.sim.after(t.duration(0, maxCallPause), func() { t.sendPut(put, persist, done) })
 			return
 		}
 		done(answer)
 	})
 }
 
-func (t *coordinationTable) sendPut(put putRecord, done func(coordinationAnswer)) {
+func (t *coordinationTable) sendPut(put putRecord, persist time.Duration, done func(coordinationAnswer)) {
 	var floor uint64
 	request := coordinationRequest{
 		command: &coordination.Command{
@@ -114,14 +121,14 @@
 		},
 		onSend: func() { floor = t.cells.highestOfCell[put.cell] },
 	}
-	t.callUntilClear(request, persistence, func(_ time.Duration, answer coordinationAnswer, certain bool) {
+	t.callUntilClear(request, persist, func(_ time.Duration, answer coordinationAnswer, certain bool) {
 		switch {
 		case !answer.missing && !answer.failed:
 			t.cells.acknowledge(put.value, answer.result.Revision)
 		case answer.isRejection() && answer.kind == errkind.RevisionConflict:
 			t.cells.reject(put.value)
 			t.cells.checkConflict(put.value, answer.result.Revision, floor)
-		case certain:
+		case certain && t.cells.puts[put.value].acknowledged == 0:
 			t.cells.reject(put.value)
 		}
 		done(answer)
--- a/internal/lab/coresim/cell_checker.go
+++ b/internal/lab/coresim/cell_checker.go
@@ -35,6 +35,8 @@
 	ifRevision  uint64
 	// floor is the highest revision of the group that had been shown when the put was first sent.
 	floor uint64
+	// acknowledged counts the acknowledgements of the put.
+	acknowledged int
 	// rejected is set once it is certain that the put was not executed and never will be.
 	rejected bool
 	// revision is 0 while nobody has seen it.
@@ -105,6 +107,7 @@
 // acknowledge records that a put was acknowledged.
 func (c *cellChecker) acknowledge(value string, revision uint64) {
 	c.acks++
+	c.puts[value].acknowledged++
 	c.show(c.puts[value].cell, value, revision)
 }
 
--- a/internal/lab/coresim/coordination_process.go
+++ b/internal/lab/coresim/coordination_process.go
@@ -176,7 +176,7 @@
 func (p *coordinationProcess) receive(message any) {
 	switch call := message.(type) {
 	case protocol.CoordinationWrite:
-		if !p.received.IsRepeated(call.From, call.ID) {
+		if !p.received.IsRepeated(call.From, call.ID) || p.m.sim.options.Flaw == ExecuteDuplicates {
 			p.executeAtHead(call.Command, p.replyTo(call.From, call.ID))
 		}
 	case protocol.CoordinationRead:
--- a/internal/lab/coresim/flaws.go
+++ b/internal/lab/coresim/flaws.go
@@ -78,13 +78,14 @@
 	WatchSkipsEvent       Flaw = "a watch skips an event"
 	WatchUncommitted      Flaw = "a watch shows what is not committed"
 	ReadAtAnyMember       Flaw = "a read is answered by any member"
+	ExecuteDuplicates     Flaw = "a call that is delivered twice is executed twice"
 	UnknownAsNotExecuted  Flaw = "an unknown outcome is answered as not executed"
 )
 
 // coordinationFlaws are those of the coordination service.
 var coordinationFlaws = []Flaw{
 	KeepHoldTimers, RenewUnconfirmed, TokensPerIncarnation, FinishAnyToken, NumbersPerIncarnation, RepeatedPutIsNew,
-	WatchSkipsEvent, WatchUncommitted, ReadAtAnyMember, UnknownAsNotExecuted,
+	WatchSkipsEvent, WatchUncommitted, ReadAtAnyMember, ExecuteDuplicates, UnknownAsNotExecuted,
 }
 
 // Flaws returns all flaws that can be planted.
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -162,6 +162,12 @@
 
 // runWithCoverage runs a schedule and also returns what it has covered.
 func (s Schedule) runWithCoverage() (Coverage, error) {
+	sim, err := s.play()
+	return sim.coverage, err
+}
+
+// play runs a schedule and returns the simulation as it is at the end, or where a guarantee was violated.
+func (s Schedule) play() (*Simulation, error) {
 	sim := NewSimulation(s.Options)
 	injector := newFaultInjector(sim, s.Overlap)
 	var end time.Duration
@@ -171,7 +177,7 @@
 	}
 	injector.watchProgress()
 	if err := sim.Run(end + quietPeriod); err != nil {
-		return sim.coverage, err
+		return sim, err
 	}
-	return sim.coverage, sim.checkEnd()
+	return sim, sim.checkEnd()
 }
