--- a/cmd/dykering-lab/coresearch.go
+++ b/cmd/dykering-lab/coresearch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -80,7 +81,8 @@
 }
 
 func newCoreReplay() *cli.Command {
-	return &cli.Command{
+	var trace string
+	c := &cli.Command{
 		Name: "replay", ArgsUsage: "FILE", Usage: "Play a written schedule again",
 		Action: commandline.Args(1, 1, func(_ context.Context, c *cli.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
@@ -91,13 +93,22 @@
 			if err := json.Unmarshal(text, &s); err != nil {
 				return commandline.Failure(fmt.Errorf("%s: %w", args[0], err))
 			}
-			if err := s.Run(); err != nil {
+			err = s.RunTraced(func(line string) {
+				if trace != "" && strings.Contains(line, trace) {
+					fmt.Fprintln(c.Root().Writer, line)
+				}
+			})
+			if err != nil {
 				return commandline.Failure(err)
 			}
 			fmt.Fprintln(c.Root().Writer, "no promise broken")
 			return nil
 		}),
 	}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "trace", Usage: "print the calls of the coordination service that contain this text", Destination: &trace},
+	}
+	return c
 }
 
 func newCoreFlaws() *cli.Command {
--- a/internal/lab/coresim/coordination_calls.go
+++ b/internal/lab/coresim/coordination_calls.go
@@ -87,7 +87,7 @@
 			answered = true
 			t.calls[a.outcome()]++
 			if request.command != nil {
-				t.tell("a caller sees %q %+v for %s", a.outcome(), a.result, describeCommand(*request.command))
+				t.tell("a caller sees %q %+v for %s", a.outcome(), a.result, tracedCommand(*request.command))
 			}
 			answer(a)
 		}
@@ -110,7 +110,7 @@
 	}
 	sim.after(delay, func() {
 		if request.command != nil {
-			t.tell("a call arrives at %s, sent %v before: %s", m.address, delay, describeCommand(*request.command))
+			t.tell("a call arrives at %s, sent %v before: %s", m.address, delay, tracedCommand(*request.command))
 		}
 		m.serveCall(request, respond)
 	})
--- a/internal/lab/coresim/coordination_process.go
+++ b/internal/lab/coresim/coordination_process.go
@@ -106,18 +106,20 @@
 		answer(reply)
 	}
 	t := p.m.sim.coordination
-	t.tell("%s decides on %s", p.m.address, describeCommand(command))
+	t.tell("%s decides on %s", p.m.address, tracedCommand(command))
 	respond := func(result coordination.Result, err error) {
-		t.tell("%s answers %s: %+v %v", p.m.address, describeCommand(command), result, err)
+		t.tell("%s answers %s: %+v %v", p.m.address, tracedCommand(command), result, err)
 		answer(p.flawed.reply(command, result, err))
 	}
 	p.m.process(p.m.requests.Write(now, p.head.Write(now, command, respond)))
 }
 
-// describeCommand returns a command as a trace shows it.
-func describeCommand(command coordination.Command) string {
-	return fmt.Sprintf("%s %s %s token %d hold %d value %q if %d", command.Operation, command.Name, command.Holder, command.Token,
-		command.HoldMs, command.Value, command.IfRevision)
+// tracedCommand is a command as a trace shows it.
+type tracedCommand coordination.Command
+
+// String returns the command in one line.
+func (c tracedCommand) String() string {
+	return fmt.Sprintf("%s %s %s token %d hold %d value %q if %d", c.Operation, c.Name, c.Holder, c.Token, c.HoldMs, c.Value, c.IfRevision)
 }
 
 // coordinationReply returns the reply to a command.
--- a/internal/lab/coresim/coordination_test.go
+++ b/internal/lab/coresim/coordination_test.go
@@ -9,7 +9,7 @@
 func coordinationOutcome(seed uint64) (calls map[string]int, events uint64, err error) {
 	schedule := Generate(seed, NoFlaw)
 	schedule.Options.Coordination = true
-	sim, err := schedule.play()
+	sim, err := schedule.play(nil)
 	return sim.coordination.calls, sim.lastEvent, err
 }
 
--- a/internal/lab/coresim/doc.go
+++ b/internal/lab/coresim/doc.go
@@ -16,9 +16,15 @@
 // addition. docs/SYSTEM-SEARCH.md has the guarantees, the planted flaws and what was found. It does not cover the sessions,
 // the update streams, quotas, orders, corrupted disks and clock steps.
 //
+// With Options.Coordination the value also has the state of the coordination service, whose decisions are those of
+// internal/coordination, and emulated applications call for locks, numbers, cells and watches. The checkers look at what the
+// applications see alone.
+//
 // Files: simulation.go and eventqueue.go (virtual time), network.go, machine.go and disk.go (what is simulated), clients.go
 // and value.go (the load), schedule.go, faults.go and faultbudget.go (faults), checker.go and progress.go (guarantees),
-// search.go and coverage.go (the search), flaws.go (planted flaws), recovery.go (measurement of recovery times).
+// search.go and coverage.go (the search), flaws.go (planted flaws), coordination.go, coordination_process.go and
+// coordination_calls.go (the coordination service and the calls to it), lock_callers.go and cell_callers.go (its load),
+// lock_checker.go, cell_checker.go and coordination_end.go (its guarantees), recovery.go (measurement of recovery times).
 //
 // The commands dykering-lab control explore, replay, flaws and recovery call it.
 package coresim
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -162,13 +162,23 @@
 
 // runWithCoverage runs a schedule and also returns what it has covered.
 func (s Schedule) runWithCoverage() (Coverage, error) {
-	sim, err := s.play()
+	sim, err := s.play(nil)
 	return sim.coverage, err
 }
 
-// play runs a schedule and returns the simulation as it is at the end, or where a guarantee was violated.
-func (s Schedule) play() (*Simulation, error) {
+// RunTraced runs a schedule, and tells what happens to the calls of the coordination service, a line each.
+func (s Schedule) RunTraced(trace func(line string)) error {
+	_, err := s.play(trace)
+	return err
+}
+
+// play runs a schedule and returns the simulation as it is at the end, or where a guarantee was violated. The trace is nil for
+// none.
+func (s Schedule) play(trace func(line string)) (*Simulation, error) {
 	sim := NewSimulation(s.Options)
+	if sim.coordination != nil {
+		sim.coordination.trace = trace
+	}
 	injector := newFaultInjector(sim, s.Overlap)
 	var end time.Duration
 	for _, fault := range s.Steps {
