--- a/internal/lab/coresim/coordination_calls.go
+++ b/internal/lab/coresim/coordination_calls.go
@@ -127,11 +127,13 @@
 	return present[t.random.IntN(len(present))]
 }
 
+// clearAnswer is what callUntilClear tells at its end.
+type clearAnswer func(sentAt time.Duration, answer coordinationAnswer, certain bool)
+
 // callUntilClear makes a call again, at machines drawn at random, until there is a clear answer or the time is over. Done is
 // told when the last call was sent, and whether nothing can have been done unless the answer says so: no earlier call was left
 // without a clear answer.
-func (t *coordinationTable) callUntilClear(request coordinationRequest, persist time.Duration,
-	done func(sentAt time.Duration, answer coordinationAnswer, certain bool)) {
+func (t *coordinationTable) callUntilClear(request coordinationRequest, persist time.Duration, done clearAnswer) {
 	deadline := t.sim.now + persist
 	certain := true
 	var attempt func()
--- a/internal/lab/coresim/coordination_flaws.go
+++ b/internal/lab/coresim/coordination_flaws.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"dykering/internal/coordination"
 	"dykering/internal/errkind"
@@ -45,7 +44,7 @@
 }
 
 // earlyReply returns the reply that a head with the flaw sends at once; ok is false for none.
-func (f *flawedCoordination) earlyReply(now time.Duration, command coordination.Command) (reply protocol.Reply, ok bool) {
+func (f *flawedCoordination) earlyReply(command coordination.Command) (reply protocol.Reply, ok bool) {
 	isRenewal := command.Operation == coordination.RenewLock
 	if f.m.sim.options.Flaw != RenewUnconfirmed || !isRenewal || !f.m.node.IsHead() {
 		return protocol.Reply{}, false
--- a/internal/lab/coresim/coordination_process.go
+++ b/internal/lab/coresim/coordination_process.go
@@ -102,7 +102,7 @@
 func (p *coordinationProcess) executeAtHead(command coordination.Command, answer func(protocol.Reply)) {
 	now := p.m.sim.now
 	command = p.flawed.command(command)
-	if reply, ok := p.flawed.earlyReply(now, command); ok {
+	if reply, ok := p.flawed.earlyReply(command); ok {
 		answer(reply)
 	}
 	t := p.m.sim.coordination
--- a/internal/lab/coresim/coordination_test.go
+++ b/internal/lab/coresim/coordination_test.go
@@ -32,8 +32,10 @@
 				seen[outcome] += count
 			}
 		}
-		for _, outcome := range []string{"done", "no answer", "not ready", "the outcome is not known", "another holder has the lock",
-			"the lock is lost", "the key has another revision", "the history begins later"} {
+		for _, outcome := range []string{
+			"done", "no answer", "not ready", "the outcome is not known", "another holder has the lock",
+			"the lock is lost", "the key has another revision", "the history begins later",
+		} {
 			Expect(seen).To(HaveKeyWithValue(outcome, BeNumerically(">", 0)))
 		}
 	})
