--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -61,6 +61,9 @@
 	Install struct {
 		From     MemberID
 		Proposal Proposal
+		// BaseIsLater reports whether Base may be later than the state that the view began from. Earlier versions do not
+		// send it.
+		BaseIsLater bool
 	}
 	// Append carries log entries from a member of the chain to its successor.
 	Append struct {
@@ -98,6 +101,8 @@
 	Seq uint64
 	// Committed is the sequence number up to which the member knows the log to be committed.
 	Committed uint64
+	// OperationVersion is the highest version of operations that the member understands. Earlier versions do not send it.
+	OperationVersion int
 }
 
 // Envelope is a message with the address of its receiver.
--- a/internal/coordination/locks.go
+++ b/internal/coordination/locks.go
@@ -9,7 +9,7 @@
 	Holder string
 	// FirstToken is the token with which the holder took the lock, and Token the latest one, as each further begin of the
 	// holder gets another token. In between lie those of begins whose answers may have been lost. Only a finish with the
-	// latest one gives the lock back: one with another token may be a late one of the holder's earlier incarnation.
+	// latest one gives the lock back: one with an earlier token may be a late one of the holder's earlier incarnation.
 	FirstToken, Token uint64
 	// HoldMs is the longest time, in milliseconds, for which the holder has asked since it took the lock.
 	HoldMs int64
