--- a/cmd/dykering-lab/coresearch.go
+++ b/cmd/dykering-lab/coresearch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -25,12 +26,13 @@
 func newCoreExplore() *cli.Command {
 	var first, schedules uint64
 	var flaw, file, table string
-	var placement, sessions bool
+	var placement, sessions, coordination bool
 	c := &cli.Command{
 		Name: "explore", Usage: "Draw schedules of troubles until a promise is broken",
 		Action: commandline.NoArgs(func(_ context.Context, c *cli.Command) error {
 			began := time.Now()
-			failure, covered := coresim.SearchWithCoverage(first, schedules, coresim.Options{Flaw: coresim.Flaw(flaw), Placement: placement, Sessions: sessions}, func(played uint64) {
+			options := coresim.Options{Flaw: coresim.Flaw(flaw), Placement: placement, Sessions: sessions, Coordination: coordination}
+			failure, covered := coresim.SearchWithCoverage(first, schedules, options, func(played uint64) {
 				left := time.Duration(float64(time.Since(began)) / float64(played) * float64(schedules-played))
 				fmt.Fprintf(c.Root().ErrWriter, "%d of %d played, %v left\n", played, schedules, left.Round(time.Second))
 			})
@@ -63,6 +65,7 @@
 		&cli.StringFlag{Name: "flaw", Usage: "a flaw to plant, by its name", Destination: &flaw},
 		&cli.BoolFlag{Name: "placement", Usage: "let the lease holder send orders to emulated endpoints", Destination: &placement},
 		&cli.BoolFlag{Name: "sessions", Usage: "let emulated endpoints keep sessions, drain and deregister", Destination: &sessions},
+		&cli.BoolFlag{Name: "coordination", Usage: "let emulated applications call for locks, numbers, cells and watches", Destination: &coordination},
 		&cli.StringFlag{Name: "table", Usage: "where the table of the pairs that were reached is written", Destination: &table},
 		&cli.StringFlag{Name: "out", Usage: "where a failing schedule is written", Destination: &file},
 	}
@@ -78,7 +81,8 @@
 }
 
 func newCoreReplay() *cli.Command {
-	return &cli.Command{
+	var trace string
+	c := &cli.Command{
 		Name: "replay", ArgsUsage: "FILE", Usage: "Play a written schedule again",
 		Action: commandline.Args(1, 1, func(_ context.Context, c *cli.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
@@ -89,13 +93,22 @@
 			if err := json.Unmarshal(text, &s); err != nil {
 				return commandline.Failure(fmt.Errorf("%s: %w", args[0], err))
 			}
-			if err := s.Run(); err != nil {
+			err = s.RunTraced(func(line string) {
+				if trace != "" && strings.Contains(line, trace) {
+					fmt.Fprintln(c.Root().Writer, line)
+				}
+			})
+			if err != nil {
 				return commandline.Failure(err)
 			}
 			fmt.Fprintln(c.Root().Writer, "no promise broken")
 			return nil
 		}),
 	}
+	c.Flags = []cli.Flag{
+		&cli.StringFlag{Name: "trace", Usage: "print the calls of the coordination service that contain this text", Destination: &trace},
+	}
+	return c
 }
 
 func newCoreFlaws() *cli.Command {
--- a/internal/lab/coresim/schedule.go
+++ b/internal/lab/coresim/schedule.go
@@ -162,7 +162,23 @@
 
 // runWithCoverage runs a schedule and also returns what it has covered.
 func (s Schedule) runWithCoverage() (Coverage, error) {
+	sim, err := s.play(nil)
+	return sim.coverage, err
+}
+
+// RunTraced runs a schedule, and tells what happens to the calls of the coordination service, a line each.
+func (s Schedule) RunTraced(trace func(line string)) error {
+	_, err := s.play(trace)
+	return err
+}
+
+// play runs a schedule and returns the simulation as it is at the end, or where a guarantee was violated. The trace is nil for
+// none.
+func (s Schedule) play(trace func(line string)) (*Simulation, error) {
 	sim := NewSimulation(s.Options)
+	if sim.coordination != nil {
+		sim.coordination.trace = trace
+	}
 	injector := newFaultInjector(sim, s.Overlap)
 	var end time.Duration
 	for _, fault := range s.Steps {
@@ -171,7 +187,7 @@
 	}
 	injector.watchProgress()
 	if err := sim.Run(end + quietPeriod); err != nil {
-		return sim.coverage, err
+		return sim, err
 	}
-	return sim.coverage, sim.checkEnd()
+	return sim, sim.checkEnd()
 }
