--- /dev/null
+++ b/internal/coordination/watch_table_test.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dykering/internal/errkind"
+)
+
+var _ = Describe("the table of watches", func() {
+	const wait = 2 * time.Second
+	var m *machine
+	var table *WatchTable
+	var seq uint64
+	BeforeEach(func() {
+		m, table, seq = newMachine(), NewWatchTable(), 1
+		m.do(put("g.a", "1"))
+	})
+	source := func() WatchSource { return WatchSource{Seq: seq, State: m.State, CanServe: true} }
+	// add adds a watch of g. above a revision, which waits for 2 s.
+	add := func(after uint64, from WatchSource) (*Watch, <-chan WatchAnswer) {
+		answers := make(chan WatchAnswer, 2)
+		w := &Watch{Group: "g.", After: after, Deadline: wait, Answer: func(answer WatchAnswer) { answers <- answer }}
+		table.Add(0, from, w)
+		return w, answers
+	}
+	commit := func(command Command) {
+		m.do(command)
+		seq++
+	}
+	expectFailure := func(answers <-chan WatchAnswer, kind errkind.Kind) {
+		GinkgoHelper()
+		var answer WatchAnswer
+		Expect(answers).To(Receive(&answer))
+		Expect(errkind.KindOf(answer.Err)).To(Equal(kind))
+	}
+
+	It("answers at once where there are puts", func() {
+		_, answers := add(0, source())
+		Expect(answers).To(Receive(Equal(WatchAnswer{Events: []Event{{"g.a", "1", 1}}, Revision: 1})))
+		Expect(table.IsEmpty()).To(BeTrue())
+	})
+
+	It("answers once there is a put of the group, to all that wait, once", func() {
+		_, first := add(1, source())
+		_, second := add(1, source())
+		commit(put("h.a", "2"))
+		table.AnswerReady(time.Second, source())
+		Expect(first).NotTo(Receive())
+		commit(put("g.b", "3"))
+		table.AnswerReady(time.Second, source())
+		wanted := WatchAnswer{Events: []Event{{"g.b", "3", 2}}, Revision: 2}
+		Expect(first).To(Receive(Equal(wanted)))
+		Expect(second).To(Receive(Equal(wanted)))
+		table.AnswerReady(wait, source())
+		Expect(first).NotTo(Receive())
+		Expect(table.Len()).To(BeZero())
+	})
+
+	It("answers without puts at the deadline, with the revision that was asked for", func() {
+		_, answers := add(1, source())
+		table.AnswerReady(wait-1, source())
+		Expect(answers).NotTo(Receive())
+		table.AnswerReady(wait, source())
+		Expect(answers).To(Receive(Equal(WatchAnswer{Revision: 1})))
+	})
+
+	It("waits above a revision that this member has not reached", func() {
+		_, answers := add(5, source())
+		commit(put("g.b", "2"))
+		table.AnswerReady(time.Second, source())
+		Expect(answers).NotTo(Receive())
+		table.AnswerReady(wait, source())
+		Expect(answers).To(Receive(Equal(WatchAnswer{Revision: 5})))
+	})
+
+	It("answers a bounded number of puts, from which the caller goes on without a gap", func() {
+		for i := range maxEventsPerAnswer + 1 {
+			commit(put("g.c", fmt.Sprint("x", i)))
+		}
+		_, answers := add(1, source())
+		var answer WatchAnswer
+		Expect(answers).To(Receive(&answer))
+		Expect(answer.Events).To(HaveLen(maxEventsPerAnswer))
+		Expect(answer.Revision).To(Equal(uint64(1 + maxEventsPerAnswer)))
+		_, answers = add(answer.Revision, source())
+		Expect(answers).To(Receive(HaveField("Revision", uint64(2+maxEventsPerAnswer))))
+	})
+
+	It("says so where the history begins later, at once and to those that wait", func() {
+		commit(put("g.a", "2"))
+		commit(dropHistory("g.", 2))
+		_, answers := add(1, source())
+		expectFailure(answers, errkind.HistoryGone)
+	})
+
+	It("serves nothing where this member may be behind", func() {
+		_, waiting := add(1, source())
+		behind := source()
+		behind.CanServe = false
+		_, answers := add(0, behind)
+		expectFailure(answers, errkind.NotReady)
+		table.AnswerReady(time.Second, behind)
+		expectFailure(waiting, errkind.NotReady)
+		Expect(table.IsEmpty()).To(BeTrue())
+	})
+
+	It("has watches wait while the next view is being agreed on, and serves them after it", func() {
+		_, answers := add(1, source())
+		commit(put("g.b", "2"))
+		changing := source()
+		changing.CanServe, changing.IsChanging = false, true
+		table.AnswerReady(wait, changing)
+		Expect(answers).NotTo(Receive())
+		table.AnswerReady(wait, source())
+		Expect(answers).To(Receive(HaveField("Revision", uint64(2))))
+	})
+
+	It("forgets a watch whose caller has gone", func() {
+		gone, answers := add(1, source())
+		_, other := add(1, source())
+		table.Remove(gone)
+		table.Remove(gone)
+		commit(put("g.b", "2"))
+		table.AnswerReady(time.Second, source())
+		Expect(answers).NotTo(Receive())
+		Expect(other).To(Receive())
+	})
+
+	It("ends all watches when the process stops, and takes none after", func() {
+		_, waiting := add(1, source())
+		table.Stop()
+		expectFailure(waiting, errkind.NotReady)
+		_, late := add(0, source())
+		expectFailure(late, errkind.NotReady)
+	})
+
+	It("takes a bounded number", func() {
+		for range maxWatches {
+			add(1, source())
+		}
+		_, answers := add(1, source())
+		expectFailure(answers, errkind.RateLimited)
+		Expect(table.Len()).To(Equal(maxWatches))
+	})
+})
