--- a/internal/chain/late_messages_test.go
+++ b/internal/chain/late_messages_test.go
@@ -37,4 +37,34 @@
 		requests.AnswerReady(time.Second)
 		Expect(answers).To(Receive(MatchError(ErrNotConfirmed)))
 	})
+
+	It("that says that a voter is not sealed does not count for a ping which it has answered since as a sealed one", func() {
+		head := chainOf("a", "b", "c")[0]
+		pings := func(now time.Duration) uint64 {
+			return head.PingVoters(now).ImmediateMessages[0].Message.(Ping).Nonce
+		}
+		voter := head.View().Voters[1]
+		earlier := pings(time.Second)
+		later := pings(2 * time.Second)
+		head.Receive(2*time.Second, Pong{From: voter, Nonce: later, Status: Status{View: 1, Sealed: true, Healthy: true}})
+		head.Receive(2*time.Second, Pong{From: voter, Nonce: earlier, Status: Status{View: 1, Healthy: true}})
+		Expect(head.QuorumConfirmedAt(2 * time.Second)).To(BeNumerically("<", time.Second))
+	})
+
+	It("that answers an earlier ping does not unseal a member which a later answer has reported as sealed", func() {
+		nodes := chainOf("a", "b", "c")
+		head := nodes[0]
+		ping := func(now time.Duration) (nonce uint64) {
+			return head.PingVoters(now).ImmediateMessages[0].Message.(Ping).Nonce
+		}
+		earlier := ping(time.Millisecond)
+		later := ping(2 * time.Millisecond)
+		for _, name := range []string{"b", "c"} {
+			member := Member{ID: MemberID(name), Address: name}
+			head.Receive(3*time.Millisecond, Pong{From: member, Nonce: later, Status: Status{View: 1, Sealed: true}})
+			head.Receive(3*time.Millisecond, Pong{From: member, Nonce: earlier, Status: Status{View: 1}})
+		}
+		Expect(head.QuorumConfirmedAt(3*time.Millisecond)).To(BeNumerically("<", 2*time.Millisecond),
+			"at that time both others were sealed already")
+	})
 })
