--- a/internal/lab/localprocess/process.go
+++ b/internal/lab/localprocess/process.go
@@ -176,17 +176,17 @@
 		return err
 	}
 	defer log.Close()
-	p.command = exec.Command(program.Command[0], append(program.Command[1:len(program.Command):len(program.Command)], p.Role)...)
-	p.command.Env = append(append(os.Environ(), program.Env...), "DYKERING_NODE_FILE="+p.file)
-	p.command.Stdout, p.command.Stderr = log, log
+	command := exec.Command(program.Command[0], append(program.Command[1:len(program.Command):len(program.Command)], p.Role)...)
+	command.Env = append(append(os.Environ(), program.Env...), "DYKERING_NODE_FILE="+p.file)
+	command.Stdout, command.Stderr = log, log
 	// The child ends with this process, whatever ends that.
-	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
 		return errors.Wrap(err, p.Name)
 	}
 	p.InitialStart = false // from the next start on
-	command, ended := p.command, make(chan struct{})
-	p.ended = ended
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
 	go func() {
 		_ = command.Wait() // how it has ended does not matter
 		close(ended)
