A watch that resumes gets up to 2,048 events at once

An answer had at most 512 events, and its revision ended there: with 27 puts a second in a group a revision given 19 s before was answered 512 puts on, one short of what was acknowledged. 2,048 are more than 40 s (the history kept) of the busiest site's 47 calls a second; the bound in bytes stays.

The tests of internal/coordination and internal/controlplane pass.

--- a/internal/coordination/watch_table.go
+++ b/internal/coordination/watch_table.go
@@ -10,8 +10,10 @@
 const (
 	// maxWatches bounds the watches that wait at one member.
 	maxWatches = 2048
-	// maxEventsPerAnswer bounds the events of one answer; the caller goes on from the answer's revision.
-	maxEventsPerAnswer = 512
+	// maxEventsPerAnswer bounds the events of one answer; the caller goes on from the answer's revision. It is above what the
+	// busiest site (47 calls a second) can put while the history is kept (40 s): a caller that resumes and asks once must not
+	// lag behind what was acknowledged.
+	maxEventsPerAnswer = 2048
 )
 
 // WatchAnswer is how a watch ends: with the events up to a revision, or with an *errkind.Error.
