Proxy: attempts are logged at debug and counted, surplus responses are counted

Change: events attempt.ended and call.answered at the level debug (DYKERING_LOG_LEVEL), counters of attempts by result, by whether the endpoint may have run the request and by reuse of the connection, and of surplus responses.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -29,18 +29,36 @@
 	kind            errkind.Kind          // kind of the failure, unless answered
 	detail          string                // text of the failure, unless answered
 	load            *routing.ReportedLoad // nil if the endpoint did not report its load
+	connection      attemptConnection
 }
 
-// attempt sends the request to an endpoint once. It copies the response to the client unless the response reports that the
-// endpoint has not run the request, or is invalid.
+// attemptConnection describes the connection of an attempt. It is zero if the proxy could not connect.
+type attemptConnection struct {
+	localAddress     string // identifies the connection
+	reused           bool   // the connection has carried an earlier request
+	surplusResponses int    // responses to other requests that were skipped during the attempt
+}
+
+// attempt connects to an endpoint and sends the request to it once.
 func (x *exchange) attempt(endpoint *routing.Endpoint) attemptResult {
-	s, req := x.server, x.request
 	dialStarted := time.Now()
-	conn, isNew, err := s.connect(x.ctx, endpoint)
+	conn, isNew, err := x.server.connect(x.ctx, endpoint)
 	x.timing.addTime(phaseDial, dialStarted)
 	if err != nil {
 		return x.dialFailedResult()
 	}
+	connection := attemptConnection{localAddress: conn.LocalAddress(), reused: !isNew}
+	surplusBefore := conn.SurplusResponses()
+	result := x.sendOn(conn, isNew, endpoint)
+	connection.surplusResponses = conn.SurplusResponses() - surplusBefore
+	result.connection = connection
+	return result
+}
+
+// sendOn sends the request on a connection. It copies the response to the client unless the response reports that the endpoint
+// has not run the request, or is invalid. Afterwards the connection is in the pool or closed.
+func (x *exchange) sendOn(conn *http1.EndpointConn, isNew bool, endpoint *routing.Endpoint) attemptResult {
+	s, req := x.server, x.request
 	unwatch := context.AfterFunc(x.ctx, func() { conn.Close() })
 	defer unwatch()
 
--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -47,7 +47,7 @@
 			break
 		}
 		result := x.attempt(endpoint)
-		s.recordAttempt(endpoint, x.query(), result)
+		s.recordAttempt(x, endpoint, result)
 		if result.answered {
 			x.clientLeft = result.callResult == routing.Canceled
 			break
@@ -58,6 +58,7 @@
 
 	// Record the outcome before the connection may be closed.
 	x.recordOutcome(failure)
+	s.logOutcome(x, failure)
 
 	switch {
 	case failure == nil:
@@ -156,17 +157,6 @@
 	})
 }
 
-// recordAttempt records the end of an attempt's call, and the load that the endpoint reported, in the endpoint pool.
-func (s *Server) recordAttempt(endpoint *routing.Endpoint, q routing.Query, result attemptResult) {
-	s.enqueue(func() {
-		now := s.now()
-		s.pool.EndCall(now, endpoint, q, result.callResult, result.responseStarted)
-		if result.load != nil {
-			s.pool.ReportLoad(now, endpoint, *result.load)
-		}
-	})
-}
-
 // recordOutcome counts how the request ended, and keeps an explanation unless it was answered in time. The failure is nil for an
 // answered request. If the response has started, the failure is the reason why it was truncated.
 func (x *exchange) recordOutcome(failure *rejection) {
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -35,8 +35,21 @@
 	endpoints := queryTables(s, s.pool.CountByState)
 	outcomes := queryTables(s, func() map[requestOutcome]uint64 { return maps.Clone(s.outcomes) })
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	attempts := queryTables(s, func() attemptCounters { return s.attempts.clone() })
 	s.writeGauges(w, endpoints)
 	writeOutcomes(w, outcomes)
+	writeAttempts(w, attempts)
+}
+
+// writeAttempts writes the counters of attempts, by result, by whether the endpoint may have run the request, and by whether
+// the connection was reused, and the counter of surplus responses.
+func writeAttempts(w io.Writer, attempts attemptCounters) {
+	for outcome, count := range attempts.byOutcome {
+		name := fmt.Sprintf("dykering_proxy_attempts_total{result=%q,may_have_run=\"%t\",connection=%q}",
+			outcome.result, outcome.mayHaveRun, lo.Ternary(outcome.reused, "reused", "new"))
+		metrics.WriteCounterUint64(w, name, count)
+	}
+	metrics.WriteCounterUint64(w, "dykering_proxy_surplus_responses_total", attempts.surplus)
 }
 
 // writeOutcomes writes the counters of ended requests, by kind and priority of the route, result and cause.
--- a/internal/dataplane/metrics_names_test.go
+++ b/internal/dataplane/metrics_names_test.go
@@ -15,6 +15,7 @@
 		recorder := httptest.NewRecorder()
 		proxy.server.adminHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 		writeOutcomes(recorder.Body, map[requestOutcome]uint64{{result: resultInTime}: 1})
+		writeAttempts(recorder.Body, attemptCounters{byOutcome: map[attemptOutcome]uint64{{}: 1}})
 		documented := fixture.Names(GinkgoTB(), "../../docs/FIXED.md", "Metrics of the proxy")
 		fixture.SameNames(GinkgoTB(), "metrics", documented, fixture.MetricNames(recorder.Body.String()))
 	})
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -44,6 +44,7 @@
 	endpointsRevision uint64        // revision of the last applied update of endpoints
 	endpointsChanged  chan struct{} // closed and replaced when the endpoints change
 	outcomes          map[requestOutcome]uint64
+	attempts          attemptCounters
 	explanations      explanationLog
 
 	// State that the goroutines of requests share.
@@ -107,6 +108,7 @@
 		pool:        routing.NewPool(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		retryBudget: routing.NewRetryBudget(nodefile.Seconds(bounds.BudgetWindowS), bounds.RetryBudgetRatio, bounds.RetryBudgetSlack),
 		demand:      newDemandCounters(), endpointsChanged: make(chan struct{}), outcomes: map[requestOutcome]uint64{},
+		attempts:    newAttemptCounters(),
 		connections: newConnectionPool(limits.FileDescriptors),
 		memory:      core.NewMemory(core.Limits{MemoryMB: int64(max(limits.MemoryMB, minMemoryMB)), Sockets: max(limits.FileDescriptors, 1)}),
 	}
--- a/internal/http1/upstream_endpointconn.go
+++ b/internal/http1/upstream_endpointconn.go
@@ -18,6 +18,8 @@
 	conn *upstreamConn
 	// When the last exchange ended; zero before the first one ends.
 	idleSince time.Time
+	// Responses to other requests that ReadResponse has skipped.
+	surplusResponses int
 }
 
 // DialEndpoint connects to an endpoint. Each of its up to two dials fails after the timeout.
@@ -54,6 +56,12 @@
 // IdleSince returns when the last exchange ended.
 func (c *EndpointConn) IdleSince() time.Time { return c.idleSince }
 
+// SurplusResponses returns how many responses to other requests ReadResponse has skipped.
+func (c *EndpointConn) SurplusResponses() int { return c.surplusResponses }
+
+// LocalAddress returns this end's address, which identifies the connection in logs.
+func (c *EndpointConn) LocalAddress() string { return c.conn.LocalAddr().String() }
+
 // Write sends a request before a deadline. It returns complete as false only if the last byte was
 // certainly not written.
 func (c *EndpointConn) Write(head, body []byte, until time.Time) (complete bool, err error) {
@@ -93,6 +101,7 @@
 		if response.Header.Get(idHeader) == id {
 			return response, nil
 		}
+		c.surplusResponses++
 		c.conn.endpoint.NoteUnsolicitedData()
 		if _, err := io.Copy(io.Discard, response); err != nil || !response.keepAlive {
 			return nil, errMalformed
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -45,7 +45,21 @@
 	return r(settings, newLog(), stop)
 }
 
+// debugTimeFormat has milliseconds, so that lines of several processes can be put in order.
+const debugTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// logLevelVariable is the environment variable that sets the log level: debug, info, warn or error.
+const logLevelVariable = "DYKERING_LOG_LEVEL"
+
+// newLog returns the log of the process. An unset or invalid level counts as info.
 func newLog() *slog.Logger {
-	options := charm.Options{ReportTimestamp: true, Formatter: charm.LogfmtFormatter, Level: charm.InfoLevel}
+	level, err := charm.ParseLevel(os.Getenv(logLevelVariable))
+	if err != nil {
+		level = charm.InfoLevel
+	}
+	options := charm.Options{ReportTimestamp: true, Formatter: charm.LogfmtFormatter, Level: level}
+	if level == charm.DebugLevel {
+		options.TimeFormat = debugTimeFormat
+	}
 	return slog.New(charm.NewWithOptions(os.Stderr, options))
 }
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -26,6 +26,29 @@
 	Canceled                           // the caller canceled the call for a reason unrelated to the endpoint
 )
 
+// String returns the label of the result in the proxy's metrics and log.
+func (r CallResult) String() string {
+	switch r {
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case RejectedFull:
+		return "rejected_full"
+	case RejectedNotFound:
+		return "rejected_not_found"
+	case Unreachable:
+		return "unreachable"
+	case ConnectionLost:
+		return "connection_lost"
+	case TimedOut:
+		return "timed_out"
+	case Canceled:
+		return "canceled"
+	}
+	return "unknown"
+}
+
 // BeginCall counts a new call to an endpoint as in flight and as waiting for its response.
 func (p *Pool) BeginCall(e *Endpoint) {
 	e.callsInFlight++
