--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 ON_THE_WALLS_CLOCK := cmd/dykering internal/controlplane internal/http1
 # The scenarios on real sockets start many processes at once: beside the tests above and four busy processes they starved.
 REAL_SCENARIOS := internal/lab/real
+# The soak test of requests, a minute of many processes and clients: it runs alone, so that it does not slow the others.
+REQUEST_SOAK := internal/lab/requestsoak
 # Tests that search with all processors: they run first and alone, as they would crowd out all others.
 SEARCHES := internal/lab/coresim
 
@@ -29,8 +31,9 @@
 	$(MAKE) lint
 	CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
 	$(TEST) $(addprefix ./,$(SEARCHES))
-	$(TEST) $$(go list ./... | grep -v $(foreach x,$(ON_THE_WALLS_CLOCK) $(REAL_SCENARIOS) $(SEARCHES),-e '/$(x)$$'))
+	$(TEST) $$(go list ./... | grep -v $(foreach x,$(ON_THE_WALLS_CLOCK) $(REAL_SCENARIOS) $(REQUEST_SOAK) $(SEARCHES),-e '/$(x)$$'))
 	$(TEST) $(addprefix ./,$(REAL_SCENARIOS))
+	$(TEST) $(addprefix ./,$(REQUEST_SOAK))
 	$(TEST) $(addprefix ./,$(ON_THE_WALLS_CLOCK))
 	@$(KNOWN_RED) list
 
--- a/internal/lab/localprocess/process.go
+++ b/internal/lab/localprocess/process.go
@@ -23,6 +23,7 @@
 
 const (
 	firstHostByte = 160
+	hostCount     = 90 // loopback addresses of one layout; further processes share them, with ports of their own
 	zoneCount     = 3
 	seedCount     = 3 // the platform also gives each process three seed nodes
 )
@@ -36,6 +37,8 @@
 // Bounds holds the time bounds of the settings file, within which the system must react.
 type Bounds struct {
 	ContactMs, AcknowledgeMs, DrainTimeoutMs, GracePeriodS, LeaseDurationMs, CatchUpS, HistoryS int
+	// RetryBudgetSlack is the number of retries that all proxies may make in a window beyond the ratio.
+	RetryBudgetSlack int
 }
 
 // ShortBounds returns bounds for scenarios that last about a minute.
@@ -92,6 +95,7 @@
 lease_duration_ms = {{.Bounds.LeaseDurationMs}}
 catch_up_s = {{.Bounds.CatchUpS}}
 history_s = {{.Bounds.HistoryS}}
+retry_budget_slack = {{.Bounds.RetryBudgetSlack}}
 `))
 
 // Process is one process of the system. It can be restarted with another program. Its methods are not safe for concurrent use.
@@ -128,9 +132,10 @@
 	var processes []*Process
 	var seeds []string
 	for i := range layout.Controls + layout.Proxies {
+		host, publicPort := hostAddress(i%hostCount), port+1+2*(i/hostCount)
 		p := &Process{
-			Name: fmt.Sprintf("proxy-%d", i), IP: hostAddress(i), Zone: i % zoneCount, InternalPort: port, InitialStart: true, Role: Proxy,
-			Public: fmt.Sprintf("%s:%d", hostAddress(i), port+1), Readiness: fmt.Sprintf("%s:%d", hostAddress(i), port+2),
+			Name: fmt.Sprintf("proxy-%d", i), IP: host, Zone: i % zoneCount, InternalPort: port, InitialStart: true, Role: Proxy,
+			Public: fmt.Sprintf("%s:%d", host, publicPort), Readiness: fmt.Sprintf("%s:%d", host, publicPort+1),
 			MachineFailures: layout.MachineFailures, Bounds: layout.Bounds,
 		}
 		if i < layout.Controls {
@@ -146,7 +151,7 @@
 	return processes, nil
 }
 
-// freePort returns a port that is not in use. The next two ports are assumed to be free as well.
+// freePort returns a port that is not in use. The next ports are assumed to be free as well.
 func freePort(ctx context.Context) (int, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", hostAddress(0)+":0")
--- a/internal/lab/localsystem/endpoint.go
+++ b/internal/lab/localsystem/endpoint.go
@@ -61,7 +61,7 @@
 		Models: e.loadedModels(), Sequence: e.heartbeats,
 	}
 	e.mu.Unlock()
-	return e.operator.post("/instances/"+e.id+"/heartbeat", beat, nil) == http.StatusOK
+	return e.operator.control.Post("/instances/"+e.id+"/heartbeat", beat, nil) == http.StatusOK
 }
 
 // loadedModels returns the loaded models. The caller must hold e.mu.
--- a/internal/lab/localsystem/operator.go
+++ b/internal/lab/localsystem/operator.go
@@ -1,19 +1,18 @@
 package localsystem
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
+
+	"dykering/internal/lab/controlclient"
 )
 
 const (
 	serviceName   = "drafts"
 	routeHost     = "drafts.example"
 	requestPath   = "/drafts/"
-	callTimeout   = time.Second
 	retryPause    = 150 * time.Millisecond
 	modelSizeMB   = 40
 	weightsSizeMB = 200
@@ -24,53 +23,16 @@
 
 // Operator calls the control processes, both for itself and for the endpoints.
 type Operator struct {
-	addresses []string // addresses of the control processes
-	client    http.Client
+	control *controlclient.Client
 
 	mu           sync.Mutex
-	next         int // index of the address in use, modulo the number of addresses
 	acknowledged int // highest acknowledged version
 	changes      int // number of acknowledged changes
 	violations   []string
 }
 
 func newOperator(addresses []string) *Operator {
-	return &Operator{addresses: addresses, client: http.Client{Timeout: callTimeout}}
-}
-
-// address returns the address to call. It switches to the next one if failed is true.
-func (o *Operator) address(failed bool) string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if failed {
-		o.next++
-	}
-	return o.addresses[o.next%len(o.addresses)]
-}
-
-// post sends a body as JSON and returns the status of the answer, or 0 if no answer arrived.
-func (o *Operator) post(path string, body any, header map[string]string) int {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return 0
-	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+o.address(false)+path, bytes.NewReader(text))
-	if err != nil {
-		return 0
-	}
-	for name, value := range header {
-		request.Header.Set(name, value)
-	}
-	response, err := o.client.Do(request)
-	if err != nil {
-		o.address(true)
-		return 0
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusInternalServerError {
-		o.address(true)
-	}
-	return response.StatusCode
+	return &Operator{control: controlclient.New(addresses)}
 }
 
 // configuration returns a complete configuration document with the version.
@@ -106,7 +68,7 @@
 	base := o.acknowledged
 	o.mu.Unlock()
 	for {
-		status := o.post("/configuration/replace", configuration(base+1), map[string]string{"X-Base-Version": fmt.Sprint(base)})
+		status := o.control.Post("/configuration/replace", configuration(base+1), map[string]string{"X-Base-Version": fmt.Sprint(base)})
 		if status == http.StatusOK {
 			o.mu.Lock()
 			o.acknowledged = base + 1
@@ -137,17 +99,10 @@
 	o.mu.Lock()
 	acknowledged := o.acknowledged
 	o.mu.Unlock()
-	response, err := o.client.Get("http://" + o.address(false) + "/configuration/read")
-	if err != nil {
-		o.address(true)
-		return false
-	}
-	defer response.Body.Close()
 	var document struct {
 		Version int `json:"version"`
 	}
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&document) != nil {
-		o.address(true)
+	if !o.control.Get("/configuration/read", &document) {
 		return false
 	}
 	if document.Version < acknowledged {
--- /dev/null
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -0,0 +1,277 @@
+package requestsoak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	requestIDHeader   = "X-Request-Id"
+	deadlineHeader    = "X-Deadline-Ms"
+	signatureHeader   = "X-Response-Signature"
+	notExecutedHeader = "X-Not-Executed"
+	instanceHeader    = "X-Expected-Instance"
+)
+
+const (
+	// streamEvents is the number of events of a stream, and maxEventGap bounds the time between two of them.
+	streamEvents = 5
+	maxEventGap  = 40 * time.Millisecond
+)
+
+// endpointConn is a connection from a proxy to a fake endpoint.
+type endpointConn struct {
+	*endpoint
+	conn     *net.TCPConn
+	requests chan *http.Request // closed when the proxy has closed the connection
+	gone     chan struct{}      // closed with requests
+	repeats  sync.WaitGroup
+
+	writing     sync.Mutex // held while a response is being written
+	nextSurplus []surplus  // sent while the next request runs
+}
+
+func newEndpointConn(e *endpoint, conn *net.TCPConn) *endpointConn {
+	return &endpointConn{endpoint: e, conn: conn, requests: make(chan *http.Request), gone: make(chan struct{})}
+}
+
+// serve serves one request at a time until either side closes the connection.
+func (c *endpointConn) serve() {
+	c.repeats.Go(c.readRequests)
+	for {
+		idle := time.NewTimer(c.dice.duration(minEndpointIdle, maxEndpointIdle))
+		select {
+		case r, ok := <-c.requests:
+			if ok && c.handle(r) {
+				continue
+			}
+		case <-idle.C:
+		case <-c.ended:
+		}
+		break
+	}
+	c.conn.Close()
+	for range c.requests { // lets readRequests end
+		continue
+	}
+	c.repeats.Wait()
+}
+
+// readRequests reads requests until the connection ends.
+func (c *endpointConn) readRequests() {
+	defer close(c.gone)
+	defer close(c.requests)
+	reader := bufio.NewReader(c.conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		rejected := c.isFull() && c.dice.happens(earlyRejectionShare)
+		if rejected {
+			c.reject(r, http.StatusServiceUnavailable, "rejects the request before its body")
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			c.note(r, fmt.Sprintf("has %d bytes of the body: %v", len(body), err))
+			return
+		}
+		if !rejected {
+			c.requests <- r
+		}
+	}
+}
+
+// isFull reports whether the endpoint rejects requests for lack of capacity.
+func (e *endpoint) isFull() bool {
+	return len(e.slots) == cap(e.slots) && e.queued.Load() >= endpointQueue
+}
+
+// note records an event of a request.
+func (c *endpointConn) note(r *http.Request, what string) {
+	c.recorder.addEvent(EndpointEvent{
+		Request: r.Header.Get(requestIDHeader), Endpoint: c.id, Connection: c.conn.RemoteAddr().String(), What: what,
+	})
+}
+
+// handle rejects or runs a request. It returns false if the connection must be closed.
+func (c *endpointConn) handle(r *http.Request) bool {
+	if expected := r.Header.Get(instanceHeader); expected != "" && expected != c.id {
+		return c.reject(r, http.StatusMisdirectedRequest, "is not the expected instance "+expected)
+	}
+	deadline := time.Now().Add(deadlineOf(r))
+	acquired, keep := c.awaitSlot(r, deadline)
+	if !acquired {
+		return keep
+	}
+	defer func() { <-c.slots }()
+	c.running.Add(1)
+	defer c.running.Add(-1)
+	return c.run(r, deadline)
+}
+
+// deadlineOf returns the time that a request has left.
+func deadlineOf(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(deadlineHeader))
+	if err != nil {
+		return time.Second
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// awaitSlot waits in the queue for a slot. If there is none, keep is false if the connection must be closed.
+func (c *endpointConn) awaitSlot(r *http.Request, deadline time.Time) (acquired, keep bool) {
+	select {
+	case c.slots <- struct{}{}:
+		return true, true
+	default:
+	}
+	if c.queued.Add(1) > endpointQueue {
+		c.queued.Add(-1)
+		return false, c.reject(r, http.StatusServiceUnavailable, "is full")
+	}
+	defer c.queued.Add(-1)
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case c.slots <- struct{}{}:
+		return true, true
+	case <-timer.C:
+		return false, c.reject(r, http.StatusServiceUnavailable, "has had the request in its queue until the deadline")
+	case <-c.gone:
+		c.note(r, "drops the request from its queue, since the connection is closed")
+	case <-c.ended:
+	}
+	return false, false
+}
+
+// reject promises that the request has not run. It returns false if the connection must be closed.
+func (c *endpointConn) reject(r *http.Request, status int, why string) bool {
+	c.note(r, fmt.Sprintf("%s: %d", why, status))
+	header := []string{requestIDHeader + ": " + r.Header.Get(requestIDHeader), notExecutedHeader + ": 1"}
+	if c.dice.happens(0.5) {
+		header[0], header[1] = header[1], header[0]
+	}
+	return c.respond(r, message{status: status, header: header, body: "rejected"})
+}
+
+// run runs a request and responds to it. It returns false if the connection must be closed.
+func (c *endpointConn) run(r *http.Request, deadline time.Time) bool {
+	run := &Run{
+		Request: r.Header.Get(requestIDHeader), Endpoint: c.id, Began: c.recorder.now(),
+		Connection: c.conn.RemoteAddr().String(), Signature: fmt.Sprintf("%s.%d", c.id, c.runCount.Add(1)),
+	}
+	c.recorder.addRun(run)
+	defer func() { run.Ended = c.recorder.now() }()
+	work, left := c.dice.exponential(meanWork, maxWork), time.Until(deadline)
+	for _, again := range c.takeNextSurplus() {
+		c.sendSurplus(again)
+	}
+	if !c.work(min(work, left)) {
+		return false
+	}
+	if work >= left {
+		return c.finish(r, run, http.StatusGatewayTimeout, answers)
+	}
+	if strings.HasPrefix(r.URL.Path, streamPath) {
+		return c.stream(r, run)
+	}
+	outcome := c.dice.outcome()
+	if outcome == failsItself {
+		return c.finish(r, run, http.StatusInternalServerError, answers)
+	}
+	return c.finish(r, run, http.StatusOK, outcome)
+}
+
+// work waits for a time. It returns false if the connection or the endpoint ends meanwhile.
+func (c *endpointConn) work(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.gone:
+	case <-c.ended:
+	}
+	return false
+}
+
+// body returns the body of a run's response, which no other run has.
+func (c *endpointConn) body(run *Run) string {
+	length := c.dice.number(maxBodyLength)
+	if c.dice.happens(longBodyShare) {
+		length = c.dice.number(longBodyLength)
+	}
+	text := run.Request + " " + run.Signature + " "
+	return text + strings.Repeat("x", length)
+}
+
+// signed returns a response of a run.
+func (c *endpointConn) signed(run *Run, status int, body string) message {
+	return message{status: status, body: body, header: []string{
+		requestIDHeader + ": " + run.Request, signatureHeader + ": " + run.Signature, "X-Instance-Load: " + c.load(),
+	}}
+}
+
+// finish ends a run with an outcome. It returns false if the connection must be closed.
+func (c *endpointConn) finish(r *http.Request, run *Run, status int, outcome runOutcome) bool {
+	run.Status, run.Body = status, c.body(run)
+	m := c.signed(run, status, run.Body)
+	switch outcome {
+	case resets:
+		c.conn.SetLinger(0)
+		return false
+	case closesSilently:
+		return false
+	case sendsGarbage:
+		c.write([]byte("\x00\x01 what is this\r\n\r\n"))
+		return false
+	case cutsOff:
+		text := m.encode()
+		c.write(text[:c.dice.number(len(text))])
+		return false
+	case answersUnframed:
+		m.unframed = true
+	case answers, failsItself:
+	}
+	// The response counts as whole before it is written, since the client may have it before the write returns.
+	run.Whole = true
+	return c.respond(r, m)
+}
+
+// stream ends a run with a stream of events. It returns false if the connection must be closed.
+func (c *endpointConn) stream(r *http.Request, run *Run) bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	cutAt := -1
+	if c.dice.happens(cutShare + resetShare) {
+		cutAt = c.dice.number(streamEvents)
+	}
+	run.Status = http.StatusOK
+	head := c.signed(run, http.StatusOK, "")
+	head.header = append(head.header, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	if _, err := c.conn.Write(head.encodeHead()); err != nil {
+		return false
+	}
+	for i := range streamEvents {
+		if i == cutAt || !c.work(c.dice.duration(0, maxEventGap)) {
+			return false
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, run.Request, run.Signature)
+		run.Body += event
+		if _, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	run.Whole = true
+	c.note(r, "ends the stream")
+	_, err := io.WriteString(c.conn, "0\r\n\r\n")
+	return err == nil
+}
