--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -42,7 +42,7 @@
 // attempt connects to an endpoint and sends the request to it once.
 func (x *exchange) attempt(endpoint *routing.Endpoint) attemptResult {
 	dialStarted := time.Now()
-	conn, isNew, err := x.server.connect(x.ctx, endpoint)
+	conn, isNew, err := x.server.connect(x.ctx, endpoint, x.request.id)
 	x.timing.addTime(phaseDial, dialStarted)
 	if err != nil {
 		return x.dialFailedResult()
@@ -63,7 +63,7 @@
 	defer unwatch()
 
 	x.attempts++
-	complete, err := conn.Write(x.requestHead(endpoint), req.body, req.deadline)
+	complete, err := conn.Write(req.id, x.requestHead(endpoint), req.body, req.deadline)
 	if !complete {
 		conn.Close()
 		return x.incompleteSendResult(isNew, err)
@@ -139,9 +139,11 @@
 	return err.Error()
 }
 
-// connect takes an idle connection to an endpoint from the pool, or dials a new one.
-func (s *Server) connect(ctx context.Context, endpoint *routing.Endpoint) (conn *http1.EndpointConn, isNew bool, err error) {
-	if conn = s.connections.get(endpoint.ID); conn != nil {
+// connect takes an idle connection to an endpoint that may carry a request from the pool, or dials a new one.
+func (s *Server) connect(ctx context.Context, endpoint *routing.Endpoint, requestID string) (
+	conn *http1.EndpointConn, isNew bool, err error,
+) {
+	if conn = s.connections.get(endpoint.ID, requestID); conn != nil {
 		return conn, false, nil
 	}
 	conn, err = http1.DialEndpoint(ctx, s.connections.sharedState(endpoint.ID, endpoint.Address), dialTimeout)
--- a/internal/dataplane/connection_pool.go
+++ b/internal/dataplane/connection_pool.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,10 +73,11 @@
 	return len(idle) > 0 && time.Now().Before(idle[len(idle)-1].expires)
 }
 
-// get removes a reusable idle connection from the pool and returns it, or nil if the pool has none for the endpoint.
-func (p *connectionPool) get(id string) *http1.EndpointConn {
+// get removes a reusable idle connection that may carry a request from the pool and returns it, or nil if the pool has none for
+// the endpoint.
+func (p *connectionPool) get(id, requestID string) *http1.EndpointConn {
 	for {
-		conn := p.popNewest(id)
+		conn := p.popNewest(id, requestID)
 		if conn == nil || conn.AwaitReusable() {
 			return conn
 		}
@@ -83,25 +85,33 @@
 	}
 }
 
-// popNewest removes and returns the most recently used idle connection, or nil if the pool has none for the endpoint. It closes
-// the expired connections that it comes across.
-func (p *connectionPool) popNewest(id string) *http1.EndpointConn {
+// popNewest removes and returns the most recently used idle connection that may carry a request, or nil if the pool has none for
+// the endpoint. It closes the expired connections that it comes across.
+func (p *connectionPool) popNewest(id, requestID string) *http1.EndpointConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for {
-		idle := p.idle[id]
-		if len(idle) == 0 {
-			delete(p.idle, id)
-			return nil
+	for i := len(p.idle[id]) - 1; i >= 0; i-- {
+		candidate := p.idle[id][i]
+		expired := !now.Before(candidate.expires)
+		if !expired && !candidate.conn.CanCarry(requestID) {
+			continue
 		}
-		newest := idle[len(idle)-1]
-		p.idle[id] = idle[:len(idle)-1]
-		p.idleCount--
-		if now.Before(newest.expires) {
-			return newest.conn
+		p.removeAt(id, i)
+		if !expired {
+			return candidate.conn
 		}
-		newest.conn.Close()
+		candidate.conn.Close()
+	}
+	return nil
+}
+
+// removeAt removes an idle connection from the pool. The caller must hold p.mu.
+func (p *connectionPool) removeAt(id string, index int) {
+	p.idle[id] = slices.Delete(p.idle[id], index, index+1)
+	p.idleCount--
+	if len(p.idle[id]) == 0 {
+		delete(p.idle, id)
 	}
 }
 
--- a/internal/http1/upstream_endpointconn.go
+++ b/internal/http1/upstream_endpointconn.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"dykering/internal/core"
@@ -20,8 +22,15 @@
 	idleSince time.Time
 	// Responses to other requests that ReadResponse has skipped.
 	surplusResponses int
+	// Hashes of the ids of the requests that were sent on the connection.
+	sentIDs []uint64
 }
 
+// maxRequestsPerConn bounds the requests on a connection, and with them the memory for their ids.
+const maxRequestsPerConn = 1000
+
+var idHashSeed = maphash.MakeSeed()
+
 // DialEndpoint connects to an endpoint. Each of its up to two dials fails after the timeout.
 func DialEndpoint(ctx context.Context, to *core.Endpoint, timeout time.Duration) (*EndpointConn, error) {
 	raw, err := dialTwice(ctx, Kernel{}, to.Address, timeout)
@@ -62,9 +71,17 @@
 // LocalAddress returns this end's address, which identifies the connection in logs.
 func (c *EndpointConn) LocalAddress() string { return c.conn.LocalAddr().String() }
 
-// Write sends a request before a deadline. It returns complete as false only if the last byte was
-// certainly not written.
-func (c *EndpointConn) Write(head, body []byte, until time.Time) (complete bool, err error) {
+// CanCarry reports whether a request with the given id may be sent on the connection. An endpoint may
+// send a response again, and only the id tells which request a response belongs to. So a connection
+// carries each id once: a retry needs another connection than the attempts before it.
+func (c *EndpointConn) CanCarry(id string) bool {
+	return !slices.Contains(c.sentIDs, maphash.String(idHashSeed, id))
+}
+
+// Write sends a request with the given id before a deadline. It returns complete as false only if the
+// last byte was certainly not written.
+func (c *EndpointConn) Write(id string, head, body []byte, until time.Time) (complete bool, err error) {
+	c.sentIDs = append(c.sentIDs, maphash.String(idHashSeed, id))
 	c.conn.SetWriteDeadline(until)
 	pieces := net.Buffers{head}
 	if len(body) > 0 {
@@ -146,6 +163,9 @@
 	if !r.keepAlive || !r.body.finished || r.body.untilClose || c.reader.Buffered() > 0 {
 		return false
 	}
+	if len(r.conn.sentIDs) >= maxRequestsPerConn {
+		return false
+	}
 	return c.Conn.SetDeadline(time.Time{}) == nil
 }
 
