--- a/internal/dataplane/surplus_rejection_test.go
+++ b/internal/dataplane/surplus_rejection_test.go
@@ -90,3 +90,56 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 	})
 })
+
+// TWICE and REFUSED: the beginning of a surplus rejection and the response behind it parse as one head.
+var _ = Describe("a surplus rejection that breaks off before the response to the next request", func() {
+	DescribeTable("does not make the proxy send that request again",
+		func(notExecutedFirst bool) {
+			surplus := rejectionHead("id-1", notExecutedFirst)
+			for length := range len(surplus) {
+				runs, status := runAfterFragment(surplus[:length])
+				Expect(runs).To(Equal(1), "after %q", surplus[:length])
+				Expect(status).NotTo(Equal(http.StatusServiceUnavailable), "after %q", surplus[:length])
+			}
+		},
+		Entry("with the id before the promise", false),
+		Entry("with the promise before the id", true),
+	)
+})
+
+// MIXED: the beginning of a surplus success and the failure behind it parse as one head.
+var _ = Describe("a surplus success that breaks off before the failure of the next request", func() {
+	It("does not turn the failure into a success", func() {
+		const surplus = "HTTP/1.1 200 OK\r\nX-Response-Signature: older\r\n"
+		for length := range len(surplus) {
+			fails := func(conn net.Conn, r *http.Request) bool {
+				io.WriteString(conn, surplus[:length])
+				return responds(http.StatusInternalServerError, "no", signatureHeader)(conn, r)
+			}
+			proxy := newTestProxy(routeJSON("non_idempotent", ""),
+				newFakeEndpoint("i-1", responds(http.StatusOK, "hello", signatureHeader), fails))
+			_, _, err := proxy.send("/p/")
+			Expect(err).NotTo(HaveOccurred())
+			response, _, err := proxy.send("/p/", headerRequestID+": id-2", "X-Deadline-Ms: 300")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(BeNumerically(">=", 500), "after %q", surplus[:length])
+		}
+	})
+})
+
+// runAfterFragment sends a request to an endpoint that writes a fragment before its response to the request, on a connection that
+// has carried another request. It returns how often the request ran and the status that the client got.
+func runAfterFragment(fragment string) (runs, status int) {
+	e := &repeatingEndpoint{}
+	answersFirst := responds(http.StatusOK, "hello", signatureHeader)
+	runsAfterFragment := func(conn net.Conn, r *http.Request) bool {
+		io.WriteString(conn, fragment)
+		return e.run(conn, r)
+	}
+	proxy := newTestProxy(routeJSON("non_idempotent", ""), newFakeEndpoint("i-1", answersFirst, runsAfterFragment, e.run))
+	_, _, err := proxy.send("/p/")
+	Expect(err).NotTo(HaveOccurred())
+	response, _, err := proxy.send("/p/", headerRequestID+": id-2", "X-Deadline-Ms: 300")
+	Expect(err).NotTo(HaveOccurred())
+	return e.runCount(), response.StatusCode
+}
--- a/internal/http1/parse_head.go
+++ b/internal/http1/parse_head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -138,7 +139,7 @@
 		return head, err
 	}
 	version, rest, _ := strings.Cut(line, " ")
-	digits, _, _ := strings.Cut(rest, " ")
+	digits, reason, _ := strings.Cut(rest, " ")
 	code, err := strconv.ParseUint(digits, 10, 16)
 	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(digits) != 3 || code < 100 {
 		return head, errMalformed
@@ -146,6 +147,9 @@
 	if head.header, err = text.ReadMIMEHeader(); err != nil {
 		return head, err
 	}
+	if containsStatusLine(reason) || headerContainsStatusLine(head.header) {
+		return head, errMalformed
+	}
 	if len(head.header["Transfer-Encoding"]) > 0 && version == "HTTP/1.0" {
 		// The framing is invalid (RFC 9112, section 6.1): an HTTP/1.0 parser reads the chunk framing as data.
 		return head, errMalformed
@@ -157,3 +161,46 @@
 	}
 	return head, nil
 }
+
+// headerContainsStatusLine reports whether a name or a value of a header contains a status line.
+func headerContainsStatusLine(header textproto.MIMEHeader) bool {
+	for name, values := range header {
+		if containsStatusLine(name) || slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	statusLinePrefix = "HTTP/1."
+	// statusCodeOffset is the offset of the status code in a status line, behind "HTTP/1.1 ".
+	statusCodeOffset = len(statusLinePrefix) + 2
+	statusCodeLength = 3
+)
+
+// containsStatusLine reports whether text contains the beginning of a status line. An endpoint may break
+// off a response within its head, and go on with the response to the next request. The two parse as one
+// head, which has the status line of the second within a line of the first.
+func containsStatusLine(text string) bool {
+	for {
+		at := strings.Index(text, statusLinePrefix)
+		if at < 0 {
+			return false
+		}
+		if isStatusLine(text[at:]) {
+			return true
+		}
+		text = text[at+len(statusLinePrefix):]
+	}
+}
+
+// isStatusLine reports whether text begins with a minor version, a space and a status code behind
+// statusLinePrefix.
+func isStatusLine(text string) bool {
+	if len(text) < statusCodeOffset+statusCodeLength || text[statusCodeOffset-1] != ' ' {
+		return false
+	}
+	_, err := strconv.ParseUint(text[statusCodeOffset:statusCodeOffset+statusCodeLength], 10, 16)
+	return err == nil
+}
--- a/internal/lab/requestsoak/endpoint_conn.go
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -36,6 +36,7 @@
 
 	writing     sync.Mutex // held while a response is being written
 	nextSurplus []surplus  // sent while the next request runs
+	wroteLast   bool       // nothing may be written any more
 }
 
 func newEndpointConn(e *endpoint, conn *net.TCPConn) *endpointConn {
