Soak of requests: long and slow bodies, a client library, who broke off; early rejections are logged

Cause: the first runs with 120 proxies showed a LOST that was the endpoint's own end of the stream (which of both ended first was judged by the clock), and a 400 that was the client's own empty chunk; both are faults of the soak. A 400 left no line in the proxy's log. Change: runs say whether the endpoint broke off; no empty chunk; requests of up to 3 MB, in two parts, at endpoints that stall and reset within a body; a fifth of the clients use net/http's transport, which retries by itself; the event call.rejected_early.

--- a/cmd/dykering-lab/requestsoak.go
+++ b/cmd/dykering-lab/requestsoak.go
@@ -61,6 +61,9 @@
 	}
 	out := c.Root().Writer
 	fmt.Fprintf(out, "seed %d, %d proxies, %d clients: %s\n", scenario.Seed, scenario.Proxies, scenario.Clients, report.Summary())
+	for _, try := range report.History.Denials() {
+		fmt.Fprintln(out, "denied:", try)
+	}
 	if len(report.Violations) == 0 {
 		return os.RemoveAll(scenario.Directory)
 	}
--- a/internal/dataplane/attempt_record.go
+++ b/internal/dataplane/attempt_record.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"net/http"
 
 	"dykering/internal/routing"
 )
@@ -78,3 +79,10 @@
 	s.log.Debug("call.answered", "request", x.request.id, "route", x.request.route.Name, "served", served, "refused", kind,
 		"attempts", x.attempts, "may_have_run", x.mayHaveRun)
 }
+
+// logEarlyRejection logs the rejection of a request that was not read completely, at the level debug.
+func (s *Server) logEarlyRejection(r *http.Request, rejected *rejection) {
+	if s.log.Enabled(s.ctx, slog.LevelDebug) {
+		s.log.Debug("call.rejected_early", "request", r.Header.Get(headerRequestID), "refused", rejected.Error())
+	}
+}
--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -21,6 +21,7 @@
 	// Admit and route.
 	config, route, rejected := s.admit(r)
 	if rejected != nil {
+		s.logEarlyRejection(r, rejected)
 		rejected.write(w)
 		return
 	}
@@ -29,7 +30,9 @@
 	req, err := readRequest(r, route, config.parsed.Limits, &s.memory.Bodies)
 	defer func() { s.memory.Bodies.Release(req.bodyMemory) }()
 	if err != nil {
-		readFailureRejection(err).write(w)
+		rejected = readFailureRejection(err)
+		s.logEarlyRejection(r, rejected)
+		rejected.write(w)
 		return
 	}
 	s.classify(req, config.parsed)
--- a/internal/lab/requestsoak/behavior.go
+++ b/internal/lab/requestsoak/behavior.go
@@ -15,6 +15,8 @@
 	garbageShare        = 0.005
 	unframedShare       = 0.02 // a response without a length, which ends with the connection
 	earlyRejectionShare = 0.3  // a full endpoint rejects a request before it has read the body
+	bodyStallShare      = 0.05 // it waits before it reads a body
+	bodyResetShare      = 0.01 // it resets the connection in the middle of a body
 	closeHeaderShare    = 0.02 // it announces that it closes the connection after a response
 	surplusShare        = 0.3  // it sends its response once more
 	delayedShare        = 0.5  // such a response is sent after some time, and others where the next one is due
@@ -28,6 +30,7 @@
 	maxWork  = 600 * time.Millisecond
 	// maxSurplusDelay bounds the time after which an endpoint sends a response once more.
 	maxSurplusDelay = 500 * time.Millisecond
+	maxBodyStall    = 400 * time.Millisecond
 	maxBodyLength   = 4 << 10
 	longBodyLength  = 300 << 10
 )
--- a/internal/lab/requestsoak/check.go
+++ b/internal/lab/requestsoak/check.go
@@ -75,8 +75,8 @@
 func (c *checker) trace(try *Try) []string {
 	lines := []traceLine{{try.Sent, try.String()}}
 	for _, run := range c.runsOf[try.ID] {
-		lines = append(lines, traceLine{run.Began, fmt.Sprintf("%.3f s to %.3f s: %s, connection of %s, runs %s: status %d, whole %t, signature %s",
-			run.Began.Seconds(), run.Ended.Seconds(), run.Endpoint, run.Connection, try.ID, run.Status, run.Whole, run.Signature)})
+		lines = append(lines, traceLine{run.Began, fmt.Sprintf("%.3f s to %.3f s: %s, connection of %s, runs %s: status %d, whole %t, broken off %t, signature %s",
+			run.Began.Seconds(), run.Ended.Seconds(), run.Endpoint, run.Connection, try.ID, run.Status, run.Whole, run.BrokenOff, run.Signature)})
 	}
 	for _, e := range c.Events {
 		if e.Request == try.ID || c.concernsRun(e, try) {
@@ -165,7 +165,7 @@
 		return
 	}
 	runs := c.runsOf[try.ID]
-	if len(runs) == 0 || !runs[len(runs)-1].Whole && runs[len(runs)-1].Ended < try.Ended {
+	if len(runs) == 0 || runs[len(runs)-1].BrokenOff {
 		return // no endpoint had it, or the endpoint broke off
 	}
 	stoppedAt, isPlanned := c.plannedStop(try)
@@ -199,11 +199,15 @@
 	return at, isPlanned
 }
 
-// checkDenials counts the requests that proxies answered with a 4xx of their own. All requests of the clients are proper.
-func (c *checker) checkDenials() {
-	denied := lo.Filter(c.Tries, func(t *Try, _ int) bool {
+// Denials returns the tries that proxies answered with a 3xx or 4xx of their own. All requests of the clients are proper.
+func (h *History) Denials() []*Try {
+	return lo.Filter(h.Tries, func(t *Try, _ int) bool {
 		return t.Signature == "" && t.Status >= 300 && t.Status < 500 && !promisesNotRun(t.Status)
 	})
+}
+
+func (c *checker) checkDenials() {
+	denied := c.Denials()
 	if float64(len(denied)) > deniedAllowance+deniedFraction*float64(len(c.Tries)) {
 		c.add(Denied, denied[0], "%d of %d proper requests were denied, the first with %d", len(denied), len(c.Tries), denied[0].Status)
 	}
--- a/internal/lab/requestsoak/client.go
+++ b/internal/lab/requestsoak/client.go
@@ -15,14 +15,17 @@
 	maxTries          = 2
 	maxImpatientTries = 4
 	// retryAfterShare is the share of its time left for which a client waits as it is told.
-	retryAfterShare = 1.0 / 3
-	meanPause       = 40 * time.Millisecond
-	maxPause        = 400 * time.Millisecond
-	impatientShare  = 0.2 // clients that retry at once, and more often
-	keepingShare    = 0.6 // clients that use a connection for many requests
-	chunkedShare    = 0.3 // requests whose body comes in chunks
-	onceShare       = 0.6 // requests that may run once
-	streamShare     = 0.2
+	retryAfterShare      = 1.0 / 3
+	meanPause            = 40 * time.Millisecond
+	maxPause             = 400 * time.Millisecond
+	impatientShare       = 0.2 // clients that retry at once, and more often
+	keepingShare         = 0.6 // clients that use a connection for many requests
+	libraryShare         = 0.2 // clients that use the standard library, which retries by itself
+	chunkedShare         = 0.3 // requests whose body comes in chunks
+	longBodyRequestShare = 0.02
+	slowSendShare        = 0.1 // requests that are sent in two parts
+	onceShare            = 0.6 // requests that may run once
+	streamShare          = 0.2
 )
 
 // client sends operations one after another. It is not safe for concurrent use.
@@ -33,14 +36,19 @@
 	keeps     bool // uses a connection for many requests
 	impatient bool
 	conn      *clientConn
+	library   *libraryClient // nil for a client that uses conn
 	count     int
 }
 
 func newClient(s *system, index int) *client {
 	d := newDice(s.Seed, clientStream+uint64(index))
-	return &client{
+	c := &client{
 		name: fmt.Sprintf("c%d", index), system: s, dice: d, keeps: d.happens(keepingShare), impatient: d.happens(impatientShare),
 	}
+	if d.happens(libraryShare) {
+		c.library = newLibraryClient()
+	}
+	return c
 }
 
 // run sends operations until the clients must stop.
@@ -52,6 +60,9 @@
 }
 
 func (c *client) disconnect() {
+	if c.library != nil {
+		c.library.disconnect()
+	}
 	if c.conn != nil {
 		c.conn.Close()
 		c.conn = nil
@@ -69,12 +80,20 @@
 	return Idempotent
 }
 
+func (c *client) drawBody() string {
+	length := c.dice.number(maxRequestBody)
+	if c.dice.happens(longBodyRequestShare) {
+		length = c.dice.number(longRequestBody)
+	}
+	return strings.Repeat("b", length)
+}
+
 // operate performs an operation. It retries as the platform's clients do: idempotent requests after any failure, others only
 // after a promise that they have not run, or when the connection ended before the proxy had read the request.
 func (c *client) operate() {
 	c.count++
 	operation, kind, deadline := fmt.Sprintf("%s-%d", c.name, c.count), c.drawKind(), time.Now().Add(operationTimeout)
-	body := strings.Repeat("b", c.dice.number(maxRequestBody))
+	body := c.drawBody()
 	tries := maxTries
 	if c.impatient {
 		tries = maxImpatientTries
@@ -118,6 +137,15 @@
 
 // send makes a try and records it. It returns the header of the response, or nil.
 func (c *client) send(try *Try, body string, deadline time.Time) http.Header {
+	recorder := c.system.recorder
+	if c.library != nil {
+		proxy := c.system.platform.proxyFor(c.dice)
+		try.Proxy, try.Sent, try.Deadline = proxy.Name, recorder.now(), recorder.now()+time.Until(deadline)
+		header := c.library.exchange(try, proxy.Public, body, deadline)
+		try.Ended = recorder.now()
+		recorder.addTry(try)
+		return header
+	}
 	if c.conn == nil {
 		proxy := c.system.platform.proxyFor(c.dice)
 		conn, err := connect(proxy.Name, proxy.Public)
@@ -126,10 +154,8 @@
 		}
 		c.conn = conn
 	}
-	recorder := c.system.recorder
 	try.Proxy, try.Sent, try.Deadline = c.conn.proxy, recorder.now(), recorder.now()+time.Until(deadline)
-	text := encodeRequest(try, time.Until(deadline), body, c.dice.happens(chunkedShare))
-	header, reusable := c.conn.exchange(try, text, deadline)
+	header, reusable := c.conn.exchange(try, c.parts(try, body, deadline), c.dice.duration(0, maxSendPause), deadline)
 	try.Ended = recorder.now()
 	recorder.addTry(try)
 	if !reusable || !c.keeps {
@@ -137,3 +163,13 @@
 	}
 	return header
 }
+
+// parts returns a request in the two parts in which it is sent. The second is empty unless it is sent slowly.
+func (c *client) parts(try *Try, body string, deadline time.Time) (parts [2]string) {
+	text := encodeRequest(try, time.Until(deadline), body, c.dice.happens(chunkedShare))
+	split := len(text)
+	if c.dice.happens(slowSendShare) {
+		split = c.dice.number(len(text))
+	}
+	return [2]string{text[:split], text[split:]}
+}
--- a/internal/lab/requestsoak/client_conn.go
+++ b/internal/lab/requestsoak/client_conn.go
@@ -21,6 +21,9 @@
 	againPath      = "/again/"
 	streamPath     = "/stream/"
 	maxRequestBody = 12 << 10
+	// longRequestBody is more than the buffers of a connection hold.
+	longRequestBody = 3 << 20
+	maxSendPause    = 200 * time.Millisecond
 )
 
 // clientConn is a client's connection to a proxy. It carries one request at a time.
@@ -57,25 +60,49 @@
 	fmt.Fprintf(&b, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", pathOf(try.Kind), try.Operation, routeHost,
 		requestIDHeader, try.ID, deadlineHeader, left.Milliseconds())
 	if chunked {
-		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if body != "" { // an empty chunk would end the body
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(body), body)
+		}
+		b.WriteString("0\r\n\r\n")
 		return b.String()
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	return b.String()
 }
 
-// exchange sends a request and reads the response into the try. It returns the response's header, and whether the connection may
-// carry another request.
-func (c *clientConn) exchange(try *Try, text string, deadline time.Time) (header http.Header, reusable bool) {
+// exchange sends a request, with a pause between its two parts, and reads the response into the try. It returns the response's
+// header, and whether the connection may carry another request.
+func (c *clientConn) exchange(try *Try, parts [2]string, wait time.Duration, deadline time.Time) (header http.Header, reusable bool) {
 	c.SetDeadline(deadline)
-	if _, err := io.WriteString(c.Conn, text); err != nil {
-		try.End = NotSent
-		return nil, false
+	for i, part := range parts {
+		if i > 0 && part != "" {
+			time.Sleep(wait)
+		}
+		if _, err := io.WriteString(c.Conn, part); err != nil {
+			return nil, c.readEarlyResponse(try)
+		}
 	}
 	if _, err := c.reader.Peek(1); err != nil {
 		try.End = endBeforeResponse(err)
 		return nil, false
 	}
+	return c.readResponse(try)
+}
+
+// readEarlyResponse reads the response to a request that could not be written completely. The proxy may have rejected the request
+// before it closed the connection. It returns false, since the connection cannot carry another request.
+func (c *clientConn) readEarlyResponse(try *Try) bool {
+	if _, err := c.reader.Peek(1); err != nil {
+		try.End = NotSent
+		return false
+	}
+	c.readResponse(try)
+	return false
+}
+
+// readResponse reads a response whose first byte has arrived.
+func (c *clientConn) readResponse(try *Try) (header http.Header, reusable bool) {
 	response, err := http.ReadResponse(c.reader, responseOf)
 	if err != nil {
 		try.End = endWithinResponse(err)
--- a/internal/lab/requestsoak/endpoint.go
+++ b/internal/lab/requestsoak/endpoint.go
@@ -40,7 +40,7 @@
 	workers              sync.WaitGroup
 
 	mu         sync.Mutex
-	conns      map[*net.TCPConn]bool
+	conns      map[*net.TCPConn]bool // true for those that the endpoint has reset
 	state      sessions.State
 	heartbeats uint64
 }
@@ -95,7 +95,7 @@
 	if len(e.conns) >= endpointConnections {
 		return false
 	}
-	e.conns[conn] = true
+	e.conns[conn] = false
 	return true
 }
 
@@ -119,12 +119,25 @@
 	defer e.mu.Unlock()
 	for conn := range e.conns {
 		if e.dice.happens(share) {
+			e.conns[conn] = true
 			conn.SetLinger(0)
 			conn.Close()
 		}
 	}
 }
 
+// hasReset reports whether the endpoint has reset a connection, or is gone.
+func (e *endpoint) hasReset(conn *net.TCPConn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+		return true
+	default:
+		return e.conns[conn]
+	}
+}
+
 // leave announces that the endpoint drains, serves for a while after the acknowledgement, deregisters and ends. It ends at once when
 // done is closed.
 func (e *endpoint) leave(done <-chan struct{}, drainTimeout time.Duration) {
--- a/internal/lab/requestsoak/endpoint_conn.go
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -79,9 +79,7 @@
 		if rejected {
 			c.reject(r, http.StatusServiceUnavailable, "rejects the request before its body")
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			c.note(r, fmt.Sprintf("has %d bytes of the body: %v", len(body), err))
+		if !c.readBody(r) {
 			return
 		}
 		if !rejected {
@@ -90,6 +88,25 @@
 	}
 }
 
+// readBody reads a body. It returns false if the body was not received completely.
+func (c *endpointConn) readBody(r *http.Request) bool {
+	if c.dice.happens(bodyStallShare) {
+		time.Sleep(c.dice.duration(0, maxBodyStall))
+	}
+	if c.dice.happens(bodyResetShare) {
+		received, _ := io.CopyN(io.Discard, r.Body, int64(c.dice.number(int(r.ContentLength)+1)))
+		c.note(r, fmt.Sprintf("resets the connection after %d bytes of the body", received))
+		c.conn.SetLinger(0)
+		c.conn.Close()
+		return false
+	}
+	received, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		c.note(r, fmt.Sprintf("has %d bytes of the body: %v", received, err))
+	}
+	return err == nil
+}
+
 // isFull reports whether the endpoint rejects requests for lack of capacity.
 func (e *endpoint) isFull() bool {
 	return len(e.slots) == cap(e.slots) && e.queued.Load() >= endpointQueue
@@ -170,7 +187,10 @@
 		Connection: c.conn.RemoteAddr().String(), Signature: fmt.Sprintf("%s.%d", c.id, c.runCount.Add(1)),
 	}
 	c.recorder.addRun(run)
-	defer func() { run.Ended = c.recorder.now() }()
+	defer func() {
+		run.Ended = c.recorder.now()
+		run.BrokenOff = run.BrokenOff || !run.Whole && c.hasReset(c.conn)
+	}()
 	work, left := c.dice.exponential(meanWork, maxWork), time.Until(deadline)
 	for _, again := range c.takeNextSurplus() {
 		c.sendSurplus(again)
@@ -227,14 +247,18 @@
 	m := c.signed(run, status, run.Body)
 	switch outcome {
 	case resets:
+		run.BrokenOff = true
 		c.conn.SetLinger(0)
 		return false
 	case closesSilently:
+		run.BrokenOff = true
 		return false
 	case sendsGarbage:
+		run.BrokenOff = true
 		c.write([]byte("\x00\x01 what is this\r\n\r\n"))
 		return false
 	case cutsOff:
+		run.BrokenOff = true
 		text := m.encode()
 		c.write(text[:c.dice.number(len(text))])
 		return false
@@ -262,7 +286,8 @@
 		return false
 	}
 	for i := range streamEvents {
-		if i == cutAt || !c.work(c.dice.duration(0, maxEventGap)) {
+		run.BrokenOff = i == cutAt
+		if run.BrokenOff || !c.work(c.dice.duration(0, maxEventGap)) {
 			return false
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, run.Request, run.Signature)
--- a/internal/lab/requestsoak/history.go
+++ b/internal/lab/requestsoak/history.go
@@ -63,6 +63,7 @@
 	Began, Ended                 time.Duration
 	Status                       int  // status of the response
 	Whole                        bool // the endpoint wrote the complete response
+	BrokenOff                    bool // the endpoint ended the connection before that
 	Body                         string
 }
 
--- a/internal/lab/requestsoak/operator.go
+++ b/internal/lab/requestsoak/operator.go
@@ -44,7 +44,7 @@
 	}
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
 
