--- a/internal/lab/localsystem/clients.go
+++ b/internal/lab/localsystem/clients.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dykering/internal/lab/pause"
 )
 
 // requestPause is the time between two requests of the clients.
@@ -34,7 +36,7 @@
 
 // run sends requests until done is closed.
 func (c *Clients) run(done <-chan struct{}) {
-	for pause(done, requestPause) {
+	for pause.For(done, requestPause) {
 		c.Request(ModelName(0))
 	}
 }
--- a/internal/lab/localsystem/operator.go
+++ b/internal/lab/localsystem/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dykering/internal/lab/controlclient"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -80,7 +81,7 @@
 			o.addViolation("change %d was answered with %d", base+1, status)
 			return
 		}
-		if !pause(done, retryPause) {
+		if !pause.For(done, retryPause) {
 			return
 		}
 	}
@@ -113,7 +114,7 @@
 
 // run changes and reads the configuration until done is closed.
 func (o *Operator) run(done <-chan struct{}) {
-	for pause(done, retryPause) {
+	for pause.For(done, retryPause) {
 		o.change(done)
 		o.read()
 	}
@@ -124,13 +125,3 @@
 	defer o.mu.Unlock()
 	o.violations = append(o.violations, fmt.Sprintf(format, arguments...))
 }
-
-// pause waits for the duration. It returns false if done is closed meanwhile.
-func pause(done <-chan struct{}, duration time.Duration) bool {
-	select {
-	case <-done:
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
--- a/internal/lab/localsystem/system.go
+++ b/internal/lab/localsystem/system.go
@@ -12,6 +12,7 @@
 	"dykering/internal/chain"
 	"dykering/internal/controlplane"
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 	"dykering/internal/protocol"
 )
 
@@ -108,7 +109,7 @@
 		if reason = s.notReady(); reason == "" {
 			return time.Since(began).Round(time.Millisecond), nil
 		}
-		if !pause(s.done, retryPause) {
+		if !pause.For(s.done, retryPause) {
 			return 0, errors.New("the load ended while waiting for the system")
 		}
 	}
@@ -168,7 +169,7 @@
 		if answer := s.Clients.Request(model); answer.Status == http.StatusOK {
 			return answer, time.Since(began).Round(time.Millisecond), nil
 		}
-		if !pause(s.done, retryPause) {
+		if !pause.For(s.done, retryPause) {
 			return Answer{}, 0, errors.New("the load ended while waiting for the system")
 		}
 	}
@@ -176,7 +177,7 @@
 }
 
 // Pause waits for the duration. It returns false if the load ends meanwhile.
-func (s *System) Pause(duration time.Duration) bool { return pause(s.done, duration) }
+func (s *System) Pause(duration time.Duration) bool { return pause.For(s.done, duration) }
 
 // EndLoad ends the load and waits for its goroutines. Then it checks that the last acknowledged configuration can be read.
 func (s *System) EndLoad() error {
--- a/internal/lab/requestsoak/check_test.go
+++ b/internal/lab/requestsoak/check_test.go
@@ -42,31 +42,32 @@
 	brokenOff.Whole, brokenOff.BrokenOff = false, true
 	failure := served()
 	failure.Status = 500
-	for name, c := range map[string]struct {
+	for _, c := range []struct {
+		name    string
 		history History
 		rules   []string
 	}{
-		"a request that is served once":               {History{Tries: []*Try{served()}, Runs: []*Run{run("a", "s")}}, nil},
-		"a request that runs twice":                   {History{Tries: []*Try{served()}, Runs: []*Run{run("a", "s"), run("a", "r")}}, []string{Twice}},
-		"an idempotent request that runs twice":       {History{Tries: []*Try{try(Idempotent, 502)}, Runs: []*Run{run("a", "s"), run("a", "r")}}, nil},
-		"an operation that runs again in a retry":     {History{Tries: []*Try{try(NonIdempotent, 502), retried}, Runs: []*Run{run("a", "r"), run("b", "s")}}, []string{Twice}},
-		"a refused request that runs":                 {History{Tries: []*Try{try(NonIdempotent, 503)}, Runs: []*Run{run("a", "s")}}, []string{Refused}},
-		"a refused request that does not run":         {History{Tries: []*Try{try(NonIdempotent, 503)}}, nil},
-		"a failure without a promise":                 {History{Tries: []*Try{try(Streaming, 502)}, Runs: []*Run{run("a", "s")}}, nil},
-		"a success without a run":                     {History{Tries: []*Try{served()}}, []string{Mixed}},
-		"the response to another request":             {History{Tries: []*Try{foreign}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
-		"a part of a response that looks complete":    {History{Tries: []*Try{shorter}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
-		"a signed status that no run gave":            {History{Tries: []*Try{failure}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
-		"a request cut by a stop":                     {History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated)}, []string{Lost}},
-		"a request cut by a stop and a kill":          {History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated, processKilled)}, nil},
-		"a request cut without a stop":                {History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}}, nil},
-		"a request cut before it was sent on":         {History{Tries: []*Try{cut()}, Processes: signals(processTerminated)}, nil},
-		"a request cut by its endpoint during a stop": {History{Tries: []*Try{cut()}, Runs: []*Run{brokenOff}, Processes: signals(processTerminated)}, nil},
-		"six denials": {History{Tries: lo.Times(6, func(int) *Try { return try(Idempotent, 404) })}, []string{Denied}},
+		{"a request that is served once", History{Tries: []*Try{served()}, Runs: []*Run{run("a", "s")}}, nil},
+		{"a request that runs twice", History{Tries: []*Try{served()}, Runs: []*Run{run("a", "s"), run("a", "r")}}, []string{Twice}},
+		{"an idempotent request that runs twice", History{Tries: []*Try{try(Idempotent, 502)}, Runs: []*Run{run("a", "s"), run("a", "r")}}, nil},
+		{"an operation that runs again in a retry", History{Tries: []*Try{try(NonIdempotent, 502), retried}, Runs: []*Run{run("a", "r"), run("b", "s")}}, []string{Twice}},
+		{"a refused request that runs", History{Tries: []*Try{try(NonIdempotent, 503)}, Runs: []*Run{run("a", "s")}}, []string{Refused}},
+		{"a refused request that does not run", History{Tries: []*Try{try(NonIdempotent, 503)}}, nil},
+		{"a failure without a promise", History{Tries: []*Try{try(Streaming, 502)}, Runs: []*Run{run("a", "s")}}, nil},
+		{"a success without a run", History{Tries: []*Try{served()}}, []string{Mixed}},
+		{"the response to another request", History{Tries: []*Try{foreign}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
+		{"a part of a response that looks complete", History{Tries: []*Try{shorter}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
+		{"a signed status that no run gave", History{Tries: []*Try{failure}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
+		{"a request cut by a stop", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated)}, []string{Lost}},
+		{"a request cut by a stop and a kill", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated, processKilled)}, nil},
+		{"a request cut without a stop", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}}, nil},
+		{"a request cut before it was sent on", History{Tries: []*Try{cut()}, Processes: signals(processTerminated)}, nil},
+		{"a request cut by its endpoint during a stop", History{Tries: []*Try{cut()}, Runs: []*Run{brokenOff}, Processes: signals(processTerminated)}, nil},
+		{"six denials", History{Tries: lo.Times(6, func(int) *Try { return try(Idempotent, 404) })}, []string{Denied}},
 	} {
 		found := lo.Map(Check(&c.history, testGrace), func(v Violation, _ int) string { return v.Rule })
 		if lo.Some(found, c.rules) != (len(c.rules) > 0) || len(found) != len(c.rules) {
-			t.Errorf("%s: found %v, want %v", name, found, c.rules)
+			t.Errorf("%s: found %v, want %v", c.name, found, c.rules)
 		}
 	}
 }
--- a/internal/lab/requestsoak/client.go
+++ b/internal/lab/requestsoak/client.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -54,7 +56,7 @@
 // run sends operations until the clients must stop.
 func (c *client) run() {
 	defer c.disconnect()
-	for pause(c.system.clientsDone, c.dice.exponential(meanPause, maxPause)) {
+	for pause.For(c.system.clientsDone, c.dice.exponential(meanPause, maxPause)) {
 		c.operate()
 	}
 }
@@ -105,7 +107,7 @@
 			return
 		}
 		c.disconnect() // a retry uses a new connection
-		if !pause(c.system.clientsDone, c.retryPause(header, deadline)) {
+		if !pause.For(c.system.clientsDone, c.retryPause(header, deadline)) {
 			return
 		}
 	}
--- a/internal/lab/requestsoak/endpoint.go
+++ b/internal/lab/requestsoak/endpoint.go
@@ -10,6 +10,7 @@
 
 	"dykering/internal/lab/controlclient"
 	"dykering/internal/lab/loopback"
+	"dykering/internal/lab/pause"
 	"dykering/internal/sessions"
 )
 
@@ -144,10 +145,10 @@
 	e.mu.Lock()
 	e.state = sessions.Draining
 	e.mu.Unlock()
-	for !e.sendHeartbeat() && pause(done, heartbeatInterval) {
+	for !e.sendHeartbeat() && pause.For(done, heartbeatInterval) {
 		continue
 	}
-	pause(done, drainTimeout+e.dice.duration(0, drainTimeout))
+	pause.For(done, drainTimeout+e.dice.duration(0, drainTimeout))
 	e.control.Post("/instances/"+e.id+"/deregister", map[string]string{}, nil)
 	e.crash()
 }
@@ -162,7 +163,7 @@
 // keepSession sends heartbeats until the endpoint is gone.
 func (e *endpoint) keepSession() {
 	e.sendHeartbeat()
-	for pause(e.ended, heartbeatInterval) {
+	for pause.For(e.ended, heartbeatInterval) {
 		e.sendHeartbeat()
 	}
 }
--- a/internal/lab/requestsoak/faults.go
+++ b/internal/lab/requestsoak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -56,13 +57,13 @@
 // run injects one fault after another until no further faults start. settle is the time after each fault in which the process is
 // left alone.
 func (f *processFaults) run(d *dice, settle time.Duration) {
-	for pause(f.system.faultsDone, d.duration(0, maxFaultPause)) {
+	for pause.For(f.system.faultsDone, d.duration(0, maxFaultPause)) {
 		p := f.claim(d)
 		if p == nil {
 			continue
 		}
 		err := f.strike(p, d)
-		pause(f.system.faultsDone, settle)
+		pause.For(f.system.faultsDone, settle)
 		f.release(p)
 		if err != nil {
 			f.mu.Lock()
@@ -86,14 +87,14 @@
 	case 5:
 		for range 1 + d.number(maxSignals) {
 			f.signal(p, syscall.SIGHUP)
-			pause(f.system.faultsDone, d.duration(0, maxSignalPause))
+			pause.For(f.system.faultsDone, d.duration(0, maxSignalPause))
 		}
 	}
 	if !p.HasEnded() {
 		return nil
 	}
 	f.system.recorder.addProcessEvent(p.Name, processExited)
-	pause(f.system.faultsDone, d.duration(0, maxDowntime))
+	pause.For(f.system.faultsDone, d.duration(0, maxDowntime))
 	return f.system.start(p)
 }
 
@@ -102,7 +103,7 @@
 	killAt := time.Now().Add(f.system.grace())
 	f.signal(p, syscall.SIGTERM)
 	for range d.number(maxSignals) {
-		pause(f.system.cancelled, min(d.duration(0, maxSignalPause), time.Until(killAt)))
+		pause.For(f.system.cancelled, min(d.duration(0, maxSignalPause), time.Until(killAt)))
 		if p.HasEnded() {
 			return
 		}
@@ -116,7 +117,7 @@
 		}
 	}
 	for !p.HasEnded() && time.Now().Before(killAt) {
-		pause(f.system.cancelled, exitPollInterval)
+		pause.For(f.system.cancelled, exitPollInterval)
 	}
 	if !p.HasEnded() {
 		f.signal(p, syscall.SIGKILL)
@@ -127,7 +128,7 @@
 // freeze stops a process for a time without ending it.
 func (f *processFaults) freeze(p *localprocess.Process, duration time.Duration) {
 	f.signal(p, syscall.SIGSTOP)
-	pause(f.system.cancelled, duration)
+	pause.For(f.system.cancelled, duration)
 	f.signal(p, syscall.SIGCONT)
 }
 
@@ -169,12 +170,12 @@
 
 // run injects one fault after another into the slot's endpoint until no further faults start.
 func (s *endpointSlot) run() error {
-	for pause(s.system.faultsDone, s.dice.duration(0, maxEndpointPause)) {
+	for pause.For(s.system.faultsDone, s.dice.duration(0, maxEndpointPause)) {
 		old := s.current
 		switch s.dice.number(8) {
 		case 0: // a crash, after which the endpoint is back at its address
 			old.crash()
-			pause(s.system.faultsDone, s.dice.duration(0, maxDowntime))
+			pause.For(s.system.faultsDone, s.dice.duration(0, maxDowntime))
 			if err := s.replace(old.address); err != nil {
 				return err
 			}
--- a/internal/lab/requestsoak/message.go
+++ b/internal/lab/requestsoak/message.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"time"
 )
 
 // message is a response of a fake endpoint.
@@ -123,17 +122,5 @@
 	return string(line)
 }
 
-// pause waits for the duration. It returns false if done is closed meanwhile.
-func pause(done <-chan struct{}, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // responseOf is the request that http.ReadResponse needs to know the framing of a response.
 var responseOf = &http.Request{Method: http.MethodPost}
--- a/internal/lab/requestsoak/operator.go
+++ b/internal/lab/requestsoak/operator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dykering/internal/lab/controlclient"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -64,7 +65,7 @@
 	body := o.configuration(o.version + 1)
 	header := map[string]string{"X-Base-Version": fmt.Sprint(o.version)}
 	for o.control.Post("/configuration/replace", body, header) != http.StatusOK {
-		if !pause(done, resendPause) {
+		if !pause.For(done, resendPause) {
 			return false
 		}
 	}
@@ -75,7 +76,7 @@
 
 // run changes the configuration until done is closed.
 func (o *operator) run(done <-chan struct{}) {
-	for pause(done, o.dice.duration(0, maxChangePause)) && o.change(done) {
+	for pause.For(done, o.dice.duration(0, maxChangePause)) && o.change(done) {
 		continue
 	}
 }
--- a/internal/lab/requestsoak/platform.go
+++ b/internal/lab/requestsoak/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -32,7 +33,7 @@
 
 // checkReadiness checks the readiness of a proxy until done is closed.
 func (p *platform) checkReadiness(proxy *localprocess.Process, done <-chan struct{}) {
-	for pause(done, readinessInterval) {
+	for pause.For(done, readinessInterval) {
 		p.record(proxy, p.isReady(proxy))
 	}
 }
--- a/internal/lab/requestsoak/scenario.go
+++ b/internal/lab/requestsoak/scenario.go
@@ -14,6 +14,7 @@
 
 	"dykering/internal/lab/controlclient"
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 )
 
 // The random streams. The faults of processes use the lowest ones.
@@ -146,7 +147,7 @@
 	}
 	for _, p := range s.proxies {
 		for !s.platform.isReady(p) {
-			if !pause(timeout, resendPause) {
+			if !pause.For(timeout, resendPause) {
 				return errors.Errorf("%s is not ready after %v", p.Name, startTimeout)
 			}
 		}
@@ -174,7 +175,7 @@
 	for i, slot := range s.slots {
 		faults.Go(func() { slotErrors[i] = slot.run() })
 	}
-	pause(s.cancelled, s.For)
+	pause.For(s.cancelled, s.For)
 	close(s.faultsDone)
 	faults.Wait()
 	close(s.clientsDone)
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dykering/internal/lab/history"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -118,7 +119,7 @@
 
 // pause waits for a random time between least and most. It returns false if the clients must stop meanwhile.
 func (c *caller) pause(least, most time.Duration) bool {
-	return pause(c.done, drawDuration(c.random, least, most))
+	return pause.For(c.done, drawDuration(c.random, least, most))
 }
 
 func drawDuration(random *rand.Rand, least, most time.Duration) time.Duration {
@@ -126,15 +127,3 @@
 }
 
 func choose[T any](random *rand.Rand, choices []T) T { return choices[random.IntN(len(choices))] }
-
-// pause waits for the duration. It returns false if done is closed meanwhile.
-func pause(done <-chan struct{}, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dykering/internal/lab/history"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -114,7 +115,7 @@
 		case http.StatusOK, http.StatusPreconditionFailed, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 			return call
 		}
-		if c.recorder.Now()-began > resendTimeout || !pause(c.done, resendPause) {
+		if c.recorder.Now()-began > resendTimeout || !pause.For(c.done, resendPause) {
 			return call
 		}
 	}
@@ -170,7 +171,7 @@
 		if call.Status == http.StatusOK || rejected {
 			return
 		}
-		if c.recorder.Now()-began > resendTimeout || !pause(c.done, resendPause) {
+		if c.recorder.Now()-began > resendTimeout || !pause.For(c.done, resendPause) {
 			return
 		}
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -12,6 +12,7 @@
 
 	"dykering/internal/lab/history"
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 )
 
 // The random streams of the faults. The callers use lower stream numbers.
@@ -74,7 +75,7 @@
 // runSingleFaults takes down one process after another until no further faults start.
 func (f *faultInjector) runSingleFaults(lane int) {
 	random := rand.New(rand.NewPCG(f.Seed, singleFaultStream+uint64(lane)))
-	for pause(f.faultsDone, drawDuration(random, 100*time.Millisecond, time.Second)) {
+	for pause.For(f.faultsDone, drawDuration(random, 100*time.Millisecond, time.Second)) {
 		if err := f.takeDownOne(random); err != nil {
 			f.recordError(err)
 			return
@@ -100,7 +101,7 @@
 
 // awaitCatchUp waits catch_up_s seconds, after which a restarted process no longer counts as down.
 func (f *faultInjector) awaitCatchUp() {
-	pause(f.cancelled, time.Duration(f.bounds.CatchUpS)*time.Second)
+	pause.For(f.cancelled, time.Duration(f.bounds.CatchUpS)*time.Second)
 }
 
 // claim marks a process that is up as down and returns it. With afterAcknowledgement it claims the next process that acknowledges
@@ -151,11 +152,11 @@
 	}
 	if what.frozen {
 		p.Signal(syscall.SIGSTOP)
-		pause(f.faultsDone, what.downtime/2)
+		pause.For(f.faultsDone, what.downtime/2)
 		if random.IntN(2) == 0 {
 			p.Signal(syscall.SIGHUP)
 		}
-		pause(f.faultsDone, what.downtime/2)
+		pause.For(f.faultsDone, what.downtime/2)
 		p.Signal(syscall.SIGCONT)
 		return nil
 	}
@@ -164,7 +165,7 @@
 	} else {
 		p.Stop()
 	}
-	pause(f.faultsDone, what.downtime)
+	pause.For(f.faultsDone, what.downtime)
 	if what.losesData {
 		if err := p.RemoveData(); err != nil {
 			return err
@@ -188,7 +189,7 @@
 // runBlackouts kills all processes at once from time to time. The processes keep their data.
 func (f *faultInjector) runBlackouts() {
 	random := rand.New(rand.NewPCG(f.Seed, blackoutStream))
-	for pause(f.faultsDone, drawDuration(random, 5*time.Second, 30*time.Second)) {
+	for pause.For(f.faultsDone, drawDuration(random, 5*time.Second, 30*time.Second)) {
 		f.blackoutMutex.Lock()
 		err := f.blackout(drawDuration(random, 0, time.Second), nil)
 		f.awaitCatchUp()
@@ -231,7 +232,7 @@
 			return err
 		}
 	}
-	pause(f.cancelled, away)
+	pause.For(f.cancelled, away)
 	for _, p := range f.processes {
 		if err := p.Start(f.Program); err != nil {
 			return err
@@ -243,7 +244,7 @@
 // runHangups sends SIGHUP to random processes that are up.
 func (f *faultInjector) runHangups() {
 	random := rand.New(rand.NewPCG(f.Seed, hangupStream))
-	for pause(f.faultsDone, drawDuration(random, 200*time.Millisecond, 2*time.Second)) {
+	for pause.For(f.faultsDone, drawDuration(random, 200*time.Millisecond, 2*time.Second)) {
 		p := f.processes[random.IntN(len(f.processes))]
 		f.blackoutMutex.RLock()
 		f.mu.Lock()
--- a/internal/lab/soak/finals.go
+++ b/internal/lab/soak/finals.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dykering/internal/lab/history"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -95,7 +96,7 @@
 		case http.StatusOK, http.StatusNotFound, http.StatusGone:
 			return true
 		}
-		if isOver() || !pause(s.cancelled, resendPause) {
+		if isOver() || !pause.For(s.cancelled, resendPause) {
 			return false
 		}
 	}
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -39,7 +41,7 @@
 func (p *probe) run(done <-chan struct{}, file *os.File) {
 	for {
 		began := time.Now()
-		if !pause(done, probeInterval) {
+		if !pause.For(done, probeInterval) {
 			return
 		}
 		delay := time.Since(began) - probeInterval
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -17,6 +17,7 @@
 
 	"dykering/internal/lab/history"
 	"dykering/internal/lab/localprocess"
+	"dykering/internal/lab/pause"
 )
 
 const (
@@ -131,7 +132,7 @@
 		if c.configure(0, 1, "first").Status == http.StatusOK {
 			return nil
 		}
-		pause(s.cancelled, resendPause)
+		pause.For(s.cancelled, resendPause)
 	}
 	return errors.Errorf("no control process acknowledged the first configuration within %v", startTimeout)
 }
@@ -147,7 +148,7 @@
 	}
 	lanes.Go(f.runHangups)
 	lanes.Go(f.runBlackouts)
-	pause(s.cancelled, s.For)
+	pause.For(s.cancelled, s.For)
 	close(s.faultsDone)
 	lanes.Wait()
 	back, calm, err := f.finalBlackout()
