--- a/internal/core/attempts_test.go
+++ b/internal/core/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dykering/internal/decision"
 )
@@ -24,6 +25,20 @@
 	}
 }
 
+// TWICE: a retry under a key was sent after the endpoints' deduplication window, because its bound counted from a moment after the
+// event when the process got no processor time in between.
+func TestSendBoundCountsFromTheEvent(t *testing.T) {
+	l := newTestLoop(t, nil, ready("s-1", 0)).loop
+	const late, within = 50 * time.Millisecond, time.Second
+	bound := query(l, func() time.Duration {
+		l.eventTime = l.clock() - late // the event was handled late
+		return time.Until(l.sendBy(within))
+	})
+	if bound > within-late {
+		t.Errorf("the bound ends in %v, more than %v after the event", bound, within)
+	}
+}
+
 // A complete response and a response that is still being received are both delivered to their calls. A response to an
 // abandoned call is discarded.
 func TestResponseIsDeliveredOrDiscarded(t *testing.T) {
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -63,7 +63,7 @@
 
 func (l *Loop) submit(c *Call, received time.Time) {
 	switch limit := l.config.Settings.OpenCap; {
-	case l.calls[c.ID] != nil || l.recent.contains(c.ID, l.now()):
+	case l.calls[c.ID] != nil || l.recent.contains(c.ID, l.clock()):
 		// The ID belongs to another request, and an endpoint may run both, so the answer is not retryable.
 		c.Answered <- Answer{}
 		return
@@ -152,7 +152,7 @@
 func (l *Loop) removeIfDone(c *Call) {
 	if c.isAnswered && c.attempt == nil && l.calls[c.ID] == c {
 		delete(l.calls, c.ID)
-		l.recent.add(c.ID, l.now())
+		l.recent.add(c.ID, l.clock())
 	}
 }
 
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -11,18 +11,22 @@
 // This file implements decision.Host. The Balancer calls these methods while it handles an event, in the loop's goroutine.
 // They must neither block nor call the Balancer.
 
-// Send starts an attempt. Within bounds the time in which its last byte must be sent; 0 means no bound.
+// Send starts an attempt. Within bounds the time from the event in which its last byte must be sent; 0 means no bound.
 func (l *Loop) Send(id decision.RequestID, to decision.EndpointID, timeout, within time.Duration) {
 	c := l.calls[id]
 	a := NewAttempt(c, l.endpoints.byID[to], timeout, l)
 	if within > 0 {
-		a.SendBy = a.sentAt.Add(within)
+		a.SendBy = l.sendBy(within)
 	}
 	c.attempts++
 	c.attempt = a
 	l.startAttempt(a)
 }
 
+// sendBy returns the end of a bound that the Balancer has calculated for the current event. The loop may have been descheduled
+// since then, so the bound does not count from the current time.
+func (l *Loop) sendBy(within time.Duration) time.Time { return l.origin.Add(l.eventTime + within) }
+
 // Cancel cancels an attempt that is in flight.
 func (l *Loop) Cancel(id decision.RequestID, number int) {
 	if c := l.calls[id]; c != nil && c.attempt != nil && c.attempt.number == number {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -32,8 +32,9 @@
 	newDiscovery NewDiscovery
 	lifecycle    *Lifecycle
 
-	closed        bool      // close has run, so no further events are handled
-	drainDeadline time.Time // by when all calls must be answered; zero unless Drain was called
+	closed        bool          // close has run, so no further events are handled
+	eventTime     time.Duration // the last time that now returned: that of the event which the Balancer handles
+	drainDeadline time.Time     // by when all calls must be answered; zero unless Drain was called
 	balancer      *decision.Balancer
 	calls         map[decision.RequestID]*Call // not yet answered, or with an attempt in flight
 	recent        recentIDs
@@ -87,8 +88,14 @@
 // Lifecycle returns the lifecycle of the process.
 func (l *Loop) Lifecycle() *Lifecycle { return l.lifecycle }
 
-// now returns the current time of the event clock.
-func (l *Loop) now() time.Duration { return time.Since(l.origin) }
+// clock returns the current time of the event clock.
+func (l *Loop) clock() time.Duration { return time.Since(l.origin) }
+
+// now returns the current time of the event clock as the time of an event that the Balancer is about to handle.
+func (l *Loop) now() time.Duration {
+	l.eventTime = l.clock()
+	return l.eventTime
+}
 
 // Post queues an event for the loop. The loop's own goroutine must not call it, because it blocks while the queue is full.
 // It has no effect once the loop is closed.
