Review case 2: a request that has run is answered with 503 at the route's timeout

Seen: an endpoint answered 200 before it had read a body of 4 MB and read on 2 s later; at the route's timeout of 1.5 s the proxy answered 503, the promise that the request has not run. Cause: the answer is not read while the body is written, and an unfinished write counts as not run.

--- a/review/standins/case_early_answer.go
+++ b/review/standins/case_early_answer.go
@@ -15,6 +15,10 @@
 	shortBody    = 800
 	crashDelay   = 300 * time.Millisecond
 	longRequests = 3
+	// confirmationEndpoints is the number of endpoints of the service kvittens.
+	confirmationEndpoints = 3
+	// calmTime is longer than contact_ms, so that all machines are in touch.
+	calmTime = 4 * time.Second
 )
 
 // earlyAnswer sends non-idempotent requests with long bodies. With the disruption, the endpoint that gets the first of them answers
@@ -44,28 +48,9 @@
 		writeAnswer(conn, request, e.id, http.StatusOK, signature, "confirmed by "+e.id+"\n")
 		return true
 	}
-	for i := range 3 {
-		if _, err := startEndpoint(s, fmt.Sprintf("i-confirm%d", i), "confirmations", handle); err != nil {
-			return nil, err
-		}
-	}
-	routes := []map[string]any{{
-		"name": "r-confirm", "host": "confirm.example", "path_prefix": "/confirm/", "kind": "non_idempotent", "timeout_ms": 2500,
-		"target_latency_ms": 150, "priority": 0, "service": "confirmations", "max_attempts": 2,
-	}}
-	services := []map[string]any{{
-		"name": "confirmations", "health_check_path": "/health", "connection_limit": 96, "protocol": "h1", "tls": false,
-	}}
-	if err := s.configure(routes, services); err != nil {
-		return nil, err
-	}
-	if err := s.awaitReady(); err != nil {
+	if err := startConfirmations(s, 2500*time.Millisecond, handle); err != nil {
 		return nil, err
 	}
-	if err := awaitServed(s); err != nil {
-		return nil, err
-	}
-	time.Sleep(4 * time.Second) // calm: all machines have been in touch for contact_ms
 	for i := range longRequests {
 		sendRequest(s, s.proxies[i%len(s.proxies)], fmt.Sprintf("long-%d", i), "/confirm/1", 2500*time.Millisecond, body(longBody))
 		time.Sleep(500 * time.Millisecond)
@@ -103,3 +88,33 @@
 	}
 	return nil
 }
+
+// startConfirmations starts the endpoints of a service without models, sends a configuration with a non-idempotent route to it, and
+// waits until the system serves and has been calm for contact_ms.
+func startConfirmations(s *system, timeout time.Duration,
+	handle func(e *endpoint, conn net.Conn, reader *bufio.Reader, request *http.Request) bool,
+) error {
+	for i := range confirmationEndpoints {
+		if _, err := startEndpoint(s, fmt.Sprintf("i-confirm%d", i), "confirmations", handle); err != nil {
+			return err
+		}
+	}
+	routes := []map[string]any{{
+		"name": "r-confirm", "host": "confirm.example", "path_prefix": "/confirm/", "kind": "non_idempotent",
+		"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 150, "priority": 0, "service": "confirmations", "max_attempts": 2,
+	}}
+	services := []map[string]any{{
+		"name": "confirmations", "health_check_path": "/health", "connection_limit": 96, "protocol": "h1", "tls": false,
+	}}
+	if err := s.configure(routes, services); err != nil {
+		return err
+	}
+	if err := s.awaitReady(); err != nil {
+		return err
+	}
+	if err := awaitServed(s); err != nil {
+		return err
+	}
+	time.Sleep(calmTime)
+	return nil
+}
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -14,7 +14,7 @@
 )
 
 // receiveBuffer is the receive buffer of an endpoint in bytes. Links have small windows (DEPLOY.md, Network).
-const receiveBuffer = 64 << 10
+const receiveBuffer = 8 << 10
 
 // endpoint is a stand-in for one incarnation of an endpoint of a service without models.
 type endpoint struct {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 
 var scenarios = map[string]scenario{
 	"early-answer": earlyAnswer,
+	"late-reader":  lateReader,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
