--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,7 @@
 	"early-answer":    earlyAnswer,
 	"late-reader":     lateReader,
 	"unframed-stream": unframedStream,
+	"slow-watcher":    slowWatcher,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/system.go
+++ b/review/standins/system.go
@@ -241,6 +241,11 @@
 
 // callOne sends one call to one control process. The status is 0 if there is no answer.
 func callOne(method, address, path string, header map[string]string, body any) (status int, answer []byte) {
+	return callWith(controlClient, method, address, path, header, body)
+}
+
+// callWith sends one call with a client.
+func callWith(client *http.Client, method, address, path string, header map[string]string, body any) (status int, answer []byte) {
 	var text []byte
 	if body != nil {
 		text, _ = json.Marshal(body) // the bodies are maps of plain values
@@ -255,7 +260,7 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := controlClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil
 	}
