--- a/review/standins/case_unframed_stream.go
+++ b/review/standins/case_unframed_stream.go
@@ -20,7 +20,7 @@
 	streamEvents    = 10
 	eventInterval   = 50 * time.Millisecond
 	crashAtEvent    = 5 // the event that is cut in the middle
-	streamEndpoints = 3
+	streamEndpoints = 7 // one killed endpoint stays within the share of .15
 	// maxStreams bounds the requests until one has got to the endpoint that is killed; afterStreams are sent after that one.
 	maxStreams   = 60
 	afterStreams = 3
