--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,13 +20,18 @@
 type scenario func(s *system, trouble bool) (violations []string, err error)
 
 var scenarios = map[string]scenario{
-	"early-answer": earlyAnswer,
-	"late-reader":  lateReader,
+	"early-answer":    earlyAnswer,
+	"late-reader":     lateReader,
+	"unframed-stream": unframedStream,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	if len(arguments) == 3 && arguments[0] == "endpoint" {
+		fmt.Fprintln(os.Stderr, serveStreams(arguments[1], arguments[2] == "true"))
+		return exitNotRun
+	}
 	if len(arguments) != 2 || scenarios[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins SCENARIO FOLDER")
 		return exitNotRun
