--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -36,6 +36,7 @@
 type attemptConnection struct {
 	localAddress     string // identifies the connection
 	reused           bool   // the connection has carried an earlier request
+	sentBytes        int64  // bytes of the request that were passed to the operating system
 	surplusResponses int    // responses to other requests that were skipped during the attempt
 }
 
@@ -51,6 +52,7 @@
 	surplusBefore := conn.SurplusResponses()
 	result := x.sendOn(conn, isNew, endpoint)
 	connection.surplusResponses = conn.SurplusResponses() - surplusBefore
+	connection.sentBytes = conn.SentBytes()
 	result.connection = connection
 	return result
 }
--- a/internal/dataplane/attempt_record.go
+++ b/internal/dataplane/attempt_record.go
@@ -63,7 +63,7 @@
 	}
 	s.log.Debug("attempt.ended", "request", x.request.id, "attempt", x.attempts, "endpoint", endpoint.ID,
 		"connection", result.connection.localAddress, "reused", result.connection.reused,
-		"surplus", result.connection.surplusResponses, "result", result.callResult.String(),
+		"sent", result.connection.sentBytes, "body", len(x.request.body), "surplus", result.connection.surplusResponses, "result", result.callResult.String(),
 		"may_have_run", result.mayHaveRun || result.answered, "detail", result.detail)
 }
 
--- a/internal/http1/upstream_endpointconn.go
+++ b/internal/http1/upstream_endpointconn.go
@@ -24,6 +24,8 @@
 	surplusResponses int
 	// Hashes of the ids of the requests that were sent on the connection.
 	sentIDs []uint64
+	// The bytes of the last request that were passed to the operating system.
+	sentBytes int64
 }
 
 // maxRequestsPerConn bounds the requests on a connection, and with them the memory for their ids.
@@ -87,10 +89,13 @@
 	if len(body) > 0 {
 		pieces = append(pieces, body)
 	}
-	n, err := pieces.WriteTo(c.conn.Conn)
-	return n >= int64(len(head)+len(body)), err
+	c.sentBytes, err = pieces.WriteTo(c.conn.Conn)
+	return c.sentBytes >= int64(len(head)+len(body)), err
 }
 
+// SentBytes returns how many bytes of the last request were passed to the operating system.
+func (c *EndpointConn) SentBytes() int64 { return c.sentBytes }
+
 // EndpointResponse is an endpoint's response. Its head has been read, and Read reads its body.
 type EndpointResponse struct {
 	Status int
