--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -36,7 +36,7 @@
 type attemptConnection struct {
 	localAddress     string // identifies the connection
 	reused           bool   // the connection has carried an earlier request
-	sentBytes        int64  // bytes of the request that were passed to the operating system
+	sentBytes        int64  // bytes of the request that were sent
 	surplusResponses int    // responses to other requests that were skipped during the attempt
 }
 
@@ -48,35 +48,50 @@
 	if err != nil {
 		return x.dialFailedResult()
 	}
-	connection := attemptConnection{localAddress: conn.LocalAddress(), reused: !isNew}
-	surplusBefore := conn.SurplusResponses()
-	result := x.sendOn(conn, isNew, endpoint)
-	connection.surplusResponses = conn.SurplusResponses() - surplusBefore
-	connection.sentBytes = conn.SentBytes()
-	result.connection = connection
-	return result
+	return x.sendOn(conn, isNew, endpoint)
 }
 
 // sendOn sends the request on a connection. It copies the response to the client unless the response reports that the endpoint
 // has not run the request, or is invalid. Afterwards the connection is in the pool or closed.
 func (x *exchange) sendOn(conn *http1.EndpointConn, isNew bool, endpoint *routing.Endpoint) attemptResult {
-	s, req := x.server, x.request
 	unwatch := context.AfterFunc(x.ctx, func() { conn.Close() })
 	defer unwatch()
 
-	x.attempts++
-	complete, err := conn.Write(req.id, x.requestHead(endpoint), req.body, req.deadline)
-	if !complete {
+	connection := attemptConnection{localAddress: conn.LocalAddress(), reused: !isNew}
+	surplusBefore := conn.SurplusResponses()
+	result, response := x.exchangeOn(conn, isNew, endpoint)
+	connection.sentBytes = conn.StopSending().Sent
+	connection.surplusResponses = conn.SurplusResponses() - surplusBefore
+	result.connection = connection
+
+	// Another request may use the connection as soon as it is in the pool.
+	if response != nil && response.Reusable() && unwatch() {
+		x.server.connections.put(endpoint.ID, conn, idleConnectionLifetime(response.Header))
+	} else {
 		conn.Close()
-		return x.incompleteSendResult(isNew, err)
+	}
+	return result
+}
+
+// exchangeOn sends the request and handles the response, which is nil if its head was not received. The request may still be being
+// sent afterwards.
+func (x *exchange) exchangeOn(conn *http1.EndpointConn, isNew bool, endpoint *routing.Endpoint) (
+	attemptResult, *http1.EndpointResponse,
+) {
+	s, req := x.server, x.request
+	x.attempts++
+	if err := conn.Send(req.id, x.requestHead(endpoint), req.body, req.deadline); err != nil {
+		return x.unsentHeadResult(isNew, err), nil
 	}
 
 	sentAt := time.Now()
 	response, err := conn.ReadResponse(headerRequestID, req.id)
 	if err != nil {
 		x.timing.addTime(phaseFailedAttempt, sentAt)
-		conn.Close()
-		return x.missingHeadResult(err, time.Since(sentAt))
+		if !conn.StopSending().ReachedBody() {
+			return x.unsentHeadResult(isNew, err), nil
+		}
+		return x.missingHeadResult(err, time.Since(sentAt)), nil
 	}
 	s.enqueue(func() { s.pool.ResponseStarted(endpoint) })
 	waited := time.Since(sentAt)
@@ -84,12 +99,7 @@
 	result := x.handleResponse(response)
 	result.responseStarted = true
 	x.timing.phaseDurations[result.phase()] += waited
-	if response.Reusable() && unwatch() {
-		s.connections.put(endpoint.ID, conn, idleConnectionLifetime(response.Header))
-	} else {
-		conn.Close()
-	}
-	return result
+	return result, response
 }
 
 // dialFailedResult returns the result of an attempt that could not connect to the endpoint.
@@ -100,9 +110,9 @@
 	return attemptResult{callResult: routing.Unreachable, kind: errkind.NoEndpoint, detail: "no connection"}
 }
 
-// incompleteSendResult returns the result of an attempt that could not write the complete request. The endpoint cannot have run
-// it.
-func (x *exchange) incompleteSendResult(isNew bool, err error) attemptResult {
+// unsentHeadResult returns the result of an attempt that could not send the complete head of the request. The endpoint cannot
+// have run it. Once the head is sent, it may have: an endpoint need not read the body first.
+func (x *exchange) unsentHeadResult(isNew bool, err error) attemptResult {
 	if x.ctx.Err() != nil {
 		return attemptResult{callResult: routing.Canceled, kind: errkind.DeadlineExceeded}
 	}
@@ -122,7 +132,8 @@
 	return result
 }
 
-// lostResponseResult returns the result of an attempt that sent the complete request and did not receive a complete response.
+// lostResponseResult returns the result of an attempt that sent the head of the request, and perhaps its body, and did not receive
+// a complete response.
 func (x *exchange) lostResponseResult(err error) attemptResult {
 	if ctxErr := x.ctx.Err(); ctxErr != nil {
 		call := routing.TimedOut
--- a/internal/dataplane/doc.go
+++ b/internal/dataplane/doc.go
@@ -12,7 +12,8 @@
 // Invariants:
 //
 //   - A rejection whose kind promises that the request has not run is sent only if no attempt may have run the request.
-//   - A non-idempotent request is retried only if no attempt may have run it.
+//   - A non-idempotent request is retried only if no attempt may have run it. An attempt may have run it once the complete head was
+//     sent, unless the endpoint responds that it has not.
 //   - A truncated response never looks complete. After the outcome is recorded, the client's connection is closed without the
 //     last chunk or the missing bytes.
 //   - Each request is counted once when it arrives and once when it ends. Each attempt begins one call and ends it once.
--- a/internal/dataplane/fake_endpoint_test.go
+++ b/internal/dataplane/fake_endpoint_test.go
@@ -174,7 +174,12 @@
 
 // send sends a request to the proxy and returns the response with its body. Headers have the form "Name: value".
 func (proxy *testProxy) send(path string, headers ...string) (*http.Response, string, error) {
-	r, err := http.NewRequest(http.MethodPost, proxy.frontend.URL+path, strings.NewReader("the body"))
+	return proxy.sendBody(path, "the body", headers...)
+}
+
+// sendBody sends a request with a body, as send does.
+func (proxy *testProxy) sendBody(path, requestBody string, headers ...string) (*http.Response, string, error) {
+	r, err := http.NewRequest(http.MethodPost, proxy.frontend.URL+path, strings.NewReader(requestBody))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h.example"
 	r.Header.Set(headerRequestID, "id-1")
--- a/internal/http1/upstream_endpointconn.go
+++ b/internal/http1/upstream_endpointconn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"io"
@@ -24,8 +25,8 @@
 	surplusResponses int
 	// Hashes of the ids of the requests that were sent on the connection.
 	sentIDs []uint64
-	// The bytes of the last request that were passed to the operating system.
-	sentBytes int64
+	// The sending of the last request; nil before the first one.
+	sending *requestSending
 }
 
 // maxRequestsPerConn bounds the requests on a connection, and with them the memory for their ids.
@@ -80,21 +81,28 @@
 	return !slices.Contains(c.sentIDs, maphash.String(idHashSeed, id))
 }
 
-// Write sends a request with the given id before a deadline. It returns complete as false only if the
-// last byte was certainly not written.
-func (c *EndpointConn) Write(id string, head, body []byte, until time.Time) (complete bool, err error) {
+// Send sends a request with the given id before a deadline. A long request is still being sent when Send returns. The caller must
+// call StopSending once it has read the response, or failed to. Send returns an error if the connection failed before the complete
+// head was sent; the endpoint cannot run the request then.
+func (c *EndpointConn) Send(id string, head, body []byte, until time.Time) error {
 	c.sentIDs = append(c.sentIDs, maphash.String(idHashSeed, id))
-	c.conn.SetWriteDeadline(until)
-	pieces := net.Buffers{head}
-	if len(body) > 0 {
-		pieces = append(pieces, body)
+	c.sending = startSending(c.conn.Conn, head, body, until)
+	select {
+	case <-c.sending.ended:
+		if progress := c.sending.progress(); !progress.ReachedBody() {
+			return progress.Err
+		}
+	default:
 	}
-	c.sentBytes, err = pieces.WriteTo(c.conn.Conn)
-	return c.sentBytes >= int64(len(head)+len(body)), err
+	return nil
 }
 
-// SentBytes returns how many bytes of the last request were passed to the operating system.
-func (c *EndpointConn) SentBytes() int64 { return c.sentBytes }
+// StopSending ends the sending of the last request if it is in progress, and returns how much was sent. The connection can be used
+// again only if the request was sent completely.
+func (c *EndpointConn) StopSending() SendProgress {
+	c.sending.stop()
+	return c.sending.progress()
+}
 
 // EndpointResponse is an endpoint's response. Its head has been read, and Read reads its body.
 type EndpointResponse struct {
@@ -154,7 +162,20 @@
 
 // Read implements io.Reader. It returns io.EOF at the end of the body, and another error if the
 // connection ends earlier.
-func (r *EndpointResponse) Read(p []byte) (int, error) { return r.body.Read(p) }
+func (r *EndpointResponse) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if errors.Is(err, io.EOF) && r.body.untilClose && r.conn.sendingWasReset() {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// sendingWasReset reports whether the sending of the request failed. The operating system reports a reset once: if the
+// sending receives it, a read returns io.EOF, and a body that ends with the connection would seem complete.
+func (c *EndpointConn) sendingWasReset() bool {
+	c.sending.stop()
+	return c.sending.hasFailed()
+}
 
 // Finished reports whether the body has been read to its end.
 func (r *EndpointResponse) Finished() bool { return r.body.finished }
@@ -168,7 +189,7 @@
 	if !r.keepAlive || !r.body.finished || r.body.untilClose || c.reader.Buffered() > 0 {
 		return false
 	}
-	if len(r.conn.sentIDs) >= maxRequestsPerConn {
+	if len(r.conn.sentIDs) >= maxRequestsPerConn || !r.conn.StopSending().IsComplete() {
 		return false
 	}
 	return c.Conn.SetDeadline(time.Time{}) == nil
