--- a/internal/lab/requestsoak/behavior.go
+++ b/internal/lab/requestsoak/behavior.go
@@ -15,6 +15,11 @@
 	garbageShare        = 0.005
 	unframedShare       = 0.02 // a response without a length, which ends with the connection
 	earlyRejectionShare = 0.3  // a full endpoint rejects a request before it has read the body
+	earlyRunShare       = 0.05 // it runs a request, and may respond, before it has read the body
+	earlyLongRunShare   = 0.5  // the same of requests with long bodies
+	lateReadShare       = 0.6  // it then reads a long body after some time only
+	earlyResetShare     = 0.3  // it resets the connection in place of reading such a body
+	smallBufferShare    = 0.5  // endpoints whose receive buffers hold little
 	bodyStallShare      = 0.05 // it waits before it reads a body
 	bodyResetShare      = 0.01 // it resets the connection in the middle of a body
 	closeHeaderShare    = 0.02 // it announces that it closes the connection after a response
@@ -31,8 +36,10 @@
 	// maxSurplusDelay bounds the time after which an endpoint sends a response once more.
 	maxSurplusDelay = 500 * time.Millisecond
 	maxBodyStall    = 400 * time.Millisecond
-	maxBodyLength   = 4 << 10
-	longBodyLength  = 300 << 10
+	// maxLateRead is longer than most clients wait for a response.
+	maxLateRead    = 3 * time.Second
+	maxBodyLength  = 4 << 10
+	longBodyLength = 300 << 10
 )
 
 // runOutcome is how an endpoint ends the run of a request.
--- a/internal/lab/requestsoak/check.go
+++ b/internal/lab/requestsoak/check.go
@@ -16,6 +16,7 @@
 	Refused = "REFUSED" // a request ran that was answered with the promise that it has not run
 	Mixed   = "MIXED"   // a response is not the complete response of an endpoint to the request
 	Lost    = "LOST"    // a planned stop closed a connection without the response to a request that an endpoint had
+	Unasked = "UNASKED" // an endpoint received other bytes than the client's in the body of a request
 	Denied  = "DENIED"  // too many proper requests were answered with a 4xx
 )
 
@@ -63,6 +64,7 @@
 		c.checkResponse(try)
 		c.checkLoss(try)
 	}
+	c.checkBodies()
 	c.checkDenials()
 	return c.violations
 }
@@ -199,6 +201,16 @@
 	return at, isPlanned
 }
 
+// checkBodies checks that endpoints received in the body of a request only what its client sent.
+func (c *checker) checkBodies() {
+	triesByID := lo.KeyBy(c.Tries, func(t *Try) string { return t.ID })
+	for _, e := range c.Events {
+		if try := triesByID[e.Request]; try != nil && strings.HasPrefix(e.What, foreignBytes) {
+			c.add(Unasked, try, "%s, request %s: %s", e.Endpoint, e.Request, e.What)
+		}
+	}
+}
+
 // Denials returns the tries that proxies answered with a 3xx or 4xx of their own. All requests of the clients are proper.
 func (h *History) Denials() []*Try {
 	return lo.Filter(h.Tries, func(t *Try, _ int) bool {
--- a/internal/lab/requestsoak/check_test.go
+++ b/internal/lab/requestsoak/check_test.go
@@ -63,6 +63,7 @@
 		{"a request cut without a stop", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}}, nil},
 		{"a request cut before it was sent on", History{Tries: []*Try{cut()}, Processes: signals(processTerminated)}, nil},
 		{"a request cut by its endpoint during a stop", History{Tries: []*Try{cut()}, Runs: []*Run{brokenOff}, Processes: signals(processTerminated)}, nil},
+		{"a body with bytes of another request", History{Tries: []*Try{served()}, Runs: []*Run{run("a", "s")}, Events: foreignBody()}, []string{Unasked}},
 		{"six denials", History{Tries: lo.Times(6, func(int) *Try { return try(Idempotent, 404) })}, []string{Denied}},
 	} {
 		found := lo.Map(Check(&c.history, testGrace), func(v Violation, _ int) string { return v.Rule })
@@ -72,6 +73,11 @@
 	}
 }
 
+// foreignBody returns the event of an endpoint that has received other bytes than the client's.
+func foreignBody() []EndpointEvent {
+	return []EndpointEvent{{Request: "a", What: foreignBytes + ": 3 of 9"}}
+}
+
 // signals returns the events of signals to the proxy p shortly before 2 s.
 func signals(actions ...processAction) []ProcessEvent {
 	return lo.Map(actions, func(action processAction, _ int) ProcessEvent {
--- a/internal/lab/requestsoak/client.go
+++ b/internal/lab/requestsoak/client.go
@@ -25,11 +25,15 @@
 	libraryShare         = 0.2 // clients that use the standard library, which retries by itself
 	chunkedShare         = 0.3 // requests whose body comes in chunks
 	longBodyRequestShare = 0.02
+	longestBodyShare     = 0.03
 	slowSendShare        = 0.1 // requests that are sent in two parts
 	onceShare            = 0.6 // requests that may run once
 	streamShare          = 0.2
 )
 
+// bodyByte is the byte that all bodies of requests consist of.
+const bodyByte = 'b'
+
 // client sends operations one after another. It is not safe for concurrent use.
 type client struct {
 	name      string
@@ -84,10 +88,13 @@
 
 func (c *client) drawBody() string {
 	length := c.dice.number(maxRequestBody)
-	if c.dice.happens(longBodyRequestShare) {
+	switch {
+	case c.dice.happens(longestBodyShare):
+		length = longRequestBody - c.dice.number(longRequestBody/longestBodyParts)
+	case c.dice.happens(longBodyRequestShare):
 		length = c.dice.number(longRequestBody)
 	}
-	return strings.Repeat("b", length)
+	return strings.Repeat(string(bodyByte), length)
 }
 
 // operate performs an operation. It retries as the platform's clients do: idempotent requests after any failure, others only
--- a/internal/lab/requestsoak/client_conn.go
+++ b/internal/lab/requestsoak/client_conn.go
@@ -21,9 +21,11 @@
 	againPath      = "/again/"
 	streamPath     = "/stream/"
 	maxRequestBody = 12 << 10
-	// longRequestBody is more than the buffers of a connection hold.
-	longRequestBody = 3 << 20
-	maxSendPause    = 200 * time.Millisecond
+	// longRequestBody is the length of the longest body, which the routes just allow. A share of the bodies is shorter by less than
+	// one part of longestBodyParts: the buffers of a connection do not hold these.
+	longRequestBody  = 4<<20 - 1
+	longestBodyParts = 10
+	maxSendPause     = 200 * time.Millisecond
 )
 
 // clientConn is a client's connection to a proxy. It carries one request at a time.
--- a/internal/lab/requestsoak/endpoint.go
+++ b/internal/lab/requestsoak/endpoint.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dykering/internal/lab/controlclient"
@@ -24,6 +25,8 @@
 	// maxEndpointIdle and minEndpointIdle bound how long an endpoint keeps an idle connection.
 	minEndpointIdle = 400 * time.Millisecond
 	maxEndpointIdle = 4 * time.Second
+	// smallReceiveBuffer is the receive buffer of some endpoints, in bytes.
+	smallReceiveBuffer = 8 << 10
 )
 
 // endpoint is one incarnation of a fake endpoint.
@@ -52,6 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.happens(smallBufferShare) {
+		if err := limitReceiveBuffer(listener); err != nil {
+			listener.Close()
+			return nil, err
+		}
+	}
 	e := &endpoint{
 		id: id, service: service, address: listener.Addr().String(), recorder: r, control: control, dice: d, listener: listener,
 		slots: make(chan struct{}, endpointSlots), ended: make(chan struct{}), conns: map[*net.TCPConn]bool{}, state: sessions.Ready,
@@ -62,11 +71,31 @@
 }
 
 // listenAt listens at an address, or at any loopback address if it is empty.
-func listenAt(address string) (net.Listener, error) {
+func listenAt(address string) (*net.TCPListener, error) {
 	if address == "" {
 		return loopback.Listen()
 	}
-	return net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
+}
+
+// limitReceiveBuffer gives the connections of a listener a small receive buffer, so that a body that is not read holds its sender up.
+func limitReceiveBuffer(listener *net.TCPListener) error {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
 }
 
 // accept serves connections until the endpoint is gone.
@@ -120,13 +149,25 @@
 	defer e.mu.Unlock()
 	for conn := range e.conns {
 		if e.dice.happens(share) {
-			e.conns[conn] = true
-			conn.SetLinger(0)
-			conn.Close()
+			e.resetLocked(conn)
 		}
 	}
 }
 
+// reset resets a connection.
+func (e *endpoint) reset(conn *net.TCPConn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resetLocked(conn)
+}
+
+// resetLocked resets a connection. The caller must hold e.mu.
+func (e *endpoint) resetLocked(conn *net.TCPConn) {
+	e.conns[conn] = true
+	conn.SetLinger(0)
+	conn.Close()
+}
+
 // hasReset reports whether the endpoint has reset a connection, or is gone.
 func (e *endpoint) hasReset(conn *net.TCPConn) bool {
 	e.mu.Lock()
--- a/internal/lab/requestsoak/endpoint_conn.go
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -75,19 +78,56 @@
 		if err != nil {
 			return
 		}
-		rejected := c.isFull() && c.dice.happens(earlyRejectionShare)
-		if rejected {
-			c.reject(r, http.StatusServiceUnavailable, "rejects the request before its body")
-		}
-		if !c.readBody(r) {
+		if !c.receive(r) {
 			return
 		}
-		if !rejected {
-			c.requests <- r
-		}
 	}
 }
 
+// receive reads the body of a request and passes the request on. In a share of the cases it rejects the request, or passes it on,
+// before it reads the body. It returns false if the body was not received completely.
+func (c *endpointConn) receive(r *http.Request) bool {
+	switch {
+	case c.isFull() && c.dice.happens(earlyRejectionShare):
+		c.reject(r, http.StatusServiceUnavailable, "rejects the request before its body")
+		return c.readBody(r)
+	case c.runsEarly(r):
+		c.note(r, "acts on the request before its body")
+		c.requests <- r
+		return c.delayReading(r) && c.readBody(r)
+	}
+	if !c.readBody(r) {
+		return false
+	}
+	c.requests <- r
+	return true
+}
+
+// isLong reports whether a request has more bytes than the buffers of a connection may hold. The proxies send all bodies with a length.
+func isLong(r *http.Request) bool { return r.ContentLength > longBodyLength }
+
+// runsEarly draws whether the endpoint acts on a request before it reads the body.
+func (c *endpointConn) runsEarly(r *http.Request) bool {
+	return c.dice.happens(lo.Ternary(isLong(r), earlyLongRunShare, earlyRunShare))
+}
+
+// delayReading waits before a long body is read, or resets the connection, in a share of the cases. It returns false if the body
+// cannot be read any more.
+func (c *endpointConn) delayReading(r *http.Request) bool {
+	if !isLong(r) || !c.dice.happens(lateReadShare) {
+		return true
+	}
+	if !c.work(c.dice.duration(0, maxLateRead)) {
+		return false
+	}
+	if c.dice.happens(earlyResetShare) {
+		c.note(r, "resets the connection before it reads the body")
+		c.reset(c.conn)
+		return false
+	}
+	return true
+}
+
 // readBody reads a body. It returns false if the body was not received completely.
 func (c *endpointConn) readBody(r *http.Request) bool {
 	if c.dice.happens(bodyStallShare) {
@@ -96,17 +136,32 @@
 	if c.dice.happens(bodyResetShare) {
 		received, _ := io.CopyN(io.Discard, r.Body, int64(c.dice.number(int(r.ContentLength)+1)))
 		c.note(r, fmt.Sprintf("resets the connection after %d bytes of the body", received))
-		c.conn.SetLinger(0)
-		c.conn.Close()
+		c.reset(c.conn)
 		return false
 	}
-	received, err := io.Copy(io.Discard, r.Body)
+	var checker bodyChecker
+	received, err := io.Copy(&checker, r.Body)
+	if checker.foreign > 0 {
+		c.note(r, fmt.Sprintf("%s: %d of %d", foreignBytes, checker.foreign, received))
+	}
 	if err != nil {
 		c.note(r, fmt.Sprintf("has %d bytes of the body: %v", received, err))
 	}
 	return err == nil
 }
 
+// foreignBytes begins the event of an endpoint that has received bytes in a body that its client has not sent.
+const foreignBytes = "has foreign bytes in the body"
+
+// bodyChecker counts the bytes of a body that no client sends.
+type bodyChecker struct{ foreign int }
+
+// Write implements io.Writer.
+func (c *bodyChecker) Write(p []byte) (int, error) {
+	c.foreign += len(p) - bytes.Count(p, []byte{bodyByte})
+	return len(p), nil
+}
+
 // isFull reports whether the endpoint rejects requests for lack of capacity.
 func (e *endpoint) isFull() bool {
 	return len(e.slots) == cap(e.slots) && e.queued.Load() >= endpointQueue
