--- a/internal/dataplane/streaming.go
+++ b/internal/dataplane/streaming.go
@@ -18,10 +18,10 @@
 	maxEventSize = 1 << 20
 )
 
-var errEventTooLong = errors.New("a server-sent event exceeds the size limit")
-
-// eventEnd is the empty line that ends a server-sent event.
-var eventEnd = []byte("\n\n")
+var (
+	errEventTooLong   = errors.New("a server-sent event exceeds the size limit")
+	errEventTruncated = errors.New("the connection ended within a server-sent event")
+)
 
 // stream sends the head of a response, with the endpoint's Content-Length if there is one, and streams the body.
 func (x *exchange) stream(response *http1.EndpointResponse) attemptResult {
@@ -32,6 +32,8 @@
 // streamBody copies the rest of a body to the client. It flushes each chunk immediately.
 func (x *exchange) streamBody(response *http1.EndpointResponse) attemptResult {
 	buffer := make([]byte, copyBufferSize)
+	mustEndWithEvent := mustEndWithEvent(x.request.route, response)
+	var events eventScanner
 	for {
 		n, err := response.Read(buffer)
 		if n > 0 {
@@ -40,10 +42,15 @@
 		if n > 0 && !x.writeChunk(buffer[:n]) {
 			return attemptResult{answered: true, callResult: routing.Canceled}
 		}
-		if errors.Is(err, io.EOF) {
-			return attemptResult{answered: true, callResult: routing.Succeeded}
+		if mustEndWithEvent {
+			events.scan(buffer[:n])
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF) && mustEndWithEvent && !events.atEventEnd:
+			return x.lostResponseResult(errEventTruncated)
+		case errors.Is(err, io.EOF):
+			return attemptResult{answered: true, callResult: routing.Succeeded}
+		case err != nil:
 			return x.lostResponseResult(err)
 		}
 	}
@@ -65,12 +72,18 @@
 		x.writeHead(response, -1)
 	}
 	buffer := make([]byte, copyBufferSize)
-	var pending []byte
+	mustEndWithEvent := mustEndWithEvent(x.request.route, response)
+	var events eventScanner
+	var pending []byte // received bytes that were not sent to the client
 	for {
 		n, err := response.Read(buffer)
+		complete := 0
+		if ended := events.scan(buffer[:n]); ended > 0 {
+			complete = len(pending) + ended
+		}
 		pending = append(pending, buffer[:n]...)
-		complete := completeEvents(pending)
-		if errors.Is(err, io.EOF) {
+		isWhole := errors.Is(err, io.EOF) && (!mustEndWithEvent || events.atEventEnd)
+		if isWhole {
 			complete = len(pending)
 		}
 		if complete > 0 {
@@ -82,8 +95,10 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case isWhole:
 			return attemptResult{answered: true, callResult: routing.Succeeded}
+		case errors.Is(err, io.EOF):
+			return x.lostResponseResult(errEventTruncated)
 		case err != nil:
 			return x.lostResponseResult(err)
 		case len(pending) > maxEventSize:
@@ -92,18 +107,9 @@
 	}
 }
 
-// completeEvents returns the length of the complete events at the beginning of the received bytes.
-func completeEvents(received []byte) int {
-	last := bytes.LastIndex(received, eventEnd)
-	if last < 0 {
-		return 0
-	}
-	return last + len(eventEnd)
-}
-
 // rememberLastEvent stores the ID of the last of the events, which were sent to the client.
 func (x *exchange) rememberLastEvent(events []byte) {
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			x.lastEventID = string(bytes.TrimSpace(id))
 		}
--- a/internal/http1/upstream_endpointconn.go
+++ b/internal/http1/upstream_endpointconn.go
@@ -177,6 +177,10 @@
 	return c.sending.hasFailed()
 }
 
+// EndsWithConnection reports whether the body has no length and ends with the connection. Its end does not tell whether the
+// endpoint has finished the body, unless the connection is reset.
+func (r *EndpointResponse) EndsWithConnection() bool { return r.body.untilClose }
+
 // Finished reports whether the body has been read to its end.
 func (r *EndpointResponse) Finished() bool { return r.body.finished }
 
