Reset the connection of an HTTP/1.0 client whose stream is cut off (ORDER)

Callers would see: a stream that its endpoint or a stop cuts off ends as complete at an HTTP/1.0 client.

Cause: the proxy closed the connection, which ends it in order.

Change: the connection of an HTTP/1.0 client is reset, as the sidecar's relay does.

--- a/internal/dataplane/aborted_response_test.go
+++ b/internal/dataplane/aborted_response_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -82,7 +83,19 @@
 	})
 
 	It("is aborted by net/http if the connection cannot be hijacked", func() {
-		Expect(func() { abortConnection(httptest.NewRecorder()) }).To(PanicWith(http.ErrAbortHandler))
+		Expect(func() { abortConnection(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)) }).To(PanicWith(http.ErrAbortHandler))
+	})
+
+	// ORDER (issue 77): a stream that was cut off ended as complete, as the client got it without a length and without chunks.
+	It("has the connection of an HTTP/1.0 client reset", func() {
+		proxy := newTestProxy(routeJSON("streaming", ""), newFakeEndpoint("i-1", startsAndCloses(event, signatureHeader)))
+		conn, err := net.Dial("tcp", proxy.frontend.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /p/ HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: id-1\r\nContent-Length: 0\r\n\r\n")
+		Expect(conn.SetReadDeadline(time.Now().Add(eventuallyTimeout))).To(Succeed())
+		_, err = io.ReadAll(conn)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
 	})
 
 	It("has its client's connection closed immediately, without the last chunk", func() {
--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 
 	"dykering/internal/errkind"
@@ -66,7 +67,7 @@
 	switch {
 	case failure == nil:
 	case x.responseStarted:
-		abortConnection(w)
+		abortConnection(w, r)
 	default:
 		failure.write(w)
 	}
@@ -102,12 +103,16 @@
 }
 
 // abortConnection closes a client's connection in the middle of a response. The client can tell that the response is truncated,
-// since it receives neither the last chunk nor all bytes of Content-Length.
-func abortConnection(w http.ResponseWriter) {
+// since it receives neither the last chunk nor all bytes of Content-Length. An HTTP/1.0 client gets no chunks: without a
+// Content-Length, only a reset tells it.
+func abortConnection(w http.ResponseWriter, r *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler) // the connection cannot be hijacked, so net/http must abort it
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
 	conn.Close()
 }
 
