Request soak: streams without a length, streams that can be resumed, cuts within events

Change: 4 in 10 streams end with the connection; 15 in 100 are closed or reset in the middle of an event, or reset after the last one; half of the streams can be resumed, and are checked event by event (ORDER). A part of a response must be the beginning of its run's. An endpoint that closes a connection with an unread body has broken off, as the kernel resets it.

--- a/internal/lab/requestsoak/behavior.go
+++ b/internal/lab/requestsoak/behavior.go
@@ -15,6 +15,8 @@
 	garbageShare        = 0.005
 	unframedShare       = 0.02 // a response without a length, which ends with the connection
 	earlyRejectionShare = 0.3  // a full endpoint rejects a request before it has read the body
+	unframedStreamShare = 0.4  // a stream without a length
+	streamCutShare      = 0.15 // it breaks off a stream
 	earlyRunShare       = 0.05 // it runs a request, and may respond, before it has read the body
 	earlyLongRunShare   = 0.5  // the same of requests with long bodies
 	lateReadShare       = 0.6  // it then reads a long body after some time only
--- a/internal/lab/requestsoak/check.go
+++ b/internal/lab/requestsoak/check.go
@@ -14,6 +14,7 @@
 const (
 	Twice   = "TWICE"   // a request, or an operation with its retries, that may run once ran more often
 	Refused = "REFUSED" // a request ran that was answered with the promise that it has not run
+	Order   = "ORDER"   // a stream is not the events of its request in order, or ends as complete before the last one
 	Mixed   = "MIXED"   // a response is not the complete response of an endpoint to the request
 	Lost    = "LOST"    // a planned stop closed a connection without the response to a request that an endpoint had
 	Unasked = "UNASKED" // an endpoint received other bytes than the client's in the body of a request
@@ -28,6 +29,8 @@
 	abortFraction = 5.0 / 6
 	// abortableWindow is the time after SIGTERM within which a request must be sent so that it may be cut off.
 	abortableWindow = 3 * time.Second
+	// maxTracedBody is the number of bytes of a body in a trace.
+	maxTracedBody = 100
 	// disturbanceWindow is the time after an unplanned fault of a process in which LOST does not bind it.
 	disturbanceWindow = 3 * time.Second
 )
@@ -156,11 +159,32 @@
 		c.add(Mixed, try, "request %s got a success that no run of it gave", try.ID)
 	case try.Signature != "" && (!signed || run.Status != try.Status):
 		c.add(Mixed, try, "request %s got a signed status %d that its run did not give", try.ID, try.Status)
-	case isSuccess && try.End == NotEnded && (!run.Whole || run.Body != try.Body):
-		c.add(Mixed, try, "request %s got a complete response that differs from its run's", try.ID)
+	case isSuccess:
+		c.checkBody(try, run)
 	}
 }
 
+// checkBody checks that the body of a success is that of its run, and that a part of it does not look complete. A stream that can be
+// resumed may have events of several runs.
+func (c *checker) checkBody(try *Try, run *Run) {
+	rule, whole, isWhole := Mixed, run.Body, run.Whole
+	if try.Kind.isStream() {
+		rule = Order
+	}
+	if try.Kind == Resumable {
+		whole, isWhole = wholeStream(try.ID), true
+	}
+	switch {
+	case try.End == NotEnded && (!isWhole || whole != try.Body):
+		c.add(rule, try, "request %s got a complete response that differs from its run's: %q", try.ID, lastBytes(try.Body))
+	case !strings.HasPrefix(whole, try.Body):
+		c.add(rule, try, "request %s got a part of a response that its run did not give: %q", try.ID, lastBytes(try.Body))
+	}
+}
+
+// lastBytes returns the end of a body, for a trace.
+func lastBytes(body string) string { return body[max(0, len(body)-maxTracedBody):] }
+
 // checkLoss checks a request whose connection a stopping proxy closed, although an endpoint was able to complete it.
 func (c *checker) checkLoss(try *Try) {
 	if try.End != Closed && try.End != Reset && try.End != Truncated {
--- a/internal/lab/requestsoak/check_test.go
+++ b/internal/lab/requestsoak/check_test.go
@@ -1,6 +1,7 @@
 package requestsoak
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -26,6 +27,20 @@
 	return t
 }
 
+// streamed returns a try that got a stream that looks complete.
+func streamed(body string) *Try {
+	t := truncatedTo(Resumable, body)
+	t.End = NotEnded
+	return t
+}
+
+// truncatedTo returns a try that got a part of a response of the run "s".
+func truncatedTo(kind RouteKind, body string) *Try {
+	t := served()
+	t.Kind, t.Body, t.End = kind, body, Truncated
+	return t
+}
+
 // cut returns a try whose connection was closed at 2 s without a response.
 func cut() *Try {
 	t := try(NonIdempotent, 0)
@@ -42,6 +57,7 @@
 	brokenOff.Whole, brokenOff.BrokenOff = false, true
 	failure := served()
 	failure.Status = 500
+	twice := strings.Repeat((&Run{Request: "a"}).event(1, true), 2)
 	for _, c := range []struct {
 		name    string
 		history History
@@ -57,6 +73,12 @@
 		{"a success without a run", History{Tries: []*Try{served()}}, []string{Mixed}},
 		{"the response to another request", History{Tries: []*Try{foreign}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
 		{"a part of a response that looks complete", History{Tries: []*Try{shorter}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
+		{"a part of a response that is not its run's", History{Tries: []*Try{truncatedTo(NonIdempotent, "x")}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
+		{"a part of a response", History{Tries: []*Try{truncatedTo(NonIdempotent, "bo")}, Runs: []*Run{run("a", "s")}}, nil},
+		{"a whole stream of two runs", History{Tries: []*Try{streamed(wholeStream("a"))}, Runs: []*Run{brokenOff, run("a", "r")}}, nil},
+		{"a part of a stream that looks complete", History{Tries: []*Try{streamed(wholeStream("a")[:9])}, Runs: []*Run{brokenOff, run("a", "r")}}, []string{Order}},
+		{"an event that comes twice", History{Tries: []*Try{truncatedTo(Resumable, twice)}, Runs: []*Run{brokenOff, run("a", "r")}}, []string{Order}},
+		{"a part of a stream", History{Tries: []*Try{truncatedTo(Resumable, twice[:len(twice)/2])}, Runs: []*Run{brokenOff}}, nil},
 		{"a signed status that no run gave", History{Tries: []*Try{failure}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
 		{"a request cut by a stop", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated)}, []string{Lost}},
 		{"a request cut by a stop and a kill", History{Tries: []*Try{cut()}, Runs: []*Run{run("a", "s")}, Processes: signals(processTerminated, processKilled)}, nil},
--- a/internal/lab/requestsoak/client.go
+++ b/internal/lab/requestsoak/client.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"dykering/internal/lab/pause"
 )
 
@@ -27,8 +29,9 @@
 	longBodyRequestShare = 0.02
 	longestBodyShare     = 0.03
 	slowSendShare        = 0.1 // requests that are sent in two parts
-	onceShare            = 0.6 // requests that may run once
-	streamShare          = 0.2
+	onceShare            = 0.5 // requests that may run once
+	streamShare          = 0.3
+	resumableShare       = 0.5 // streams that can be resumed
 )
 
 // bodyByte is the byte that all bodies of requests consist of.
@@ -81,7 +84,7 @@
 	case c.dice.happens(onceShare):
 		return NonIdempotent
 	case c.dice.happens(streamShare / (1 - onceShare)):
-		return Streaming
+		return lo.Ternary(c.dice.happens(resumableShare), Resumable, Streaming)
 	}
 	return Idempotent
 }
@@ -126,7 +129,7 @@
 	switch {
 	case isSuccess:
 		return false
-	case try.Kind == Idempotent:
+	case !try.Kind.runsOnce():
 		return try.Status < http.StatusBadRequest || try.Status >= http.StatusInternalServerError || promisesNotRun(try.Status)
 	case try.End == Unreachable || try.End == NotSent || try.End == Reset:
 		return true
--- a/internal/lab/requestsoak/client_conn.go
+++ b/internal/lab/requestsoak/client_conn.go
@@ -20,6 +20,7 @@
 	oncePath       = "/once/"
 	againPath      = "/again/"
 	streamPath     = "/stream/"
+	resumePath     = "/resume/"
 	maxRequestBody = 12 << 10
 	// longRequestBody is the length of the longest body, which the routes just allow. A share of the bodies is shorter by less than
 	// one part of longestBodyParts: the buffers of a connection do not hold these.
@@ -51,6 +52,8 @@
 		return againPath
 	case Streaming:
 		return streamPath
+	case Resumable:
+		return resumePath
 	case NonIdempotent:
 	}
 	return oncePath
--- a/internal/lab/requestsoak/endpoint_conn.go
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -21,12 +22,7 @@
 	signatureHeader   = "X-Response-Signature"
 	notExecutedHeader = "X-Not-Executed"
 	instanceHeader    = "X-Expected-Instance"
-)
-
-const (
-	// streamEvents is the number of events of a stream, and maxEventGap bounds the time between two of them.
-	streamEvents = 5
-	maxEventGap  = 40 * time.Millisecond
+	lastEventHeader   = "Last-Event-Id"
 )
 
 // endpointConn is a connection from a proxy to a fake endpoint.
@@ -36,6 +32,8 @@
 	requests chan *http.Request // closed when the proxy has closed the connection
 	gone     chan struct{}      // closed with requests
 	repeats  sync.WaitGroup
+	// The body of a request that the endpoint acts on is not read completely.
+	bodyUnread atomic.Bool
 
 	writing     sync.Mutex // held while a response is being written
 	nextSurplus []surplus  // sent while the next request runs
@@ -93,6 +91,7 @@
 		return c.readBody(r)
 	case c.runsEarly(r):
 		c.note(r, "acts on the request before its body")
+		c.bodyUnread.Store(true)
 		c.requests <- r
 		return c.delayReading(r) && c.readBody(r)
 	}
@@ -141,6 +140,7 @@
 	}
 	var checker bodyChecker
 	received, err := io.Copy(&checker, r.Body)
+	c.bodyUnread.Store(err != nil)
 	if checker.foreign > 0 {
 		c.note(r, fmt.Sprintf("%s: %d of %d", foreignBytes, checker.foreign, received))
 	}
@@ -236,7 +236,7 @@
 }
 
 // run runs a request and responds to it. It returns false if the connection must be closed.
-func (c *endpointConn) run(r *http.Request, deadline time.Time) bool {
+func (c *endpointConn) run(r *http.Request, deadline time.Time) (keep bool) {
 	run := &Run{
 		Request: r.Header.Get(requestIDHeader), Endpoint: c.id, Began: c.recorder.now(),
 		Connection: c.conn.RemoteAddr().String(), Signature: fmt.Sprintf("%s.%d", c.id, c.runCount.Add(1)),
@@ -244,7 +244,8 @@
 	c.recorder.addRun(run)
 	defer func() {
 		run.Ended = c.recorder.now()
-		run.BrokenOff = run.BrokenOff || !run.Whole && c.hasReset(c.conn)
+		// A connection that is closed before all input is read is reset by the kernel, whatever was written.
+		run.BrokenOff = run.BrokenOff || !run.Whole && c.hasReset(c.conn) || !keep && c.bodyUnread.Load()
 	}()
 	work, left := c.dice.exponential(meanWork, maxWork), time.Until(deadline)
 	for _, again := range c.takeNextSurplus() {
@@ -256,7 +257,7 @@
 	if work >= left {
 		return c.finish(r, run, http.StatusGatewayTimeout, answers)
 	}
-	if strings.HasPrefix(r.URL.Path, streamPath) {
+	if strings.HasPrefix(r.URL.Path, streamPath) || strings.HasPrefix(r.URL.Path, resumePath) {
 		return c.stream(r, run)
 	}
 	outcome := c.dice.outcome()
@@ -325,34 +326,3 @@
 	run.Whole = true
 	return c.respond(r, m)
 }
-
-// stream ends a run with a stream of events. It returns false if the connection must be closed.
-func (c *endpointConn) stream(r *http.Request, run *Run) bool {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	cutAt := -1
-	if c.dice.happens(cutShare + resetShare) {
-		cutAt = c.dice.number(streamEvents)
-	}
-	run.Status = http.StatusOK
-	head := c.signed(run, http.StatusOK, "")
-	head.header = append(head.header, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-	if _, err := c.conn.Write(head.encodeHead()); err != nil {
-		return false
-	}
-	for i := range streamEvents {
-		run.BrokenOff = i == cutAt
-		if run.BrokenOff || !c.work(c.dice.duration(0, maxEventGap)) {
-			return false
-		}
-		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, run.Request, run.Signature)
-		run.Body += event
-		if _, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(event), event); err != nil {
-			return false
-		}
-	}
-	run.Whole = true
-	c.note(r, "ends the stream")
-	_, err := io.WriteString(c.conn, "0\r\n\r\n")
-	return err == nil
-}
--- a/internal/lab/requestsoak/history.go
+++ b/internal/lab/requestsoak/history.go
@@ -6,18 +6,30 @@
 	"time"
 )
 
-// RouteKind is the kind of a route, as in the configuration.
+// RouteKind is the kind of a route.
 type RouteKind string
 
-// The kinds of routes. Streams of this package cannot be resumed, so they count as non-idempotent.
+// The kinds of routes. Streams that cannot be resumed count as non-idempotent.
 const (
 	Idempotent    RouteKind = "idempotent"
 	NonIdempotent RouteKind = "non_idempotent"
 	Streaming     RouteKind = "streaming"
+	Resumable     RouteKind = "resumable" // a streaming route whose streams can be resumed
 )
 
 // runsOnce reports whether a request to a route of the kind may run only once.
-func (k RouteKind) runsOnce() bool { return k != Idempotent }
+func (k RouteKind) runsOnce() bool { return k == NonIdempotent || k == Streaming }
+
+// isStream reports whether responses of a route of the kind are streams of events.
+func (k RouteKind) isStream() bool { return k == Streaming || k == Resumable }
+
+// configured returns the kind as the configuration of a route has it.
+func (k RouteKind) configured() string {
+	if k == Resumable {
+		return string(Streaming)
+	}
+	return string(k)
+}
 
 // ConnectionEnd tells how a client's connection ended before a response was complete.
 type ConnectionEnd string
@@ -61,10 +73,10 @@
 	Request, Endpoint, Signature string
 	Connection                   string // the proxy's end of the connection
 	Began, Ended                 time.Duration
-	Status                       int  // status of the response
-	Whole                        bool // the endpoint wrote the complete response
-	BrokenOff                    bool // the endpoint ended the connection before that
-	Body                         string
+	Status                       int    // status of the response
+	Whole                        bool   // the endpoint wrote the complete response, or the rest of it in a resumed stream
+	BrokenOff                    bool   // the endpoint ended the connection before that
+	Body                         string // of a response that was broken off, the part that may have been written
 }
 
 // EndpointEvent is something that an endpoint did with a request, other than running it.
--- a/internal/lab/requestsoak/operator.go
+++ b/internal/lab/requestsoak/operator.go
@@ -32,7 +32,7 @@
 // configuration returns a configuration with random weights and time-outs.
 func (o *operator) configuration(version int) map[string]any {
 	var routes, services []map[string]any
-	for _, kind := range []RouteKind{NonIdempotent, Idempotent, Streaming} {
+	for _, kind := range []RouteKind{NonIdempotent, Idempotent, Streaming, Resumable} {
 		routes = append(routes, o.route("r-"+string(kind), pathOf(kind), kind))
 	}
 	for i := range o.dice.number(4) {
@@ -55,7 +55,7 @@
 		split = append(split, map[string]any{"service": service, "weight": 20 + o.dice.number(80)})
 	}
 	return map[string]any{
-		"name": name, "host": routeHost, "path_prefix": prefix, "kind": string(kind), "timeout_ms": routeTimeoutMs - o.dice.number(500),
+		"name": name, "host": routeHost, "path_prefix": prefix, "kind": kind.configured(), "resumable": kind == Resumable, "timeout_ms": routeTimeoutMs - o.dice.number(500),
 		"target_latency_ms": targetMs, "priority": 0, "traffic_split": split, "max_attempts": maxAttempts,
 	}
 }
--- a/internal/lab/requestsoak/requestsoak_test.go
+++ b/internal/lab/requestsoak/requestsoak_test.go
@@ -25,8 +25,9 @@
 	}
 }
 
-// TWICE and REFUSED (issue 71): requests that may run once ran twice, or ran after a promise that they had not run, when endpoints
-// without room sent surplus responses. `dykering-lab request-soak` plays other seeds and sizes.
+// TWICE and REFUSED (issues 71 and 77): requests that may run once ran twice, or ran after a promise that they had not run, when
+// endpoints without room sent surplus responses, or ran long requests before they read the bodies. ORDER (issue 77): streams
+// without a length that were cut within an event ended as complete. `dykering-lab request-soak` plays other seeds and sizes.
 func TestRequestsRunOnceAndNotAfterARefusalUnderFaults(t *testing.T) {
 	scenario := Scenario{
 		Program: localprocess.Program{Command: []string{os.Args[0]}, Env: []string{roleVariable + "=1"}},
