--- a/internal/lab/requestsoak/stream.go
+++ b/internal/lab/requestsoak/stream.go
@@ -92,6 +92,8 @@
 	}
 	for number := after + 1; number <= streamEvents; number++ {
 		if !c.work(c.dice.duration(0, maxEventGap)) {
+			// Nothing tells an unframed stream that is closed between two events from a complete one.
+			c.reset(c.conn)
 			return false
 		}
 		event := run.event(number, resumable)
