Put the limit of a listener's receive buffer into the loopback package

Cause: the specs of early responses and the request soak had the same function. Change: loopback.LimitReceiveBuffer.

--- a/internal/dataplane/early_response_test.go
+++ b/internal/dataplane/early_response_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,7 +35,7 @@
 	listener, err := loopback.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
-	limitReceiveBuffer(listener)
+	Expect(loopback.LimitReceiveBuffer(listener, smallReceiveBuffer)).To(Succeed())
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -49,17 +48,6 @@
 	return &fakeEndpoint{id: id, listener: listener}
 }
 
-// limitReceiveBuffer gives the connections of a listener a small receive buffer, so that a body that is not read holds its sender up.
-func limitReceiveBuffer(listener *net.TCPListener) {
-	raw, err := listener.SyscallConn()
-	Expect(err).NotTo(HaveOccurred())
-	var optionErr error
-	Expect(raw.Control(func(descriptor uintptr) {
-		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-	})).To(Succeed())
-	Expect(optionErr).NotTo(HaveOccurred())
-}
-
 func (s *headReader) serve(conn net.Conn) {
 	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -80,6 +80,20 @@
 	return nil, err
 }
 
+// LimitReceiveBuffer sets the size in bytes of the receive buffers of the connections that a listener accepts. Data that is not
+// read then holds its sender up early.
+func LimitReceiveBuffer(l *net.TCPListener, size int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+	})
+	return errors.Join(err, optionErr)
+}
+
 const (
 	// retryInterval is the time between two attempts of Relisten.
 	retryInterval = 5 * time.Millisecond
--- a/internal/lab/requestsoak/endpoint.go
+++ b/internal/lab/requestsoak/endpoint.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"dykering/internal/lab/controlclient"
@@ -56,7 +55,7 @@
 		return nil, err
 	}
 	if d.happens(smallBufferShare) {
-		if err := limitReceiveBuffer(listener); err != nil {
+		if err := loopback.LimitReceiveBuffer(listener, smallReceiveBuffer); err != nil {
 			listener.Close()
 			return nil, err
 		}
@@ -82,22 +81,6 @@
 	return listener.(*net.TCPListener), nil
 }
 
-// limitReceiveBuffer gives the connections of a listener a small receive buffer, so that a body that is not read holds its sender up.
-func limitReceiveBuffer(listener *net.TCPListener) error {
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optionErr error
-	err = raw.Control(func(descriptor uintptr) {
-		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
-}
-
 // accept serves connections until the endpoint is gone.
 func (e *endpoint) accept() {
 	for {
