Rename the probabilities and stream functions of the request soak

Change: renames alone: ...Probability, ...Fraction, completeStream, writeStreamChunk, recordEvent, Run.Complete.

--- a/internal/lab/requestsoak/behavior.go
+++ b/internal/lab/requestsoak/behavior.go
@@ -6,30 +6,30 @@
 	"time"
 )
 
-// Shares of the requests, or of the responses, for which an endpoint misbehaves.
+// Probabilities with which an endpoint misbehaves, for a request or a response.
 const (
-	ownFailureShare     = 0.02 // it runs the request and answers 500
-	cutShare            = 0.01 // it breaks off in the middle of its response
-	resetShare          = 0.01 // it runs the request and resets the connection
-	silentCloseShare    = 0.01 // it runs the request and closes the connection
-	garbageShare        = 0.005
-	unframedShare       = 0.02 // a response without a length, which ends with the connection
-	earlyRejectionShare = 0.3  // a full endpoint rejects a request before it has read the body
-	unframedStreamShare = 0.4  // a stream without a length
-	streamCutShare      = 0.15 // it breaks off a stream
-	earlyRunShare       = 0.05 // it runs a request, and may respond, before it has read the body
-	earlyLongRunShare   = 0.5  // the same of requests with long bodies
-	lateReadShare       = 0.6  // it then reads a long body after some time only
-	earlyResetShare     = 0.3  // it resets the connection in place of reading such a body
-	smallBufferShare    = 0.5  // endpoints whose receive buffers hold little
-	bodyStallShare      = 0.05 // it waits before it reads a body
-	bodyResetShare      = 0.01 // it resets the connection in the middle of a body
-	closeHeaderShare    = 0.02 // it announces that it closes the connection after a response
-	surplusShare        = 0.3  // it sends its response once more
-	delayedShare        = 0.5  // such a response is sent after some time, and others where the next one is due
-	fragmentShare       = 0.15 // such a repeated response breaks off
-	headFragmentShare   = 0.7  // such a response breaks off within its head
-	longBodyShare       = 0.03
+	ownFailureProbability       = 0.02 // it runs the request and answers 500
+	truncationProbability       = 0.01 // it breaks off in the middle of its response
+	resetProbability            = 0.01 // it runs the request and resets the connection
+	silentCloseProbability      = 0.01 // it runs the request and closes the connection
+	garbageProbability          = 0.005
+	unframedProbability         = 0.02 // a response without a length, which ends with the connection
+	earlyRejectionProbability   = 0.3  // a full endpoint rejects a request before it has read the body
+	unframedStreamProbability   = 0.4  // a stream without a length
+	streamTruncationProbability = 0.15 // it breaks off a stream
+	earlyRunProbability         = 0.05 // it runs a request, and may respond, before it has read the body
+	earlyLongRunProbability     = 0.5  // the same of requests with long bodies
+	lateReadProbability         = 0.6  // it then reads a long body after some time only
+	earlyResetProbability       = 0.3  // it resets the connection in place of reading such a body
+	smallBufferProbability      = 0.5  // endpoints whose receive buffers hold little
+	bodyStallProbability        = 0.05 // it waits before it reads a body
+	bodyResetProbability        = 0.01 // it resets the connection in the middle of a body
+	closeHeaderProbability      = 0.02 // it announces that it closes the connection after a response
+	surplusProbability          = 0.3  // it sends its response once more
+	delayedProbability          = 0.5  // such a response is sent after some time, and others where the next one is due
+	fragmentProbability         = 0.15 // such a repeated response breaks off
+	headFragmentProbability     = 0.7  // such a response breaks off within its head
+	longBodyProbability         = 0.03
 )
 
 const (
@@ -65,11 +65,11 @@
 
 func newDice(seed, stream uint64) *dice { return &dice{random: rand.New(rand.NewPCG(seed, stream))} }
 
-// happens returns true in a share of the calls.
-func (d *dice) happens(share float64) bool {
+// happens returns true with a probability.
+func (d *dice) happens(probability float64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.random.Float64() < share
+	return d.random.Float64() < probability
 }
 
 // number returns a number from 0 to n-1.
@@ -99,17 +99,17 @@
 	defer d.mu.Unlock()
 	drawn := d.random.Float64()
 	for _, o := range []struct {
-		share   float64
-		outcome runOutcome
+		probability float64
+		outcome     runOutcome
 	}{
-		{ownFailureShare, failsItself},
-		{cutShare, cutsOff},
-		{resetShare, resets},
-		{silentCloseShare, closesSilently},
-		{garbageShare, sendsGarbage},
-		{unframedShare, answersUnframed},
+		{ownFailureProbability, failsItself},
+		{truncationProbability, cutsOff},
+		{resetProbability, resets},
+		{silentCloseProbability, closesSilently},
+		{garbageProbability, sendsGarbage},
+		{unframedProbability, answersUnframed},
 	} {
-		if drawn -= o.share; drawn < 0 {
+		if drawn -= o.probability; drawn < 0 {
 			return o.outcome
 		}
 	}
--- a/internal/lab/requestsoak/check.go
+++ b/internal/lab/requestsoak/check.go
@@ -83,7 +83,7 @@
 	lines := []traceLine{{try.Sent, try.String()}}
 	for _, run := range c.runsOf[try.ID] {
 		lines = append(lines, traceLine{run.Began, fmt.Sprintf("%.3f s to %.3f s: %s, connection of %s, runs %s: status %d, whole %t, broken off %t, signature %s",
-			run.Began.Seconds(), run.Ended.Seconds(), run.Endpoint, run.Connection, try.ID, run.Status, run.Whole, run.BrokenOff, run.Signature)})
+			run.Began.Seconds(), run.Ended.Seconds(), run.Endpoint, run.Connection, try.ID, run.Status, run.Complete, run.BrokenOff, run.Signature)})
 	}
 	for _, e := range c.Events {
 		if e.Request == try.ID || c.concernsRun(e, try) {
@@ -169,15 +169,15 @@
 // checkBody checks that the body of a success is that of its run, and that a part of it does not look complete. A stream that can be
 // resumed may have events of several runs.
 func (c *checker) checkBody(try *Try, run *Run) {
-	rule, whole, isWhole := Mixed, run.Body, run.Whole
+	rule, whole, isComplete := Mixed, run.Body, run.Complete
 	if try.Kind.isStream() {
 		rule = Order
 	}
 	if try.Kind == Resumable {
-		whole, isWhole = wholeStream(try.ID), true
+		whole, isComplete = completeStream(try.ID), true
 	}
 	switch {
-	case try.End == NotEnded && (!isWhole || whole != try.Body):
+	case try.End == NotEnded && (!isComplete || whole != try.Body):
 		c.add(rule, try, "request %s got a complete response that differs from its run's: %q", try.ID, lastBytes(try.Body))
 	case !strings.HasPrefix(whole, try.Body):
 		c.add(rule, try, "request %s got a part of a response that its run did not give: %q", try.ID, lastBytes(try.Body))
--- a/internal/lab/requestsoak/check_test.go
+++ b/internal/lab/requestsoak/check_test.go
@@ -17,7 +17,7 @@
 
 // run returns a run of a request that gave the complete response "body".
 func run(request, signature string) *Run {
-	return &Run{Request: request, Signature: signature, Began: time.Second, Ended: 2 * time.Second, Status: 200, Whole: true, Body: "body"}
+	return &Run{Request: request, Signature: signature, Began: time.Second, Ended: 2 * time.Second, Status: 200, Complete: true, Body: "body"}
 }
 
 // served returns a try that got the response of the run "s".
@@ -61,7 +61,7 @@
 	retried := served()
 	retried.ID = "b"
 	brokenOff := run("a", "s")
-	brokenOff.Whole, brokenOff.BrokenOff = false, true
+	brokenOff.Complete, brokenOff.BrokenOff = false, true
 	failure := served()
 	failure.Status = 500
 	twice := strings.Repeat((&Run{Request: "a"}).event(1, true), 2)
@@ -82,8 +82,8 @@
 		{"a part of a response that looks complete", History{Tries: []*Try{shorter}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
 		{"a part of a response that is not its run's", History{Tries: []*Try{truncatedTo(NonIdempotent, "x")}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
 		{"a part of a response", History{Tries: []*Try{truncatedTo(NonIdempotent, "bo")}, Runs: []*Run{run("a", "s")}}, nil},
-		{"a whole stream of two runs", History{Tries: []*Try{streamed(wholeStream("a"))}, Runs: []*Run{brokenOff, run("a", "r")}}, nil},
-		{"a part of a stream that looks complete", History{Tries: []*Try{streamed(wholeStream("a")[:9])}, Runs: []*Run{brokenOff, run("a", "r")}}, []string{Order}},
+		{"a whole stream of two runs", History{Tries: []*Try{streamed(completeStream("a"))}, Runs: []*Run{brokenOff, run("a", "r")}}, nil},
+		{"a part of a stream that looks complete", History{Tries: []*Try{streamed(completeStream("a")[:9])}, Runs: []*Run{brokenOff, run("a", "r")}}, []string{Order}},
 		{"an event that comes twice", History{Tries: []*Try{truncatedTo(Resumable, twice)}, Runs: []*Run{brokenOff, run("a", "r")}}, []string{Order}},
 		{"a part of a stream", History{Tries: []*Try{truncatedTo(Resumable, twice[:len(twice)/2])}, Runs: []*Run{brokenOff}}, nil},
 		{"a signed status that no run gave", History{Tries: []*Try{failure}, Runs: []*Run{run("a", "s")}}, []string{Mixed}},
--- a/internal/lab/requestsoak/client.go
+++ b/internal/lab/requestsoak/client.go
@@ -18,20 +18,20 @@
 	// maxTries bounds the tries of an operation. Impatient clients make more.
 	maxTries          = 2
 	maxImpatientTries = 4
-	// retryAfterShare is the share of its time left for which a client waits as it is told.
-	retryAfterShare      = 1.0 / 3
-	meanPause            = 40 * time.Millisecond
-	maxPause             = 400 * time.Millisecond
-	impatientShare       = 0.2 // clients that retry at once, and more often
-	keepingShare         = 0.6 // clients that use a connection for many requests
-	libraryShare         = 0.2 // clients that use the standard library, which retries by itself
-	chunkedShare         = 0.3 // requests whose body comes in chunks
-	longBodyRequestShare = 0.02
-	longestBodyShare     = 0.03
-	slowSendShare        = 0.1 // requests that are sent in two parts
-	onceShare            = 0.5 // requests that may run once
-	streamShare          = 0.3
-	resumableShare       = 0.5 // streams that can be resumed
+	// retryAfterFraction is the share of its time left for which a client waits as it is told.
+	retryAfterFraction         = 1.0 / 3
+	meanPause                  = 40 * time.Millisecond
+	maxPause                   = 400 * time.Millisecond
+	impatientProbability       = 0.2 // clients that retry at once, and more often
+	keepingProbability         = 0.6 // clients that use a connection for many requests
+	libraryProbability         = 0.2 // clients that use the standard library, which retries by itself
+	chunkedProbability         = 0.3 // requests whose body comes in chunks
+	longBodyRequestProbability = 0.02
+	longestBodyProbability     = 0.03
+	slowSendProbability        = 0.1 // requests that are sent in two parts
+	onceProbability            = 0.5 // requests that may run once
+	streamProbability          = 0.3
+	resumableProbability       = 0.5 // streams that can be resumed
 )
 
 // bodyByte is the byte that all bodies of requests consist of.
@@ -52,9 +52,9 @@
 func newClient(s *system, index int) *client {
 	d := newDice(s.Seed, clientStream+uint64(index))
 	c := &client{
-		name: fmt.Sprintf("c%d", index), system: s, dice: d, keeps: d.happens(keepingShare), impatient: d.happens(impatientShare),
+		name: fmt.Sprintf("c%d", index), system: s, dice: d, keeps: d.happens(keepingProbability), impatient: d.happens(impatientProbability),
 	}
-	if d.happens(libraryShare) {
+	if d.happens(libraryProbability) {
 		c.library = newLibraryClient()
 	}
 	return c
@@ -81,10 +81,10 @@
 // drawKind draws the kind of an operation.
 func (c *client) drawKind() RouteKind {
 	switch {
-	case c.dice.happens(onceShare):
+	case c.dice.happens(onceProbability):
 		return NonIdempotent
-	case c.dice.happens(streamShare / (1 - onceShare)):
-		return lo.Ternary(c.dice.happens(resumableShare), Resumable, Streaming)
+	case c.dice.happens(streamProbability / (1 - onceProbability)):
+		return lo.Ternary(c.dice.happens(resumableProbability), Resumable, Streaming)
 	}
 	return Idempotent
 }
@@ -92,9 +92,9 @@
 func (c *client) drawBody() string {
 	length := c.dice.number(maxRequestBody)
 	switch {
-	case c.dice.happens(longestBodyShare):
+	case c.dice.happens(longestBodyProbability):
 		length = longRequestBody - c.dice.number(longRequestBody/longestBodyParts)
-	case c.dice.happens(longBodyRequestShare):
+	case c.dice.happens(longBodyRequestProbability):
 		length = c.dice.number(longRequestBody)
 	}
 	return strings.Repeat(string(bodyByte), length)
@@ -143,7 +143,7 @@
 	if err != nil || c.impatient {
 		return 0
 	}
-	most := time.Duration(retryAfterShare * float64(time.Until(deadline)))
+	most := time.Duration(retryAfterFraction * float64(time.Until(deadline)))
 	return min(time.Duration(seconds*float64(time.Second)), most)
 }
 
@@ -178,9 +178,9 @@
 
 // parts returns a request in the two parts in which it is sent. The second is empty unless it is sent slowly.
 func (c *client) parts(try *Try, body string, deadline time.Time) (parts [2]string) {
-	text := encodeRequest(try, time.Until(deadline), body, c.dice.happens(chunkedShare))
+	text := encodeRequest(try, time.Until(deadline), body, c.dice.happens(chunkedProbability))
 	split := len(text)
-	if c.dice.happens(slowSendShare) {
+	if c.dice.happens(slowSendProbability) {
 		split = c.dice.number(len(text))
 	}
 	return [2]string{text[:split], text[split:]}
--- a/internal/lab/requestsoak/endpoint.go
+++ b/internal/lab/requestsoak/endpoint.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.happens(smallBufferShare) {
+	if d.happens(smallBufferProbability) {
 		if err := loopback.LimitReceiveBuffer(listener, smallReceiveBuffer); err != nil {
 			listener.Close()
 			return nil, err
@@ -126,12 +126,12 @@
 	e.workers.Wait()
 }
 
-// resetConnections resets a share of the connections.
-func (e *endpoint) resetConnections(share float64) {
+// resetConnections resets a fraction of the connections.
+func (e *endpoint) resetConnections(fraction float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for conn := range e.conns {
-		if e.dice.happens(share) {
+		if e.dice.happens(fraction) {
 			e.resetLocked(conn)
 		}
 	}
--- a/internal/lab/requestsoak/endpoint_conn.go
+++ b/internal/lab/requestsoak/endpoint_conn.go
@@ -86,11 +86,11 @@
 // before it reads the body. It returns false if the body was not received completely.
 func (c *endpointConn) receive(r *http.Request) bool {
 	switch {
-	case c.isFull() && c.dice.happens(earlyRejectionShare):
+	case c.isFull() && c.dice.happens(earlyRejectionProbability):
 		c.reject(r, http.StatusServiceUnavailable, "rejects the request before its body")
 		return c.readBody(r)
 	case c.runsEarly(r):
-		c.note(r, "acts on the request before its body")
+		c.recordEvent(r, "acts on the request before its body")
 		c.bodyUnread.Store(true)
 		c.requests <- r
 		return c.delayReading(r) && c.readBody(r)
@@ -107,20 +107,20 @@
 
 // runsEarly draws whether the endpoint acts on a request before it reads the body.
 func (c *endpointConn) runsEarly(r *http.Request) bool {
-	return c.dice.happens(lo.Ternary(isLong(r), earlyLongRunShare, earlyRunShare))
+	return c.dice.happens(lo.Ternary(isLong(r), earlyLongRunProbability, earlyRunProbability))
 }
 
 // delayReading waits before a long body is read, or resets the connection, in a share of the cases. It returns false if the body
 // cannot be read any more.
 func (c *endpointConn) delayReading(r *http.Request) bool {
-	if !isLong(r) || !c.dice.happens(lateReadShare) {
+	if !isLong(r) || !c.dice.happens(lateReadProbability) {
 		return true
 	}
 	if !c.work(c.dice.duration(0, maxLateRead)) {
 		return false
 	}
-	if c.dice.happens(earlyResetShare) {
-		c.note(r, "resets the connection before it reads the body")
+	if c.dice.happens(earlyResetProbability) {
+		c.recordEvent(r, "resets the connection before it reads the body")
 		c.reset(c.conn)
 		return false
 	}
@@ -129,12 +129,12 @@
 
 // readBody reads a body. It returns false if the body was not received completely.
 func (c *endpointConn) readBody(r *http.Request) bool {
-	if c.dice.happens(bodyStallShare) {
+	if c.dice.happens(bodyStallProbability) {
 		time.Sleep(c.dice.duration(0, maxBodyStall))
 	}
-	if c.dice.happens(bodyResetShare) {
+	if c.dice.happens(bodyResetProbability) {
 		received, _ := io.CopyN(io.Discard, r.Body, int64(c.dice.number(int(r.ContentLength)+1)))
-		c.note(r, fmt.Sprintf("resets the connection after %d bytes of the body", received))
+		c.recordEvent(r, fmt.Sprintf("resets the connection after %d bytes of the body", received))
 		c.reset(c.conn)
 		return false
 	}
@@ -142,10 +142,10 @@
 	received, err := io.Copy(&checker, r.Body)
 	c.bodyUnread.Store(err != nil)
 	if checker.foreign > 0 {
-		c.note(r, fmt.Sprintf("%s: %d of %d", foreignBytes, checker.foreign, received))
+		c.recordEvent(r, fmt.Sprintf("%s: %d of %d", foreignBytes, checker.foreign, received))
 	}
 	if err != nil {
-		c.note(r, fmt.Sprintf("has %d bytes of the body: %v", received, err))
+		c.recordEvent(r, fmt.Sprintf("has %d bytes of the body: %v", received, err))
 	}
 	return err == nil
 }
@@ -167,8 +167,8 @@
 	return len(e.slots) == cap(e.slots) && e.queued.Load() >= endpointQueue
 }
 
-// note records an event of a request.
-func (c *endpointConn) note(r *http.Request, what string) {
+// recordEvent records an event of a request.
+func (c *endpointConn) recordEvent(r *http.Request, what string) {
 	c.recorder.addEvent(EndpointEvent{
 		Request: r.Header.Get(requestIDHeader), Endpoint: c.id, Connection: c.conn.RemoteAddr().String(), What: what,
 	})
@@ -219,7 +219,7 @@
 	case <-timer.C:
 		return false, c.reject(r, http.StatusServiceUnavailable, "has had the request in its queue until the deadline")
 	case <-c.gone:
-		c.note(r, "drops the request from its queue, since the connection is closed")
+		c.recordEvent(r, "drops the request from its queue, since the connection is closed")
 	case <-c.ended:
 	}
 	return false, false
@@ -227,7 +227,7 @@
 
 // reject promises that the request has not run. It returns false if the connection must be closed.
 func (c *endpointConn) reject(r *http.Request, status int, why string) bool {
-	c.note(r, fmt.Sprintf("%s: %d", why, status))
+	c.recordEvent(r, fmt.Sprintf("%s: %d", why, status))
 	header := []string{requestIDHeader + ": " + r.Header.Get(requestIDHeader), notExecutedHeader + ": 1"}
 	if c.dice.happens(0.5) {
 		header[0], header[1] = header[1], header[0]
@@ -245,7 +245,7 @@
 	defer func() {
 		run.Ended = c.recorder.now()
 		// A connection that is closed before all input is read is reset by the kernel, whatever was written.
-		run.BrokenOff = run.BrokenOff || !run.Whole && c.hasReset(c.conn) || !keep && c.bodyUnread.Load()
+		run.BrokenOff = run.BrokenOff || !run.Complete && c.hasReset(c.conn) || !keep && c.bodyUnread.Load()
 	}()
 	work, left := c.dice.exponential(meanWork, maxWork), time.Until(deadline)
 	for _, again := range c.takeNextSurplus() {
@@ -283,7 +283,7 @@
 // body returns the body of a run's response, which no other run has.
 func (c *endpointConn) body(run *Run) string {
 	length := c.dice.number(maxBodyLength)
-	if c.dice.happens(longBodyShare) {
+	if c.dice.happens(longBodyProbability) {
 		length = c.dice.number(longBodyLength)
 	}
 	text := run.Request + " " + run.Signature + " "
@@ -323,6 +323,6 @@
 	case answers, failsItself:
 	}
 	// The response counts as whole before it is written, since the client may have it before the write returns.
-	run.Whole = true
+	run.Complete = true
 	return c.respond(r, m)
 }
--- a/internal/lab/requestsoak/faults.go
+++ b/internal/lab/requestsoak/faults.go
@@ -20,7 +20,7 @@
 	proxiesPerLane = 3
 	// maxEndpointPause bounds the time between two faults of endpoints.
 	maxEndpointPause = 1500 * time.Millisecond
-	maxResetShare    = 0.5
+	maxResetFraction = 0.5
 )
 
 // processFaults injects faults into a group of processes. Several goroutines share it, and each has one process down at a time.
@@ -185,7 +185,7 @@
 			}
 			old.leave(s.system.faultsDone, s.system.drainTimeout())
 		default:
-			old.resetConnections(maxResetShare * float64(s.dice.number(100)) / 100)
+			old.resetConnections(maxResetFraction * float64(s.dice.number(100)) / 100)
 		}
 	}
 	return nil
--- a/internal/lab/requestsoak/history.go
+++ b/internal/lab/requestsoak/history.go
@@ -74,7 +74,7 @@
 	Connection                   string // the proxy's end of the connection
 	Began, Ended                 time.Duration
 	Status                       int    // status of the response
-	Whole                        bool   // the endpoint wrote the complete response, or the rest of it in a resumed stream
+	Complete                     bool   // the endpoint wrote the complete response, or the rest of it in a resumed stream
 	BrokenOff                    bool   // the endpoint ended the connection before that
 	Body                         string // of a response that was broken off, the part that may have been written
 }
--- a/internal/lab/requestsoak/message.go
+++ b/internal/lab/requestsoak/message.go
@@ -35,7 +35,7 @@
 
 // respond writes a response. In a share of the cases, it sends it once more later. It returns false if the connection must be closed.
 func (c *endpointConn) respond(r *http.Request, m message) bool {
-	closes := m.unframed || c.isDraining() || c.dice.happens(closeHeaderShare)
+	closes := m.unframed || c.isDraining() || c.dice.happens(closeHeaderProbability)
 	if closes {
 		m.header = append(m.header, "Connection: close")
 	}
@@ -47,7 +47,7 @@
 	if !c.write(text) {
 		return false
 	}
-	if c.dice.happens(surplusShare) {
+	if c.dice.happens(surplusProbability) {
 		c.repeat(r, text)
 	}
 	return true
@@ -81,15 +81,15 @@
 
 // repeat sends a response once more: after some time, or where the response to the next request on the connection is due.
 func (c *endpointConn) repeat(r *http.Request, text []byte) {
-	if c.dice.happens(fragmentShare) {
+	if c.dice.happens(fragmentProbability) {
 		length := len(text)
-		if c.dice.happens(headFragmentShare) {
+		if c.dice.happens(headFragmentProbability) {
 			length = bytes.Index(text, []byte("\r\n\r\n"))
 		}
 		text = text[:1+c.dice.number(length)]
 	}
 	again := surplus{request: r, text: text}
-	if c.dice.happens(delayedShare) {
+	if c.dice.happens(delayedProbability) {
 		c.repeats.Go(func() {
 			if c.work(c.dice.duration(0, maxSurplusDelay)) {
 				c.sendSurplus(again)
@@ -112,7 +112,7 @@
 }
 
 func (c *endpointConn) sendSurplus(again surplus) {
-	c.note(again.request, fmt.Sprintf("sends %d bytes of its response once more (%s)", len(again.text), firstLine(again.text)))
+	c.recordEvent(again.request, fmt.Sprintf("sends %d bytes of its response once more (%s)", len(again.text), firstLine(again.text)))
 	c.write(again.text)
 }
 
--- a/internal/lab/requestsoak/stream.go
+++ b/internal/lab/requestsoak/stream.go
@@ -27,16 +27,16 @@
 
 // streamPlan is what an endpoint does with a stream.
 type streamPlan struct {
-	unframed bool // the stream has no length and no chunks, and ends with the connection
-	end      streamEnd
-	cutAt    int // the event that is cut, if end says so
+	unframed    bool // the stream has no length and no chunks, and ends with the connection
+	end         streamEnd
+	truncatedAt int // the event that is cut, if end says so
 }
 
 // drawStreamPlan draws what an endpoint does with a stream whose events begin after a given one. A stream with a length of its own
 // is not reset after its last event: its end is its last chunk.
 func (d *dice) drawStreamPlan(after int) streamPlan {
-	plan := streamPlan{unframed: d.happens(unframedStreamShare)}
-	if after >= streamEvents || !d.happens(streamCutShare) {
+	plan := streamPlan{unframed: d.happens(unframedStreamProbability)}
+	if after >= streamEvents || !d.happens(streamTruncationProbability) {
 		return plan
 	}
 	ends := []streamEnd{streamClosed, streamReset}
@@ -44,7 +44,7 @@
 		ends = append(ends, streamResetAfterEnd)
 	}
 	plan.end = ends[d.number(len(ends))]
-	plan.cutAt = after + 1 + d.number(streamEvents-after)
+	plan.truncatedAt = after + 1 + d.number(streamEvents-after)
 	return plan
 }
 
@@ -57,8 +57,8 @@
 	return fmt.Sprintf("id: %d\ndata: %d of %d, %s\n\n", number, number, streamEvents, text)
 }
 
-// wholeStream returns the complete stream of a request that can be resumed.
-func wholeStream(request string) string {
+// completeStream returns the complete stream of a request that can be resumed.
+func completeStream(request string) string {
 	run := Run{Request: request}
 	var b strings.Builder
 	for number := range streamEvents {
@@ -97,12 +97,12 @@
 			return false
 		}
 		event := run.event(number, resumable)
-		if number == plan.cutAt && plan.end != streamResetAfterEnd {
-			c.cutStream(r, run, plan, event)
+		if number == plan.truncatedAt && plan.end != streamResetAfterEnd {
+			c.truncateStream(r, run, plan, event)
 			return false
 		}
 		run.Body += event
-		if !c.writePiece(plan, event) {
+		if !c.writeStreamChunk(plan, event) {
 			return false
 		}
 	}
@@ -120,23 +120,23 @@
 	return err == nil
 }
 
-// writePiece writes a piece of a stream.
-func (c *endpointConn) writePiece(plan streamPlan, piece string) bool {
+// writeStreamChunk writes a chunk of a stream.
+func (c *endpointConn) writeStreamChunk(plan streamPlan, chunk string) bool {
 	if !plan.unframed {
-		piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
 	}
-	_, err := io.WriteString(c.conn, piece)
+	_, err := io.WriteString(c.conn, chunk)
 	return err == nil
 }
 
-// cutStream writes a part of an event and breaks off.
-func (c *endpointConn) cutStream(r *http.Request, run *Run, plan streamPlan, event string) {
+// truncateStream writes a part of an event and breaks off.
+func (c *endpointConn) truncateStream(r *http.Request, run *Run, plan streamPlan, event string) {
 	run.BrokenOff = true
 	part := event[:1+c.dice.number(len(event)-1)]
 	run.Body += part
-	c.note(r, fmt.Sprintf("breaks the stream off after %d bytes of event %d (unframed %t, reset %t)", len(part), plan.cutAt, plan.unframed,
+	c.recordEvent(r, fmt.Sprintf("breaks the stream off after %d bytes of event %d (unframed %t, reset %t)", len(part), plan.truncatedAt, plan.unframed,
 		plan.end == streamReset))
-	c.writePiece(plan, part)
+	c.writeStreamChunk(plan, part)
 	if plan.end == streamReset {
 		c.reset(c.conn)
 	}
@@ -146,12 +146,12 @@
 func (c *endpointConn) endStream(r *http.Request, run *Run, plan streamPlan) bool {
 	if plan.end == streamResetAfterEnd {
 		run.BrokenOff = true
-		c.note(r, "resets the connection after the last event")
+		c.recordEvent(r, "resets the connection after the last event")
 		c.reset(c.conn)
 		return false
 	}
-	run.Whole = true
-	c.note(r, "ends the stream")
+	run.Complete = true
+	c.recordEvent(r, "ends the stream")
 	if plan.unframed {
 		return false
 	}
