Request soak: an empty stream without a length counts as broken off

A stream was reset after its last event and resumed at an endpoint that had no event left, whose answer ended with its connection; nothing tells that from a crash before the first event, so the proxy cuts it off.

Change: such a run counts as broken off by its endpoint. The text of the error no longer says within an event.

Result: tests of the checker and of dataplane pass.

--- a/internal/dataplane/streaming.go
+++ b/internal/dataplane/streaming.go
@@ -20,7 +20,7 @@
 
 var (
 	errEventTooLong   = errors.New("a server-sent event exceeds the size limit")
-	errEventTruncated = errors.New("the connection ended within a server-sent event")
+	errEventTruncated = errors.New("the connection ended before the end of a server-sent event")
 )
 
 // stream sends the head of a response, with the endpoint's Content-Length if there is one, and streams the body.
--- a/internal/lab/requestsoak/stream.go
+++ b/internal/lab/requestsoak/stream.go
@@ -151,8 +151,10 @@
 		return false
 	}
 	run.Complete = true
-	c.recordEvent(r, "ends the stream")
+	c.recordEvent(r, fmt.Sprintf("ends the stream (unframed %t)", plan.unframed))
 	if plan.unframed {
+		// Nothing tells a stream without any event from one that is broken off before its first event.
+		run.BrokenOff = run.Body == ""
 		return false
 	}
 	_, err := io.WriteString(c.conn, "0\r\n\r\n")
